Set down the layout, core types, tasks and timers

The repository was empty. Packages by concern, NewType ids, Enum states, the closed error table, mailboxes, the timer service and the log format come first, so that every later part is built on them.

--- /dev/null
+++ b/orioleshore/model/checks.py
@@ -0,0 +1,86 @@
+"""Checks of whole documents that report every wrong field."""
+
+import types
+import typing
+from typing import Any
+
+import msgspec
+from result import Err
+from result import Ok
+from result import Result
+
+
+def convert(value: Any, wanted: Any) -> Result[Any, list[str]]:
+    """Convert plain data to a type, or return one line per wrong field.
+
+    Each line has the path of the field and what was expected there.
+    """
+    problems = find_problems(value, wanted, '$')
+    if problems:
+        return Err(problems)
+    return Ok(msgspec.convert(value, wanted))
+
+
+def find_problems(value: Any, wanted: Any, path: str) -> list[str]:
+    """Return what is wrong with a value, field by field."""
+    struct = _get_struct(wanted)
+    if struct is not None and isinstance(value, dict):
+        return _find_field_problems(value, struct, path)
+    item = _get_item_type(wanted)
+    if item is not None and isinstance(value, list):
+        problems = []
+        for position, element in enumerate(value):
+            problems += find_problems(element, item, f'{path}[{position}]')
+        return problems
+    return _check_leaf(value, wanted, path)
+
+
+def _find_field_problems(value: dict, struct: type, path: str) -> list[str]:
+    problems = []
+    fields = {f.encode_name: f for f in msgspec.structs.fields(struct)}
+    for key in value:
+        if key not in fields:
+            expected = ', '.join(sorted(fields))
+            problems.append(
+                f'{path}.{key}: unknown key, expected one of: {expected}'
+            )
+    for name, field in fields.items():
+        if name in value:
+            problems += find_problems(
+                value[name], field.type, f'{path}.{name}'
+            )
+        elif field.required:
+            problems.append(f'{path}.{name}: required, but missing')
+    return problems
+
+
+def _check_leaf(value: Any, wanted: Any, path: str) -> list[str]:
+    try:
+        msgspec.convert(value, wanted)
+    except msgspec.ValidationError as error:
+        text, _, inner = str(error).partition(' - at `$')
+        return [f'{path}{inner.rstrip("`")}: {text}']
+    return []
+
+
+def _get_struct(wanted: Any) -> type | None:
+    for candidate in _get_alternatives(wanted):
+        if isinstance(candidate, type) and issubclass(
+            candidate, msgspec.Struct
+        ):
+            return candidate
+    return None
+
+
+def _get_item_type(wanted: Any) -> Any | None:
+    for candidate in _get_alternatives(wanted):
+        arguments = typing.get_args(candidate)
+        if typing.get_origin(candidate) in (tuple, list) and arguments:
+            return arguments[0]
+    return None
+
+
+def _get_alternatives(wanted: Any) -> tuple[Any, ...]:
+    if typing.get_origin(wanted) in (typing.Union, types.UnionType):
+        return typing.get_args(wanted)
+    return (wanted,)
--- /dev/null
+++ b/orioleshore/model/states.py
@@ -0,0 +1,118 @@
+"""States that parts store and exchange."""
+
+import enum
+
+
+class Ran(enum.Enum):
+    """Whether a request was executed by an upstream."""
+
+    NO = 'no'
+    YES = 'yes'
+    UNKNOWN = 'unknown'
+
+
+class Priority(enum.Enum):
+    """Urgency of a request, most urgent first."""
+
+    URGENT = 'urgent'
+    NORMAL = 'normal'
+    DEFERRABLE = 'deferrable'
+
+
+class Role(enum.Enum):
+    """Duty of a process, taken from its settings."""
+
+    CONTROL = 'control'
+    ENTRY = 'entry'
+
+
+class RaftRole(enum.Enum):
+    """Role of a consensus member."""
+
+    LEARNER = 'learner'
+    FOLLOWER = 'follower'
+    PRE_CANDIDATE = 'pre_candidate'
+    CANDIDATE = 'candidate'
+    LEADER = 'leader'
+
+
+class PeerState(enum.Enum):
+    """What the failure detector believes about a process."""
+
+    ALIVE = 'alive'
+    SUSPECT = 'suspect'
+    DEAD = 'dead'
+    LEFT = 'left'
+
+
+class UpstreamState(enum.Enum):
+    """What an upstream announces about itself."""
+
+    SERVING = 'serving'
+    LEAVING = 'leaving'
+
+
+class HostState(enum.Enum):
+    """Stage of a host in service, maintenance and repair."""
+
+    SERVING = 'serving'
+    DRAINING = 'draining'
+    DRAINED = 'drained'
+    REBOOTING = 'rebooting'
+    PROVING = 'proving'
+    DOWN = 'down'
+    SET_ASIDE = 'set_aside'
+
+
+class Purpose(enum.Enum):
+    """Reason for which capacity may be taken down on purpose."""
+
+    MAINTENANCE = 'maintenance'
+    MOVE = 'move'
+
+
+class WaveState(enum.Enum):
+    """Progress of a maintenance wave."""
+
+    RUNNING = 'running'
+    PAUSED = 'paused'
+    FINISHED = 'finished'
+
+
+class WaveHostState(enum.Enum):
+    """Progress of one host within a maintenance wave."""
+
+    WAITING = 'waiting'
+    STARTED = 'started'
+    DONE = 'done'
+    SET_ASIDE = 'set_aside'
+
+
+class JobState(enum.Enum):
+    """Progress of a job."""
+
+    WAITING = 'waiting'
+    RUNNING = 'running'
+    DONE = 'done'
+    CANCELLED = 'cancelled'
+    QUARANTINED = 'quarantined'
+    UNKNOWN = 'unknown'
+
+
+class TaskResult(enum.Enum):
+    """How one attempt of a job ended."""
+
+    SUCCEEDED = 'succeeded'
+    FAILED = 'failed'
+    CHECKPOINTED = 'checkpointed'
+    STOPPED = 'stopped'
+    LOST = 'lost'
+
+
+class ClaimState(enum.Enum):
+    """What is recorded about a claimed request."""
+
+    CLAIMED = 'claimed'
+    ANSWERED = 'answered'
+    NOT_RUN = 'not_run'
+    UNKNOWN = 'unknown'
--- /dev/null
+++ b/orioleshore/tasks/mailbox.py
@@ -0,0 +1,102 @@
+"""Bounded mailboxes through which tasks receive typed messages."""
+
+import asyncio
+import collections
+import enum
+from typing import Generic
+from typing import TypeVar
+
+from result import Err
+from result import Ok
+from result import Result
+
+from orioleshore.model import errors
+
+Message = TypeVar('Message')
+
+
+class Overflow(enum.Enum):
+    """What a full mailbox does with one more message."""
+
+    REFUSE = 'refuse'
+    DROP_OLDEST = 'drop_oldest'
+
+
+class Mailbox(Generic[Message]):
+    """A first-in, first-out queue with one reader.
+
+    ``capacity`` counts messages. Messages that must not be lost, such as
+    results of work under way, are put with ``put_wait``, which blocks the
+    sender while the mailbox is full.
+    """
+
+    def __init__(
+        self,
+        name: str,
+        capacity: int,
+        overflow: Overflow = Overflow.REFUSE,
+    ) -> None:
+        self._name = name
+        self._capacity = capacity
+        self._overflow = overflow
+        self._messages: collections.deque[Message] = collections.deque()
+        self._filled = asyncio.Event()
+        self._drained = asyncio.Event()
+        self._drained.set()
+        self._dropped = 0
+
+    @property
+    def name(self) -> str:
+        return self._name
+
+    @property
+    def dropped(self) -> int:
+        return self._dropped
+
+    def __len__(self) -> int:
+        return len(self._messages)
+
+    def put(self, message: Message) -> Result[None, errors.Failure]:
+        """Add a message, or refuse with ``OVERLOADED`` when full."""
+        if len(self._messages) >= self._capacity:
+            if self._overflow is Overflow.REFUSE:
+                self._dropped += 1
+                return Err(self._describe_overflow())
+            self._messages.popleft()
+            self._dropped += 1
+        self._append(message)
+        return Ok(None)
+
+    async def put_wait(self, message: Message) -> None:
+        """Add a message, waiting while the mailbox is full."""
+        while len(self._messages) >= self._capacity:
+            self._drained.clear()
+            await self._drained.wait()
+        self._append(message)
+
+    async def get(self) -> Message:
+        """Return the oldest message, waiting for one."""
+        while not self._messages:
+            self._filled.clear()
+            await self._filled.wait()
+        message = self._messages.popleft()
+        self._drained.set()
+        return message
+
+    def get_nowait(self) -> Message | None:
+        """Return the oldest message, or None when there is none."""
+        if not self._messages:
+            return None
+        self._drained.set()
+        return self._messages.popleft()
+
+    def _append(self, message: Message) -> None:
+        self._messages.append(message)
+        self._filled.set()
+
+    def _describe_overflow(self) -> errors.Failure:
+        return errors.Failure(
+            errors.ErrorKind.OVERLOADED,
+            f'mailbox {self._name!r} holds {self._capacity} messages',
+            retry_after_s=1.0,
+        )
--- /dev/null
+++ b/orioleshore/telemetry/logs.py
@@ -0,0 +1,75 @@
+"""Log lines of key=value pairs, one line for each event."""
+
+import enum
+import logging
+import sys
+from typing import Any
+
+_NEEDS_QUOTES = frozenset(' ="\\\n\r\t')
+_ESCAPES = str.maketrans(
+    {'\\': '\\\\', '"': '\\"', '\n': '\\n', '\r': '\\r', '\t': '\\t'}
+)
+
+
+def format_event(event: str, **pairs: Any) -> str:
+    """Return one line: the event and its pairs, quoted where needed."""
+    parts = [f'event={_format_value(event)}']
+    parts += [f'{key}={_format_value(pairs[key])}' for key in pairs]
+    return ' '.join(parts)
+
+
+def _format_value(value: Any) -> str:
+    if value is None:
+        return '-'
+    if isinstance(value, bool):
+        return 'true' if value else 'false'
+    if isinstance(value, enum.Enum):
+        return _format_value(value.value)
+    if isinstance(value, float):
+        return f'{value:.6g}'
+    if isinstance(value, (tuple, list, set, frozenset)):
+        value = ','.join(str(item) for item in value)
+    text = str(value)
+    if text and not _NEEDS_QUOTES.intersection(text) and text.isprintable():
+        return text
+    return f'"{text.translate(_ESCAPES)}"'
+
+
+class KeyValueFormatter(logging.Formatter):
+    """Puts time, level, logger and node before the pairs of an event."""
+
+    def __init__(self, node: str) -> None:
+        super().__init__()
+        self._node = node
+
+    def format(self, record: logging.LogRecord) -> str:
+        """Return the record as one line."""
+        message = record.getMessage()
+        if not message.startswith('event='):
+            message = format_event('message', text=message)
+        line = (
+            f'time={self.formatTime(record)}.{int(record.msecs):03d} '
+            f'level={record.levelname.lower()} node={self._node} '
+            f'logger={record.name} {message}'
+        )
+        if record.exc_info:
+            trace = self.formatException(record.exc_info)
+            line = f'{line} trace={_format_value(trace)}'
+        return line
+
+    def formatTime(  # noqa: N802
+        self, record: logging.LogRecord, datefmt: str | None = None
+    ) -> str:
+        """Return the local time in the ISO 8601 form."""
+        return super().formatTime(record, datefmt or '%Y-%m-%dT%H:%M:%S')
+
+
+def configure(node: str, level: str) -> None:
+    """Send all log lines of the process to standard error."""
+    handler = logging.StreamHandler(sys.stderr)
+    handler.setFormatter(KeyValueFormatter(node))
+    root = logging.getLogger()
+    root.handlers[:] = [handler]
+    root.setLevel(level.upper())
+    # aiohttp logs every request of the operators; events cover those.
+    logging.getLogger('aiohttp.access').setLevel(logging.WARNING)
--- /dev/null
+++ b/orioleshore/timers/service.py
@@ -0,0 +1,144 @@
+"""Timer service to which parts subscribe for wake-ups."""
+
+import asyncio
+import heapq
+import itertools
+import logging
+
+import msgspec
+
+from orioleshore.model import ids
+from orioleshore.tasks import mailbox
+from orioleshore.telemetry import logs
+from orioleshore.timers import clock
+
+LOG = logging.getLogger(__name__)
+
+MAX_SUBSCRIPTIONS = 4_096
+
+
+class TimerFired(msgspec.Struct, frozen=True):
+    """Tells a subscriber that one of its timers is due."""
+
+    timer: ids.TimerId
+
+
+class Subscription(msgspec.Struct):
+    """One timer; ``interval_s`` is None for a timer that fires once."""
+
+    timer: ids.TimerId
+    receiver: mailbox.Mailbox
+    due: float
+    interval_s: float | None
+    cancelled: bool = False
+
+
+class TimerService:
+    """Puts ``TimerFired`` into the mailbox of each subscriber when due.
+
+    With a ``ManualClock``, tests call ``fire_due`` after each advance and
+    do not start the service.
+    """
+
+    def __init__(self, source: clock.Clock) -> None:
+        self._clock = source
+        self._heap: list[tuple[float, int, Subscription]] = []
+        self._active: dict[tuple[str, ids.TimerId], Subscription] = {}
+        self._sequence = itertools.count()
+        self._changed = asyncio.Event()
+        self._loop_task: asyncio.Task | None = None
+
+    @property
+    def clock(self) -> clock.Clock:
+        return self._clock
+
+    def subscribe_every(
+        self, receiver: mailbox.Mailbox, timer: ids.TimerId, interval_s: float
+    ) -> None:
+        """Fire a timer again and again, every ``interval_s`` seconds."""
+        self._add(receiver, timer, interval_s, interval_s)
+
+    def subscribe_once(
+        self, receiver: mailbox.Mailbox, timer: ids.TimerId, delay_s: float
+    ) -> None:
+        """Fire a timer once, replacing an earlier one of the same name."""
+        self._add(receiver, timer, delay_s, None)
+
+    def cancel(self, receiver: mailbox.Mailbox, timer: ids.TimerId) -> None:
+        """Forget a timer; unknown names are accepted."""
+        subscription = self._active.pop((receiver.name, timer), None)
+        if subscription is not None:
+            subscription.cancelled = True
+
+    def fire_due(self) -> None:
+        """Deliver every timer that is due by now."""
+        now = self._clock.get_monotonic()
+        while self._heap and self._heap[0][0] <= now:
+            _, _, subscription = heapq.heappop(self._heap)
+            if not subscription.cancelled:
+                self._fire(subscription, now)
+
+    async def start(self) -> None:
+        """Start to deliver timers."""
+        self._loop_task = asyncio.create_task(self._run(), name='timers')
+
+    async def stop(self) -> None:
+        """Stop to deliver timers."""
+        if self._loop_task is not None:
+            self._loop_task.cancel()
+            await asyncio.gather(self._loop_task, return_exceptions=True)
+
+    async def _run(self) -> None:
+        while True:
+            self._changed.clear()
+            self.fire_due()
+            try:
+                await asyncio.wait_for(self._changed.wait(), self._get_delay())
+            except TimeoutError:
+                continue
+
+    def _get_delay(self) -> float | None:
+        if not self._heap:
+            return None
+        return max(0.0, self._heap[0][0] - self._clock.get_monotonic())
+
+    def _add(
+        self,
+        receiver: mailbox.Mailbox,
+        timer: ids.TimerId,
+        delay_s: float,
+        interval_s: float | None,
+    ) -> None:
+        if len(self._active) >= MAX_SUBSCRIPTIONS:
+            raise RuntimeError(
+                f'more than {MAX_SUBSCRIPTIONS} timers are subscribed'
+            )
+        self.cancel(receiver, timer)
+        due = self._clock.get_monotonic() + delay_s
+        subscription = Subscription(timer, receiver, due, interval_s)
+        self._active[(receiver.name, timer)] = subscription
+        self._push(subscription)
+
+    def _push(self, subscription: Subscription) -> None:
+        entry = (subscription.due, next(self._sequence), subscription)
+        heapq.heappush(self._heap, entry)
+        self._changed.set()
+
+    def _fire(self, subscription: Subscription, now: float) -> None:
+        outcome = subscription.receiver.put(TimerFired(subscription.timer))
+        if outcome.is_err():
+            LOG.warning(
+                logs.format_event(
+                    'timer_dropped',
+                    timer=subscription.timer,
+                    mailbox=subscription.receiver.name,
+                )
+            )
+        if subscription.interval_s is None:
+            self._active.pop(
+                (subscription.receiver.name, subscription.timer), None
+            )
+            return
+        # A process that was paused gets one firing, not one per interval.
+        subscription.due = max(subscription.due + subscription.interval_s, now)
+        self._push(subscription)
