--- a/Makefile
+++ b/Makefile
@@ -32,5 +32,6 @@
 
 # Needs the thrift compiler 0.17; the generated code is committed.
 generate:
+	mkdir -p orioleshore/protocol/gen
 	thrift -strict --gen py:no_utf8strings=false -out orioleshore/protocol/gen \
 		orioleshore/protocol/orioleshore.thrift
--- /dev/null
+++ b/orioleshore/protocol/gen/wire/__init__.py
@@ -0,0 +1,1 @@
+__all__ = ['ttypes', 'constants']
--- /dev/null
+++ b/orioleshore/settings.py
@@ -0,0 +1,284 @@
+"""Settings of a process: defaults, loading and checks."""
+
+import ipaddress
+import os
+import pathlib
+from typing import Annotated
+from typing import Any
+
+import msgspec
+from result import Err
+from result import Ok
+from result import Result
+import yaml
+
+from orioleshore.model import checks
+from orioleshore.model import documents
+from orioleshore.model import errors
+from orioleshore.model import ids
+from orioleshore.model import states
+
+# Times in seconds, sizes in bytes. A settings file overrides single keys.
+DEFAULT_SETTINGS: dict[str, Any] = {
+    'data_folder': None,
+    'log_level': 'info',
+    'seeds': [],
+    'tls': None,
+    'addresses': {
+        'inner': None,
+        'callers': None,
+        'upstreams': None,
+        'operators': None,
+        'health': None,
+    },
+    'control': {
+        'initial_members': {},
+        'tick_s': 0.05,
+        'heartbeat_s': 0.15,
+        'election_timeout_s': 0.9,
+        'snapshot_entries': 1_000,
+        'platform': None,
+        'token_files': {},
+    },
+    'entry': {
+        'drain_notice_s': 5.0,
+        'header_bytes': 16_384,
+        'header_count': 64,
+        'body_timeout_s': 10.0,
+        'answer_buffer_bytes': 1_048_576,
+    },
+    'membership': {
+        'probe_period_s': 1.0,
+        'probe_timeout_s': 0.3,
+    },
+}
+
+Port = Annotated[int, msgspec.Meta(ge=0, le=65_535)]
+Positive = documents.Positive
+PositiveCount = documents.PositiveCount
+
+
+class _Section(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """Base of all sections; unknown keys are refused."""
+
+
+class Tls(_Section, frozen=True):
+    """Files of the keys between the system's own processes."""
+
+    certificate: str
+    key: str
+    authority: str
+
+
+class Addresses(_Section, frozen=True):
+    """Listening addresses, "IP:port"; port 0 lets the kernel choose."""
+
+    inner: str
+    callers: str | None
+    upstreams: str | None
+    operators: str | None
+    health: str | None
+
+
+class Control(_Section, frozen=True):
+    """Settings of a control member.
+
+    ``initial_members`` maps the name of each first member to its inner
+    address. ``token_files`` maps an operator to a file with a token.
+    """
+
+    initial_members: dict[ids.NodeId, str]
+    tick_s: Positive
+    heartbeat_s: Positive
+    election_timeout_s: Positive
+    snapshot_entries: PositiveCount
+    platform: str | None
+    token_files: dict[str, str]
+
+
+class Entry(_Section, frozen=True):
+    """Settings of an entry host."""
+
+    drain_notice_s: documents.NotNegative
+    header_bytes: PositiveCount
+    header_count: PositiveCount
+    body_timeout_s: Positive
+    answer_buffer_bytes: PositiveCount
+
+
+class Membership(_Section, frozen=True):
+    """Settings of the failure detector."""
+
+    probe_period_s: Positive
+    probe_timeout_s: Positive
+
+
+class Settings(_Section, frozen=True):
+    """All settings of one process."""
+
+    node: Annotated[ids.NodeId, msgspec.Meta(pattern=documents.NAME_PATTERN)]
+    availability_zone: ids.AvailabilityZone
+    roles: tuple[states.Role, ...]
+    data_folder: str | None
+    log_level: str
+    seeds: tuple[str, ...]
+    tls: Tls | None
+    addresses: Addresses
+    control: Control
+    entry: Entry
+    membership: Membership
+
+    def has_role(self, role: states.Role) -> bool:
+        """Return whether the process has a role."""
+        return role in self.roles
+
+
+def read_settings(path: str) -> Result[Settings, errors.Failure]:
+    """Load and check a file; all problems are reported at once.
+
+    Fails with ``INVALID_SETTINGS``.
+    """
+    try:
+        text = pathlib.Path(path).read_text(encoding='utf-8')
+        loaded = yaml.safe_load(text)
+    except (OSError, UnicodeDecodeError, yaml.YAMLError) as error:
+        return _fail(path, [f'cannot be read: {error}'])
+    if not isinstance(loaded, dict):
+        return _fail(path, ['$: expected a mapping of settings'])
+    outcome = checks.convert(
+        merge_defaults(loaded, DEFAULT_SETTINGS), Settings
+    )
+    if outcome.is_err():
+        return _fail(path, outcome.unwrap_err())
+    settings = outcome.unwrap()
+    problems = find_problems(settings)
+    if problems:
+        return _fail(path, problems)
+    return Ok(settings)
+
+
+def merge_defaults(
+    given: dict[str, Any], defaults: dict[str, Any]
+) -> dict[str, Any]:
+    """Return the given settings with defaults for absent keys."""
+    merged = dict(given)
+    for key, default in defaults.items():
+        if key not in merged:
+            merged[key] = default
+        elif isinstance(default, dict) and isinstance(merged[key], dict):
+            merged[key] = merge_defaults(merged[key], default)
+    return merged
+
+
+def parse_address(text: str) -> tuple[str, int]:
+    """Return IP number and port of "IP:port" or "[IPv6]:port".
+
+    Raises ValueError when the host part is not an IP number.
+    """
+    host, _, port = text.rpartition(':')
+    number = ipaddress.ip_address(host.strip('[]'))
+    if not port.isdigit() or int(port) > 65_535:
+        raise ValueError(f'{port!r} is not a port')
+    return str(number), int(port)
+
+
+def find_problems(settings: Settings) -> list[str]:
+    """Return what is wrong with settings whose types are right."""
+    problems = _find_address_problems(settings)
+    if not settings.roles:
+        problems.append('$.roles: expected at least one of: control, entry')
+    if settings.log_level not in ('debug', 'info', 'warning', 'error'):
+        problems.append(
+            '$.log_level: expected one of: debug, info, warning, error'
+        )
+    if settings.has_role(states.Role.CONTROL):
+        problems += _find_control_problems(settings)
+    if settings.has_role(states.Role.ENTRY):
+        problems += _find_entry_problems(settings)
+    return problems + _find_file_problems(settings)
+
+
+def _find_address_problems(settings: Settings) -> list[str]:
+    named = {
+        f'$.addresses.{name}': getattr(settings.addresses, name)
+        for name in settings.addresses.__struct_fields__
+    }
+    for position, seed in enumerate(settings.seeds):
+        named[f'$.seeds[{position}]'] = seed
+    for name, address in settings.control.initial_members.items():
+        named[f'$.control.initial_members.{name}'] = address
+    problems = []
+    for path, address in named.items():
+        if address is None:
+            continue
+        try:
+            parse_address(address)
+        except ValueError as error:
+            problems.append(
+                f'{path}: expected "IP number:port", got {address!r} ({error})'
+            )
+    return problems
+
+
+def _find_control_problems(settings: Settings) -> list[str]:
+    problems = []
+    control = settings.control
+    if settings.data_folder is None:
+        problems.append('$.data_folder: a control member needs one')
+    if settings.addresses.operators is None:
+        problems.append('$.addresses.operators: a control member needs one')
+    if control.election_timeout_s < 3 * control.heartbeat_s:
+        problems.append(
+            '$.control.election_timeout_s: expected at least three times '
+            'heartbeat_s, or one lost heartbeat starts an election'
+        )
+    if control.heartbeat_s < control.tick_s:
+        problems.append('$.control.heartbeat_s: expected at least tick_s')
+    return problems
+
+
+def _find_entry_problems(settings: Settings) -> list[str]:
+    return [
+        f'$.addresses.{name}: an entry host needs one'
+        for name in ('callers', 'upstreams')
+        if getattr(settings.addresses, name) is None
+    ]
+
+
+def _find_file_problems(settings: Settings) -> list[str]:
+    problems = []
+    for name, path in settings.control.token_files.items():
+        if not os.access(path, os.R_OK):
+            problems.append(
+                f'$.control.token_files.{name}: cannot read {path!r}'
+            )
+    if settings.tls is not None:
+        problems += [
+            f'$.tls.{name}: cannot read {getattr(settings.tls, name)!r}'
+            for name in settings.tls.__struct_fields__
+            if not os.access(getattr(settings.tls, name), os.R_OK)
+        ]
+    if settings.data_folder is not None:
+        problems += _find_folder_problems(settings.data_folder)
+    return problems
+
+
+def _find_folder_problems(folder: str) -> list[str]:
+    path = pathlib.Path(folder)
+    try:
+        path.mkdir(parents=True, exist_ok=True)
+    except OSError as error:
+        return [f'$.data_folder: cannot create {folder!r}: {error.strerror}']
+    if not os.access(path, os.W_OK | os.X_OK):
+        return [f'$.data_folder: cannot write to {folder!r}']
+    return []
+
+
+def _fail(path: str, problems: list[str]) -> Err[errors.Failure]:
+    return Err(
+        errors.Failure(
+            errors.ErrorKind.INVALID_SETTINGS,
+            f'settings file {path!r} is not valid',
+            tuple(problems),
+        )
+    )
