--- /dev/null
+++ b/orioleshore/consensus/records.py
@@ -0,0 +1,73 @@
+"""Checksummed, versioned records of the files in a data folder."""
+
+import enum
+import struct
+import zlib
+
+import msgspec
+
+MAGIC = b'\xa7OR1'
+RECORD_VERSION = 1
+
+# Magic, type, version, payload length, CRC32 of type to payload.
+_HEADER = struct.Struct('>4sBBII')
+_CHECKED = struct.Struct('>BBI')
+HEADER_BYTES = _HEADER.size
+
+
+class RecordType(enum.IntEnum):
+    """Content of a record; the numbers are stored."""
+
+    HARD_STATE = 1
+    ENTRY = 2
+    SNAPSHOT = 3
+    IDENTITY = 4
+
+
+class Record(msgspec.Struct, frozen=True):
+    """One record with the offset behind it."""
+
+    record_type: int
+    version: int
+    payload: bytes
+    end: int
+
+
+def pack_record(record_type: RecordType, payload: bytes) -> bytes:
+    """Return a record as it is stored."""
+    checksum = _get_checksum(record_type, RECORD_VERSION, payload)
+    header = _HEADER.pack(
+        MAGIC, record_type, RECORD_VERSION, len(payload), checksum
+    )
+    return header + payload
+
+
+def read_record(data: bytes, offset: int) -> Record | None:
+    """Return the record at an offset, None when it is torn or damaged."""
+    if len(data) - offset < HEADER_BYTES:
+        return None
+    magic, record_type, version, length, checksum = _HEADER.unpack_from(
+        data, offset
+    )
+    end = offset + HEADER_BYTES + length
+    if magic != MAGIC or end > len(data):
+        return None
+    payload = data[offset + HEADER_BYTES : end]
+    if checksum != _get_checksum(record_type, version, payload):
+        return None
+    return Record(record_type, version, payload, end)
+
+
+def has_record_after(data: bytes, offset: int) -> bool:
+    """Return whether a whole record starts anywhere behind an offset."""
+    position = data.find(MAGIC, offset + 1)
+    while position >= 0:
+        if read_record(data, position) is not None:
+            return True
+        position = data.find(MAGIC, position + 1)
+    return False
+
+
+def _get_checksum(record_type: int, version: int, payload: bytes) -> int:
+    checked = _CHECKED.pack(record_type, version, len(payload))
+    return zlib.crc32(payload, zlib.crc32(checked))
--- /dev/null
+++ b/orioleshore/protocol/codec.py
@@ -0,0 +1,140 @@
+"""Conversion between messages and their thrift encoding."""
+
+from typing import Any
+
+from result import Err
+from result import Ok
+from result import Result
+from thrift import Thrift
+from thrift import TSerialization
+from thrift.protocol import TBinaryProtocol
+from thrift.protocol import TProtocol
+from thrift.transport import TTransport
+
+from orioleshore.model import errors
+from orioleshore.protocol import messages
+from orioleshore.protocol.gen.wire import ttypes
+
+MAX_STRING_BYTES = 1_048_576
+MAX_CONTAINER_ITEMS = 65_536
+
+_FACTORY = TBinaryProtocol.TBinaryProtocolAcceleratedFactory(
+    string_length_limit=MAX_STRING_BYTES,
+    container_length_limit=MAX_CONTAINER_ITEMS,
+)
+
+_KINDS = {
+    messages.PreVote: ttypes.Kind.PRE_VOTE,
+    messages.PreVoteReply: ttypes.Kind.PRE_VOTE_REPLY,
+    messages.Vote: ttypes.Kind.VOTE,
+    messages.VoteReply: ttypes.Kind.VOTE_REPLY,
+    messages.Append: ttypes.Kind.APPEND,
+    messages.AppendReply: ttypes.Kind.APPEND_REPLY,
+    messages.SnapshotChunk: ttypes.Kind.SNAPSHOT_CHUNK,
+    messages.SnapshotReply: ttypes.Kind.SNAPSHOT_REPLY,
+    messages.Propose: ttypes.Kind.PROPOSE,
+    messages.ProposeReply: ttypes.Kind.PROPOSE_REPLY,
+    messages.Query: ttypes.Kind.QUERY,
+    messages.QueryReply: ttypes.Kind.QUERY_REPLY,
+    messages.Subscribe: ttypes.Kind.SUBSCRIBE,
+    messages.ConfigDelta: ttypes.Kind.CONFIG_DELTA,
+    messages.VersionReport: ttypes.Kind.VERSION_REPORT,
+    messages.Probe: ttypes.Kind.PROBE,
+    messages.ProbeAck: ttypes.Kind.PROBE_ACK,
+    messages.IndirectProbe: ttypes.Kind.INDIRECT_PROBE,
+    messages.SlotRequest: ttypes.Kind.SLOT_REQUEST,
+    messages.SlotGrant: ttypes.Kind.SLOT_GRANT,
+    messages.SlotReturn: ttypes.Kind.SLOT_RETURN,
+}
+
+_TYPES = {kind: message for message, kind in _KINDS.items()}
+
+# Types of the elements of list fields.
+_ELEMENTS = {
+    'entries': messages.Entry,
+    'rumours': messages.Rumour,
+}
+
+_DECODE_FAULTS = (
+    EOFError,
+    OverflowError,
+    TypeError,
+    UnicodeDecodeError,
+    ValueError,
+    Thrift.TException,
+    TProtocol.TProtocolException,
+    TTransport.TTransportException,
+)
+
+
+def encode(header: messages.Header, message: Any) -> bytes:
+    """Return the encoded envelope of a message."""
+    envelope = ttypes.Envelope(
+        protocol_version=messages.PROTOCOL_VERSION,
+        sender=header.sender,
+        incarnation=header.incarnation,
+        kind=_KINDS[type(message)],
+        correlation=header.correlation,
+        body=TSerialization.serialize(_to_wire(message), _FACTORY),
+        reply_address=header.reply_address,
+    )
+    return TSerialization.serialize(envelope, _FACTORY)
+
+
+def decode(data: bytes) -> Result[messages.Received, errors.Failure]:
+    """Return the message of an envelope.
+
+    Fails with ``PROTOCOL_ERROR`` when it is malformed or unknown.
+    """
+    try:
+        envelope = TSerialization.deserialize(
+            ttypes.Envelope(), data, _FACTORY
+        )
+        message_type = _TYPES.get(envelope.kind)
+        if message_type is None:
+            return _fail(f'unknown message kind {envelope.kind}')
+        wire = getattr(ttypes, message_type.__name__)()
+        TSerialization.deserialize(wire, envelope.body, _FACTORY)
+        message = _from_wire(wire, message_type)
+    except _DECODE_FAULTS as error:
+        return _fail(f'malformed message: {error}')
+    if not envelope.sender or envelope.correlation is None:
+        return _fail('the envelope lacks a sender or a correlation')
+    header = messages.Header(
+        envelope.sender,
+        envelope.incarnation or 0,
+        envelope.correlation,
+        envelope.reply_address or '',
+    )
+    return Ok(messages.Received(header, message))
+
+
+def _to_wire(message: Any) -> Any:
+    wire = getattr(ttypes, type(message).__name__)()
+    for field in message.__struct_fields__:
+        value = getattr(message, field)
+        if field in _ELEMENTS:
+            value = [_to_wire(element) for element in value]
+        elif isinstance(value, tuple):
+            value = list(value)
+        setattr(wire, field, value)
+    return wire
+
+
+def _from_wire(wire: Any, message_type: type) -> Any:
+    values = {}
+    for field in message_type.__struct_fields__:
+        value = getattr(wire, field)
+        if value is None:
+            raise ValueError(f'{message_type.__name__}.{field} is missing')
+        if field in _ELEMENTS:
+            element_type = _ELEMENTS[field]
+            value = tuple(_from_wire(item, element_type) for item in value)
+        elif isinstance(value, list):
+            value = tuple(value)
+        values[field] = value
+    return message_type(**values)
+
+
+def _fail(message: str) -> Err[errors.Failure]:
+    return Err(errors.Failure(errors.ErrorKind.PROTOCOL_ERROR, message))
