--- a/orioleshore/model/changes.py
+++ b/orioleshore/model/changes.py
@@ -40,7 +40,7 @@
 
     section: Section
     name: str
-    value: msgspec.Raw | None = None
+    value: bytes | None = None
 
 
 Delta = tuple[Edit, ...]
@@ -86,9 +86,9 @@
     return {item.name: item for item in getattr(document, section.value)}
 
 
-def encode_item(item: msgspec.Struct) -> msgspec.Raw:
+def encode_item(item: msgspec.Struct) -> bytes:
     """Return one item of the document as JSON."""
-    return msgspec.Raw(msgspec.json.encode(item))
+    return msgspec.json.encode(item)
 
 
 def select_sections(
--- /dev/null
+++ b/orioleshore/state/commands.py
@@ -0,0 +1,211 @@
+"""Commands of the replicated log.
+
+They are stored, so fields are only added, with defaults. Each command
+carries the wall time of the leader that proposed it, in seconds.
+"""
+
+import msgspec
+
+from orioleshore.model import changes
+from orioleshore.model import ids
+from orioleshore.model import states
+
+
+class _Command(msgspec.Struct, frozen=True, tag=True, omit_defaults=True):
+    """Base of all commands; the tag is the name of the type."""
+
+
+class ChangeDocument(_Command, frozen=True, kw_only=True):
+    """Replace parts of the document."""
+
+    time: ids.WallTime
+    operation_id: ids.OperationId
+    operator: str
+    base_version: ids.Version
+    edits: tuple[changes.Edit, ...]
+
+
+class ClaimRequest(_Command, frozen=True, kw_only=True):
+    """Claim the only run of a request that is not idempotent."""
+
+    time: ids.WallTime
+    key: ids.IdempotencyKey
+    issued: ids.WallTime
+    digest: bytes
+    request: ids.RequestId
+    entry_host: ids.NodeId
+    incarnation: ids.Incarnation
+
+
+class RecordOutcome(_Command, frozen=True, kw_only=True):
+    """Record how a claimed request ended, with its answer if kept."""
+
+    time: ids.WallTime
+    key: ids.IdempotencyKey
+    request: ids.RequestId
+    outcome: states.ClaimState
+    status: int = 0
+    headers: tuple[tuple[str, str], ...] = ()
+    body: bytes = b''
+    kept: bool = True
+
+
+class MarkClaimsUnknown(_Command, frozen=True, kw_only=True):
+    """Give up the open claims of a process that is gone.
+
+    Claims of the named incarnation and older ones are marked.
+    """
+
+    time: ids.WallTime
+    entry_host: ids.NodeId
+    incarnation: ids.Incarnation
+
+
+class GrantPermission(_Command, frozen=True, kw_only=True):
+    """Allow a host to be taken down on purpose, within the budget."""
+
+    time: ids.WallTime
+    permission: ids.PermissionId
+    host: ids.HostId
+    host_epoch: ids.Epoch
+    purpose: states.Purpose
+    epoch: ids.Epoch
+    until: ids.WallTime
+
+
+class EndPermission(_Command, frozen=True, kw_only=True):
+    """Give a permission back."""
+
+    time: ids.WallTime
+    permission: ids.PermissionId
+
+
+class SetHostState(_Command, frozen=True, kw_only=True):
+    """Record a new stage of a host."""
+
+    time: ids.WallTime
+    host: ids.HostId
+    host_epoch: ids.Epoch
+    state: states.HostState
+    reason: str = ''
+
+
+class MoveHost(_Command, frozen=True, kw_only=True):
+    """Give a drained host to another pool under a new host epoch."""
+
+    time: ids.WallTime
+    host: ids.HostId
+    host_epoch: ids.Epoch
+    from_pool: ids.PoolId
+    to_pool: ids.PoolId
+    permission: ids.PermissionId
+
+
+class StartWaveHost(_Command, frozen=True, kw_only=True):
+    """Record that a wave begins with a host."""
+
+    time: ids.WallTime
+    wave: ids.WaveId
+    host: ids.HostId
+
+
+class FinishWaveHost(_Command, frozen=True, kw_only=True):
+    """Record that a wave is done with a host, or sets it aside."""
+
+    time: ids.WallTime
+    wave: ids.WaveId
+    host: ids.HostId
+    outcome: states.WaveHostState
+    reason: str = ''
+
+
+class PauseWave(_Command, frozen=True, kw_only=True):
+    """Pause a scope of a wave, such as "rack/r1" or "image/i7"."""
+
+    time: ids.WallTime
+    wave: ids.WaveId
+    scope: str
+    reason: str
+
+
+class ResumeWave(_Command, frozen=True, kw_only=True):
+    """Resume a paused scope of a wave."""
+
+    time: ids.WallTime
+    wave: ids.WaveId
+    scope: str
+
+
+class PlaceTask(_Command, frozen=True, kw_only=True):
+    """Start the next attempt of a job on a worker, under a lease."""
+
+    time: ids.WallTime
+    job: ids.JobId
+    attempt: ids.Attempt
+    worker: ids.HostId
+    epoch: ids.Epoch
+    lease_until: ids.WallTime
+
+
+class RenewLease(_Command, frozen=True, kw_only=True):
+    """Extend the lease of a running attempt."""
+
+    time: ids.WallTime
+    job: ids.JobId
+    attempt: ids.Attempt
+    lease_until: ids.WallTime
+
+
+class RecordTaskResult(_Command, frozen=True, kw_only=True):
+    """Record how an attempt of a job ended."""
+
+    time: ids.WallTime
+    job: ids.JobId
+    attempt: ids.Attempt
+    result: states.TaskResult
+    reason: str = ''
+
+
+class QuarantineJob(_Command, frozen=True, kw_only=True):
+    """Stop to place a job that can never run."""
+
+    time: ids.WallTime
+    job: ids.JobId
+    reason: str
+
+
+Command = (
+    ChangeDocument
+    | ClaimRequest
+    | RecordOutcome
+    | MarkClaimsUnknown
+    | GrantPermission
+    | EndPermission
+    | SetHostState
+    | MoveHost
+    | StartWaveHost
+    | FinishWaveHost
+    | PauseWave
+    | ResumeWave
+    | PlaceTask
+    | RenewLease
+    | RecordTaskResult
+    | QuarantineJob
+)
+
+_ENCODER = msgspec.msgpack.Encoder()
+_DECODER = msgspec.msgpack.Decoder(Command)
+
+
+def encode(command: Command) -> bytes:
+    """Return a command as it is stored in the log."""
+    return _ENCODER.encode(command)
+
+
+def decode(data: bytes) -> Command:
+    """Return a stored command.
+
+    Raises msgspec.ValidationError when a newer process wrote a command
+    of a kind that this one does not know.
+    """
+    return _DECODER.decode(data)
--- /dev/null
+++ b/orioleshore/state/records.py
@@ -0,0 +1,128 @@
+"""Records of the replicated state."""
+
+import msgspec
+
+from orioleshore.model import changes
+from orioleshore.model import documents
+from orioleshore.model import errors
+from orioleshore.model import ids
+from orioleshore.model import states
+
+
+class HostRecord(msgspec.Struct, frozen=True):
+    """Owner and stage of a host; ``since`` is a wall time in seconds."""
+
+    pool: ids.PoolId
+    epoch: ids.Epoch
+    state: states.HostState
+    since: ids.WallTime
+    reason: str = ''
+
+
+class PermissionRecord(msgspec.Struct, frozen=True):
+    """An allowed loss of capacity, until a wall time in seconds."""
+
+    host: ids.HostId
+    purpose: states.Purpose
+    epoch: ids.Epoch
+    until: ids.WallTime
+
+
+class WaveHostRecord(msgspec.Struct, frozen=True):
+    """Progress of one host within a wave."""
+
+    state: states.WaveHostState
+    since: ids.WallTime
+    attempts: int = 0
+    reason: str = ''
+
+
+class WaveRecord(msgspec.Struct):
+    """Progress of a wave; ``paused`` maps a scope to its reason."""
+
+    state: states.WaveState
+    started: ids.WallTime
+    hosts: dict[ids.HostId, WaveHostRecord]
+    paused: dict[str, str]
+
+
+class AttemptRecord(msgspec.Struct, frozen=True):
+    """One attempt of a job; times are wall times in seconds."""
+
+    worker: ids.HostId
+    epoch: ids.Epoch
+    started: ids.WallTime
+    lease_until: ids.WallTime
+    result: states.TaskResult | None = None
+    reason: str = ''
+
+
+class JobRecord(msgspec.Struct, frozen=True):
+    """Progress of a job."""
+
+    state: states.JobState
+    since: ids.WallTime
+    attempts: tuple[AttemptRecord, ...] = ()
+    reason: str = ''
+
+
+class ClaimRecord(msgspec.Struct, frozen=True):
+    """A claimed request, with its answer once that is recorded."""
+
+    digest: bytes
+    request: ids.RequestId
+    entry_host: ids.NodeId
+    incarnation: ids.Incarnation
+    issued: ids.WallTime
+    state: states.ClaimState
+    status: int = 0
+    headers: tuple[tuple[str, str], ...] = ()
+    body: bytes = b''
+    kept: bool = True
+
+
+class OperationRecord(msgspec.Struct, frozen=True):
+    """The first answer to a change of the document."""
+
+    issued: ids.WallTime
+    operator: str
+    version: ids.Version | None
+    failure: errors.Failure | None
+
+
+class DeltaRecord(msgspec.Struct, frozen=True):
+    """The edits that led to a version."""
+
+    version: ids.Version
+    operation_id: ids.OperationId
+    operator: str
+    time: ids.WallTime
+    edits: tuple[changes.Edit, ...]
+
+
+class State(msgspec.Struct):
+    """Everything that the log decides; owned by the consensus member."""
+
+    time: ids.WallTime = ids.WallTime(0.0)
+    version: ids.Version = ids.Version(0)
+    epoch: ids.Epoch = ids.Epoch(0)
+    document: documents.Document = documents.Document()
+    deltas: list[DeltaRecord] = []
+    operations: dict[ids.OperationId, OperationRecord] = {}
+    hosts: dict[ids.HostId, HostRecord] = {}
+    permissions: dict[ids.PermissionId, PermissionRecord] = {}
+    waves: dict[ids.WaveId, WaveRecord] = {}
+    jobs: dict[ids.JobId, JobRecord] = {}
+    claims: dict[ids.IdempotencyKey, ClaimRecord] = {}
+    # Requests recorded as not run before their claim was committed.
+    released: dict[ids.RequestId, ids.WallTime] = {}
+
+
+def encode_state(state: State) -> bytes:
+    """Return the state as a snapshot holds it."""
+    return msgspec.msgpack.encode(state)
+
+
+def decode_state(data: bytes) -> State:
+    """Return the state that a snapshot holds."""
+    return msgspec.msgpack.decode(data, type=State)
