--- /dev/null
+++ b/orioleshore/consensus/client.py
@@ -0,0 +1,244 @@
+"""Task that sends commands and queries to the leader."""
+
+import functools
+import logging
+from typing import Any
+
+import msgspec
+from result import Err
+from result import Ok
+from result import Result
+
+from orioleshore.model import errors
+from orioleshore.model import ids
+from orioleshore.protocol import messages
+from orioleshore.protocol import transport
+from orioleshore.state import answers
+from orioleshore.state import commands
+from orioleshore.state import queries
+from orioleshore.tasks import mailbox
+from orioleshore.tasks import reply
+from orioleshore.tasks import task
+from orioleshore.telemetry import logs
+from orioleshore.timers import service
+
+LOG = logging.getLogger(__name__)
+
+MAILBOX_CAPACITY = 4_096
+TICK = ids.TimerId('control-client-tick')
+TICK_S = 0.05
+# A member that does not answer within this time is passed over.
+TRY_TIMEOUT_S = 1.0
+
+_NOT_ACCEPTED = frozenset(
+    {errors.ErrorKind.NOT_LEADER.value, errors.ErrorKind.NO_QUORUM.value}
+)
+
+
+class Call(msgspec.Struct, frozen=True):
+    """Asks for a command or a query; ``timeout_s`` is in seconds."""
+
+    request: Any
+    answer: reply.Reply
+    timeout_s: float = 5.0
+
+
+class ControlMembers(msgspec.Struct, frozen=True):
+    """Tells the inner addresses of the control members."""
+
+    addresses: tuple[str, ...]
+
+
+class _Pending(msgspec.Struct):
+    call: Call
+    deadline: float
+    sent_at: float = -1.0e9
+    retry_at: float = 0.0
+    was_sent: bool = False
+
+
+class ControlClient(task.Task):
+    """Finds the leader and repeats calls until their deadline.
+
+    Every command is idempotent at the state machine, so it may be sent
+    again when its answer is lost.
+    """
+
+    def __init__(
+        self,
+        addresses: tuple[str, ...],
+        sender: mailbox.Mailbox,
+        timers: service.TimerService,
+    ) -> None:
+        super().__init__(mailbox.Mailbox('control-client', MAILBOX_CAPACITY))
+        self._addresses = list(addresses)
+        self._position = 0
+        self._leader = ''
+        self._sender = sender
+        self._timers = timers
+        self._pending: dict[int, _Pending] = {}
+        self._next_correlation = 1
+
+    async def open(self) -> None:
+        """Subscribe to the tick that finds late answers."""
+        self._timers.subscribe_every(self.mailbox, TICK, TICK_S)
+
+    async def close(self) -> None:
+        """Fail the calls that still wait."""
+        self._timers.cancel(self.mailbox, TICK)
+        for pending in self._pending.values():
+            self._give_up(pending)
+
+    async def handle(self, message: Any) -> None:
+        """Handle a call, an answer or the tick."""
+        _take(message, self)
+
+    def _now(self) -> float:
+        return self._timers.clock.get_monotonic()
+
+    def _start(self, call: Call) -> None:
+        correlation = self._next_correlation
+        self._next_correlation += 1
+        pending = _Pending(call, self._now() + call.timeout_s)
+        self._pending[correlation] = pending
+        self._send(correlation, pending)
+
+    def _send(self, correlation: int, pending: _Pending) -> None:
+        address = self._leader or self._get_next_address()
+        if not address:
+            return
+        pending.sent_at = self._now()
+        pending.retry_at = pending.sent_at + TRY_TIMEOUT_S
+        pending.was_sent = True
+        message = _pack(pending.call.request)
+        self._sender.put(transport.SendTo(address, message, correlation))
+
+    def _get_next_address(self) -> str:
+        if not self._addresses:
+            return ''
+        self._position = (self._position + 1) % len(self._addresses)
+        return self._addresses[self._position]
+
+    def _take_answer(
+        self, received: messages.Received, answer: Result
+    ) -> None:
+        pending = self._pending.get(received.header.correlation)
+        if pending is None:
+            return
+        message = received.message
+        if message.error_kind in _NOT_ACCEPTED:
+            self._leader = message.leader
+            # Without a known leader, give an election some time.
+            delay_s = 0.0 if message.leader else 2 * TICK_S
+            pending.retry_at = self._now() + delay_s
+            if message.leader:
+                self._send(received.header.correlation, pending)
+            return
+        self._leader = message.leader or received.header.reply_address
+        del self._pending[received.header.correlation]
+        pending.call.answer.resolve(answer)
+
+    def _check(self) -> None:
+        now = self._now()
+        for correlation, pending in list(self._pending.items()):
+            if now >= pending.deadline:
+                del self._pending[correlation]
+                self._give_up(pending)
+            elif now >= pending.retry_at:
+                self._leader = ''
+                self._send(correlation, pending)
+
+    def _give_up(self, pending: _Pending) -> None:
+        is_command = isinstance(pending.call.request, commands.Command)
+        kind = errors.ErrorKind.NO_QUORUM
+        if is_command and pending.was_sent:
+            kind = errors.ErrorKind.CHANGE_UNKNOWN
+        LOG.warning(
+            logs.format_event(
+                'control_call_timed_out',
+                request=type(pending.call.request).__name__,
+                error=kind,
+            )
+        )
+        failure = errors.Failure(
+            kind, 'no control member answered in time', retry_after_s=1.0
+        )
+        pending.call.answer.resolve(Err(failure))
+
+
+def _pack(request: Any) -> messages.Propose | messages.Query:
+    if isinstance(request, commands.Command):
+        return messages.Propose(commands.encode(request))
+    return messages.Query(type(request).__name__, queries.encode(request))
+
+
+@functools.singledispatch
+def _take(message: Any, client: ControlClient) -> None:
+    raise TypeError(f'unknown message {type(message).__name__}')
+
+
+@_take.register
+def _(message: Call, client: ControlClient) -> None:
+    client._start(message)
+
+
+@_take.register
+def _(message: ControlMembers, client: ControlClient) -> None:
+    client._addresses = list(message.addresses)
+
+
+@_take.register
+def _(message: service.TimerFired, client: ControlClient) -> None:
+    client._check()
+
+
+@_take.register
+def _(message: messages.Received, client: ControlClient) -> None:
+    _take_received(message.message, client, message)
+
+
+@functools.singledispatch
+def _take_received(
+    message: Any, client: ControlClient, received: messages.Received
+) -> None:
+    raise TypeError(f'unknown message {type(message).__name__}')
+
+
+@_take_received.register
+def _(
+    message: messages.ProposeReply,
+    client: ControlClient,
+    received: messages.Received,
+) -> None:
+    pending = client._pending.get(received.header.correlation)
+    if pending is None:
+        return
+    answer = answers.unpack_reply(type(pending.call.request), message)
+    client._take_answer(received, answer)
+
+
+@_take_received.register
+def _(
+    message: messages.QueryReply,
+    client: ControlClient,
+    received: messages.Received,
+) -> None:
+    answer: Result = Ok(message.answer)
+    if message.error_kind:
+        answer = Err(
+            errors.Failure(
+                errors.ErrorKind(message.error_kind), message.message
+            )
+        )
+    client._take_answer(received, answer)
+
+
+async def call(
+    client: mailbox.Mailbox, request: Any, timeout_s: float = 5.0
+) -> Result[Any, errors.Failure]:
+    """Send a command or query through a client and wait for the answer."""
+    answer: reply.Reply = reply.Reply()
+    outcome = client.put(Call(request, answer, timeout_s))
+    if outcome.is_err():
+        return outcome
+    return await answer.wait()
--- /dev/null
+++ b/orioleshore/consensus/member.py
@@ -0,0 +1,756 @@
+"""Task of a control member: log, files, state machine and feed."""
+
+import functools
+import logging
+import random
+from typing import Any
+
+import aiomisc
+import msgspec
+from result import Err
+from result import Ok
+from result import Result
+
+from orioleshore import settings
+from orioleshore.consensus import events
+from orioleshore.consensus import raft
+from orioleshore.consensus import storage
+from orioleshore.model import changes
+from orioleshore.model import errors
+from orioleshore.model import ids
+from orioleshore.model import states
+from orioleshore.protocol import messages
+from orioleshore.protocol import transport
+from orioleshore.state import answers
+from orioleshore.state import commands
+from orioleshore.state import feed
+from orioleshore.state import machine
+from orioleshore.state import queries
+from orioleshore.state import records
+from orioleshore.tasks import mailbox
+from orioleshore.tasks import reply
+from orioleshore.tasks import task
+from orioleshore.telemetry import logs
+from orioleshore.timers import service
+
+LOG = logging.getLogger(__name__)
+
+MAILBOX_CAPACITY = 4_096
+# Messages handled between two syncs; bounds the time of one group.
+GROUP_LIMIT = 256
+
+TICK = ids.TimerId('consensus-tick')
+
+RAFT_MESSAGES = (
+    messages.PreVote,
+    messages.PreVoteReply,
+    messages.Vote,
+    messages.VoteReply,
+    messages.Append,
+    messages.AppendReply,
+    messages.SnapshotChunk,
+    messages.SnapshotReply,
+)
+CALL_MESSAGES = (
+    messages.Propose,
+    messages.Query,
+    messages.Subscribe,
+    messages.VersionReport,
+)
+
+
+class GetMemberStatus(msgspec.Struct, frozen=True):
+    """Asks a member about itself, without contacting the others."""
+
+    answer: reply.Reply
+
+
+class GetMemberDump(msgspec.Struct, frozen=True):
+    """Asks a member for all the state that it holds."""
+
+    answer: reply.Reply
+
+
+class ChangeMembers(msgspec.Struct, frozen=True):
+    """Asks to add, replace or remove a member of the group."""
+
+    add: events.Member | None
+    remove: ids.NodeId | None
+    answer: reply.Reply
+
+
+class ForgetSubscriber(msgspec.Struct, frozen=True):
+    """Tells that a process is gone."""
+
+    node: ids.NodeId
+
+
+class LeadershipGained(msgspec.Struct, frozen=True):
+    """This member leads; ``image`` is the encoded state."""
+
+    epoch: ids.Epoch
+    image: bytes
+
+
+class LeadershipLost(msgspec.Struct, frozen=True):
+    """This member does not lead any more."""
+
+
+class CommandApplied(msgspec.Struct, frozen=True):
+    """A command took effect at this member, which leads."""
+
+    command: commands.Command
+
+
+class ExplainAsked(msgspec.Struct, frozen=True):
+    """Asks the fleet manager for its records about a subject."""
+
+    query: queries.Explain
+    answer: reply.Reply
+
+
+class _PendingCall(msgspec.Struct):
+    """A call of another process that waits for the log."""
+
+    header: messages.Header
+    query: queries.Query | None = None
+
+
+class MemberTask(task.Task):
+    """Owns the decision part, the data folder and the replicated state."""
+
+    def __init__(
+        self,
+        config: settings.Settings,
+        address: str,
+        sender: mailbox.Mailbox,
+        timers: service.TimerService,
+        files: storage.Storage,
+        randomness: random.Random,
+    ) -> None:
+        super().__init__(mailbox.Mailbox('consensus', MAILBOX_CAPACITY))
+        self._config = config
+        self._address = address
+        self._sender = sender
+        self._timers = timers
+        self._storage = files
+        self._random = randomness
+        self._raft: raft.Raft | None = None
+        self._state = records.State()
+        self._applied = 0
+        self._feed = feed.Feed()
+        self._manager: mailbox.Mailbox | None = None
+        self._calls: dict[int, _PendingCall] = {}
+        self._accepted: dict[tuple[int, int], int] = {}
+        self._reads: list[tuple[int, int]] = []
+        self._next_token = 1
+        self._leads = False
+        self._failure: errors.Failure | None = None
+
+    @property
+    def failure(self) -> errors.Failure | None:
+        return self._failure
+
+    def set_manager(self, manager: mailbox.Mailbox) -> None:
+        """Name the task that acts for the fleet while this member leads."""
+        self._manager = manager
+
+    def load(self) -> Result[None, errors.Failure]:
+        """Open the data folder; fails with a kind of the storage."""
+        outcome = self._storage.open()
+        if outcome.is_err():
+            return outcome
+        loaded = outcome.unwrap()
+        self._raft = raft.Raft(
+            raft.Config(
+                self._config.node,
+                self._address,
+                loaded.stamp,
+                dict(self._config.control.initial_members),
+                self._config.control.heartbeat_s,
+                self._config.control.election_timeout_s,
+            ),
+            loaded.hard_state,
+            loaded.log,
+            self._random,
+            self._now(),
+        )
+        if loaded.log.snapshot is not None:
+            self._restore(loaded.log.snapshot)
+        LOG.info(
+            logs.format_event(
+                'folder_opened',
+                folder=self._config.data_folder,
+                term=loaded.hard_state.term,
+                last_index=loaded.log.last_index,
+                snapshot_index=loaded.log.snapshot_index,
+            )
+        )
+        return Ok(None)
+
+    async def open(self) -> None:
+        """Subscribe to the tick; ``load`` comes before."""
+        self._timers.subscribe_every(
+            self.mailbox, TICK, self._config.control.tick_s
+        )
+
+    async def close(self) -> None:
+        """Release the data folder."""
+        self._timers.cancel(self.mailbox, TICK)
+        self._storage.close()
+
+    async def handle(self, message: Any) -> None:
+        """Handle a group of messages with one sync for all of them."""
+        actions: list[events.Action] = []
+        count = 0
+        while message is not None:
+            actions += _take(message, self)
+            count += 1
+            if count >= GROUP_LIMIT:
+                break
+            message = self.mailbox.get_nowait()
+        while actions:
+            actions = await self._carry_out(actions)
+        await self._take_snapshot_when_due()
+
+    def _now(self) -> float:
+        return self._timers.clock.get_monotonic()
+
+    def _decide(self, event: events.Event) -> list[events.Action]:
+        return self._raft.handle(event, self._now())
+
+    async def _carry_out(
+        self, actions: list[events.Action]
+    ) -> list[events.Action]:
+        """Carry out actions, with one sync, and return what follows."""
+        persists = [a for a in actions if isinstance(a, events.Persist)]
+        installs = any(
+            isinstance(action, events.InstallSnapshot) for action in actions
+        )
+        if not persists and not installs:
+            for action in actions:
+                _perform(action, self)
+            return []
+        if installs:
+            return await self._carry_out_in_order(actions)
+        rest = self._send_early(actions, persists)
+        await self._write(persists)
+        for action in rest:
+            _perform(action, self)
+        return self._confirm(persists)
+
+    def _send_early(
+        self,
+        actions: list[events.Action],
+        persists: list[events.Persist],
+    ) -> list[events.Action]:
+        """Send appends while this member writes the same entries.
+
+        A leader counts its own copy only when it is synced, so followers
+        may store entries before it does. A new term must be synced first.
+        """
+        stored = self._storage.hard_state
+        if any(persist.hard_state != stored for persist in persists):
+            return actions
+        rest = []
+        for action in actions:
+            if isinstance(action, events.Send) and isinstance(
+                action.message, messages.Append
+            ):
+                _perform(action, self)
+            else:
+                rest.append(action)
+        return rest
+
+    async def _carry_out_in_order(
+        self, actions: list[events.Action]
+    ) -> list[events.Action]:
+        following: list[events.Action] = []
+        for action in actions:
+            if isinstance(action, events.Persist):
+                await self._write([action])
+                following += self._confirm([action])
+            elif isinstance(action, events.InstallSnapshot):
+                await self._install(action.snapshot)
+            else:
+                _perform(action, self)
+        return following
+
+    async def _write(self, persists: list[events.Persist]) -> None:
+        entries: list[messages.Entry] = []
+        for persist in persists:
+            entries += persist.entries
+        await self._call_storage(
+            self._storage.write, persists[-1].hard_state, tuple(entries)
+        )
+
+    def _confirm(self, persists: list[events.Persist]) -> list[events.Action]:
+        entries = [e for persist in persists for e in persist.entries]
+        if not entries:
+            return []
+        last = entries[-1]
+        return self._decide(events.Persisted(last.index, last.term))
+
+    async def _call_storage(self, function, *arguments) -> None:
+        """Run a blocking call in a thread; a failure stops the process."""
+        try:
+            await aiomisc.threaded(function)(*arguments)
+        except storage.StorageError as error:
+            self._failure = error.failure
+            raise
+
+    async def _install(self, snapshot: events.Snapshot) -> None:
+        last = self._raft.log.last_index
+        rest = self._raft.log.get_entries(snapshot.last_index + 1, last)
+        await self._call_storage(self._storage.save_snapshot, snapshot, rest)
+        self._restore(snapshot)
+        self._send_updates(
+            self._feed.handle(feed.VersionCommitted(self._state))
+        )
+
+    def _restore(self, snapshot: events.Snapshot) -> None:
+        self._state = records.decode_state(snapshot.data)
+        self._applied = snapshot.last_index
+        LOG.info(
+            logs.format_event(
+                'snapshot_restored',
+                index=snapshot.last_index,
+                version=self._state.version,
+            )
+        )
+
+    async def _take_snapshot_when_due(self) -> None:
+        behind = self._applied - self._raft.log.snapshot_index
+        if behind < self._config.control.snapshot_entries:
+            return
+        snapshot = events.Snapshot(
+            ids.LogIndex(self._applied),
+            self._raft.log.get_term(self._applied),
+            self._raft.log.find_members_at(self._applied),
+            records.encode_state(self._state),
+        )
+        rest = self._raft.log.get_entries(
+            self._applied + 1, self._raft.log.last_index
+        )
+        await self._call_storage(self._storage.save_snapshot, snapshot, rest)
+        LOG.info(
+            logs.format_event(
+                'snapshot_taken',
+                index=snapshot.last_index,
+                bytes=len(snapshot.data),
+            )
+        )
+        for action in self._decide(events.SnapshotTaken(snapshot)):
+            _perform(action, self)
+
+    # Calls of other processes.
+
+    def _add_call(
+        self, header: messages.Header, query: queries.Query | None = None
+    ) -> int:
+        token = self._next_token
+        self._next_token += 1
+        self._calls[token] = _PendingCall(header, query)
+        return token
+
+    def _answer_call(
+        self, token: int, outcome: Result[Any, errors.Failure]
+    ) -> None:
+        call = self._calls.pop(token, None)
+        if call is None:
+            return
+        if call.query is None:
+            message = answers.pack_reply(outcome, self._get_leader_address())
+        else:
+            message = self._pack_query_reply(outcome)
+        self._send_reply(call.header, message)
+
+    def _pack_query_reply(
+        self, outcome: Result[bytes, errors.Failure]
+    ) -> messages.QueryReply:
+        leader = self._get_leader_address()
+        if outcome.is_err():
+            failure = outcome.unwrap_err()
+            return messages.QueryReply(
+                failure.kind.value, failure.message, b'', leader
+            )
+        return messages.QueryReply('', '', outcome.unwrap(), leader)
+
+    def _send_reply(self, header: messages.Header, message: Any) -> None:
+        self._sender.put(
+            transport.SendTo(header.reply_address, message, header.correlation)
+        )
+
+    def _get_leader_address(self) -> str:
+        leader = self._raft.leader
+        if leader is None:
+            return ''
+        if leader == self._config.node:
+            return self._address
+        if self._raft.members is None:
+            return self._config.control.initial_members.get(leader, '')
+        for member in self._raft.members.members:
+            if member.name == leader:
+                return member.address
+        return ''
+
+    def _subscribe(self, received: messages.Received) -> None:
+        known = {section.value for section in changes.Section}
+        sections = frozenset(
+            changes.Section(name)
+            for name in received.message.sections
+            if name in known
+        )
+        self._send_updates(
+            self._feed.handle(
+                feed.Subscribed(
+                    received.header.sender,
+                    received.header.reply_address,
+                    received.message.version,
+                    sections,
+                )
+            )
+        )
+
+    def _send_updates(self, updates: list[feed.SendUpdate]) -> None:
+        for update in updates:
+            message = messages.ConfigDelta(
+                update.from_version,
+                update.to_version,
+                msgspec.msgpack.encode(update.edits),
+                update.full,
+            )
+            self._sender.put(transport.SendTo(update.address, message))
+
+    # Effects of the log.
+
+    def _apply(self, entries: tuple[messages.Entry, ...]) -> None:
+        for entry in entries:
+            self._apply_entry(entry)
+            self._applied = entry.index
+        self._answer_ready_reads()
+
+    def _apply_entry(self, entry: messages.Entry) -> None:
+        outcome: Result[Any, errors.Failure] = Ok(None)
+        if entry.kind == events.EntryKind.COMMAND:
+            command = commands.decode(entry.data)
+            version = self._state.version
+            outcome = machine.apply_command(command, self._state)
+            self._publish(command, version)
+        token = self._accepted.pop((entry.index, entry.term), None)
+        if token is not None:
+            self._answer_call(token, outcome)
+
+    def _publish(
+        self, command: commands.Command, version: ids.Version
+    ) -> None:
+        if self._leads and self._manager is not None:
+            self._manager.put(CommandApplied(command))
+        if self._state.version == version:
+            return
+        LOG.info(
+            logs.format_event(
+                'version_applied',
+                version=self._state.version,
+                operation=command.operation_id,
+                operator=command.operator,
+            )
+        )
+        self._send_updates(
+            self._feed.handle(feed.VersionCommitted(self._state))
+        )
+
+    def _answer_ready_reads(self) -> None:
+        waiting = []
+        for token, index in self._reads:
+            if index <= self._applied:
+                self._answer_read(token)
+            else:
+                waiting.append((token, index))
+        self._reads = waiting
+
+    def _answer_read(self, token: int) -> None:
+        call = self._calls.get(token)
+        if call is None:
+            return
+        if isinstance(call.query, queries.Explain) and self._manager:
+            # The fleet manager adds its own records and answers.
+            del self._calls[token]
+            self._ask_manager(call)
+            return
+        content = self._get_query_answer(call.query)
+        self._answer_call(token, Ok(msgspec.json.encode(content)))
+
+    def _get_query_answer(self, query: queries.Query) -> dict[str, Any]:
+        content = queries.answer_query(query, self._state)
+        if isinstance(query, queries.GetStatus):
+            content['group'] = self._get_group_status()
+        return content
+
+    def _ask_manager(self, call: _PendingCall) -> None:
+        content = queries.answer_query(call.query, self._state)
+        answer: reply.Reply = reply.Reply()
+        answer.add_callback(
+            lambda outcome: self._send_explanation(call, content, outcome)
+        )
+        outcome = self._manager.put(ExplainAsked(call.query, answer))
+        if outcome.is_err():
+            answer.resolve(outcome)
+
+    def _send_explanation(
+        self,
+        call: _PendingCall,
+        content: dict[str, Any],
+        outcome: Result[Any, errors.Failure],
+    ) -> None:
+        content['explanations'] = outcome.unwrap_or([])
+        message = self._pack_query_reply(Ok(msgspec.json.encode(content)))
+        self._send_reply(call.header, message)
+
+    def _get_group_status(self) -> dict[str, Any]:
+        matches = self._raft.get_match_indexes()
+        members = self._raft.members.members if self._raft.members else ()
+        return {
+            'leader': self._raft.leader,
+            'term': self._raft.term,
+            'commit_index': self._raft.commit_index,
+            'members': {
+                member.name: {
+                    'address': member.address,
+                    'voter': member.voter,
+                    'match_index': matches.get(member.name),
+                }
+                for member in members
+            },
+            'versions_in_force': dict(sorted(self._feed.versions.items())),
+        }
+
+    def _change_role(self, action: events.RoleChanged) -> None:
+        LOG.info(
+            logs.format_event(
+                'role_changed',
+                role=action.role,
+                term=action.term,
+                leader=action.leader,
+            )
+        )
+        leads = action.role is states.RaftRole.LEADER
+        if self._leads and not leads:
+            self._lose_leadership()
+        self._leads = leads
+
+    def _lose_leadership(self) -> None:
+        """Tell waiting callers that their change may still be committed."""
+        accepted, self._accepted = self._accepted, {}
+        for token in accepted.values():
+            self._answer_call(
+                token,
+                _fail(
+                    errors.ErrorKind.CHANGE_UNKNOWN,
+                    'the leader changed before the outcome was known',
+                ),
+            )
+        if self._manager is not None:
+            self._manager.put(LeadershipLost())
+
+    def _start_managing(self) -> None:
+        """Hand the state over once the barrier of this term is applied."""
+        if self._manager is None:
+            return
+        image = records.encode_state(
+            msgspec.structs.replace(self._state, claims={}, released={})
+        )
+        self._manager.put(LeadershipGained(ids.Epoch(self._raft.term), image))
+
+    def get_status(self) -> dict[str, Any]:
+        """Return what this member knows, possibly stale."""
+        return {
+            'role': self._raft.role.value,
+            'term': self._raft.term,
+            'leader': self._raft.leader,
+            'commit_index': self._raft.commit_index,
+            'applied_index': self._applied,
+            'snapshot_index': self._raft.log.snapshot_index,
+            'last_index': self._raft.log.last_index,
+            'version': self._state.version,
+            'stamp': self._raft.stamp,
+            'syncs': self._storage.sync_count,
+        }
+
+    def get_dump(self) -> dict[str, Any]:
+        """Return all state that this member holds."""
+        return {
+            'consensus': self.get_status(),
+            'group': self._get_group_status(),
+            'mailbox_length': len(self.mailbox),
+            'pending_calls': len(self._calls),
+            'state': queries.answer_query(queries.GetDump(), self._state),
+        }
+
+
+@functools.singledispatch
+def _take(message: Any, member: MemberTask) -> list[events.Action]:
+    """Turn a message of the mailbox into actions."""
+    raise TypeError(f'unknown message {type(message).__name__}')
+
+
+@_take.register
+def _(message: service.TimerFired, member: MemberTask) -> list[events.Action]:
+    return member._decide(events.Tick())
+
+
+@_take.register
+def _(message: messages.Received, member: MemberTask) -> list[events.Action]:
+    return _take_received(message.message, member, message)
+
+
+@_take.register
+def _(message: GetMemberStatus, member: MemberTask) -> list[events.Action]:
+    message.answer.resolve(Ok(member.get_status()))
+    return []
+
+
+@_take.register
+def _(message: GetMemberDump, member: MemberTask) -> list[events.Action]:
+    message.answer.resolve(Ok(member.get_dump()))
+    return []
+
+
+@_take.register
+def _(message: ForgetSubscriber, member: MemberTask) -> list[events.Action]:
+    member._feed.handle(feed.NodeGone(message.node))
+    return []
+
+
+@functools.singledispatch
+def _take_received(
+    message: Any, member: MemberTask, received: messages.Received
+) -> list[events.Action]:
+    """Handle a message of another process; the default is for Raft."""
+    return member._decide(
+        events.MessageReceived(received.header.sender, message)
+    )
+
+
+@_take_received.register
+def _(
+    message: messages.Propose,
+    member: MemberTask,
+    received: messages.Received,
+) -> list[events.Action]:
+    token = member._add_call(received.header)
+    return member._decide(events.ProposeRequested(token, message.command))
+
+
+@_take_received.register
+def _(
+    message: messages.Query,
+    member: MemberTask,
+    received: messages.Received,
+) -> list[events.Action]:
+    try:
+        query = queries.decode(message.parameters)
+    except msgspec.ValidationError as error:
+        failure = _fail(errors.ErrorKind.PROTOCOL_ERROR, str(error))
+        member._send_reply(received.header, member._pack_query_reply(failure))
+        return []
+    token = member._add_call(received.header, query)
+    return member._decide(events.ReadRequested(token))
+
+
+@_take_received.register
+def _(
+    message: messages.Subscribe,
+    member: MemberTask,
+    received: messages.Received,
+) -> list[events.Action]:
+    member._subscribe(received)
+    return []
+
+
+@_take_received.register
+def _(
+    message: messages.VersionReport,
+    member: MemberTask,
+    received: messages.Received,
+) -> list[events.Action]:
+    member._feed.handle(
+        feed.VersionReported(received.header.sender, message.version)
+    )
+    return []
+
+
+@functools.singledispatch
+def _perform(action: Any, member: MemberTask) -> None:
+    """Carry out an action that needs no sync."""
+    raise TypeError(f'unknown action {type(action).__name__}')
+
+
+@_perform.register
+def _(action: events.Persist, member: MemberTask) -> None:
+    """Nothing is left to do: the group was written before."""
+
+
+@_perform.register
+def _(action: events.Send, member: MemberTask) -> None:
+    if action.address:
+        member._sender.put(transport.SendTo(action.address, action.message))
+
+
+@_perform.register
+def _(action: events.Apply, member: MemberTask) -> None:
+    member._apply(action.entries)
+    if member._leads and any(
+        entry.kind != events.EntryKind.COMMAND
+        and entry.term == member._raft.term
+        for entry in action.entries
+    ):
+        member._start_managing()
+
+
+@_perform.register
+def _(action: events.Accepted, member: MemberTask) -> None:
+    member._accepted[(action.index, action.term)] = action.token
+
+
+@_perform.register
+def _(action: events.ReadReady, member: MemberTask) -> None:
+    member._reads.append((action.token, action.index))
+    member._answer_ready_reads()
+
+
+@_perform.register
+def _(action: events.Refuse, member: MemberTask) -> None:
+    member._answer_call(
+        action.token,
+        _fail(action.kind, 'this control member cannot decide now'),
+    )
+
+
+@_perform.register
+def _(action: events.RoleChanged, member: MemberTask) -> None:
+    member._change_role(action)
+
+
+@_perform.register
+def _(action: events.MembersChanged, member: MemberTask) -> None:
+    LOG.info(
+        logs.format_event(
+            'members_changed',
+            members=[m.name for m in action.members.members],
+            voters=[m.name for m in action.members.members if m.voter],
+        )
+    )
+
+
+@_perform.register
+def _(action: events.StampMismatch, member: MemberTask) -> None:
+    LOG.warning(
+        logs.format_event(
+            'member_with_other_files', member=action.name, stamp=action.stamp
+        )
+    )
+
+
+def _fail(kind: errors.ErrorKind, message: str) -> Err[errors.Failure]:
+    return Err(errors.Failure(kind, message))
--- a/orioleshore/consensus/storage.py
+++ b/orioleshore/consensus/storage.py
@@ -73,6 +73,10 @@
     def sync_count(self) -> int:
         return self._sync_count
 
+    @property
+    def hard_state(self) -> events.HardState:
+        return self._hard_state
+
     def open(self) -> Result[Loaded, errors.Failure]:
         """Lock the folder and load what it holds.
 
--- a/orioleshore/protocol/codec.py
+++ b/orioleshore/protocol/codec.py
@@ -45,6 +45,8 @@
     messages.SlotRequest: ttypes.Kind.SLOT_REQUEST,
     messages.SlotGrant: ttypes.Kind.SLOT_GRANT,
     messages.SlotReturn: ttypes.Kind.SLOT_RETURN,
+    messages.Announce: ttypes.Kind.ANNOUNCE,
+    messages.AnnounceAck: ttypes.Kind.ANNOUNCE_ACK,
 }
 
 _TYPES = {kind: message for message, kind in _KINDS.items()}
--- a/orioleshore/protocol/gen/wire/ttypes.py
+++ b/orioleshore/protocol/gen/wire/ttypes.py
@@ -37,6 +37,8 @@
     SLOT_REQUEST = 50
     SLOT_GRANT = 51
     SLOT_RETURN = 52
+    ANNOUNCE = 60
+    ANNOUNCE_ACK = 61
 
     _VALUES_TO_NAMES = {
         1: "PRE_VOTE",
@@ -60,6 +62,8 @@
         50: "SLOT_REQUEST",
         51: "SLOT_GRANT",
         52: "SLOT_RETURN",
+        60: "ANNOUNCE",
+        61: "ANNOUNCE_ACK",
     }
 
     _NAMES_TO_VALUES = {
@@ -84,6 +88,8 @@
         "SLOT_REQUEST": 50,
         "SLOT_GRANT": 51,
         "SLOT_RETURN": 52,
+        "ANNOUNCE": 60,
+        "ANNOUNCE_ACK": 61,
     }
 
 
@@ -2242,6 +2248,131 @@
 
     def __ne__(self, other):
         return not (self == other)
+
+
+class Announce(object):
+    """
+    Attributes:
+     - upstream
+
+    """
+
+
+    def __init__(self, upstream=None,):
+        self.upstream = upstream
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.upstream = iprot.readBinary()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('Announce')
+        if self.upstream is not None:
+            oprot.writeFieldBegin('upstream', TType.STRING, 1)
+            oprot.writeBinary(self.upstream)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, value)
+             for key, value in self.__dict__.items()]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class AnnounceAck(object):
+    """
+    Attributes:
+     - address
+     - incarnation
+
+    """
+
+
+    def __init__(self, address=None, incarnation=None,):
+        self.address = address
+        self.incarnation = incarnation
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.address = iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I64:
+                    self.incarnation = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('AnnounceAck')
+        if self.address is not None:
+            oprot.writeFieldBegin('address', TType.STRING, 1)
+            oprot.writeString(self.address)
+            oprot.writeFieldEnd()
+        if self.incarnation is not None:
+            oprot.writeFieldBegin('incarnation', TType.I64, 2)
+            oprot.writeI64(self.incarnation)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, value)
+             for key, value in self.__dict__.items()]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
+
+    def __ne__(self, other):
+        return not (self == other)
 all_structs.append(Envelope)
 Envelope.thrift_spec = (
     None,  # 0
@@ -2429,5 +2560,16 @@
     (2, TType.I32, 'returned', None, None, ),  # 2
     (3, TType.I64, 'lease', None, None, ),  # 3
 )
+all_structs.append(Announce)
+Announce.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'upstream', 'BINARY', None, ),  # 1
+)
+all_structs.append(AnnounceAck)
+AnnounceAck.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'address', None, None, ),  # 1
+    (2, TType.I64, 'incarnation', None, None, ),  # 2
+)
 fix_spec(all_structs)
 del all_structs
--- a/orioleshore/protocol/messages.py
+++ b/orioleshore/protocol/messages.py
@@ -215,6 +215,19 @@
     lease: int
 
 
+class Announce(_Message, frozen=True):
+    """Passes on what an upstream announced, encoded as JSON."""
+
+    upstream: bytes
+
+
+class AnnounceAck(_Message, frozen=True):
+    """Confirms that an announcement is in force at the receiver."""
+
+    address: ids.UpstreamId
+    incarnation: ids.Incarnation
+
+
 class Header(msgspec.Struct, frozen=True):
     """Where a message comes from; ``correlation`` pairs calls and replies.
 
--- a/orioleshore/protocol/orioleshore.thrift
+++ b/orioleshore/protocol/orioleshore.thrift
@@ -24,7 +24,9 @@
   INDIRECT_PROBE = 42,
   SLOT_REQUEST = 50,
   SLOT_GRANT = 51,
-  SLOT_RETURN = 52
+  SLOT_RETURN = 52,
+  ANNOUNCE = 60,
+  ANNOUNCE_ACK = 61
 }
 
 struct Envelope {
@@ -189,3 +191,12 @@
   2: i32 returned,
   3: i64 lease
 }
+
+struct Announce {
+  1: binary upstream
+}
+
+struct AnnounceAck {
+  1: string address,
+  2: i64 incarnation
+}
