--- /dev/null
+++ b/orioleshore/fleet/manager.py
@@ -0,0 +1,224 @@
+"""Task that runs the fleet's decisions at the leader."""
+
+import collections
+import functools
+import logging
+from typing import Any
+
+import msgspec
+from result import Ok
+from result import Result
+
+from orioleshore.consensus import client
+from orioleshore.consensus import member
+from orioleshore.fleet import events
+from orioleshore.fleet import planner
+from orioleshore.model import errors
+from orioleshore.model import ids
+from orioleshore.state import commands
+from orioleshore.state import records
+from orioleshore.tasks import mailbox
+from orioleshore.tasks import reply
+from orioleshore.tasks import task
+from orioleshore.telemetry import logs
+from orioleshore.timers import service
+
+LOG = logging.getLogger(__name__)
+
+MAILBOX_CAPACITY = 8_192
+TICK = ids.TimerId('fleet-tick')
+TICK_S = 0.5
+PROPOSE_TIMEOUT_S = 5.0
+# Explanations kept for each subject, and for each kind of subject.
+EXPLANATIONS_PER_SUBJECT = 4
+EXPLANATIONS_PER_KIND = 4_096
+
+
+class GetManagerDump(msgspec.Struct, frozen=True):
+    """Asks for the state of the fleet manager."""
+
+    answer: reply.Reply
+
+
+class _ProposalDecided(msgspec.Struct, frozen=True):
+    command: commands.Command
+    outcome: Result[Any, errors.Failure]
+
+
+class Explanation(msgspec.Struct, frozen=True):
+    """A decision with its wall time in seconds."""
+
+    time: ids.WallTime
+    record: events.Record
+
+
+class Explanations:
+    """The newest explanations of each subject, bounded by kind."""
+
+    def __init__(self) -> None:
+        self._kinds: dict[
+            str, collections.OrderedDict[str, collections.deque]
+        ] = collections.defaultdict(collections.OrderedDict)
+
+    def add(self, record: events.Record, now: ids.WallTime) -> None:
+        """Keep an explanation, dropping the oldest subjects when full."""
+        subjects = self._kinds[record.subject_kind]
+        kept = subjects.pop(record.subject, None)
+        if kept is None:
+            kept = collections.deque(maxlen=EXPLANATIONS_PER_SUBJECT)
+        kept.append(Explanation(now, record))
+        subjects[record.subject] = kept
+        limit = EXPLANATIONS_PER_KIND // EXPLANATIONS_PER_SUBJECT
+        while len(subjects) > limit:
+            subjects.popitem(last=False)
+
+    def get(self, kind: str, subject: str) -> list[dict[str, Any]]:
+        """Return what is kept about a subject, oldest first."""
+        return [
+            {
+                'time': explanation.time,
+                'decision': explanation.record.decision,
+                'facts': explanation.record.facts,
+                'rule': explanation.record.rule,
+                'remedy': explanation.record.remedy,
+            }
+            for explanation in self._kinds[kind].get(subject, ())
+        ]
+
+
+class ManagerTask(task.Task):
+    """Owns the planner and its copy of the replicated state."""
+
+    def __init__(
+        self,
+        decisions: planner.Planner,
+        control: mailbox.Mailbox,
+        platform: mailbox.Mailbox | None,
+        timers: service.TimerService,
+    ) -> None:
+        super().__init__(
+            mailbox.Mailbox(
+                'fleet', MAILBOX_CAPACITY, mailbox.Overflow.DROP_OLDEST
+            )
+        )
+        self._planner = decisions
+        self._control = control
+        self._platform = platform
+        self._timers = timers
+        self._explanations = Explanations()
+
+    async def open(self) -> None:
+        """Subscribe to the tick."""
+        self._timers.subscribe_every(self.mailbox, TICK, TICK_S)
+
+    async def close(self) -> None:
+        """Stop the tick."""
+        self._timers.cancel(self.mailbox, TICK)
+
+    async def handle(self, message: Any) -> None:
+        """Handle news of the log, the platform or the clock."""
+        _take(message, self)
+
+    def _run(self, event: events.Event) -> None:
+        now = self._timers.clock.get_wall()
+        for action in self._planner.handle(event, now):
+            _perform(action, self)
+
+    def _propose(self, command: commands.Command) -> None:
+        answer: reply.Reply = reply.Reply()
+        answer.add_callback(
+            lambda outcome: self.mailbox.put(
+                _ProposalDecided(command, outcome)
+            )
+        )
+        outcome = self._control.put(
+            client.Call(command, answer, PROPOSE_TIMEOUT_S)
+        )
+        if outcome.is_err():
+            answer.resolve(outcome)
+
+
+@functools.singledispatch
+def _take(message: Any, manager: ManagerTask) -> None:
+    """Events of the planner arrive as they are."""
+    manager._run(message)
+
+
+@_take.register
+def _(message: member.LeadershipGained, manager: ManagerTask) -> None:
+    state = records.decode_state(message.image)
+    manager._run(events.LeadershipGained(message.epoch, state))
+
+
+@_take.register
+def _(message: member.LeadershipLost, manager: ManagerTask) -> None:
+    manager._run(events.LeadershipLost())
+
+
+@_take.register
+def _(message: member.CommandApplied, manager: ManagerTask) -> None:
+    manager._run(events.CommandApplied(message.command))
+
+
+@_take.register
+def _(message: member.ExplainAsked, manager: ManagerTask) -> None:
+    kept = manager._explanations.get(
+        message.query.kind.value, message.query.name
+    )
+    message.answer.resolve(Ok(kept))
+
+
+@_take.register
+def _(message: GetManagerDump, manager: ManagerTask) -> None:
+    message.answer.resolve(Ok(manager._planner.get_dump()))
+
+
+@_take.register
+def _(message: _ProposalDecided, manager: ManagerTask) -> None:
+    if message.outcome.is_ok():
+        return
+    failure = message.outcome.unwrap_err()
+    LOG.info(
+        logs.format_event(
+            'proposal_refused',
+            command=type(message.command).__name__,
+            error=failure.kind,
+            reason=failure.message,
+        )
+    )
+    manager._run(events.CommandRefused(message.command, failure.message))
+
+
+@_take.register
+def _(message: service.TimerFired, manager: ManagerTask) -> None:
+    manager._run(events.TimerFired())
+
+
+@functools.singledispatch
+def _perform(action: Any, manager: ManagerTask) -> None:
+    raise TypeError(f'unknown action {type(action).__name__}')
+
+
+@_perform.register
+def _(action: events.Propose, manager: ManagerTask) -> None:
+    manager._propose(action.command)
+
+
+@_perform.register
+def _(action: events.CallPlatform, manager: ManagerTask) -> None:
+    if manager._platform is not None:
+        manager._platform.put(action)
+
+
+@_perform.register
+def _(action: events.Record, manager: ManagerTask) -> None:
+    manager._explanations.add(action, manager._timers.clock.get_wall())
+    LOG.info(
+        logs.format_event(
+            'decision',
+            subject=f'{action.subject_kind}/{action.subject}',
+            decision=action.decision,
+            rule=action.rule,
+            **action.facts,
+        )
+    )
--- /dev/null
+++ b/orioleshore/frontends/platform.py
@@ -0,0 +1,204 @@
+"""Task that calls the platform and collects its reports over HTTP."""
+
+import asyncio
+import functools
+import logging
+from typing import Any
+
+import aiohttp
+import msgspec
+
+from orioleshore.fleet import events
+from orioleshore.model import ids
+from orioleshore.tasks import mailbox
+from orioleshore.tasks import task
+from orioleshore.telemetry import logs
+from orioleshore.timers import service
+
+LOG = logging.getLogger(__name__)
+
+MAILBOX_CAPACITY = 8_192
+POLL = ids.TimerId('platform-poll')
+POLL_S = 1.0
+CALL_TIMEOUT_S = 5.0
+# Calls under way at once; more wait in the mailbox.
+MAX_CALLS = 32
+
+EPOCH_HEADER = 'Orioleshore-Epoch'
+HOST_EPOCH_HEADER = 'Orioleshore-Host-Epoch'
+CALL_HEADER = 'Orioleshore-Call'
+
+_PATHS = {
+    events.CallKind.DRAIN_HOST: '/v1/hosts/{host}/drain',
+    events.CallKind.REBOOT_HOST: '/v1/hosts/{host}/reboot',
+    events.CallKind.RETURN_HOST: '/v1/hosts/{host}/return',
+    events.CallKind.START_TASK: '/v1/workers/{host}/tasks',
+    events.CallKind.CHECKPOINT_TASK: (
+        '/v1/workers/{host}/tasks/{task}/checkpoint'
+    ),
+    events.CallKind.THROTTLE_TASK: '/v1/workers/{host}/tasks/{task}/throttle',
+    events.CallKind.STOP_TASK: '/v1/workers/{host}/tasks/{task}/stop',
+}
+
+
+class Report(msgspec.Struct, frozen=True):
+    """One report of the platform; hosts and tasks share one sequence."""
+
+    host: ids.HostId
+    state: events.ReportedState | None = None
+    cores_used: float = 0.0
+    memory_used_gb: float = 0.0
+    task: events.TaskReported | None = None
+
+
+class Reports(msgspec.Struct, frozen=True):
+    """What the platform reports after a position in its sequence."""
+
+    reports: tuple[Report, ...]
+    next: int
+
+
+class _Polled(msgspec.Struct, frozen=True):
+    reports: Reports | None
+
+
+class PlatformTask(task.Task):
+    """Owns the connections to the platform."""
+
+    def __init__(self, url: str, timers: service.TimerService) -> None:
+        super().__init__(mailbox.Mailbox('platform', MAILBOX_CAPACITY))
+        self._url = url.rstrip('/')
+        self._timers = timers
+        self._manager: mailbox.Mailbox | None = None
+        self._session: aiohttp.ClientSession | None = None
+        self._position = 0
+        self._polling = False
+        self._calls: set[asyncio.Task] = set()
+        self._limit = asyncio.Semaphore(MAX_CALLS)
+
+    def set_manager(self, manager: mailbox.Mailbox) -> None:
+        """Name the task that receives answers and reports."""
+        self._manager = manager
+
+    async def open(self) -> None:
+        """Start to collect reports."""
+        self._session = aiohttp.ClientSession(
+            timeout=aiohttp.ClientTimeout(total=CALL_TIMEOUT_S),
+            cookie_jar=aiohttp.DummyCookieJar(),
+        )
+        self._timers.subscribe_every(self.mailbox, POLL, POLL_S)
+
+    async def close(self) -> None:
+        """Close all connections."""
+        self._timers.cancel(self.mailbox, POLL)
+        for call in self._calls:
+            call.cancel()
+        await asyncio.gather(*self._calls, return_exceptions=True)
+        if self._session is not None:
+            await self._session.close()
+
+    async def handle(self, message: Any) -> None:
+        """Handle a call to make or the next poll."""
+        _take(message, self)
+
+    def _start(self, coroutine) -> None:
+        call = asyncio.create_task(coroutine)
+        self._calls.add(call)
+        call.add_done_callback(self._calls.discard)
+
+    async def _call(self, action: events.CallPlatform) -> None:
+        async with self._limit:
+            answered = await self._post(action)
+        LOG.info(
+            logs.format_event(
+                'platform_called',
+                call=action.call,
+                kind=action.kind,
+                host=action.host,
+                accepted=answered.accepted,
+                reason=answered.reason,
+            )
+        )
+        self._manager.put(answered)
+
+    async def _post(
+        self, action: events.CallPlatform
+    ) -> events.PlatformAnswered:
+        path = _PATHS[action.kind].format(
+            host=action.host, task=f'{action.job}.{action.attempt}'
+        )
+        body = dict(action.parameters)
+        if action.job is not None:
+            body |= {'job': action.job, 'attempt': action.attempt}
+        headers = {
+            EPOCH_HEADER: str(action.epoch),
+            HOST_EPOCH_HEADER: str(action.host_epoch),
+            CALL_HEADER: action.call,
+        }
+        try:
+            async with self._session.post(
+                self._url + path, json=body, headers=headers
+            ) as response:
+                text = await response.text()
+                accepted = response.status < 300
+        except (aiohttp.ClientError, TimeoutError) as error:
+            return events.PlatformAnswered(action.call, False, str(error))
+        return events.PlatformAnswered(
+            action.call, accepted, '' if accepted else text[:200]
+        )
+
+    async def _poll(self) -> None:
+        reports = None
+        try:
+            async with self._session.get(
+                f'{self._url}/v1/reports', params={'after': self._position}
+            ) as response:
+                content = await response.read()
+            reports = msgspec.json.decode(content, type=Reports)
+        except (
+            aiohttp.ClientError,
+            TimeoutError,
+            msgspec.MsgspecError,
+        ) as error:
+            LOG.warning(logs.format_event('platform_poll_failed', error=error))
+        await self.mailbox.put_wait(_Polled(reports))
+
+    def _take_reports(self, reports: Reports | None) -> None:
+        self._polling = False
+        if reports is None:
+            return
+        self._position = reports.next
+        for report in reports.reports:
+            if report.task is not None:
+                self._manager.put(report.task)
+            if report.state is not None:
+                self._manager.put(
+                    events.HostReported(
+                        report.host,
+                        report.state,
+                        report.cores_used,
+                        report.memory_used_gb,
+                    )
+                )
+
+
+@functools.singledispatch
+def _take(message: Any, platform: PlatformTask) -> None:
+    raise TypeError(f'unknown message {type(message).__name__}')
+
+
+@_take.register
+def _(message: events.CallPlatform, platform: PlatformTask) -> None:
+    platform._start(platform._call(message))
+
+
+@_take.register
+def _(message: service.TimerFired, platform: PlatformTask) -> None:
+    if not platform._polling:
+        platform._polling = True
+        platform._start(platform._poll())
+
+
+@_take.register
+def _(message: _Polled, platform: PlatformTask) -> None:
+    platform._take_reports(message.reports)
--- /dev/null
+++ b/orioleshore/frontends/upstream_client.py
@@ -0,0 +1,207 @@
+"""Runs one attempt of a request at an upstream."""
+
+import asyncio
+import time
+
+import aiohttp
+import msgspec
+from multidict import CIMultiDict
+from yarl import URL
+
+from orioleshore.frontends import web as frontend_web
+from orioleshore.model import states
+from orioleshore.routing import events
+
+CONNECT_TIMEOUT_S = 1.0
+
+# RFC 9110, section 7.6.1: these concern one connection only.
+HOP_BY_HOP = frozenset(
+    {
+        'connection',
+        'keep-alive',
+        'proxy-authenticate',
+        'proxy-authorization',
+        'proxy-connection',
+        'te',
+        'trailer',
+        'transfer-encoding',
+        'upgrade',
+    }
+)
+
+
+class Outgoing(msgspec.Struct, frozen=True):
+    """The request as it is sent to an upstream."""
+
+    method: str
+    path: str
+    headers: tuple[tuple[str, str], ...]
+    body: bytes
+
+
+class Incoming(msgspec.Struct):
+    """The answer of an upstream.
+
+    ``rest`` is set while a long answer is still being read.
+    """
+
+    status: int
+    headers: tuple[tuple[str, str], ...]
+    body: bytes
+    rest: aiohttp.ClientResponse | None = None
+
+
+class BrokenConnectionError(aiohttp.ClientError):
+    """A connection ended before its answer; the request may have run."""
+
+
+async def prevent_resend(
+    request: aiohttp.ClientRequest, handler: aiohttp.ClientHandlerType
+) -> aiohttp.ClientResponse:
+    """Keep aiohttp from sending a request again by itself.
+
+    It repeats GET, PUT, DELETE and some others when a connection breaks
+    before the answer, which could run a request twice.
+    """
+    try:
+        return await handler(request)
+    except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError):
+        raise
+    except (aiohttp.ClientOSError, aiohttp.ServerDisconnectedError) as error:
+        raise BrokenConnectionError(str(error)) from error
+
+
+class UpstreamClient:
+    """Owns the connections to the upstreams.
+
+    A request that is not idempotent gets a new connection, because a kept
+    one may turn out to be closed only after the request was written.
+    """
+
+    def __init__(self, buffer_bytes: int) -> None:
+        self._buffer_bytes = buffer_bytes
+        self._reusing: aiohttp.ClientSession | None = None
+        self._single_use: aiohttp.ClientSession | None = None
+
+    async def open(self) -> None:
+        """Create the sessions in the running loop."""
+        self._reusing = _create_session(force_close=False)
+        self._single_use = _create_session(force_close=True)
+
+    async def close(self) -> None:
+        """Close all connections."""
+        for session in (self._reusing, self._single_use):
+            if session is not None:
+                await session.close()
+
+    async def run(
+        self, outgoing: Outgoing, start: events.StartAttempt, once: bool
+    ) -> tuple[events.AttemptEnded, Incoming | None]:
+        """Send a request and read its answer, or the start of a long one."""
+        began = time.monotonic()
+        outcome, incoming = await self._try(outgoing, start, once)
+        ended = events.AttemptEnded(
+            start.request,
+            start.upstream,
+            outcome,
+            incoming.status if incoming else 0,
+            time.monotonic() - began,
+        )
+        return ended, incoming
+
+    async def _try(
+        self, outgoing: Outgoing, start: events.StartAttempt, once: bool
+    ) -> tuple[events.AttemptOutcome, Incoming | None]:
+        try:
+            async with asyncio.timeout(max(0.0, start.timeout_s)):
+                return await self._exchange(outgoing, start, once)
+        except aiohttp.ClientConnectorError:
+            return events.AttemptOutcome.UNREACHABLE, None
+        except aiohttp.ConnectionTimeoutError:
+            return events.AttemptOutcome.UNREACHABLE, None
+        except TimeoutError:
+            return events.AttemptOutcome.TIMED_OUT, None
+        except aiohttp.ClientPayloadError:
+            return events.AttemptOutcome.TRUNCATED, None
+        except (aiohttp.ClientError, OSError, ValueError):
+            return events.AttemptOutcome.FAILED, None
+
+    async def _exchange(
+        self, outgoing: Outgoing, start: events.StartAttempt, once: bool
+    ) -> tuple[events.AttemptOutcome, Incoming | None]:
+        session = self._single_use if once else self._reusing
+        headers = CIMultiDict(outgoing.headers)
+        identity = f'{start.request}.{start.attempt}'
+        headers[frontend_web.REQUEST_HEADER] = identity
+        response = await session.request(
+            outgoing.method,
+            URL(f'http://{start.upstream}{outgoing.path}', encoded=True),
+            headers=headers,
+            data=outgoing.body or None,
+            allow_redirects=False,
+        )
+        try:
+            echo = response.headers.get(frontend_web.REQUEST_HEADER)
+            if echo is not None and echo != identity:
+                response.close()
+                return events.AttemptOutcome.MISMATCHED, None
+            if _is_refusal(response):
+                response.close()
+                return events.AttemptOutcome.REFUSED, None
+            return await self._read(response)
+        except BaseException:
+            response.close()
+            raise
+
+    async def _read(
+        self, response: aiohttp.ClientResponse
+    ) -> tuple[events.AttemptOutcome, Incoming]:
+        body = bytearray()
+        headers = _get_end_to_end(response)
+        async for chunk in response.content.iter_any():
+            body += chunk
+            if len(body) > self._buffer_bytes:
+                incoming = Incoming(
+                    response.status, headers, bytes(body), response
+                )
+                return events.AttemptOutcome.ANSWERED, incoming
+        response.release()
+        incoming = Incoming(response.status, headers, bytes(body))
+        return events.AttemptOutcome.ANSWERED, incoming
+
+
+def _create_session(force_close: bool) -> aiohttp.ClientSession:
+    options = {} if force_close else {'keepalive_timeout': 15.0}
+    connector = aiohttp.TCPConnector(
+        limit=0, force_close=force_close, **options
+    )
+    return aiohttp.ClientSession(
+        connector=connector,
+        middlewares=(prevent_resend,),
+        cookie_jar=aiohttp.DummyCookieJar(),
+        auto_decompress=False,
+        timeout=aiohttp.ClientTimeout(
+            total=None, sock_connect=CONNECT_TIMEOUT_S
+        ),
+        skip_auto_headers=('User-Agent', 'Accept', 'Accept-Encoding'),
+    )
+
+
+def _is_refusal(response: aiohttp.ClientResponse) -> bool:
+    """Return whether the upstream says that it did not run the request."""
+    ran = response.headers.get(frontend_web.RAN_HEADER)
+    return response.status == 503 and ran == states.Ran.NO.value
+
+
+def _get_end_to_end(
+    response: aiohttp.ClientResponse,
+) -> tuple[tuple[str, str], ...]:
+    dropped = HOP_BY_HOP | {
+        'content-length',
+        frontend_web.REQUEST_HEADER.lower(),
+    }
+    return tuple(
+        (name, value)
+        for name, value in response.headers.items()
+        if name.lower() not in dropped
+    )
--- /dev/null
+++ b/orioleshore/frontends/upstreams.py
@@ -0,0 +1,119 @@
+"""HTTP front end on which upstreams announce themselves."""
+
+import ipaddress
+import json
+from typing import Any
+
+from aiohttp import web
+import msgspec
+from result import Err
+from result import Ok
+from result import Result
+
+from orioleshore.frontends import web as frontend_web
+from orioleshore.model import announcements
+from orioleshore.model import checks
+from orioleshore.model import errors
+from orioleshore.model import ids
+from orioleshore.model import states
+from orioleshore.routing import dispatcher
+from orioleshore.routing import router
+from orioleshore.tasks import mailbox
+from orioleshore.tasks import task
+
+MAILBOX_CAPACITY = 16
+MAX_BODY_BYTES = 4_096
+# Renewals this often survive the loss of one of them.
+RENEW_EVERY_S = router.UPSTREAM_EXPIRY_S / 3
+
+
+class UpstreamsFrontend(task.Task):
+    """Owns the connections on which upstreams announce themselves."""
+
+    def __init__(self, address: str, routing: mailbox.Mailbox) -> None:
+        super().__init__(mailbox.Mailbox('upstreams', MAILBOX_CAPACITY))
+        self._routing = routing
+        app = web.Application(client_max_size=MAX_BODY_BYTES)
+        app.router.add_post('/v1/upstreams', self._announce)
+        app.router.add_delete('/v1/upstreams/{service}/{address}', self._leave)
+        self._listener = frontend_web.Listener(address, app)
+
+    @property
+    def address(self) -> str:
+        return self._listener.address
+
+    async def open(self) -> None:
+        """Listen for upstreams."""
+        await self._listener.start()
+
+    async def close(self) -> None:
+        """Close all connections."""
+        await self._listener.stop()
+
+    async def handle(self, message: Any) -> None:
+        """This front end receives no messages."""
+        raise TypeError(f'unknown message {type(message).__name__}')
+
+    async def _announce(self, request: web.Request) -> web.Response:
+        try:
+            content = await request.json()
+        except (json.JSONDecodeError, UnicodeDecodeError) as error:
+            return _answer_failure(f'malformed JSON: {error}')
+        outcome = parse_announcement(content)
+        if outcome.is_err():
+            return frontend_web.make_failure(outcome.unwrap_err())
+        return await self._pass_on(outcome.unwrap())
+
+    async def _leave(self, request: web.Request) -> web.Response:
+        text = request.query.get('incarnation', '')
+        if not text.isdigit():
+            return _answer_failure('the query needs incarnation=<number>')
+        outcome = parse_announcement(
+            {
+                'service': request.match_info['service'],
+                'address': request.match_info['address'],
+                'availability_zone': '',
+                'slots': 1,
+                'connections': 1,
+                'incarnation': int(text),
+            }
+        )
+        if outcome.is_err():
+            return frontend_web.make_failure(outcome.unwrap_err())
+        leaving = msgspec.structs.replace(
+            outcome.unwrap(), state=states.UpstreamState.LEAVING
+        )
+        return await self._pass_on(leaving)
+
+    async def _pass_on(self, upstream: announcements.Upstream) -> web.Response:
+        await self._routing.put_wait(dispatcher.UpstreamHeard(upstream))
+        return frontend_web.make_json({'renew_every_s': RENEW_EVERY_S})
+
+
+def parse_announcement(
+    content: Any,
+) -> Result[announcements.Upstream, errors.Failure]:
+    """Check what an upstream announces; fails with INVALID_REQUEST."""
+    outcome = checks.convert(content, announcements.Upstream)
+    if outcome.is_err():
+        return _fail('; '.join(outcome.unwrap_err()))
+    upstream = outcome.unwrap()
+    host, _, port = upstream.address.rpartition(':')
+    try:
+        ipaddress.ip_address(host.strip('[]'))
+    except ValueError:
+        return _fail(f'$.address: {host!r} is not an IP number')
+    if not port.isdigit() or not 0 < int(port) <= 65_535:
+        return _fail(f'$.address: {port!r} is not a port')
+    address = ids.UpstreamId(f'{host}:{int(port)}')
+    return Ok(msgspec.structs.replace(upstream, address=address))
+
+
+def _fail(message: str) -> Err[errors.Failure]:
+    return Err(errors.Failure(errors.ErrorKind.INVALID_REQUEST, message))
+
+
+def _answer_failure(message: str) -> web.Response:
+    return frontend_web.make_failure(
+        errors.Failure(errors.ErrorKind.INVALID_REQUEST, message)
+    )
--- /dev/null
+++ b/orioleshore/frontends/web.py
@@ -0,0 +1,79 @@
+"""What the HTTP front ends share."""
+
+import json
+from typing import Any
+
+from aiohttp import web
+
+from orioleshore import settings
+from orioleshore.model import errors
+
+ERROR_HEADER = 'Orioleshore-Error'
+RAN_HEADER = 'Orioleshore-Ran'
+REQUEST_HEADER = 'Orioleshore-Request'
+
+
+def make_json(content: Any, status: int = 200) -> web.Response:
+    """Return a response with sorted JSON."""
+    text = json.dumps(content, sort_keys=True, indent=2)
+    return web.Response(
+        text=text + '\n', status=status, content_type='application/json'
+    )
+
+
+def make_failure(failure: errors.Failure) -> web.Response:
+    """Return the answer that the table of errors gives for a failure."""
+    answer = failure.answer
+    response = make_json(
+        {
+            'error': failure.kind.value,
+            'message': failure.message,
+            'details': list(failure.details),
+            'ran': answer.ran.value,
+            'may_resend': answer.may_resend,
+        },
+        answer.status,
+    )
+    response.headers[ERROR_HEADER] = failure.kind.value
+    response.headers[RAN_HEADER] = answer.ran.value
+    if failure.retry_after_s is not None:
+        response.headers['Retry-After'] = str(round(failure.retry_after_s))
+    return response
+
+
+async def hide_server(
+    request: web.BaseRequest, response: web.StreamResponse
+) -> None:
+    """Leave out the name of the HTTP library."""
+    response.headers.popall('Server', None)
+
+
+class Listener:
+    """A listening socket with an aiohttp application behind it."""
+
+    def __init__(self, address: str, app: web.Application, **options) -> None:
+        self._address = address
+        self._app = app
+        self._options = options
+        self._runner: web.AppRunner | None = None
+
+    @property
+    def address(self) -> str:
+        return self._address
+
+    async def start(self) -> None:
+        """Listen; port 0 is replaced by the one that the kernel chose."""
+        self._runner = web.AppRunner(
+            self._app, access_log=None, **self._options
+        )
+        await self._runner.setup()
+        host, port = settings.parse_address(self._address)
+        site = web.TCPSite(self._runner, host, port, backlog=1_024)
+        await site.start()
+        bound = self._runner.addresses[0]
+        self._address = f'{host}:{bound[1]}'
+
+    async def stop(self) -> None:
+        """Close the socket and wait for the requests in flight."""
+        if self._runner is not None:
+            await self._runner.cleanup()
--- a/orioleshore/settings.py
+++ b/orioleshore/settings.py
@@ -24,6 +24,7 @@
     'log_level': 'info',
     'seeds': [],
     'tls': None,
+    'token_files': {},
     'addresses': {
         'inner': None,
         'callers': None,
@@ -38,7 +39,6 @@
         'election_timeout_s': 0.9,
         'snapshot_entries': 1_000,
         'platform': None,
-        'token_files': {},
     },
     'entry': {
         'drain_notice_s': 5.0,
@@ -84,7 +84,7 @@
     """Settings of a control member.
 
     ``initial_members`` maps the name of each first member to its inner
-    address. ``token_files`` maps an operator to a file with a token.
+    address. ``platform`` is the base URL of the platform's interface.
     """
 
     initial_members: dict[ids.NodeId, str]
@@ -93,7 +93,6 @@
     election_timeout_s: Positive
     snapshot_entries: PositiveCount
     platform: str | None
-    token_files: dict[str, str]
 
 
 class Entry(_Section, frozen=True):
@@ -114,7 +113,10 @@
 
 
 class Settings(_Section, frozen=True):
-    """All settings of one process."""
+    """All settings of one process.
+
+    ``token_files`` maps an operator to a file that holds a token.
+    """
 
     node: Annotated[ids.NodeId, msgspec.Meta(pattern=documents.NAME_PATTERN)]
     availability_zone: ids.AvailabilityZone
@@ -123,6 +125,7 @@
     log_level: str
     seeds: tuple[str, ...]
     tls: Tls | None
+    token_files: dict[str, str]
     addresses: Addresses
     control: Control
     entry: Entry
@@ -247,11 +250,9 @@
 
 def _find_file_problems(settings: Settings) -> list[str]:
     problems = []
-    for name, path in settings.control.token_files.items():
+    for name, path in settings.token_files.items():
         if not os.access(path, os.R_OK):
-            problems.append(
-                f'$.control.token_files.{name}: cannot read {path!r}'
-            )
+            problems.append(f'$.token_files.{name}: cannot read {path!r}')
     if settings.tls is not None:
         problems += [
             f'$.tls.{name}: cannot read {getattr(settings.tls, name)!r}'
