--- /dev/null
+++ b/fakes/platform.py
@@ -0,0 +1,198 @@
+"""A fake platform: drains and reboots hosts, and runs tasks on workers."""
+
+import argparse
+import asyncio
+import collections
+import signal
+
+from aiohttp import web
+
+EPOCH_HEADER = 'Orioleshore-Epoch'
+HOST_EPOCH_HEADER = 'Orioleshore-Host-Epoch'
+CALL_HEADER = 'Orioleshore-Call'
+
+
+class FakePlatform:
+    """Answers the calls of the system, and keeps what it was asked.
+
+    A call that is repeated gets its first answer and acts only once.
+    """
+
+    def __init__(
+        self,
+        drain_s: float = 0.2,
+        reboot_s: float = 0.2,
+        run_s: float = 0.5,
+        port: int = 0,
+    ) -> None:
+        self.drain_s = drain_s
+        self.reboot_s = reboot_s
+        self.run_s = run_s
+        self.url = ''
+        self.states: dict[str, str] = {}
+        self.reboots: collections.Counter[str] = collections.Counter()
+        self.starts: collections.Counter[str] = collections.Counter()
+        self.refused = 0
+        self.failing_workers: set[str] = set()
+        self._port = port
+        self._epoch = 0
+        self._host_epochs: dict[str, int] = {}
+        self._answered: set[str] = set()
+        self._reports: list[dict] = []
+        self._work: set[asyncio.Task] = set()
+        self._runner: web.AppRunner | None = None
+
+    async def start(self) -> None:
+        """Listen on loopback."""
+        app = web.Application()
+        app.router.add_post('/v1/hosts/{host}/{action}', self._act_on_host)
+        app.router.add_post('/v1/workers/{host}/tasks', self._start_task)
+        app.router.add_post(
+            '/v1/workers/{host}/tasks/{task}/{action}', self._act_on_task
+        )
+        app.router.add_get('/v1/reports', self._get_reports)
+        app.router.add_get('/v1/hosts', self._get_hosts)
+        self._runner = web.AppRunner(
+            app, access_log=None, shutdown_timeout=0.1
+        )
+        await self._runner.setup()
+        await web.TCPSite(self._runner, '127.0.0.1', self._port).start()
+        self.url = f'http://127.0.0.1:{self._runner.addresses[0][1]}'
+
+    async def stop(self) -> None:
+        """Close the socket."""
+        for work in self._work:
+            work.cancel()
+        await asyncio.gather(*self._work, return_exceptions=True)
+        await self._runner.cleanup()
+
+    def report_host(self, host: str, state: str) -> None:
+        """Report a new state of a host."""
+        self.states[host] = state
+        self._reports.append({'host': host, 'state': state})
+
+    def _is_stale(self, request: web.Request) -> bool:
+        host = request.match_info['host']
+        epoch = int(request.headers[EPOCH_HEADER])
+        host_epoch = int(request.headers[HOST_EPOCH_HEADER])
+        if epoch < self._epoch:
+            return True
+        if host_epoch < self._host_epochs.get(host, 0):
+            return True
+        self._epoch = epoch
+        self._host_epochs[host] = host_epoch
+        return False
+
+    def _is_repeated(self, request: web.Request) -> bool:
+        call = request.headers[CALL_HEADER]
+        if call in self._answered:
+            return True
+        self._answered.add(call)
+        return False
+
+    async def _act_on_host(self, request: web.Request) -> web.Response:
+        if self._is_stale(request):
+            self.refused += 1
+            return web.json_response({'error': 'stale epoch'}, status=409)
+        if self._is_repeated(request):
+            return web.json_response({'repeated': True})
+        host = request.match_info['host']
+        action = request.match_info['action']
+        if action == 'drain':
+            self.report_host(host, 'draining')
+            self._after(self.drain_s, self.report_host, host, 'drained')
+        elif action == 'reboot':
+            self.reboots[host] += 1
+            self.report_host(host, 'rebooting')
+            self._after(self.reboot_s, self.report_host, host, 'up')
+        elif action == 'return':
+            self.report_host(host, 'up')
+        return web.json_response({'accepted': True})
+
+    async def _start_task(self, request: web.Request) -> web.Response:
+        if self._is_stale(request):
+            self.refused += 1
+            return web.json_response({'error': 'stale epoch'}, status=409)
+        if self._is_repeated(request):
+            return web.json_response({'repeated': True})
+        body = await request.json()
+        host = request.match_info['host']
+        self.starts[body['job']] += 1
+        result = 'failed' if host in self.failing_workers else 'succeeded'
+        self._after(
+            self.run_s,
+            self._report_task,
+            body['job'],
+            body['attempt'],
+            host,
+            result,
+        )
+        return web.json_response({'accepted': True})
+
+    async def _act_on_task(self, request: web.Request) -> web.Response:
+        job, _, attempt = request.match_info['task'].rpartition('.')
+        action = request.match_info['action']
+        if action in ('stop', 'checkpoint'):
+            result = {'stop': 'stopped', 'checkpoint': 'checkpointed'}
+            self._report_task(
+                job, int(attempt), request.match_info['host'], result[action]
+            )
+        return web.json_response({'accepted': True})
+
+    def _report_task(
+        self, job: str, attempt: int, host: str, result: str | None
+    ) -> None:
+        task = {
+            'job': job,
+            'attempt': attempt,
+            'worker': host,
+            'result': result,
+        }
+        self._reports.append({'host': host, 'task': task})
+
+    def _after(self, delay_s: float, function, *arguments) -> None:
+        async def wait() -> None:
+            await asyncio.sleep(delay_s)
+            function(*arguments)
+
+        work = asyncio.create_task(wait())
+        self._work.add(work)
+        work.add_done_callback(self._work.discard)
+
+    async def _get_reports(self, request: web.Request) -> web.Response:
+        after = int(request.query.get('after', '0'))
+        return web.json_response(
+            {'reports': self._reports[after:], 'next': len(self._reports)}
+        )
+
+    async def _get_hosts(self, request: web.Request) -> web.Response:
+        return web.json_response(
+            {
+                'hosts': self.states,
+                'reboots': self.reboots,
+                'starts': self.starts,
+            }
+        )
+
+
+async def _main(arguments: argparse.Namespace) -> None:
+    platform = FakePlatform(port=arguments.port)
+    await platform.start()
+    print(f'platform {platform.url}', flush=True)
+    stopped = asyncio.Event()
+    loop = asyncio.get_running_loop()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, stopped.set)
+    await stopped.wait()
+    await platform.stop()
+
+
+def main() -> None:
+    """Run the fake platform until it is stopped."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument('--port', type=int, default=0)
+    asyncio.run(_main(parser.parse_args()))
+
+
+if __name__ == '__main__':
+    main()
--- /dev/null
+++ b/fakes/upstream.py
@@ -0,0 +1,223 @@
+"""A fake upstream: announces itself, and answers or misbehaves on demand."""
+
+import argparse
+import asyncio
+import collections
+import enum
+import json
+import signal
+import time
+
+import aiohttp
+from aiohttp import web
+
+REQUEST_HEADER = 'Orioleshore-Request'
+RAN_HEADER = 'Orioleshore-Ran'
+KEY_HEADER = 'Idempotency-Key'
+RENEW_S = 1.0
+HANG_S = 600.0
+
+
+class Behaviour(enum.Enum):
+    """What the fake does with a request."""
+
+    ANSWER = 'answer'
+    HANG = 'hang'
+    RESET = 'reset'
+    RESET_AFTER_RUN = 'reset_after_run'
+    CUT_ANSWER = 'cut_answer'
+    WRONG_REQUEST = 'wrong_request'
+    REFUSE = 'refuse'
+    FAIL = 'fail'
+
+
+class FakeUpstream:
+    """One upstream with an own listening socket on loopback."""
+
+    def __init__(
+        self,
+        service: str,
+        announce_urls: list[str],
+        availability_zone: str = 'az1',
+        slots: int = 8,
+        port: int = 0,
+    ) -> None:
+        self.service = service
+        self.availability_zone = availability_zone
+        self.slots = slots
+        self.behaviour = Behaviour.ANSWER
+        self.delay_s = 0.0
+        self.body = b''
+        self.runs: collections.Counter[str] = collections.Counter()
+        self.running = 0
+        self.most_running = 0
+        self.refused = 0
+        self.incarnation = time.time_ns() // 1_000_000
+        self.address = ''
+        self._port = port
+        self._announce_urls = announce_urls
+        self._session: aiohttp.ClientSession | None = None
+        self._runner: web.AppRunner | None = None
+        self._renewing: asyncio.Task | None = None
+
+    async def start(self) -> None:
+        """Listen and announce."""
+        app = web.Application()
+        app.router.add_route('*', '/{path:.*}', self._serve)
+        self._runner = web.AppRunner(
+            app, access_log=None, shutdown_timeout=0.1
+        )
+        await self._runner.setup()
+        await web.TCPSite(self._runner, '127.0.0.1', self._port).start()
+        port = self._runner.addresses[0][1]
+        self.address = f'127.0.0.1:{port}'
+        self._session = aiohttp.ClientSession(
+            timeout=aiohttp.ClientTimeout(total=5.0)
+        )
+        self._renewing = asyncio.create_task(self._renew())
+
+    async def leave(self) -> None:
+        """Withdraw the announcement, and finish what is running."""
+        self._renewing.cancel()
+        for url in self._announce_urls:
+            try:
+                async with self._session.delete(
+                    f'{url}/v1/upstreams/{self.service}/{self.address}',
+                    params={'incarnation': str(self.incarnation)},
+                ):
+                    break
+            except (aiohttp.ClientError, TimeoutError):
+                continue
+
+    async def stop(self) -> None:
+        """Close all sockets at once."""
+        self._renewing.cancel()
+        await asyncio.gather(self._renewing, return_exceptions=True)
+        await self._session.close()
+        await self._runner.cleanup()
+
+    async def announce(self) -> bool:
+        """Announce at the first entry host that answers."""
+        content = {
+            'service': self.service,
+            'address': self.address,
+            'availability_zone': self.availability_zone,
+            'slots': self.slots,
+            'connections': 64,
+            'incarnation': self.incarnation,
+        }
+        for url in self._announce_urls:
+            try:
+                async with self._session.post(
+                    f'{url}/v1/upstreams', json=content
+                ) as response:
+                    if response.status == 200:
+                        return True
+            except (aiohttp.ClientError, TimeoutError):
+                continue
+        return False
+
+    async def _renew(self) -> None:
+        while True:
+            await self.announce()
+            await asyncio.sleep(RENEW_S)
+
+    async def _serve(self, request: web.Request) -> web.StreamResponse:
+        body = await request.read()
+        if self.behaviour is Behaviour.RESET:
+            request.transport.abort()
+            return web.Response()
+        if self.behaviour is Behaviour.REFUSE or self.running >= self.slots:
+            self.refused += 1
+            return web.Response(status=503, headers={RAN_HEADER: 'no'})
+        return await self._run(request, body)
+
+    async def _run(
+        self, request: web.Request, body: bytes
+    ) -> web.StreamResponse:
+        name = request.headers.get(KEY_HEADER, request.path)
+        self.runs[name] += 1
+        self.running += 1
+        self.most_running = max(self.most_running, self.running)
+        try:
+            if self.behaviour is Behaviour.HANG:
+                await asyncio.sleep(HANG_S)
+            await asyncio.sleep(self.delay_s)
+            return await self._answer(request, body, name)
+        finally:
+            self.running -= 1
+
+    async def _answer(
+        self, request: web.Request, body: bytes, name: str
+    ) -> web.StreamResponse:
+        if self.behaviour is Behaviour.RESET_AFTER_RUN:
+            request.transport.abort()
+            return web.Response()
+        if self.behaviour is Behaviour.FAIL:
+            return web.Response(status=500)
+        identity = request.headers.get(REQUEST_HEADER, '')
+        if self.behaviour is Behaviour.WRONG_REQUEST:
+            identity = 'another-request.1'
+        content = (
+            self.body
+            or json.dumps(
+                {
+                    'service': self.service,
+                    'upstream': self.address,
+                    'method': request.method,
+                    'path': request.path_qs,
+                    'body': body.decode(errors='replace'),
+                    'run': self.runs[name],
+                },
+                sort_keys=True,
+            ).encode()
+        )
+        headers = {
+            REQUEST_HEADER: identity,
+            'Content-Type': 'application/json',
+        }
+        if self.behaviour is Behaviour.CUT_ANSWER:
+            return await self._cut(request, content, headers)
+        return web.Response(body=content, headers=headers)
+
+    async def _cut(
+        self, request: web.Request, content: bytes, headers: dict[str, str]
+    ) -> web.StreamResponse:
+        response = web.StreamResponse(headers=headers)
+        response.content_length = len(content)
+        await response.prepare(request)
+        await response.write(content[: len(content) // 2])
+        request.transport.close()
+        return response
+
+
+async def _main(arguments: argparse.Namespace) -> None:
+    upstream = FakeUpstream(
+        arguments.service,
+        arguments.announce,
+        arguments.availability_zone,
+        port=arguments.port,
+    )
+    await upstream.start()
+    print(f'upstream {upstream.service} {upstream.address}', flush=True)
+    stopped = asyncio.Event()
+    loop = asyncio.get_running_loop()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, stopped.set)
+    await stopped.wait()
+    await upstream.leave()
+    await upstream.stop()
+
+
+def main() -> None:
+    """Run one fake upstream until it is stopped."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument('--service', required=True)
+    parser.add_argument('--announce', action='append', required=True)
+    parser.add_argument('--availability-zone', default='az1')
+    parser.add_argument('--port', type=int, default=0)
+    asyncio.run(_main(parser.parse_args()))
+
+
+if __name__ == '__main__':
+    main()
--- /dev/null
+++ b/orioleshore/cli/application.py
@@ -0,0 +1,31 @@
+"""The program ``orioleshore``."""
+
+import sys
+
+from cleo.application import Application
+
+import orioleshore
+from orioleshore.cli import commands
+
+
+def create_application() -> Application:
+    """Return the application with all commands."""
+    application = Application('orioleshore', orioleshore.__version__)
+    for command in (
+        commands.RunCommand,
+        commands.CheckCommand,
+        commands.ValidateCommand,
+        commands.DiffCommand,
+        commands.ApplyCommand,
+        commands.ShowCommand,
+        commands.StatusCommand,
+        commands.DumpCommand,
+        commands.ExplainCommand,
+    ):
+        application.add(command())
+    return application
+
+
+def main() -> None:
+    """Run the command line and exit with its code."""
+    sys.exit(create_application().run())
--- /dev/null
+++ b/orioleshore/cli/commands.py
@@ -0,0 +1,341 @@
+"""Commands of the command line."""
+
+import os
+import pathlib
+import time
+from typing import Any
+import uuid
+
+from cleo.commands.command import Command
+from cleo.helpers import argument
+from cleo.helpers import option
+import msgspec
+from result import Err
+from result import Ok
+from result import Result
+import yaml
+
+from orioleshore import settings
+from orioleshore.cli import output
+from orioleshore.cli import remote
+from orioleshore.frontends import submission
+from orioleshore.model import changes
+from orioleshore.model import documents
+from orioleshore.model import errors
+from orioleshore.model import ids
+from orioleshore.state import operations
+from orioleshore.state import queries
+
+URL_VARIABLE = 'ORIOLESHORE_URL'
+TOKEN_VARIABLE = 'ORIOLESHORE_TOKEN_FILE'
+
+_JSON = option('json', None, 'Write JSON.')
+_URL = option(
+    'url',
+    None,
+    f"Base URL of the operators' interface (or {URL_VARIABLE}).",
+    flag=False,
+)
+_TOKEN = option(
+    'token-file',
+    None,
+    f'File with the token of the operator (or {TOKEN_VARIABLE}).',
+    flag=False,
+)
+_REMOTE = [_URL, _TOKEN, _JSON]
+
+
+class _BaseCommand(Command):
+    """Prints a result, or a failure with its exit code."""
+
+    def handle(self) -> int:
+        """Run the command, and return the exit code."""
+        outcome = self.execute_command()
+        if outcome.is_err():
+            failure = outcome.unwrap_err()
+            self.line_error(output.format_failure(failure))
+            return failure.answer.exit_code
+        content = outcome.unwrap()
+        if content is not None:
+            self._write(content)
+        return 0
+
+    def execute_command(self) -> Result[Any, errors.Failure]:
+        """Return what is to be printed."""
+        raise NotImplementedError
+
+    def format_content(self, content: Any) -> str:
+        """Return the content for a person."""
+        return yaml.safe_dump(content, sort_keys=False).rstrip()
+
+    def _write(self, content: Any) -> None:
+        text = (
+            output.format_json(content)
+            if self.option('json')
+            else self.format_content(content)
+        )
+        # The text may hold "<", which cleo would take for markup.
+        self.io.output.write_line(text, type=self._raw_type)
+
+    @property
+    def _raw_type(self):
+        from cleo.io.outputs.output import Type
+
+        return Type.RAW
+
+
+class _RemoteCommand(_BaseCommand):
+    """Talks to the operators' interface of a running system."""
+
+    def call(
+        self, method: str, path: str, body: str | None = None
+    ) -> Result[Any, errors.Failure]:
+        """Return the answer as plain data."""
+        url = self.option('url') or os.environ.get(URL_VARIABLE)
+        token_file = self.option('token-file') or os.environ.get(
+            TOKEN_VARIABLE
+        )
+        if not url or not token_file:
+            return Err(
+                errors.Failure(
+                    errors.ErrorKind.INVALID_SETTINGS,
+                    'give --url and --token-file, or set '
+                    f'{URL_VARIABLE} and {TOKEN_VARIABLE}',
+                )
+            )
+        return remote.read_token(token_file).and_then(
+            lambda token: remote.call(
+                remote.Remote(url, token), method, path, body
+            )
+        )
+
+
+class RunCommand(_BaseCommand):
+    """Runs one process until it is stopped."""
+
+    name = 'run'
+    description = 'Run a process with a settings file.'
+    arguments = [argument('settings', 'YAML file with the settings.')]
+    options = [_JSON]
+
+    def execute_command(self) -> Result[Any, errors.Failure]:
+        """Run until SIGTERM or SIGINT."""
+        # The other commands do not need what a running process imports.
+        from orioleshore.roles import runner
+
+        return settings.read_settings(self.argument('settings')).and_then(
+            runner.run
+        )
+
+
+class CheckCommand(_BaseCommand):
+    """Checks a settings file."""
+
+    name = 'check'
+    description = 'Check a settings file, and show it with its defaults.'
+    arguments = [argument('settings', 'YAML file with the settings.')]
+    options = [_JSON]
+
+    def execute_command(self) -> Result[Any, errors.Failure]:
+        """Return the settings with all defaults."""
+        return settings.read_settings(self.argument('settings')).map(
+            msgspec.to_builtins
+        )
+
+
+class ValidateCommand(_BaseCommand):
+    """Checks a document without a running system."""
+
+    name = 'validate'
+    description = 'Check a document file.'
+    arguments = [argument('document', 'YAML or JSON file.')]
+    options = [_JSON]
+
+    def execute_command(self) -> Result[Any, errors.Failure]:
+        """Return how many items of each section the document has."""
+        return _read_document(self.argument('document')).map(_count_items)
+
+
+class DiffCommand(_RemoteCommand):
+    """Compares a document file with the document in force."""
+
+    name = 'diff'
+    description = 'Show what applying a document file would change.'
+    arguments = [argument('document', 'YAML or JSON file.')]
+    options = _REMOTE
+
+    def execute_command(self) -> Result[Any, errors.Failure]:
+        """Return one line for each changed item."""
+        document = _read_document(self.argument('document'))
+        if document.is_err():
+            return document
+        answer = self.call('GET', '/v1/document')
+        if answer.is_err():
+            return answer
+        current = msgspec.convert(
+            answer.unwrap()['document'], documents.Document
+        )
+        delta = changes.get_delta(current, document.unwrap())
+        return Ok(
+            {
+                'version': answer.unwrap()['version'],
+                'edits': [changes.describe_edit(edit) for edit in delta],
+            }
+        )
+
+
+class ApplyCommand(_RemoteCommand):
+    """Puts a document in force."""
+
+    name = 'apply'
+    description = 'Apply a document file as the next version.'
+    arguments = [argument('document', 'YAML or JSON file.')]
+    options = [
+        option(
+            'base-version',
+            None,
+            'Version that the file is based on; default: the one in force.',
+            flag=False,
+        ),
+        option(
+            'operation-id',
+            None,
+            'Id of this change; give the same one to repeat a change whose '
+            'answer was lost.',
+            flag=False,
+        ),
+        *_REMOTE,
+    ]
+
+    def execute_command(self) -> Result[Any, errors.Failure]:
+        """Return the new version and the operation id."""
+        document = _read_document(self.argument('document'))
+        if document.is_err():
+            return document
+        base_version = self._get_base_version()
+        if base_version.is_err():
+            return base_version
+        operation_id = self.option('operation-id') or operations.generate_id(
+            ids.WallTime(time.time()), uuid.uuid4().hex
+        )
+        self.line_error(f'operation id {operation_id}')
+        body = msgspec.json.encode(
+            {
+                'base_version': base_version.unwrap(),
+                'operation_id': operation_id,
+                'document': document.unwrap(),
+            }
+        ).decode()
+        answer = self.call('POST', '/v1/document', body)
+        return answer.map(
+            lambda content: {**content, 'operation_id': operation_id}
+        )
+
+    def _get_base_version(self) -> Result[int, errors.Failure]:
+        text = self.option('base-version')
+        if text is None:
+            return self.call('GET', '/v1/document').map(
+                lambda content: content['version']
+            )
+        if not text.isdigit():
+            return Err(
+                errors.Failure(
+                    errors.ErrorKind.INVALID_REQUEST,
+                    f'--base-version: expected a number, got {text!r}',
+                )
+            )
+        return Ok(int(text))
+
+
+class ShowCommand(_RemoteCommand):
+    """Shows the document in force."""
+
+    name = 'show'
+    description = 'Show the document in force.'
+    options = _REMOTE
+
+    def execute_command(self) -> Result[Any, errors.Failure]:
+        """Return version and document."""
+        return self.call('GET', '/v1/document')
+
+
+class StatusCommand(_RemoteCommand):
+    """Shows the state of the fleet."""
+
+    name = 'status'
+    description = (
+        'Show leader, versions in force, budgets, waves, hosts and jobs.'
+    )
+    options = _REMOTE
+
+    def execute_command(self) -> Result[Any, errors.Failure]:
+        """Return the status."""
+        return self.call('GET', '/v1/status')
+
+    def format_content(self, content: Any) -> str:
+        """Return the status for a person."""
+        return output.format_status(content)
+
+
+class DumpCommand(_RemoteCommand):
+    """Shows all state of the process behind the URL."""
+
+    name = 'dump'
+    description = 'Dump the state of a process as JSON.'
+    options = _REMOTE
+
+    def execute_command(self) -> Result[Any, errors.Failure]:
+        """Return the dump."""
+        return self.call('GET', '/v1/dump')
+
+    def format_content(self, content: Any) -> str:
+        """Return the dump as JSON."""
+        return output.format_json(content)
+
+
+class ExplainCommand(_RemoteCommand):
+    """Shows why something is as it is."""
+
+    name = 'explain'
+    description = 'Explain a host, pool, job, wave or request.'
+    arguments = [
+        argument(
+            'kind',
+            'One of: ' + ', '.join(kind.value for kind in queries.SubjectKind),
+        ),
+        argument('name', 'Its name, or the key of a request.'),
+    ]
+    options = _REMOTE
+
+    def execute_command(self) -> Result[Any, errors.Failure]:
+        """Return records and decisions about the subject."""
+        return self.call(
+            'GET',
+            f'/v1/explain/{self.argument("kind")}/{self.argument("name")}',
+        )
+
+    def format_content(self, content: Any) -> str:
+        """Return the explanation for a person."""
+        return output.format_explanation(content)
+
+
+def _read_document(path: str) -> Result[documents.Document, errors.Failure]:
+    """Read a document file, with or without the change around it."""
+    try:
+        text = pathlib.Path(path).read_text(encoding='utf-8')
+    except (OSError, UnicodeDecodeError) as error:
+        return Err(
+            errors.Failure(
+                errors.ErrorKind.INVALID_DOCUMENT,
+                f'{path!r} cannot be read: {error}',
+            )
+        )
+    return submission.parse_text(text).and_then(submission.check_document)
+
+
+def _count_items(document: documents.Document) -> dict[str, Any]:
+    counts = {
+        section.value: len(changes.get_items(document, section))
+        for section in changes.Section
+    }
+    return {'valid': True, 'items': counts}
--- /dev/null
+++ b/orioleshore/cli/output.py
@@ -0,0 +1,95 @@
+"""Output of the command line, for people or as JSON."""
+
+import json
+from typing import Any
+
+from orioleshore.model import errors
+
+
+def format_json(content: Any) -> str:
+    """Return JSON with sorted keys."""
+    return json.dumps(content, sort_keys=True, indent=2)
+
+
+def format_failure(failure: errors.Failure) -> str:
+    """Return an error with every detail on its own line."""
+    lines = [f'{failure.kind.value}: {failure.message}']
+    lines += [f'  {detail}' for detail in failure.details]
+    return '\n'.join(lines)
+
+
+def format_status(status: dict[str, Any]) -> str:
+    """Return the status of the fleet for a person."""
+    lines = _format_group(status.get('group', {}), status['version'])
+    hosts = _format_counts(status['hosts'])
+    lines.append(f'hosts      {hosts}')
+    lines.append(f'jobs       {_format_counts(status["jobs"])}')
+    for service in status['services']:
+        lines += _format_service(service)
+    for name, wave in status['waves'].items():
+        lines += _format_wave(name, wave)
+    return '\n'.join(lines)
+
+
+def format_explanation(content: dict[str, Any]) -> str:
+    """Return records and decisions about one subject for a person."""
+    lines = []
+    for key, value in content.items():
+        if key != 'explanations':
+            lines.append(f'{key}: {json.dumps(value, sort_keys=True)}')
+    lines += [
+        f'{entry["time"]:.3f} {entry["decision"]}\n'
+        f'  facts:  {json.dumps(entry["facts"], sort_keys=True)}\n'
+        f'  rule:   {entry["rule"]}\n'
+        f'  remedy: {entry["remedy"] or "-"}'
+        for entry in content.get('explanations', ())
+    ]
+    return '\n'.join(lines)
+
+
+def _format_group(group: dict[str, Any], version: int) -> list[str]:
+    lines = [
+        f'version    {version}',
+        f'leader     {group.get("leader") or "none"}, '
+        f'term {group.get("term", "-")}',
+    ]
+    for name, member in group.get('members', {}).items():
+        kind = 'voter' if member['voter'] else 'learner'
+        index = member['match_index']
+        position = '' if index is None else f', has entry {index}'
+        lines.append(f'member     {name}: {kind}{position}')
+    for node, in_force in group.get('versions_in_force', {}).items():
+        note = ''
+        if in_force < version:
+            note = f', {version - in_force} behind'
+        lines.append(f'in force   {node}: version {in_force}{note}')
+    return lines
+
+
+def _format_service(service: dict[str, Any]) -> list[str]:
+    return [
+        f'budget     {service["service"]} ({loss["scope"]}): '
+        f'{loss["cores_down"]:g} of {loss["cores_allowed"]:g} cores down'
+        + (', EXCEEDED' if loss['exceeded'] else '')
+        for loss in service['losses']
+    ]
+
+
+def _format_wave(name: str, wave: dict[str, Any]) -> list[str]:
+    counts = wave['hosts']
+    finished = counts['done'] + counts['set_aside']
+    lines = [
+        f'wave       {name}: {wave["state"]}, '
+        f'{finished} of {sum(counts.values())} hosts finished, '
+        f'{counts["started"]} under way, {counts["set_aside"]} set aside'
+    ]
+    lines += [
+        f'           paused {scope}: {reason}'
+        for scope, reason in wave['paused'].items()
+    ]
+    return lines
+
+
+def _format_counts(counts: dict[str, int]) -> str:
+    present = [f'{count} {name}' for name, count in counts.items() if count]
+    return ', '.join(present) or 'none'
--- a/orioleshore/consensus/member.py
+++ b/orioleshore/consensus/member.py
@@ -145,6 +145,7 @@
         self._reads: list[tuple[int, int]] = []
         self._next_token = 1
         self._leads = False
+        self._manager_behind = False
         self._failure: errors.Failure | None = None
 
     @property
@@ -211,6 +212,8 @@
             message = self.mailbox.get_nowait()
         while actions:
             actions = await self._carry_out(actions)
+        if self._manager_behind and self._leads:
+            self._start_managing()
         await self._take_snapshot_when_due()
 
     def _now(self) -> float:
@@ -445,7 +448,9 @@
         self, command: commands.Command, version: ids.Version
     ) -> None:
         if self._leads and self._manager is not None:
-            self._manager.put(CommandApplied(command))
+            outcome = self._manager.put(CommandApplied(command))
+            # A manager that missed a command needs the whole state again.
+            self._manager_behind |= outcome.is_err()
         if self._state.version == version:
             return
         LOG.info(
--- a/orioleshore/fleet/manager.py
+++ b/orioleshore/fleet/manager.py
@@ -96,11 +96,7 @@
         platform: mailbox.Mailbox | None,
         timers: service.TimerService,
     ) -> None:
-        super().__init__(
-            mailbox.Mailbox(
-                'fleet', MAILBOX_CAPACITY, mailbox.Overflow.DROP_OLDEST
-            )
-        )
+        super().__init__(mailbox.Mailbox('fleet', MAILBOX_CAPACITY))
         self._planner = decisions
         self._control = control
         self._platform = platform
--- /dev/null
+++ b/orioleshore/frontends/access.py
@@ -0,0 +1,67 @@
+"""Who may use the operators' interface."""
+
+import base64
+import binascii
+import hashlib
+import hmac
+import pathlib
+import secrets
+
+from aiohttp import web
+
+OPERATOR_KEY = 'operator'
+
+
+class Access:
+    """Checks tokens from files; the files are read at each request.
+
+    A token may be sent as "Authorization: Bearer <token>", or as the
+    password of HTTP Basic authentication by a browser.
+    """
+
+    def __init__(self, token_files: dict[str, str]) -> None:
+        self._token_files = token_files
+        self._form_key = secrets.token_bytes(32)
+
+    def find_operator(self, request: web.Request) -> str | None:
+        """Return the operator whose token the request carries."""
+        token = _get_token(request.headers.get('Authorization', ''))
+        if not token:
+            return None
+        for operator, path in self._token_files.items():
+            expected = _read_token(path)
+            if expected and hmac.compare_digest(
+                expected.encode(), token.encode()
+            ):
+                return operator
+        return None
+
+    def get_form_token(self, operator: str) -> str:
+        """Return what a form must carry, so that no other site made it."""
+        return hmac.new(
+            self._form_key, operator.encode(), hashlib.sha256
+        ).hexdigest()
+
+    def has_form_token(self, operator: str, token: str) -> bool:
+        """Return whether a form was made for this operator."""
+        return hmac.compare_digest(self.get_form_token(operator), token)
+
+
+def _get_token(header: str) -> str:
+    scheme, _, value = header.partition(' ')
+    if scheme.lower() == 'bearer':
+        return value.strip()
+    if scheme.lower() != 'basic':
+        return ''
+    try:
+        decoded = base64.b64decode(value, validate=True).decode()
+    except (binascii.Error, UnicodeDecodeError):
+        return ''
+    return decoded.partition(':')[2]
+
+
+def _read_token(path: str) -> str:
+    try:
+        return pathlib.Path(path).read_text(encoding='utf-8').strip()
+    except OSError:
+        return ''
--- /dev/null
+++ b/orioleshore/frontends/health.py
@@ -0,0 +1,77 @@
+"""Health and readiness of a process, for the balancer and monitoring."""
+
+from collections.abc import Awaitable
+from collections.abc import Callable
+from typing import Any
+
+from aiohttp import web
+
+from orioleshore.frontends import access
+from orioleshore.frontends import web as frontend_web
+from orioleshore.model import errors
+from orioleshore.tasks import mailbox
+from orioleshore.tasks import task
+from orioleshore.telemetry import dumps
+
+MAILBOX_CAPACITY = 16
+
+
+class HealthFrontend(task.Task):
+    """Owns the connections of balancer and monitoring.
+
+    ``get_obstacle`` returns why the process is not ready, None when it is.
+    """
+
+    def __init__(
+        self,
+        address: str,
+        get_obstacle: Callable[[], Awaitable[str | None]],
+        dumper: dumps.Dumper,
+        token_files: dict[str, str],
+    ) -> None:
+        super().__init__(mailbox.Mailbox('health', MAILBOX_CAPACITY))
+        self._get_obstacle = get_obstacle
+        self._dumper = dumper
+        self._access = access.Access(token_files)
+        app = web.Application()
+        app.router.add_get('/healthz', self._show_health)
+        app.router.add_get('/readyz', self._show_readiness)
+        app.router.add_get('/v1/dump', self._dump)
+        self._listener = frontend_web.Listener(address, app)
+
+    @property
+    def address(self) -> str:
+        return self._listener.address
+
+    async def open(self) -> None:
+        """Listen."""
+        await self._listener.start()
+
+    async def close(self) -> None:
+        """Close all connections."""
+        await self._listener.stop()
+
+    async def handle(self, message: Any) -> None:
+        """This front end receives no messages."""
+        raise TypeError(f'unknown message {type(message).__name__}')
+
+    async def _show_health(self, request: web.Request) -> web.Response:
+        return frontend_web.make_json({'healthy': True})
+
+    async def _show_readiness(self, request: web.Request) -> web.Response:
+        obstacle = await self._get_obstacle()
+        if obstacle is None:
+            return frontend_web.make_json({'ready': True})
+        return frontend_web.make_json(
+            {'ready': False, 'reason': obstacle}, 503
+        )
+
+    async def _dump(self, request: web.Request) -> web.Response:
+        if self._access.find_operator(request) is None:
+            return frontend_web.make_failure(
+                errors.Failure(
+                    errors.ErrorKind.UNAUTHORIZED,
+                    'send the token of an operator',
+                )
+            )
+        return frontend_web.make_json(await self._dumper.get_dump())
--- /dev/null
+++ b/orioleshore/frontends/submission.py
@@ -0,0 +1,105 @@
+"""Turns what operators submit into a command."""
+
+from typing import Any
+
+import msgspec
+from result import Err
+from result import Ok
+from result import Result
+import yaml
+
+from orioleshore.frontends import forms
+from orioleshore.model import changes
+from orioleshore.model import checks
+from orioleshore.model import documents
+from orioleshore.model import errors
+from orioleshore.model import ids
+from orioleshore.state import commands
+
+
+def parse_text(text: str) -> Result[Any, errors.Failure]:
+    """Return the data of a YAML or JSON text."""
+    try:
+        return Ok(yaml.safe_load(text))
+    except yaml.YAMLError as error:
+        return _fail('the text is neither YAML nor JSON', [str(error)])
+
+
+def check_request(
+    content: Any,
+) -> Result[documents.ChangeRequest, errors.Failure]:
+    """Check a document as a whole; fails with ``INVALID_DOCUMENT``."""
+    outcome = checks.convert(content, documents.ChangeRequest)
+    if outcome.is_err():
+        return _fail('the document is not valid', outcome.unwrap_err())
+    request = outcome.unwrap()
+    problems = documents.find_contradictions(request.document)
+    if problems:
+        return _fail(
+            'the document is not valid',
+            [problem.replace('$.', '$.document.', 1) for problem in problems],
+        )
+    return Ok(request)
+
+
+def make_command(
+    request: documents.ChangeRequest,
+    current: documents.Document,
+    operator: str,
+    now: ids.WallTime,
+) -> commands.ChangeDocument:
+    """Return the command that makes the submitted document the current."""
+    return commands.ChangeDocument(
+        time=now,
+        operation_id=ids.OperationId(request.operation_id),
+        operator=operator,
+        base_version=ids.Version(request.base_version),
+        edits=changes.get_delta(current, request.document),
+    )
+
+
+def read_document(
+    answer: bytes,
+) -> tuple[ids.Version, documents.Document]:
+    """Return version and document from the answer to ``GetDocument``."""
+    content = msgspec.json.decode(answer)
+    document = msgspec.convert(content['document'], documents.Document)
+    return ids.Version(content['version']), document
+
+
+def _fail(message: str, problems: list[str]) -> Err[errors.Failure]:
+    return Err(
+        errors.Failure(
+            errors.ErrorKind.INVALID_DOCUMENT, message, tuple(problems)
+        )
+    )
+
+
+def edit_document(
+    document: documents.Document,
+    section: changes.Section,
+    form: dict[str, str],
+) -> Result[documents.Document, errors.Failure]:
+    """Return the document with the one edit that a form describes."""
+    name = form.get('item.name', changes.POLICY_NAME)
+    value = None
+    if form.get('action') != 'remove':
+        outcome = forms.parse_item(section, form)
+        if outcome.is_err():
+            return _fail('the form is not valid', outcome.unwrap_err())
+        value = changes.encode_item(outcome.unwrap())
+    edit = changes.Edit(section, name, value)
+    return Ok(changes.apply_delta(document, (edit,)))
+
+
+def check_document(
+    content: Any,
+) -> Result[documents.Document, errors.Failure]:
+    """Check a document alone; fails with ``INVALID_DOCUMENT``."""
+    outcome = checks.convert(content, documents.Document)
+    if outcome.is_err():
+        return _fail('the document is not valid', outcome.unwrap_err())
+    problems = documents.find_contradictions(outcome.unwrap())
+    if problems:
+        return _fail('the document is not valid', problems)
+    return Ok(outcome.unwrap())
--- a/orioleshore/membership/events.py
+++ b/orioleshore/membership/events.py
@@ -58,3 +58,22 @@
 
 
 Action = SendProbe | PeerStateChanged
+
+
+# News for other tasks.
+
+
+class PeersChanged(msgspec.Struct, frozen=True):
+    """The processes that this one believes in, by name."""
+
+    own: announcements.Peer
+    peers: dict[ids.NodeId, announcements.Peer]
+
+    def get_live(self, role: states.Role) -> list[announcements.Peer]:
+        """Return the processes of a role that may be alive."""
+        live = (states.PeerState.ALIVE, states.PeerState.SUSPECT)
+        return [
+            peer
+            for peer in (self.own, *self.peers.values())
+            if role in peer.roles and peer.state in live
+        ]
--- a/orioleshore/membership/gossip.py
+++ b/orioleshore/membership/gossip.py
@@ -11,7 +11,6 @@
 from orioleshore.membership import events
 from orioleshore.model import announcements
 from orioleshore.model import ids
-from orioleshore.model import states
 from orioleshore.protocol import messages
 from orioleshore.protocol import transport
 from orioleshore.state import subscriber
@@ -29,22 +28,6 @@
 PEER_RUMOUR = 1
 
 
-class PeersChanged(msgspec.Struct, frozen=True):
-    """The processes that this one believes in, by name."""
-
-    own: announcements.Peer
-    peers: dict[ids.NodeId, announcements.Peer]
-
-    def get_live(self, role: states.Role) -> list[announcements.Peer]:
-        """Return the processes of a role that may be alive."""
-        live = (states.PeerState.ALIVE, states.PeerState.SUSPECT)
-        return [
-            peer
-            for peer in (self.own, *self.peers.values())
-            if role in peer.roles and peer.state in live
-        ]
-
-
 class GetPeers(msgspec.Struct, frozen=True):
     """Asks for all known processes."""
 
@@ -100,7 +83,7 @@
             self._publish()
 
     def _publish(self) -> None:
-        change = PeersChanged(self._detector.own, self._detector.peers)
+        change = events.PeersChanged(self._detector.own, self._detector.peers)
         for listener in self._listeners:
             listener.put(change)
 
@@ -149,7 +132,7 @@
 
 @_take.register
 def _(message: GetPeers, gossip: Gossip) -> None:
-    change = PeersChanged(gossip._detector.own, gossip._detector.peers)
+    change = events.PeersChanged(gossip._detector.own, gossip._detector.peers)
     message.answer.resolve(Ok(change))
 
 
--- /dev/null
+++ b/orioleshore/roles/control.py
@@ -0,0 +1,95 @@
+"""Tasks of a control member."""
+
+import random
+
+from result import Err
+from result import Ok
+from result import Result
+
+from orioleshore import settings
+from orioleshore.consensus import member
+from orioleshore.consensus import storage
+from orioleshore.fleet import manager
+from orioleshore.fleet import planner
+from orioleshore.frontends import operators
+from orioleshore.frontends import platform
+from orioleshore.model import errors
+from orioleshore.protocol import transport
+from orioleshore.tasks import mailbox
+from orioleshore.tasks import task
+from orioleshore.telemetry import dumps
+from orioleshore.timers import service
+
+
+class ControlRole:
+    """Builds and holds the tasks of the control role."""
+
+    def __init__(
+        self,
+        config: settings.Settings,
+        timers: service.TimerService,
+        sender: transport.Transport,
+        control: mailbox.Mailbox,
+        dumper: dumps.Dumper,
+    ) -> None:
+        self._member = member.MemberTask(
+            config,
+            sender.address,
+            sender.mailbox,
+            timers,
+            storage.Storage(config.data_folder),
+            random.Random(),
+        )
+        self._platform = None
+        if config.control.platform is not None:
+            self._platform = platform.PlatformTask(
+                config.control.platform, timers
+            )
+        self._manager = manager.ManagerTask(
+            planner.Planner(),
+            control,
+            self._platform.mailbox if self._platform else None,
+            timers,
+        )
+        self._operators = operators.OperatorsFrontend(
+            config.addresses.operators,
+            config.token_files,
+            control,
+            timers.clock,
+            dumper,
+        )
+        self._connect(sender, dumper)
+
+    @property
+    def member(self) -> member.MemberTask:
+        return self._member
+
+    @property
+    def tasks(self) -> list[task.Task]:
+        tasks: list[task.Task] = [self._member, self._manager]
+        if self._platform is not None:
+            tasks.append(self._platform)
+        return [*tasks, self._operators]
+
+    @property
+    def addresses(self) -> dict[str, str]:
+        return {'operators': self._operators.address}
+
+    def load(self) -> Result[None, errors.Failure]:
+        """Open the data folder; fails with a kind of the storage."""
+        outcome = self._member.load()
+        return Ok(None) if outcome.is_ok() else Err(outcome.unwrap_err())
+
+    def _connect(
+        self, sender: transport.Transport, dumper: dumps.Dumper
+    ) -> None:
+        self._member.set_manager(self._manager.mailbox)
+        if self._platform is not None:
+            self._platform.set_manager(self._manager.mailbox)
+        sender.register(
+            self._member.mailbox,
+            *member.RAFT_MESSAGES,
+            *member.CALL_MESSAGES,
+        )
+        dumper.add_task('control', self._member.mailbox, member.GetMemberDump)
+        dumper.add_task('fleet', self._manager.mailbox, manager.GetManagerDump)
--- /dev/null
+++ b/orioleshore/roles/entry.py
@@ -0,0 +1,98 @@
+"""Tasks of an entry host."""
+
+import asyncio
+import logging
+import random
+
+from orioleshore import settings
+from orioleshore.frontends import callers
+from orioleshore.frontends import upstreams
+from orioleshore.model import ids
+from orioleshore.protocol import messages
+from orioleshore.protocol import transport
+from orioleshore.routing import dispatcher
+from orioleshore.routing import router
+from orioleshore.tasks import mailbox
+from orioleshore.tasks import reply
+from orioleshore.tasks import task
+from orioleshore.telemetry import dumps
+from orioleshore.telemetry import logs
+from orioleshore.timers import service
+
+LOG = logging.getLogger(__name__)
+
+# How often a stopping entry host looks whether all requests are finished.
+FINISH_POLL_S = 0.05
+
+
+class EntryRole:
+    """Builds and holds the tasks of the entry role."""
+
+    def __init__(
+        self,
+        config: settings.Settings,
+        incarnation: ids.Incarnation,
+        timers: service.TimerService,
+        sender: transport.Transport,
+        control: mailbox.Mailbox,
+        dumper: dumps.Dumper,
+    ) -> None:
+        self._config = config
+        self._dispatcher = dispatcher.Dispatcher(
+            config.node,
+            incarnation,
+            router.Router(random.Random()),
+            sender.mailbox,
+            control,
+            timers,
+        )
+        self._callers = callers.CallersFrontend(
+            config.addresses.callers,
+            config.entry,
+            self._dispatcher.mailbox,
+            timers.clock,
+        )
+        self._upstreams = upstreams.UpstreamsFrontend(
+            config.addresses.upstreams, self._dispatcher.mailbox
+        )
+        sender.register(self._dispatcher.mailbox, messages.Announce)
+        dumper.add_task(
+            'routing', self._dispatcher.mailbox, dispatcher.GetRoutingDump
+        )
+
+    @property
+    def tasks(self) -> list[task.Task]:
+        return [self._dispatcher, self._callers, self._upstreams]
+
+    @property
+    def listeners(self) -> tuple[mailbox.Mailbox, ...]:
+        return (self._dispatcher.mailbox, self._callers.mailbox)
+
+    @property
+    def peer_listeners(self) -> tuple[mailbox.Mailbox, ...]:
+        return (self._dispatcher.mailbox,)
+
+    @property
+    def addresses(self) -> dict[str, str]:
+        return {
+            'callers': self._callers.address,
+            'upstreams': self._upstreams.address,
+        }
+
+    async def drain(self) -> None:
+        """Serve until the balancer has noticed, then finish all requests.
+
+        Readiness is false already when this is called.
+        """
+        await asyncio.sleep(self._config.entry.drain_notice_s)
+        await self._dispatcher.mailbox.put_wait(dispatcher.Stop())
+        while True:
+            answer: reply.Reply = reply.Reply()
+            await self._dispatcher.mailbox.put_wait(
+                dispatcher.GetRoutingDump(answer)
+            )
+            content = (await answer.wait()).unwrap()
+            if not content['held'] and not content['exchanges']:
+                break
+            await asyncio.sleep(FINISH_POLL_S)
+        LOG.info(logs.format_event('drained'))
--- /dev/null
+++ b/orioleshore/roles/process.py
@@ -0,0 +1,271 @@
+"""One process of the system: its tasks, its start and its stop."""
+
+import asyncio
+import logging
+import signal
+import sys
+import time
+
+from result import Err
+from result import Ok
+from result import Result
+
+from orioleshore import settings
+from orioleshore.consensus import client
+from orioleshore.frontends import health
+from orioleshore.membership import detector
+from orioleshore.membership import gossip
+from orioleshore.model import announcements
+from orioleshore.model import changes
+from orioleshore.model import errors
+from orioleshore.model import ids
+from orioleshore.model import states
+from orioleshore.protocol import messages
+from orioleshore.protocol import transport
+from orioleshore.roles import control
+from orioleshore.roles import entry
+from orioleshore.state import subscriber
+from orioleshore.tasks import reply
+from orioleshore.tasks import task
+from orioleshore.telemetry import dumps
+from orioleshore.telemetry import logs
+from orioleshore.timers import clock
+from orioleshore.timers import service
+
+LOG = logging.getLogger(__name__)
+
+# What an entry host needs of the document.
+ENTRY_SECTIONS = frozenset({changes.Section.SERVICES, changes.Section.POLICY})
+# Time that leaving messages and last answers get to be written.
+FAREWELL_S = 0.2
+
+
+class Process:
+    """Owns the tasks of a process and the order of their start and stop."""
+
+    def __init__(self, config: settings.Settings) -> None:
+        self._config = config
+        self._timers = service.TimerService(clock.SystemClock())
+        # Larger after each restart, so that peers know the newest run.
+        self._incarnation = ids.Incarnation(time.time_ns() // 1_000_000)
+        self._transport = transport.Transport(
+            config.node,
+            config.addresses.inner,
+            self._incarnation,
+            config.tls,
+        )
+        self._dumper = dumps.Dumper(config.node)
+        self._stopping = asyncio.Event()
+        self._tasks: list[task.Task] = []
+        self._control: control.ControlRole | None = None
+        self._entry: entry.EntryRole | None = None
+        self._subscriber: subscriber.Subscriber | None = None
+        self._gossip: gossip.Gossip | None = None
+        self._health: health.HealthFrontend | None = None
+
+    @property
+    def addresses(self) -> dict[str, str]:
+        addresses = {'inner': self._transport.address}
+        if self._control is not None:
+            addresses |= self._control.addresses
+        if self._entry is not None:
+            addresses |= self._entry.addresses
+        if self._health is not None:
+            addresses['health'] = self._health.address
+        return addresses
+
+    def request_stop(self) -> None:
+        """Begin the planned stop; later calls change nothing."""
+        self._stopping.set()
+
+    async def start(self) -> Result[None, errors.Failure]:
+        """Start all tasks; fails when the data folder cannot be used."""
+        await self._timers.start()
+        # The address is needed before the other tasks are built.
+        await self._transport.start()
+        self._tasks = [self._transport]
+        tasks = self._build_tasks()
+        if self._control is not None:
+            outcome = self._control.load()
+            if outcome.is_err():
+                return outcome
+        for item in tasks:
+            await item.start()
+            self._tasks.append(item)
+        LOG.info(logs.format_event('started', **self.addresses))
+        return Ok(None)
+
+    async def run(self) -> Result[None, errors.Failure]:
+        """Run until a stop is requested or a task fails."""
+        loop = asyncio.get_running_loop()
+        for number in (signal.SIGTERM, signal.SIGINT):
+            loop.add_signal_handler(number, self.request_stop)
+        loop.add_signal_handler(signal.SIGUSR1, self._start_dump)
+        outcome = await self._wait_for_end()
+        await self.stop()
+        return outcome
+
+    async def stop(self) -> None:
+        """Finish what is under way, then stop all tasks."""
+        self._stopping.set()
+        LOG.info(logs.format_event('stopping'))
+        if self._entry is not None and not self._find_failed():
+            await self._entry.drain()
+        if self._gossip is not None:
+            self._gossip.mailbox.put(gossip.Leave())
+            await asyncio.sleep(FAREWELL_S)
+        for item in reversed(self._tasks):
+            await item.stop()
+        self._tasks = []
+        await self._timers.stop()
+        LOG.info(logs.format_event('stopped'))
+
+    def _build_tasks(self) -> list[task.Task]:
+        config = self._config
+        seeds = self._get_control_addresses()
+        calls = client.ControlClient(
+            seeds, self._transport.mailbox, self._timers
+        )
+        self._transport.register(
+            calls.mailbox, messages.ProposeReply, messages.QueryReply
+        )
+        self._dumper.add_value(
+            'transport', lambda: dict(self._transport.counters)
+        )
+        tasks: list[task.Task] = [calls]
+        if config.has_role(states.Role.CONTROL):
+            self._control = control.ControlRole(
+                config,
+                self._timers,
+                self._transport,
+                calls.mailbox,
+                self._dumper,
+            )
+            tasks += self._control.tasks
+        if config.has_role(states.Role.ENTRY):
+            self._entry = entry.EntryRole(
+                config,
+                self._incarnation,
+                self._timers,
+                self._transport,
+                calls.mailbox,
+                self._dumper,
+            )
+            tasks += self._entry.tasks
+        tasks += self._build_common_tasks(seeds)
+        return tasks
+
+    def _build_common_tasks(self, seeds: tuple[str, ...]) -> list[task.Task]:
+        config = self._config
+        listeners = self._entry.listeners if self._entry else ()
+        peer_listeners = self._entry.peer_listeners if self._entry else ()
+        self._subscriber = subscriber.Subscriber(
+            ENTRY_SECTIONS,
+            seeds,
+            self._transport.mailbox,
+            self._timers,
+            listeners,
+            config.data_folder,
+        )
+        self._gossip = gossip.Gossip(
+            detector.Detector(
+                self._get_own_peer(),
+                tuple(seed for seed in config.seeds),
+                config.membership.probe_period_s,
+            ),
+            self._transport.mailbox,
+            self._timers,
+            (*peer_listeners, self._subscriber.mailbox),
+            config.membership.probe_period_s,
+        )
+        self._transport.register(
+            self._gossip.mailbox,
+            messages.Probe,
+            messages.ProbeAck,
+            messages.IndirectProbe,
+        )
+        self._subscriber.add_listener(self._gossip.mailbox)
+        self._transport.register(
+            self._subscriber.mailbox, messages.ConfigDelta
+        )
+        self._dumper.add_task(
+            'subscriber',
+            self._subscriber.mailbox,
+            subscriber.GetSubscriberStatus,
+        )
+        tasks: list[task.Task] = [self._gossip, self._subscriber]
+        if config.addresses.health is not None:
+            self._health = health.HealthFrontend(
+                config.addresses.health,
+                self._get_obstacle,
+                self._dumper,
+                config.token_files,
+            )
+            tasks.append(self._health)
+        return tasks
+
+    def _get_own_peer(self) -> announcements.Peer:
+        return announcements.Peer(
+            self._config.node,
+            self._transport.address,
+            self._incarnation,
+            self._config.availability_zone,
+            self._config.roles,
+        )
+
+    def _get_control_addresses(self) -> tuple[str, ...]:
+        initial = tuple(self._config.control.initial_members.values())
+        return initial or self._config.seeds
+
+    async def _get_obstacle(self) -> str | None:
+        """Return why the balancer must send nothing here, if anything."""
+        if self._stopping.is_set():
+            return 'stopping'
+        answer: reply.Reply = reply.Reply()
+        outcome = self._subscriber.mailbox.put(
+            subscriber.GetSubscriberStatus(answer)
+        )
+        if outcome.is_err():
+            return 'overloaded'
+        status = (await answer.wait()).unwrap()
+        if not status['version']:
+            return 'no configuration is known yet'
+        if status['version'] < status['highest_heard']:
+            return (
+                f'version {status["version"]} is in force here, a peer has '
+                f'version {status["highest_heard"]}'
+            )
+        return None
+
+    async def _wait_for_end(self) -> Result[None, errors.Failure]:
+        waits = [asyncio.create_task(self._stopping.wait())]
+        waits += [
+            asyncio.create_task(item.failed.wait()) for item in self._tasks
+        ]
+        await asyncio.wait(waits, return_when=asyncio.FIRST_COMPLETED)
+        for wait in waits:
+            wait.cancel()
+        failed = self._find_failed()
+        if failed is None:
+            return Ok(None)
+        if self._control is not None and self._control.member.failure:
+            return Err(self._control.member.failure)
+        return Err(
+            errors.Failure(
+                errors.ErrorKind.INTERNAL, f'task {failed.name!r} failed'
+            )
+        )
+
+    def _find_failed(self) -> task.Task | None:
+        for item in self._tasks:
+            if item.failed.is_set():
+                return item
+        return None
+
+    def _start_dump(self) -> None:
+        self._dump_task = asyncio.create_task(self._write_dump())
+
+    async def _write_dump(self) -> None:
+        content = await self._dumper.get_dump()
+        sys.stderr.write(dumps.format_dump(content) + '\n')
+        sys.stderr.flush()
--- /dev/null
+++ b/orioleshore/roles/runner.py
@@ -0,0 +1,29 @@
+"""Runs a process in the aiomisc entry point, on uvloop."""
+
+import aiomisc
+from result import Result
+
+from orioleshore import settings
+from orioleshore.model import errors
+from orioleshore.roles import process
+from orioleshore.telemetry import logs
+
+# One for the sync of the log, the rest for name look-ups and snapshots.
+THREADS = 4
+
+
+def run(config: settings.Settings) -> Result[None, errors.Failure]:
+    """Run a process until it is stopped."""
+    logs.configure(config.node, config.log_level)
+    with aiomisc.entrypoint(
+        pool_size=THREADS, log_config=False, catch_signals=()
+    ) as loop:
+        return loop.run_until_complete(_run(config))
+
+
+async def _run(config: settings.Settings) -> Result[None, errors.Failure]:
+    running = process.Process(config)
+    outcome = await running.start()
+    if outcome.is_err():
+        return outcome
+    return await running.run()
--- a/orioleshore/routing/dispatcher.py
+++ b/orioleshore/routing/dispatcher.py
@@ -9,7 +9,7 @@
 from result import Result
 
 from orioleshore.consensus import client
-from orioleshore.membership import gossip
+from orioleshore.membership import events as membership_events
 from orioleshore.model import announcements
 from orioleshore.model import errors
 from orioleshore.model import ids
@@ -285,7 +285,7 @@
 
 
 @_take.register
-def _(message: gossip.PeersChanged, dispatcher: Dispatcher) -> None:
+def _(message: membership_events.PeersChanged, dispatcher: Dispatcher) -> None:
     dispatcher._entry_hosts = tuple(message.get_live(states.Role.ENTRY))
     dispatcher._run(
         events.PeersChanged(dispatcher._node, dispatcher._entry_hosts)
--- a/orioleshore/state/subscriber.py
+++ b/orioleshore/state/subscriber.py
@@ -8,6 +8,7 @@
 import msgspec
 from result import Ok
 
+from orioleshore.membership import events as membership_events
 from orioleshore.model import changes
 from orioleshore.model import documents
 from orioleshore.model import ids
@@ -41,12 +42,6 @@
     addresses: tuple[str, ...]
 
 
-class HigherVersionHeard(msgspec.Struct, frozen=True):
-    """Another process has a version in force."""
-
-    version: ids.Version
-
-
 class GetSubscriberStatus(msgspec.Struct, frozen=True):
     """Asks for the version in force and the highest one heard of."""
 
@@ -133,6 +128,10 @@
         self._cache_folder = cache_folder
         self._holder = Holder()
 
+    def add_listener(self, listener: mailbox.Mailbox) -> None:
+        """Tell one more task about newer versions."""
+        self._listeners = (*self._listeners, listener)
+
     async def open(self) -> None:
         """Load the kept configuration and start to subscribe."""
         if self._cache_folder is not None:
@@ -236,8 +235,9 @@
 
 
 @_take.register
-def _(message: HigherVersionHeard, subscriber: Subscriber) -> None:
-    subscriber._holder.hear(message.version)
+def _(message: membership_events.PeersChanged, subscriber: Subscriber) -> None:
+    for peer in message.peers.values():
+        subscriber._holder.hear(peer.version)
 
 
 @_take.register
--- /dev/null
+++ b/scripts/fleet.py
@@ -0,0 +1,161 @@
+"""Starts the processes of a small fleet on loopback, for development."""
+
+import pathlib
+import signal
+import socket
+import subprocess
+import sys
+import time
+
+import yaml
+
+ROOT = pathlib.Path(__file__).resolve().parent.parent
+ZONES = ('az1', 'az2', 'az3')
+TOKEN = 'demo-token-of-the-operator-alice'
+STOP_TIMEOUT_S = 20.0
+
+
+def reserve_ports(count: int) -> list[int]:
+    """Return ports that the kernel says are free."""
+    sockets = [socket.socket() for _ in range(count)]
+    for item in sockets:
+        item.bind(('127.0.0.1', 0))
+    ports = [item.getsockname()[1] for item in sockets]
+    for item in sockets:
+        item.close()
+    return ports
+
+
+class Fleet:
+    """Control members, entry hosts, and fakes around them."""
+
+    def __init__(self, folder: pathlib.Path) -> None:
+        self.folder = folder
+        self.operators: dict[str, str] = {}
+        self.callers: dict[str, str] = {}
+        self.upstreams: dict[str, str] = {}
+        self.health: dict[str, str] = {}
+        self.platform_url = ''
+        self.processes: dict[str, subprocess.Popen] = {}
+        self._members: dict[str, str] = {}
+        self._token_file = folder / 'token'
+
+    @property
+    def token_file(self) -> pathlib.Path:
+        return self._token_file
+
+    def prepare(self, control: int, entry: int) -> None:
+        """Write settings for all processes."""
+        self.folder.mkdir(parents=True, exist_ok=True)
+        self._token_file.write_text(TOKEN + '\n', 'utf-8')
+        ports = iter(reserve_ports(1 + 3 * control + 4 * entry))
+        self.platform_url = f'http://127.0.0.1:{next(ports)}'
+        names = [f'control-{n}' for n in range(1, control + 1)]
+        self._members = {name: f'127.0.0.1:{next(ports)}' for name in names}
+        for position, name in enumerate(names):
+            self._write_control(name, position, ports)
+        for position in range(entry):
+            self._write_entry(f'entry-{position + 1}', position, ports)
+
+    def start_platform(self) -> None:
+        """Start the fake platform."""
+        port = self.platform_url.rpartition(':')[2]
+        self._start('platform', '-m', 'fakes.platform', '--port', port)
+
+    def start_node(self, name: str) -> None:
+        """Start a process of the system."""
+        path = self.folder / f'{name}.yaml'
+        self._start(name, '-m', 'orioleshore', 'run', str(path))
+
+    def start_upstream(self, name: str, service: str, zone: str) -> None:
+        """Start a fake upstream that announces itself at entry hosts."""
+        arguments = ['--service', service, '--availability-zone', zone]
+        for url in self.upstreams.values():
+            arguments += ['--announce', url]
+        self._start(name, '-m', 'fakes.upstream', *arguments)
+
+    def kill(self, name: str) -> None:
+        """Kill a process that this fleet started, with SIGKILL."""
+        process = self.processes.pop(name)
+        process.kill()
+        process.wait()
+
+    def stop(self) -> list[str]:
+        """Stop all processes; return those that had to be killed."""
+        stubborn = []
+        running = dict(self.processes)
+        for process in running.values():
+            process.send_signal(signal.SIGTERM)
+        deadline = time.monotonic() + STOP_TIMEOUT_S
+        for name, process in running.items():
+            try:
+                process.wait(max(0.1, deadline - time.monotonic()))
+            except subprocess.TimeoutExpired:
+                process.kill()
+                process.wait()
+                stubborn.append(name)
+        self.processes.clear()
+        return stubborn
+
+    def _start(self, name: str, *arguments: str) -> None:
+        log = (self.folder / f'{name}.log').open('ab')
+        self.processes[name] = subprocess.Popen(
+            [sys.executable, *arguments], cwd=ROOT, stdout=log, stderr=log
+        )
+        log.close()
+
+    def _write_control(self, name: str, position: int, ports) -> None:
+        operators = f'127.0.0.1:{next(ports)}'
+        health = f'127.0.0.1:{next(ports)}'
+        self.operators[name] = f'http://{operators}'
+        self.health[name] = f'http://{health}'
+        self._write(
+            name,
+            position,
+            {
+                'roles': ['control'],
+                'data_folder': str(self.folder / name),
+                'addresses': {
+                    'inner': self._members[name],
+                    'operators': operators,
+                    'health': health,
+                },
+                'control': {
+                    'initial_members': self._members,
+                    'platform': self.platform_url,
+                },
+            },
+        )
+
+    def _write_entry(self, name: str, position: int, ports) -> None:
+        callers, upstreams, health, inner = (
+            f'127.0.0.1:{next(ports)}' for _ in range(4)
+        )
+        self.callers[name] = f'http://{callers}'
+        self.upstreams[name] = f'http://{upstreams}'
+        self.health[name] = f'http://{health}'
+        self._write(
+            name,
+            position,
+            {
+                'roles': ['entry'],
+                'addresses': {
+                    'inner': inner,
+                    'callers': callers,
+                    'upstreams': upstreams,
+                    'health': health,
+                },
+                'entry': {'drain_notice_s': 1.0},
+            },
+        )
+
+    def _write(self, name: str, position: int, content: dict) -> None:
+        content = {
+            'node': name,
+            'availability_zone': ZONES[position % len(ZONES)],
+            'seeds': list(self._members.values()),
+            'token_files': {'alice': str(self._token_file)},
+            **content,
+        }
+        path = self.folder / f'{name}.yaml'
+        path.write_text(yaml.safe_dump(content, sort_keys=False), 'utf-8')
