--- a/orioleshore/frontends/callers.py
+++ b/orioleshore/frontends/callers.py
@@ -363,7 +363,7 @@
 ) -> tuple[tuple[str, str], ...]:
     dropped = upstream_client.HOP_BY_HOP | _OWN_HEADERS | {'content-length'}
     return tuple(
-        (name, value)
+        (str(name), value)
         for name, value in request.headers.items()
         if name.lower() not in dropped
     )
--- a/orioleshore/frontends/upstream_client.py
+++ b/orioleshore/frontends/upstream_client.py
@@ -201,7 +201,7 @@
         frontend_web.REQUEST_HEADER.lower(),
     }
     return tuple(
-        (name, value)
+        (str(name), value)
         for name, value in response.headers.items()
         if name.lower() not in dropped
     )
--- a/orioleshore/tasks/task.py
+++ b/orioleshore/tasks/task.py
@@ -46,7 +46,7 @@
         """Open the task and start its loop."""
         await self.open()
         self._loop_task = asyncio.create_task(
-            self._run(), name=self._mailbox.name
+            self._run_loop(), name=self._mailbox.name
         )
 
     async def stop(self) -> None:
@@ -57,7 +57,7 @@
             self._loop_task = None
         await self.close()
 
-    async def _run(self) -> None:
+    async def _run_loop(self) -> None:
         try:
             while True:
                 await self.handle(await self._mailbox.get())
--- a/scripts/demo.py
+++ b/scripts/demo.py
@@ -228,8 +228,8 @@
             running.start_node(name)
         asyncio.run(run(running, arguments.once))
         code = 0
-    except DemoError as error:
-        say(f'demo failed: {error}')
+    except (DemoError, aiohttp.ClientError, TimeoutError) as error:
+        say(f'demo failed: {error!r}')
     except KeyboardInterrupt:
         code = 0
     stubborn = running.stop()
