--- a/orioleshore/routing/dispatcher.py
+++ b/orioleshore/routing/dispatcher.py
@@ -18,8 +18,8 @@
 from orioleshore.protocol import transport
 from orioleshore.routing import events
 from orioleshore.routing import router
+from orioleshore.state import claim_commands
 from orioleshore.state import commands
-from orioleshore.state import machine
 from orioleshore.state import records
 from orioleshore.state import subscriber
 from orioleshore.tasks import mailbox
@@ -71,7 +71,7 @@
 
 class _ClaimDecided(msgspec.Struct, frozen=True):
     info: events.RequestInfo
-    outcome: Result[machine.ClaimAnswer, errors.Failure]
+    outcome: Result[claim_commands.ClaimAnswer, errors.Failure]
 
 
 class Dispatcher(task.Task):
@@ -183,7 +183,7 @@
 
 def _get_claim_event(
     info: events.RequestInfo,
-    outcome: Result[machine.ClaimAnswer, errors.Failure],
+    outcome: Result[claim_commands.ClaimAnswer, errors.Failure],
 ) -> events.Event:
     if outcome.is_err():
         failure = outcome.unwrap_err()
--- a/orioleshore/state/answers.py
+++ b/orioleshore/state/answers.py
@@ -9,13 +9,13 @@
 
 from orioleshore.model import errors
 from orioleshore.protocol import messages
+from orioleshore.state import claim_commands
 from orioleshore.state import commands
-from orioleshore.state import machine
 
 # Answers of all other commands are None or plain numbers.
 _ANSWER_TYPES: dict[type, Any] = {
     commands.ChangeDocument: int,
-    commands.ClaimRequest: machine.ClaimAnswer,
+    commands.ClaimRequest: claim_commands.ClaimAnswer,
 }
 
 
--- /dev/null
+++ b/orioleshore/state/claim_commands.py
@@ -0,0 +1,113 @@
+"""Claims of requests that must run at most once."""
+
+import msgspec
+from result import Ok
+
+from orioleshore.model import errors
+from orioleshore.model import states
+from orioleshore.state import commands
+from orioleshore.state import records
+from orioleshore.state import registry
+
+# Claims are remembered for this time after their key was issued.
+CLAIM_RETENTION_S = 86_400.0
+
+
+class ClaimAnswer(msgspec.Struct, frozen=True):
+    """Result of a claim: granted, or what an earlier claim left."""
+
+    granted: bool
+    record: records.ClaimRecord
+
+
+@registry.apply.register
+def _(
+    command: commands.ClaimRequest, state: records.State
+) -> registry.CommandResult:
+    if command.request in state.released:
+        return registry.refuse(
+            errors.ErrorKind.CLAIM_UNAVAILABLE,
+            'the request was reported as not run before its claim',
+        )
+    _forget_claims(state)
+    if command.issued <= state.time - CLAIM_RETENTION_S:
+        return registry.refuse(
+            errors.ErrorKind.KEY_EXPIRED,
+            f'the key is older than {CLAIM_RETENTION_S:.0f} s, so it is not '
+            'known whether the request ran',
+        )
+    known = state.claims.get(command.key)
+    if known is not None and known.state is not states.ClaimState.NOT_RUN:
+        if known.digest != command.digest:
+            return registry.refuse(
+                errors.ErrorKind.KEY_REUSED,
+                'the key belongs to a different request',
+            )
+        granted = known.request == command.request
+        return Ok(ClaimAnswer(granted, known))
+    record = records.ClaimRecord(
+        command.digest,
+        command.request,
+        command.entry_host,
+        command.incarnation,
+        command.issued,
+        states.ClaimState.CLAIMED,
+    )
+    state.claims[command.key] = record
+    return Ok(ClaimAnswer(True, record))
+
+
+def _forget_claims(state: records.State) -> None:
+    """Drop expired claims; insertion order is close to issue order."""
+    horizon = state.time - CLAIM_RETENTION_S
+    while state.claims:
+        key = next(iter(state.claims))
+        # A key may be issued ahead of the leader's clock.
+        if state.claims[key].issued > horizon:
+            break
+        del state.claims[key]
+    while state.released:
+        request = next(iter(state.released))
+        if state.released[request] > horizon:
+            break
+        del state.released[request]
+
+
+@registry.apply.register
+def _(
+    command: commands.RecordOutcome, state: records.State
+) -> registry.CommandResult:
+    known = state.claims.get(command.key)
+    if known is None or known.request != command.request:
+        if command.outcome is states.ClaimState.NOT_RUN:
+            state.released[command.request] = state.time
+        return Ok(None)
+    if known.state is states.ClaimState.ANSWERED:
+        return Ok(None)
+    state.claims[command.key] = msgspec.structs.replace(
+        known,
+        state=command.outcome,
+        status=command.status,
+        headers=command.headers,
+        body=command.body,
+        kept=command.kept,
+    )
+    return Ok(None)
+
+
+@registry.apply.register
+def _(
+    command: commands.MarkClaimsUnknown, state: records.State
+) -> registry.CommandResult:
+    marked = 0
+    for key, record in state.claims.items():
+        if (
+            record.entry_host == command.entry_host
+            and record.incarnation <= command.incarnation
+            and record.state is states.ClaimState.CLAIMED
+        ):
+            state.claims[key] = msgspec.structs.replace(
+                record, state=states.ClaimState.UNKNOWN
+            )
+            marked += 1
+    return Ok(marked)
--- /dev/null
+++ b/orioleshore/state/document_commands.py
@@ -0,0 +1,186 @@
+"""Changes of the document."""
+
+import msgspec
+from result import Err
+from result import Ok
+from result import Result
+
+from orioleshore.model import changes
+from orioleshore.model import documents
+from orioleshore.model import errors
+from orioleshore.model import ids
+from orioleshore.model import states
+from orioleshore.state import commands
+from orioleshore.state import operations
+from orioleshore.state import records
+from orioleshore.state import registry
+
+DELTA_LIMIT = 512
+# Answers of changes are remembered for this time; older copies are refused.
+OPERATION_RETENTION_S = 86_400.0
+OPERATION_LIMIT = 20_000
+MAX_CLOCK_AHEAD_S = 300.0
+
+
+@registry.apply.register
+def _(
+    command: commands.ChangeDocument, state: records.State
+) -> registry.CommandResult:
+    known = state.operations.get(command.operation_id)
+    if known is not None:
+        return _get_first_answer(known)
+    issued = operations.parse_issued(command.operation_id)
+    if issued is None:
+        return registry.refuse(
+            errors.ErrorKind.OPERATION_INVALID,
+            f'operation id {command.operation_id!r} is not '
+            '"<unix seconds>-<token>"',
+        )
+    if issued <= state.time - OPERATION_RETENTION_S:
+        return registry.refuse(
+            errors.ErrorKind.OPERATION_EXPIRED,
+            f'operation id {command.operation_id!r} is older than '
+            f'{OPERATION_RETENTION_S:.0f} s, so its first answer is not known',
+        )
+    if issued > state.time + MAX_CLOCK_AHEAD_S:
+        return registry.refuse(
+            errors.ErrorKind.OPERATION_INVALID,
+            f'operation id {command.operation_id!r} was issued in the future',
+        )
+    _forget_operations(state)
+    if len(state.operations) >= OPERATION_LIMIT:
+        return registry.refuse(
+            errors.ErrorKind.OVERLOADED,
+            f'{OPERATION_LIMIT} changes are remembered already',
+        )
+    answer = _change_document(command, state)
+    state.operations[command.operation_id] = records.OperationRecord(
+        issued, command.operator, answer.ok(), answer.err()
+    )
+    return answer
+
+
+def _get_first_answer(
+    known: records.OperationRecord,
+) -> registry.CommandResult:
+    if known.failure is not None:
+        return Err(known.failure)
+    return Ok(known.version)
+
+
+def _forget_operations(state: records.State) -> None:
+    horizon = state.time - OPERATION_RETENTION_S
+    expired = [
+        operation_id
+        for operation_id, record in state.operations.items()
+        if record.issued <= horizon
+    ]
+    for operation_id in expired:
+        del state.operations[operation_id]
+
+
+def _change_document(
+    command: commands.ChangeDocument, state: records.State
+) -> Result[ids.Version, errors.Failure]:
+    if command.base_version != state.version:
+        return registry.refuse(
+            errors.ErrorKind.VERSION_CONFLICT,
+            f'the change is based on version {command.base_version}, '
+            f'version {state.version} is in force',
+            *_describe_changes_since(state, command.base_version),
+        )
+    document = changes.apply_delta(state.document, command.edits)
+    problems = documents.find_contradictions(document)
+    if problems:
+        return registry.refuse(
+            errors.ErrorKind.INVALID_DOCUMENT,
+            'the document is not valid',
+            *problems,
+        )
+    state.document = document
+    state.version = ids.Version(state.version + 1)
+    state.deltas.append(
+        records.DeltaRecord(
+            state.version,
+            command.operation_id,
+            command.operator,
+            state.time,
+            command.edits,
+        )
+    )
+    del state.deltas[:-DELTA_LIMIT]
+    _follow_document(state)
+    return Ok(state.version)
+
+
+def _describe_changes_since(state: records.State, version: int) -> list[str]:
+    return [
+        f'version {delta.version} by {delta.operator}: '
+        + ', '.join(changes.describe_edit(edit) for edit in delta.edits[:20])
+        for delta in state.deltas
+        if delta.version > version
+    ]
+
+
+def _follow_document(state: records.State) -> None:
+    """Create records for new items, and drop those of removed ones."""
+    _follow_hosts(state)
+    _follow_waves(state)
+    _follow_jobs(state)
+
+
+def _follow_hosts(state: records.State) -> None:
+    named = {host.name: host for host in state.document.hosts}
+    for name in [name for name in state.hosts if name not in named]:
+        del state.hosts[name]
+    for name, host in named.items():
+        if name not in state.hosts:
+            state.hosts[name] = records.HostRecord(
+                host.pool,
+                ids.Epoch(1),
+                states.HostState.SERVING,
+                state.time,
+            )
+
+
+def _follow_waves(state: records.State) -> None:
+    named = {wave.name for wave in state.document.waves}
+    for name in [name for name in state.waves if name not in named]:
+        del state.waves[name]
+    for wave in state.document.waves:
+        if wave.name not in state.waves:
+            state.waves[wave.name] = records.WaveRecord(
+                states.WaveState.RUNNING,
+                state.time,
+                _get_wave_hosts(wave, state),
+                {},
+            )
+
+
+def _get_wave_hosts(
+    wave: documents.Wave, state: records.State
+) -> dict[ids.HostId, records.WaveHostRecord]:
+    return {
+        host.name: records.WaveHostRecord(
+            states.WaveHostState.WAITING, state.time
+        )
+        for host in state.document.hosts
+        if state.hosts[host.name].pool in wave.pools
+    }
+
+
+def _follow_jobs(state: records.State) -> None:
+    named = {job.name for job in state.document.jobs}
+    for name in [name for name in state.jobs if name not in named]:
+        record = state.jobs[name]
+        if record.state is states.JobState.RUNNING:
+            state.jobs[name] = msgspec.structs.replace(
+                record, state=states.JobState.CANCELLED, since=state.time
+            )
+        else:
+            del state.jobs[name]
+    for name in named:
+        if name not in state.jobs:
+            state.jobs[name] = records.JobRecord(
+                states.JobState.WAITING, state.time
+            )
