Replace the full-mesh failure detector by a SWIM-like one

Cause: every process sent its whole member list to every other one each period, an isolated observer declared all others dead, and a broken path between two processes was not found.

Change: one direct probe a period, 3 indirect probes, suspicion for 5 periods counted in periods that ran (a paused process judges nobody), incarnations to refute, rumours within 1,200 bytes repeated 3 log2(n) times, no verdicts while more than half of the probed peers failed within 10 s. Only the highest configuration version is spread as a rumour. Dead peers and absent seeds are probed one a period, so that halves find each other after a partition. The dump includes the membership task.

--- a/orioleshore/membership/detector.py
+++ b/orioleshore/membership/detector.py
@@ -1,34 +1,72 @@
-"""Decisions of the failure detector."""
+"""Decisions of the failure detector, in the manner of SWIM."""
 
+from collections.abc import Callable
 import functools
+import random
 from typing import Any
 
 import msgspec
 
 from orioleshore.membership import events
+from orioleshore.membership import probes
+from orioleshore.membership import rumours
+from orioleshore.membership import table
 from orioleshore.model import announcements
 from orioleshore.model import ids
 from orioleshore.model import states
 
-SUSPECT_AFTER_PERIODS = 3
-DEAD_AFTER_PERIODS = 8
+INDIRECT_PROBES = 3
+SUSPICION_PERIODS = 5
+# Random peers added to each message repair what lost rumours left out.
+FILLERS = 2
+# Processes that a leaving one tells; they spread it further.
+LEAVE_FANOUT = 10
+# A longer gap between two periods means that this process was paused.
+PAUSE_PERIODS = 2.0
+# Requests of others that wait for an answer.
+MAX_RELAYS = 1_024
+
+
+class Relay(msgspec.Struct, frozen=True):
+    """A probe that was sent for another process."""
+
+    address: str
+    sequence: int
+    subject: ids.NodeId
 
 
 class Detector:
-    """Probes every known process once in a period."""
+    """Probes one known process in each period.
+
+    ``probe_timeout_s`` is the time of a direct probe; what is left of the
+    period is that of the indirect ones.
+    """
 
     def __init__(
         self,
         own: announcements.Peer,
         seeds: tuple[str, ...],
         period_s: float,
+        probe_timeout_s: float,
+        get_size: Callable[[announcements.Peer], int],
+        generator: random.Random,
     ) -> None:
         self._own = own
-        self._seeds = seeds
+        self._seeds = frozenset(seeds)
         self._period_s = period_s
-        self._peers: dict[ids.NodeId, announcements.Peer] = {}
-        self._heard_at: dict[ids.NodeId, float] = {}
+        self._probe_timeout_s = probe_timeout_s
+        self._random = generator
+        self._table = table.PeerTable()
+        self._rumours = rumours.RumourQueue(get_size)
+        self._order = probes.Order(generator)
+        self._results = probes.Results()
+        self._round: probes.Round | None = None
+        self._relays: dict[int, Relay] = {}
+        self._broken_paths: set[ids.NodeId] = set()
         self._sequence = 0
+        self._period = 0
+        self._period_began: float | None = None
+        self._isolated = False
 
     @property
     def own(self) -> announcements.Peer:
@@ -36,88 +74,288 @@
 
     @property
     def peers(self) -> dict[ids.NodeId, announcements.Peer]:
-        return dict(self._peers)
+        return dict(self._table.peers)
+
+    @property
+    def isolated(self) -> bool:
+        return self._isolated
+
+    @property
+    def broken_paths(self) -> frozenset[ids.NodeId]:
+        return frozenset(self._broken_paths)
+
+    @property
+    def rumours_waiting(self) -> int:
+        return len(self._rumours)
 
     def handle(self, event: events.Event, now: float) -> list[events.Action]:
         """Return the actions that follow from an event."""
         return _handle(event, self, now)
 
-    def _probe(self, now: float) -> list[events.Action]:
-        self._sequence += 1
-        actions = self._judge(now)
-        view = (self._own, *self._peers.values())
-        for address in self._get_addresses():
-            actions.append(events.SendProbe(address, self._sequence, view))
-        return actions
+    # Periods.
 
-    def _get_addresses(self) -> list[str]:
-        known = {
-            peer.address
-            for peer in self._peers.values()
-            if peer.state is not states.PeerState.LEFT
-        }
-        return sorted((known | set(self._seeds)) - {self._own.address})
+    def _begin_period(self, now: float) -> list[events.Action]:
+        if self._own.state is states.PeerState.LEFT:
+            return []
+        self._period += 1
+        if self._was_paused(now):
+            # Answers may have come and gone meanwhile, so the open round
+            # and earlier results prove nothing about the peers.
+            self._round = None
+            self._results.clear()
+        self._period_began = now
+        actions = self._end_round(now)
+        actions += self._judge_isolation(now)
+        actions += self._judge_suspects()
+        self._table.forget_old(self._period)
+        self._broken_paths &= self._table.get_live().keys()
+        return actions + self._start_round() + self._reach_out()
 
-    def _judge(self, now: float) -> list[events.Action]:
-        actions: list[events.Action] = []
-        for node, peer in list(self._peers.items()):
-            periods = (now - self._heard_at[node]) / self._period_s
-            state = _get_state_after(periods, peer.state)
-            if state is not peer.state:
-                actions += self._set_state(peer, state)
-        return actions
+    def _was_paused(self, now: float) -> bool:
+        if self._period_began is None:
+            return False
+        return now - self._period_began > PAUSE_PERIODS * self._period_s
 
-    def _hear(
-        self, sender: ids.NodeId, peers: tuple, now: float
+    def _end_round(self, now: float) -> list[events.Action]:
+        ended, self._round = self._round, None
+        if ended is None:
+            return []
+        self._results.record(ended.node, ended.answered, now)
+        if ended.answered:
+            return self._note_path(ended.node, ended.direct)
+        peer = self._table.get(ended.node)
+        if peer is None or peer.state is not states.PeerState.ALIVE:
+            return []
+        return self._set_state(peer, states.PeerState.SUSPECT)
+
+    def _note_path(
+        self, node: ids.NodeId, direct: bool
     ) -> list[events.Action]:
+        if direct is (node not in self._broken_paths):
+            return []
+        self._broken_paths ^= {node}
+        return [events.PathChanged(node, direct)]
+
+    def _judge_isolation(self, now: float) -> list[events.Action]:
+        isolated = self._results.is_mostly_failed(now)
+        if isolated is self._isolated:
+            return []
+        self._isolated = isolated
+        if not isolated:
+            # Suspects get a full suspicion time in which they can refute.
+            suspects = set(self._table.get_suspects())
+            self._table.restart_ages(suspects, self._period)
+        return [events.IsolationChanged(isolated)]
+
+    def _judge_suspects(self) -> list[events.Action]:
+        if self._isolated:
+            return []
         actions: list[events.Action] = []
-        for peer in peers:
-            if peer.node == self._own.node:
-                self._refute(peer)
-            elif peer.node == sender or peer.node not in self._peers:
-                actions += self._believe(peer, now)
+        for node, peer in self._table.get_suspects().items():
+            if self._table.get_age(node, self._period) >= SUSPICION_PERIODS:
+                actions += self._set_state(peer, states.PeerState.DEAD)
         return actions
 
-    def _refute(self, peer: announcements.Peer) -> None:
-        """Outlive what others believe about an earlier run."""
-        if peer.incarnation >= self._own.incarnation and (
-            peer.state is not states.PeerState.ALIVE
-        ):
-            self._own = msgspec.structs.replace(
-                self._own, incarnation=ids.Incarnation(peer.incarnation + 1)
+    def _start_round(self) -> list[events.Action]:
+        live = self._table.get_live()
+        node = self._order.pick(set(live))
+        if node is None:
+            return []
+        address = live[node].address
+        self._round = probes.Round(node, address, self._next_sequence())
+        probe = self._make_probe(address, self._round.sequence, node)
+        return [probe, events.SetTimer(self._probe_timeout_s)]
+
+    def _reach_out(self) -> list[events.Action]:
+        """Probe one address at which a process may have come back."""
+        live = {peer.address for peer in self._table.get_live().values()}
+        dead = self._table.get_dead()
+        addresses = self._seeds | {peer.address for peer in dead.values()}
+        absent = sorted(addresses - live - {self._own.address})
+        if not absent:
+            return []
+        address = self._random.choice(absent)
+        subjects = [n for n, peer in dead.items() if peer.address == address]
+        subject = subjects[0] if subjects else None
+        return [self._make_probe(address, self._next_sequence(), subject)]
+
+    def _probe_indirectly(self) -> list[events.Action]:
+        if self._round is None or self._round.answered:
+            return []
+        self._round.direct = False
+        node = self._round.node
+        helpers = [
+            peer
+            for peer in self._table.get_live().values()
+            if peer.node != node and peer.state is states.PeerState.ALIVE
+        ]
+        count = min(INDIRECT_PROBES, len(helpers))
+        return [
+            events.SendIndirectProbe(
+                helper.address,
+                self._round.sequence,
+                node,
+                self._round.address,
+                self._take_rumours(helper.node),
             )
+            for helper in self._random.sample(helpers, count)
+        ]
+
+    # Probes of others.
 
-    def _believe(
-        self, peer: announcements.Peer, now: float
+    def _answer(self, event: events.ProbeReceived) -> list[events.Action]:
+        known = self._table.get(event.sender)
+        actions = self._hear(event.peers)
+        if known is not None and known.state in table.LIVE:
+            batches = [self._take_rumours(event.sender)]
+        else:
+            # A process that joins or comes back learns of all others.
+            live = self._table.get_live().values()
+            first = self._get_first(event.sender)
+            batches = self._rumours.split((*first, *live))
+        for batch in batches:
+            actions.append(
+                events.SendAck(
+                    event.address, event.sequence, self._own.node, batch
+                )
+            )
+        return actions
+
+    def _take_answer(self, event: events.ProbeAnswered) -> list[events.Action]:
+        actions = self._hear(event.peers)
+        current = self._round
+        if current is not None and (
+            (current.sequence, current.node) == (event.sequence, event.subject)
+        ):
+            current.answered = True
+            # A late answer on the direct path still proves that path.
+            current.direct |= event.sender == current.node
+        relay = self._relays.get(event.sequence)
+        if relay is None or relay.subject != event.subject:
+            return actions
+        del self._relays[event.sequence]
+        ack = events.SendAck(
+            relay.address, relay.sequence, relay.subject, event.peers
+        )
+        return [*actions, ack]
+
+    def _relay(
+        self, event: events.IndirectProbeRequested
     ) -> list[events.Action]:
-        known = self._peers.get(peer.node)
-        if known is not None and peer.incarnation < known.incarnation:
+        actions = self._hear(event.peers)
+        if len(self._relays) >= MAX_RELAYS:
+            self._relays.pop(next(iter(self._relays)))
+        sequence = self._next_sequence()
+        self._relays[sequence] = Relay(
+            event.address, event.sequence, event.subject
+        )
+        probe = self._make_probe(
+            event.subject_address, sequence, event.subject
+        )
+        return [*actions, probe]
+
+    # News.
+
+    def _hear(self, peers: events.Peers) -> list[events.Action]:
+        actions: list[events.Action] = []
+        for news in peers:
+            if news.node == self._own.node:
+                self._refute(news)
+            else:
+                actions += self._believe(news)
+        return actions
+
+    def _refute(self, news: announcements.Peer) -> None:
+        """Outlive wrong news about this process, also of an earlier run."""
+        if self._own.state is states.PeerState.LEFT:
+            return
+        if news.incarnation < self._own.incarnation:
+            return
+        alive = news.state is states.PeerState.ALIVE
+        if alive and news.incarnation == self._own.incarnation:
+            return
+        self._own = msgspec.structs.replace(
+            self._own, incarnation=ids.Incarnation(news.incarnation + 1)
+        )
+        self._rumours.add(self._own.node)
+
+    def _believe(self, news: announcements.Peer) -> list[events.Action]:
+        merged = self._table.merge(news)
+        if merged is None:
             return []
-        self._peers[peer.node] = peer
-        self._heard_at[peer.node] = now
-        if known == peer:
+        known = self._table.get(news.node)
+        highest = max(self._own.version, self._table.get_highest_version())
+        self._table.put(merged, self._period)
+        # Only the highest version is worth a rumour: each process tells its
+        # own version in every message anyway.
+        if not _differs(known, merged) and merged.version <= highest:
             return []
+        self._rumours.add(merged.node)
         before = known.state if known is not None else None
-        return [events.PeerStateChanged(peer, before)]
+        return [events.PeerStateChanged(merged, before)]
 
     def _set_state(
         self, peer: announcements.Peer, state: states.PeerState
     ) -> list[events.Action]:
         changed = msgspec.structs.replace(peer, state=state)
-        self._peers[peer.node] = changed
+        self._table.put(changed, self._period)
+        self._rumours.add(peer.node)
         return [events.PeerStateChanged(changed, peer.state)]
 
+    def _set_version(self, version: ids.Version) -> None:
+        highest = max(self._own.version, self._table.get_highest_version())
+        self._own = msgspec.structs.replace(self._own, version=version)
+        if version > highest:
+            self._rumours.add(self._own.node)
+
+    def _leave(self) -> list[events.Action]:
+        self._own = msgspec.structs.replace(
+            self._own, state=states.PeerState.LEFT
+        )
+        live = list(self._table.get_live().values())
+        count = min(LEAVE_FANOUT, len(live))
+        return [
+            self._make_probe(peer.address, self._next_sequence(), peer.node)
+            for peer in self._random.sample(live, count)
+        ]
+
+    # Messages.
+
+    def _make_probe(
+        self, address: str, sequence: int, node: ids.NodeId | None
+    ) -> events.SendProbe:
+        return events.SendProbe(address, sequence, self._take_rumours(node))
+
+    def _take_rumours(self, receiver: ids.NodeId | None) -> events.Peers:
+        live = list(self._table.get_live().values())
+        fillers = self._random.sample(live, min(FILLERS, len(live)))
+        peers = {**self._table.peers, self._own.node: self._own}
+        return self._rumours.take(self._get_first(receiver), peers, fillers)
+
+    def _get_first(
+        self, receiver: ids.NodeId | None
+    ) -> list[announcements.Peer]:
+        """Return what a message must carry.
 
-def _get_state_after(
-    periods: float, state: states.PeerState
-) -> states.PeerState:
-    if state is states.PeerState.LEFT:
-        return state
-    if periods >= DEAD_AFTER_PERIODS:
-        return states.PeerState.DEAD
-    if periods >= SUSPECT_AFTER_PERIODS:
-        return states.PeerState.SUSPECT
-    return state
+        A receiver that is not believed alive must hear it to refute it.
+        """
+        peer = self._table.get(receiver) if receiver is not None else None
+        if peer is None or peer.state is states.PeerState.ALIVE:
+            return [self._own]
+        return [self._own, peer]
+
+    def _next_sequence(self) -> int:
+        self._sequence += 1
+        return self._sequence
+
+
+def _differs(
+    known: announcements.Peer | None, peer: announcements.Peer
+) -> bool:
+    """Return whether more than the version differs."""
+    if known is None:
+        return True
+    return msgspec.structs.replace(known, version=peer.version) != peer
 
 
 @functools.singledispatch
@@ -129,30 +367,42 @@
 def _(
     event: events.ProbeDue, detector: Detector, now: float
 ) -> list[events.Action]:
-    return detector._probe(now)
+    return detector._begin_period(now)
+
+
+@_handle.register
+def _(
+    event: events.ProbeTimedOut, detector: Detector, now: float
+) -> list[events.Action]:
+    return detector._probe_indirectly()
+
+
+@_handle.register
+def _(
+    event: events.ProbeReceived, detector: Detector, now: float
+) -> list[events.Action]:
+    return detector._answer(event)
 
 
 @_handle.register
 def _(
     event: events.ProbeAnswered, detector: Detector, now: float
 ) -> list[events.Action]:
-    return []
+    return detector._take_answer(event)
 
 
 @_handle.register
 def _(
-    event: events.PeersHeard, detector: Detector, now: float
+    event: events.IndirectProbeRequested, detector: Detector, now: float
 ) -> list[events.Action]:
-    return detector._hear(event.sender, event.peers, now)
+    return detector._relay(event)
 
 
 @_handle.register
 def _(
     event: events.VersionChanged, detector: Detector, now: float
 ) -> list[events.Action]:
-    detector._own = msgspec.structs.replace(
-        detector._own, version=event.version
-    )
+    detector._set_version(event.version)
     return []
 
 
@@ -160,7 +410,4 @@
 def _(
     event: events.LeaveRequested, detector: Detector, now: float
 ) -> list[events.Action]:
-    detector._own = msgspec.structs.replace(
-        detector._own, state=states.PeerState.LEFT
-    )
-    return detector._probe(now)
+    return detector._leave()
--- a/orioleshore/membership/events.py
+++ b/orioleshore/membership/events.py
@@ -6,6 +6,8 @@
 from orioleshore.model import ids
 from orioleshore.model import states
 
+Peers = tuple[announcements.Peer, ...]
+
 # Events.
 
 
@@ -13,18 +15,37 @@
     """A new period begins."""
 
 
+class ProbeTimedOut(msgspec.Struct, frozen=True):
+    """The direct probe of this period got no answer in time."""
+
+
+class ProbeReceived(msgspec.Struct, frozen=True):
+    """A process asks this one to prove that it is alive."""
+
+    sender: ids.NodeId
+    address: str
+    sequence: int
+    peers: Peers
+
+
 class ProbeAnswered(msgspec.Struct, frozen=True):
-    """A process answered a probe."""
+    """``subject`` answered a probe, directly or through ``sender``."""
 
-    node: ids.NodeId
+    sender: ids.NodeId
+    subject: ids.NodeId
     sequence: int
+    peers: Peers
 
 
-class PeersHeard(msgspec.Struct, frozen=True):
-    """A process told what it believes about others, itself included."""
+class IndirectProbeRequested(msgspec.Struct, frozen=True):
+    """``sender`` asks this process to probe ``subject`` for it."""
 
     sender: ids.NodeId
-    peers: tuple[announcements.Peer, ...]
+    address: str
+    sequence: int
+    subject: ids.NodeId
+    subject_address: str
+    peers: Peers
 
 
 class VersionChanged(msgspec.Struct, frozen=True):
@@ -37,7 +58,15 @@
     """This process is about to stop."""
 
 
-Event = ProbeDue | ProbeAnswered | PeersHeard | VersionChanged | LeaveRequested
+Event = (
+    ProbeDue
+    | ProbeTimedOut
+    | ProbeReceived
+    | ProbeAnswered
+    | IndirectProbeRequested
+    | VersionChanged
+    | LeaveRequested
+)
 
 # Actions.
 
@@ -47,7 +76,32 @@
 
     address: str
     sequence: int
-    peers: tuple[announcements.Peer, ...]
+    peers: Peers
+
+
+class SendAck(msgspec.Struct, frozen=True):
+    """Tell an address that ``subject`` answered its probe."""
+
+    address: str
+    sequence: int
+    subject: ids.NodeId
+    peers: Peers
+
+
+class SendIndirectProbe(msgspec.Struct, frozen=True):
+    """Ask the process at an address to probe ``subject``."""
+
+    address: str
+    sequence: int
+    subject: ids.NodeId
+    subject_address: str
+    peers: Peers
+
+
+class SetTimer(msgspec.Struct, frozen=True):
+    """Deliver ``ProbeTimedOut`` after a delay, in place of earlier ones."""
+
+    delay_s: float
 
 
 class PeerStateChanged(msgspec.Struct, frozen=True):
@@ -57,7 +111,28 @@
     before: states.PeerState | None
 
 
-Action = SendProbe | PeerStateChanged
+class IsolationChanged(msgspec.Struct, frozen=True):
+    """Whether most peers are out of reach of this process."""
+
+    isolated: bool
+
+
+class PathChanged(msgspec.Struct, frozen=True):
+    """Whether a live peer answers this process on the direct path."""
+
+    node: ids.NodeId
+    direct: bool
+
+
+Action = (
+    SendProbe
+    | SendAck
+    | SendIndirectProbe
+    | SetTimer
+    | PeerStateChanged
+    | IsolationChanged
+    | PathChanged
+)
 
 
 # News for other tasks.
--- a/orioleshore/membership/gossip.py
+++ b/orioleshore/membership/gossip.py
@@ -9,7 +9,7 @@
 
 from orioleshore.membership import detector
 from orioleshore.membership import events
-from orioleshore.model import announcements
+from orioleshore.membership import packing
 from orioleshore.model import ids
 from orioleshore.protocol import messages
 from orioleshore.protocol import transport
@@ -24,8 +24,7 @@
 
 MAILBOX_CAPACITY = 1_024
 PERIOD = ids.TimerId('membership-period')
-# Kinds of rumours; the numbers travel between processes.
-PEER_RUMOUR = 1
+TIMEOUT = ids.TimerId('membership-timeout')
 
 
 class GetPeers(msgspec.Struct, frozen=True):
@@ -34,6 +33,12 @@
     answer: reply.Reply
 
 
+class GetMembershipDump(msgspec.Struct, frozen=True):
+    """Asks for what this process believes about others, for a dump."""
+
+    answer: reply.Reply
+
+
 class Leave(msgspec.Struct, frozen=True):
     """Tells the others that this process is about to stop."""
 
@@ -68,6 +73,7 @@
     async def close(self) -> None:
         """Stop to probe."""
         self._timers.cancel(self.mailbox, PERIOD)
+        self._timers.cancel(self.mailbox, TIMEOUT)
 
     async def handle(self, message: Any) -> None:
         """Handle a probe, a rumour or the period."""
@@ -82,34 +88,15 @@
         if changed:
             self._publish()
 
+    def _send(self, address: str, message: Any) -> None:
+        self._sender.put(transport.SendTo(address, message))
+
     def _publish(self) -> None:
         change = events.PeersChanged(self._detector.own, self._detector.peers)
         for listener in self._listeners:
             listener.put(change)
 
 
-def pack_peer(peer: announcements.Peer) -> messages.Rumour:
-    """Return what travels about a process."""
-    return messages.Rumour(
-        PEER_RUMOUR,
-        peer.node,
-        peer.incarnation,
-        peer.state.value,
-        msgspec.msgpack.encode(peer),
-    )
-
-
-def unpack_peers(
-    rumours: tuple[messages.Rumour, ...],
-) -> tuple[announcements.Peer, ...]:
-    """Return the processes in rumours; unknown kinds are skipped."""
-    return tuple(
-        msgspec.msgpack.decode(rumour.data, type=announcements.Peer)
-        for rumour in rumours
-        if rumour.kind == PEER_RUMOUR
-    )
-
-
 @functools.singledispatch
 def _take(message: Any, gossip: Gossip) -> None:
     raise TypeError(f'unknown message {type(message).__name__}')
@@ -117,7 +104,10 @@
 
 @_take.register
 def _(message: service.TimerFired, gossip: Gossip) -> None:
-    gossip._run(events.ProbeDue())
+    if message.timer == PERIOD:
+        gossip._run(events.ProbeDue())
+    else:
+        gossip._run(events.ProbeTimedOut())
 
 
 @_take.register
@@ -136,6 +126,11 @@
     message.answer.resolve(Ok(change))
 
 
+@_take.register
+def _(message: GetMembershipDump, gossip: Gossip) -> None:
+    message.answer.resolve(Ok(_describe(gossip._detector)))
+
+
 @_take.register
 def _(message: Leave, gossip: Gossip) -> None:
     gossip._run(events.LeaveRequested())
@@ -152,20 +147,46 @@
 def _(
     message: messages.Probe, gossip: Gossip, received: messages.Received
 ) -> None:
-    own = gossip._detector.own
-    ack = messages.ProbeAck(message.sequence, own.node, (pack_peer(own),))
-    gossip._sender.put(transport.SendTo(received.header.reply_address, ack))
-    peers = unpack_peers(message.rumours)
-    gossip._run(events.PeersHeard(received.header.sender, peers))
+    gossip._run(
+        events.ProbeReceived(
+            received.header.sender,
+            received.header.reply_address,
+            message.sequence,
+            packing.unpack_peers(message.rumours),
+        )
+    )
 
 
 @_take_received.register
 def _(
     message: messages.ProbeAck, gossip: Gossip, received: messages.Received
 ) -> None:
-    peers = unpack_peers(message.rumours)
-    gossip._run(events.PeersHeard(received.header.sender, peers))
-    gossip._run(events.ProbeAnswered(received.header.sender, message.sequence))
+    gossip._run(
+        events.ProbeAnswered(
+            received.header.sender,
+            ids.NodeId(message.subject),
+            message.sequence,
+            packing.unpack_peers(message.rumours),
+        )
+    )
+
+
+@_take_received.register
+def _(
+    message: messages.IndirectProbe,
+    gossip: Gossip,
+    received: messages.Received,
+) -> None:
+    gossip._run(
+        events.IndirectProbeRequested(
+            received.header.sender,
+            received.header.reply_address,
+            message.sequence,
+            ids.NodeId(message.subject),
+            message.subject_address,
+            packing.unpack_peers(message.rumours),
+        )
+    )
 
 
 @functools.singledispatch
@@ -175,9 +196,33 @@
 
 @_perform.register
 def _(action: events.SendProbe, gossip: Gossip) -> None:
-    rumours = tuple(pack_peer(peer) for peer in action.peers)
-    probe = messages.Probe(action.sequence, rumours)
-    gossip._sender.put(transport.SendTo(action.address, probe))
+    rumours = packing.pack_peers(action.peers)
+    gossip._send(action.address, messages.Probe(action.sequence, rumours))
+
+
+@_perform.register
+def _(action: events.SendAck, gossip: Gossip) -> None:
+    rumours = packing.pack_peers(action.peers)
+    gossip._send(
+        action.address,
+        messages.ProbeAck(action.sequence, action.subject, rumours),
+    )
+
+
+@_perform.register
+def _(action: events.SendIndirectProbe, gossip: Gossip) -> None:
+    rumours = packing.pack_peers(action.peers)
+    gossip._send(
+        action.address,
+        messages.IndirectProbe(
+            action.sequence, action.subject, action.subject_address, rumours
+        ),
+    )
+
+
+@_perform.register
+def _(action: events.SetTimer, gossip: Gossip) -> None:
+    gossip._timers.subscribe_once(gossip.mailbox, TIMEOUT, action.delay_s)
 
 
 @_perform.register
@@ -193,3 +238,29 @@
             incarnation=action.peer.incarnation,
         )
     )
+
+
+@_perform.register
+def _(action: events.IsolationChanged, gossip: Gossip) -> None:
+    LOG.warning(
+        logs.format_event('isolation_changed', isolated=action.isolated)
+    )
+
+
+@_perform.register
+def _(action: events.PathChanged, gossip: Gossip) -> None:
+    LOG.warning(
+        logs.format_event(
+            'peer_path_changed', peer=action.node, direct=action.direct
+        )
+    )
+
+
+def _describe(decisions: detector.Detector) -> dict[str, Any]:
+    return {
+        'own': msgspec.to_builtins(decisions.own),
+        'peers': msgspec.to_builtins(decisions.peers),
+        'isolated': decisions.isolated,
+        'broken_paths': sorted(decisions.broken_paths),
+        'rumours_waiting': decisions.rumours_waiting,
+    }
--- /dev/null
+++ b/orioleshore/membership/packing.py
@@ -0,0 +1,82 @@
+"""Conversion between peers and the rumours that carry them."""
+
+import msgspec
+
+from orioleshore.model import announcements
+from orioleshore.model import ids
+from orioleshore.model import states
+from orioleshore.protocol import messages
+
+# Kinds of rumours; the numbers travel between processes.
+PEER_RUMOUR = 1
+# Headers of the five fields of a rumour, and its end, in thrift's encoding.
+RUMOUR_OVERHEAD_BYTES = 38
+
+
+class _Details(msgspec.Struct, frozen=True, array_like=True):
+    """What a rumour says beyond its own fields; fields are only added."""
+
+    address: str
+    availability_zone: ids.AvailabilityZone
+    roles: tuple[states.Role, ...]
+    version: ids.Version
+
+
+def pack_peer(peer: announcements.Peer) -> messages.Rumour:
+    """Return what travels about a process."""
+    details = _Details(
+        peer.address, peer.availability_zone, peer.roles, peer.version
+    )
+    return messages.Rumour(
+        PEER_RUMOUR,
+        peer.node,
+        peer.incarnation,
+        peer.state.value,
+        msgspec.msgpack.encode(details),
+    )
+
+
+def pack_peers(
+    peers: tuple[announcements.Peer, ...],
+) -> tuple[messages.Rumour, ...]:
+    """Return what travels about processes."""
+    return tuple(pack_peer(peer) for peer in peers)
+
+
+def get_size(peer: announcements.Peer) -> int:
+    """Return the encoded bytes of the rumour about a process."""
+    rumour = pack_peer(peer)
+    texts = len(rumour.subject.encode()) + len(rumour.state)
+    return RUMOUR_OVERHEAD_BYTES + texts + len(rumour.data)
+
+
+def unpack_peers(
+    rumours: tuple[messages.Rumour, ...],
+) -> tuple[announcements.Peer, ...]:
+    """Return the processes in rumours; unknown kinds are skipped.
+
+    A rumour that cannot be read, such as one with a state that a newer
+    process added, is skipped as well.
+    """
+    peers = []
+    for rumour in rumours:
+        if rumour.kind != PEER_RUMOUR:
+            continue
+        try:
+            peers.append(_unpack_peer(rumour))
+        except (msgspec.MsgspecError, ValueError):
+            continue
+    return tuple(peers)
+
+
+def _unpack_peer(rumour: messages.Rumour) -> announcements.Peer:
+    details = msgspec.msgpack.decode(rumour.data, type=_Details)
+    return announcements.Peer(
+        ids.NodeId(rumour.subject),
+        details.address,
+        ids.Incarnation(rumour.incarnation),
+        details.availability_zone,
+        details.roles,
+        states.PeerState(rumour.state),
+        details.version,
+    )
--- /dev/null
+++ b/orioleshore/membership/probes.py
@@ -0,0 +1,69 @@
+"""Order, rounds and recent results of the probes of one process."""
+
+import random
+
+import msgspec
+
+from orioleshore.model import ids
+
+RESULT_WINDOW_S = 10.0
+
+
+class Round(msgspec.Struct):
+    """The probe of one period; all its probes carry one sequence."""
+
+    node: ids.NodeId
+    address: str
+    sequence: int
+    answered: bool = False
+    direct: bool = True
+
+
+class Order:
+    """Picks targets in random order, each one once before any repeats."""
+
+    def __init__(self, generator: random.Random) -> None:
+        self._random = generator
+        self._waiting: list[ids.NodeId] = []
+
+    def pick(self, candidates: set[ids.NodeId]) -> ids.NodeId | None:
+        """Return the next candidate, None when there is none."""
+        if not candidates:
+            return None
+        while True:
+            if not self._waiting:
+                self._waiting = sorted(candidates)
+                self._random.shuffle(self._waiting)
+            node = self._waiting.pop()
+            if node in candidates:
+                return node
+
+
+class Results:
+    """The last result of each peer probed within ``RESULT_WINDOW_S``.
+
+    Counting peers rather than probes keeps one dead peer of two from
+    looking like more than half.
+    """
+
+    def __init__(self) -> None:
+        self._results: dict[ids.NodeId, tuple[float, bool]] = {}
+
+    def record(self, node: ids.NodeId, answered: bool, now: float) -> None:
+        """Remember the newest result of a peer."""
+        self._results[node] = (now, answered)
+
+    def clear(self) -> None:
+        """Forget all results."""
+        self._results.clear()
+
+    def is_mostly_failed(self, now: float) -> bool:
+        """Return whether more than half of the probed peers failed."""
+        start = now - RESULT_WINDOW_S
+        self._results = {
+            node: result
+            for node, result in self._results.items()
+            if result[0] > start
+        }
+        failed = sum(not answered for _, answered in self._results.values())
+        return 2 * failed > len(self._results)
--- a/orioleshore/roles/process.py
+++ b/orioleshore/roles/process.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import logging
+import random
 import signal
 import sys
 import time
@@ -15,6 +16,7 @@
 from orioleshore.frontends import health
 from orioleshore.membership import detector
 from orioleshore.membership import gossip
+from orioleshore.membership import packing
 from orioleshore.model import announcements
 from orioleshore.model import changes
 from orioleshore.model import errors
@@ -170,8 +172,11 @@
         self._gossip = gossip.Gossip(
             detector.Detector(
                 self._get_own_peer(),
-                tuple(seed for seed in config.seeds),
+                config.seeds,
                 config.membership.probe_period_s,
+                config.membership.probe_timeout_s,
+                packing.get_size,
+                random.Random(),
             ),
             self._transport.mailbox,
             self._timers,
@@ -193,6 +198,9 @@
             self._subscriber.mailbox,
             subscriber.GetSubscriberStatus,
         )
+        self._dumper.add_task(
+            'membership', self._gossip.mailbox, gossip.GetMembershipDump
+        )
         tasks: list[task.Task] = [self._gossip, self._subscriber]
         if config.addresses.health is not None:
             self._health = health.HealthFrontend(
--- a/orioleshore/tests/builders.py
+++ b/orioleshore/tests/builders.py
@@ -1,5 +1,9 @@
 """Builders of test data."""
 
+import random
+
+from orioleshore.membership import detector
+from orioleshore.membership import packing
 from orioleshore.model import announcements
 from orioleshore.model import changes
 from orioleshore.model import documents
@@ -135,3 +139,32 @@
     return routing_events.RequestInfo(
         request=ids.RequestId(f'request-{number}'), **{**defaults, **fields}
     )
+
+
+def build_peer(node: str = 'node-1', **fields) -> announcements.Peer:
+    """Return a live entry host, whose address is its name."""
+    defaults = {
+        'address': node,
+        'incarnation': ids.Incarnation(1),
+        'availability_zone': ids.AvailabilityZone('az1'),
+        'roles': (states.Role.ENTRY,),
+    }
+    return announcements.Peer(ids.NodeId(node), **{**defaults, **fields})
+
+
+def build_detector(
+    node: str = 'node-1',
+    incarnation: int = 1,
+    seeds: tuple[str, ...] = ('node-0',),
+    seed: int = 1,
+) -> detector.Detector:
+    """Return a failure detector with a period of 1 s."""
+    own = build_peer(node, incarnation=ids.Incarnation(incarnation))
+    return detector.Detector(
+        own,
+        seeds,
+        1.0,
+        0.3,
+        packing.get_size,
+        random.Random(f'{node}-{incarnation}-{seed}'),
+    )
--- /dev/null
+++ b/orioleshore/tests/test_membership_detector.py
@@ -0,0 +1,241 @@
+"""Failure detector under seeded schedules of a simulated network."""
+
+import pytest
+
+from orioleshore.membership import events
+from orioleshore.membership import packing
+from orioleshore.membership import rumours
+from orioleshore.model import states
+from orioleshore.protocol import codec
+from orioleshore.protocol import messages
+from orioleshore.tests import builders
+from orioleshore.tests import support
+
+ALIVE = states.PeerState.ALIVE
+DEAD = states.PeerState.DEAD
+LEFT = states.PeerState.LEFT
+SETTLE_S = 20.0
+
+
+def _make_network(
+    count: int, seed: int = 1, loss: float = 0.0
+) -> support.MembershipNetwork:
+    def make(node: str, run: int):
+        seeds = ('node-0', 'node-1')
+        return builders.build_detector(node, run, seeds, seed)
+
+    random = support.get_random(seed)
+    network = support.MembershipNetwork(make, count, random, loss)
+    network.run(SETTLE_S)
+    return network
+
+
+def _get_bound_s(count: int) -> float:
+    """Return a time in which all must know a death.
+
+    Each member probes all others in ``count`` periods, suspicion lasts 5,
+    the rest is for the spread of the rumour.
+    """
+    return count + 5 + 10
+
+
+@pytest.mark.parametrize('count', [3, 10, 50])
+def test_members_find_each_other_through_seeds(count):
+    """Guards against members that never learn of each other."""
+    network = _make_network(count)
+    for node in network.detectors:
+        assert len(network.get_states(node)) == count - 1
+        assert set(network.get_states(node).values()) == {ALIVE}
+
+
+@pytest.mark.parametrize('count', [3, 10, 50])
+@pytest.mark.parametrize('seed', [1, 2])
+def test_dead_member_is_found_within_a_bound(count, seed):
+    """Guards against a killed process that stays in the member list."""
+    network = _make_network(count, seed, loss=0.05)
+    network.stopped.add('node-2')
+    network.run(_get_bound_s(count))
+    assert network.get_opinions('node-2') == {DEAD}
+
+
+@pytest.mark.parametrize('seed', range(1, 7))
+def test_loss_alone_declares_nobody_dead_for_good(seed):
+    """Guards against lost messages that take a live process out."""
+    network = _make_network(12, seed, loss=0.1)
+    network.run(60)
+    network.loss = 0.0
+    network.run(SETTLE_S)
+    for node in network.detectors:
+        assert network.get_opinions(node) == {ALIVE}
+    assert not network.deaths
+
+
+@pytest.mark.parametrize('count', [3, 5, 12])
+def test_isolated_observer_declares_nobody_dead(count):
+    """Guards against mass verdicts of a process that lost its network."""
+    network = _make_network(count)
+    network.isolate('node-1')
+    network.run(60)
+    assert [d for d in network.deaths if d[1] == 'node-1'] == []
+    assert network.detectors['node-1'].isolated
+    assert network.get_opinions('node-1') == {DEAD}
+    network.cut.clear()
+    network.run(40)
+    assert [d for d in network.deaths if d[1] == 'node-1'] == []
+    assert not network.detectors['node-1'].isolated
+    assert network.get_opinions('node-1') == {ALIVE}
+
+
+@pytest.mark.parametrize('incoming', [True, False])
+def test_member_cut_off_in_one_direction_is_found(incoming):
+    """Guards against a process that only sends, or only receives."""
+    network = _make_network(8)
+    for other in network.detectors.keys() - {'node-3'}:
+        pair = (other, 'node-3') if incoming else ('node-3', other)
+        network.cut.add(pair)
+    network.run(_get_bound_s(8))
+    assert network.get_opinions('node-3') == {DEAD}
+    assert [d for d in network.deaths if d[1] == 'node-3'] == []
+
+
+def test_broken_path_between_two_is_found_without_a_verdict():
+    """Guards against a death verdict where only one path is broken."""
+    network = _make_network(6)
+    network.cut.add(('node-4', 'node-2'))
+    network.run(30)
+    assert network.detectors['node-2'].broken_paths == {'node-4'}
+    assert not network.deaths
+    network.cut.clear()
+    network.run(30)
+    assert not network.detectors['node-2'].broken_paths
+
+
+def test_halves_find_each_other_after_a_partition():
+    """Guards against a split that outlives the partition."""
+    network = _make_network(12)
+    nodes = sorted(network.detectors)
+    network.partition(nodes[:4], nodes[4:])
+    network.run(120)
+    assert network.get_opinions(nodes[0]) >= {DEAD}
+    network.cut.clear()
+    network.run(60)
+    for node in nodes:
+        assert network.get_opinions(node) == {ALIVE}
+
+
+def test_paused_member_judges_nobody_and_comes_back():
+    """Guards against verdicts from timers that expired in a pause."""
+    network = _make_network(8)
+    network.paused.add('node-5')
+    network.run(60)
+    assert network.get_opinions('node-5') == {DEAD}
+    network.paused.clear()
+    network.run(30)
+    assert [d for d in network.deaths if d[1] == 'node-5'] == []
+    assert network.get_opinions('node-5') == {ALIVE}
+
+
+def test_restarted_member_is_alive_at_once():
+    """Guards against old verdicts that hold against a new run."""
+    network = _make_network(8)
+    network.stopped.add('node-3')
+    network.run(30)
+    network.restart('node-3')
+    network.run(10)
+    assert network.get_opinions('node-3') == {ALIVE}
+    assert len(network.get_states('node-3')) == 7
+
+
+def test_leaving_member_is_known_at_once_and_never_dead():
+    """Guards against a planned stop that looks like a failure."""
+    network = _make_network(12)
+    detector = network.detectors['node-4']
+    for action in detector.handle(events.LeaveRequested(), network.now):
+        network._perform('node-4', action)
+    network.run(0.2)
+    network.stopped.add('node-4')
+    network.run(6)
+    assert network.get_opinions('node-4') == {LEFT}
+    assert not network.deaths
+
+
+def test_highest_version_spreads():
+    """Guards against a restarted entry host that trusts an old version."""
+    network = _make_network(20)
+    event = events.VersionChanged(7)
+    network.detectors['node-9'].handle(event, network.now)
+    network.run(10)
+    for node in network.detectors.keys() - {'node-9'}:
+        peers = network.detectors[node].peers.values()
+        assert max(peer.version for peer in peers) == 7
+
+
+@pytest.mark.parametrize('seed', range(1, 9))
+def test_random_faults_end_in_agreement(seed):
+    """Guards against opinions that never converge after mixed faults."""
+    random = support.get_random(seed)
+    count = random.randint(3, 30)
+    network = _make_network(count, seed)
+    nodes = sorted(network.detectors)
+    for _ in range(12):
+        node = random.choice(nodes)
+        fault = random.randrange(6)
+        if fault == 0:
+            network.isolate(node)
+        elif fault == 1:
+            network.cut.add((node, random.choice(nodes)))
+        elif fault == 2:
+            network.paused ^= {node}
+        elif fault == 3:
+            network.stopped.add(node)
+        elif fault == 4:
+            network.restart(node)
+        else:
+            network.loss = random.choice([0.0, 0.1, 0.3])
+        network.run(random.uniform(0.0, 10.0))
+    network.loss = 0.0
+    network.cut.clear()
+    network.paused.clear()
+    for node in sorted(network.stopped)[1:]:
+        network.restart(node)
+    # Each period brings back one member that the two sides believe dead.
+    network.run(2 * _get_bound_s(count))
+    for node in network.detectors.keys() - network.stopped:
+        assert network.get_opinions(node) == {ALIVE}
+    for node in network.stopped:
+        assert ALIVE not in network.get_opinions(node)
+
+
+def test_messages_stay_within_the_piggyback_limit():
+    """Guards against messages that grow with the number of members."""
+    network = _make_network(50)
+    network.isolate('node-7')
+    network.run(20)
+    header = messages.Header('node-1', 1, 0, '')
+    bare = len(codec.encode(header, messages.Probe(1, ())))
+    for action in network.sent:
+        probe = messages.Probe(1, packing.pack_peers(action.peers))
+        size = len(codec.encode(header, probe)) - bare
+        assert size <= rumours.MAX_PIGGYBACK_BYTES
+
+
+def test_rumours_are_repeated_a_bounded_number_of_times():
+    """Guards against rumours that circulate for ever."""
+    queue = rumours.RumourQueue(packing.get_size)
+    peers = {f'node-{n}': builders.build_peer(f'node-{n}') for n in range(60)}
+    for node in peers:
+        queue.add(node)
+    sends = 0
+    while len(queue):
+        sends += len(queue.take((), peers, ()))
+    assert sends == 60 * rumours.get_repetitions(60)
+
+
+def test_unreadable_rumours_are_skipped():
+    """Guards against a newer process that adds a state or a kind."""
+    good = packing.pack_peer(builders.build_peer())
+    newer = messages.Rumour(1, 'node-2', 1, 'resting', good.data)
+    other = messages.Rumour(9, 'node-3', 1, 'alive', b'')
+    broken = messages.Rumour(1, 'node-4', 1, 'alive', b'\xff')
+    peers = packing.unpack_peers((newer, other, broken, good))
+    assert peers == (builders.build_peer(),)
