Make the transport survive outages, gone peers and renewed certificates

Cause: transport.py had no test. Frames queued in an outage were sent when it ended, a closed peer was noticed at the next write (which lost that frame), each peer that ever existed kept a task, a malformed reply address ended the sending task and an oversized message stopped the process, a listening socket kept its first certificate, a peer that does not read kept its connection after the write timeout, and a vanished host kept its incoming connection for ever. Timers were keyed by the name of a mailbox, so two mailboxes of one name took each other's timers.

Result: with the earlier transport and contexts the tests for the outage, the closed peer, the idle connection, the malformed address and the renewed certificates fail; with the earlier timer service the test of the silent process fails. The tests for bad frames, wrong certificates and the peer that never reads pass before and after.

--- /dev/null
+++ b/orioleshore/protocol/outgoing.py
@@ -0,0 +1,178 @@
+"""The outgoing connection to one peer, with its bounded queue of frames."""
+
+import asyncio
+from collections.abc import Callable
+import logging
+import random
+
+import msgspec
+
+from orioleshore import settings
+from orioleshore.protocol import tls
+from orioleshore.tasks import mailbox
+from orioleshore.telemetry import logs
+
+LOG = logging.getLogger(__name__)
+
+QUEUE_CAPACITY = 1_024
+CONNECT_TIMEOUT_S = 1.0
+MIN_BACKOFF_S = 0.05
+MAX_BACKOFF_S = 1.0
+# An idle or cut-off peer must not hold a frame for longer than an election.
+WRITE_TIMEOUT_S = 2.0
+# Probes, heartbeats and calls are repeated, so an old frame only delays the
+# fresh ones after an outage.
+MAX_FRAME_AGE_S = 2.0
+# Longer than it takes to probe 200 peers in turn, because each new TLS
+# connection costs both ends milliseconds of processor time.
+IDLE_TIMEOUT_S = 600.0
+
+
+class _Queued(msgspec.Struct, frozen=True):
+    """A frame with the loop time at which it was queued."""
+
+    time: float
+    frame: bytes
+
+
+class Connection:
+    """Writes frames to one address, and connects again after failures.
+
+    It ends by itself after ``IDLE_TIMEOUT_S`` without frames and then calls
+    ``on_end``.
+    """
+
+    def __init__(
+        self,
+        address: str,
+        contexts: tls.TlsContexts | None,
+        on_end: Callable[[], object],
+    ) -> None:
+        self._address = address
+        self._contexts = contexts
+        self._on_end = on_end
+        self._frames: mailbox.Mailbox[_Queued] = mailbox.Mailbox(
+            f'peer {address}', QUEUE_CAPACITY, mailbox.Overflow.DROP_OLDEST
+        )
+        self._loop = asyncio.get_running_loop()
+        self._expired = 0
+        self._ended = False
+        self._task = asyncio.create_task(self._run(), name=f'peer {address}')
+
+    @property
+    def is_ended(self) -> bool:
+        return self._ended
+
+    @property
+    def queue_length(self) -> int:
+        return len(self._frames)
+
+    @property
+    def dropped(self) -> int:
+        return self._frames.dropped + self._expired
+
+    def put(self, frame: bytes) -> None:
+        """Queue a frame, dropping the oldest one when full."""
+        self._frames.put(_Queued(self._loop.time(), frame))
+
+    async def stop(self) -> None:
+        """Close the connection."""
+        self._task.cancel()
+        await asyncio.gather(self._task, return_exceptions=True)
+
+    async def _run(self) -> None:
+        backoff_s = MIN_BACKOFF_S
+        while True:
+            frame = await self._wait_for_frame()
+            if frame is None:
+                break
+            streams = await self._connect()
+            if streams is None:
+                await asyncio.sleep(backoff_s * random.uniform(0.5, 1.0))
+                backoff_s = min(MAX_BACKOFF_S, backoff_s * 2)
+                continue
+            backoff_s = MIN_BACKOFF_S
+            reader, writer = streams
+            try:
+                await self._write_until_closed(reader, writer, frame)
+            finally:
+                # A peer that does not read would hold a graceful close, and
+                # the bytes buffered for it, for ever.
+                writer.transport.abort()
+        self._ended = True
+        self._on_end()
+
+    async def _connect(
+        self,
+    ) -> tuple[asyncio.StreamReader, asyncio.StreamWriter] | None:
+        host, port = settings.parse_address(self._address)
+        try:
+            context = self._contexts and self._contexts.get_client()
+            async with asyncio.timeout(CONNECT_TIMEOUT_S):
+                return await asyncio.open_connection(host, port, ssl=context)
+        except (OSError, TimeoutError) as error:
+            self._log_failure('peer_unreachable', error, logging.DEBUG)
+            return None
+
+    async def _write_until_closed(
+        self,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+        frame: _Queued,
+    ) -> None:
+        """Write frames until either end closes the connection."""
+        writing = asyncio.create_task(self._write_all(writer, frame))
+        # Peers send nothing on this connection, so the first read returns
+        # when they close it; the next frame then goes over a new one.
+        reading = asyncio.create_task(reader.read(1))
+        try:
+            done, _ = await asyncio.wait(
+                (writing, reading), return_when=asyncio.FIRST_COMPLETED
+            )
+        finally:
+            writing.cancel()
+            reading.cancel()
+            await asyncio.gather(writing, reading, return_exceptions=True)
+        for ended in done:
+            error = ended.exception()
+            if error is None:
+                continue
+            if not isinstance(error, (OSError, TimeoutError)):
+                raise error
+            self._log_failure('peer_connection_lost', error, logging.INFO)
+
+    async def _write_all(
+        self, writer: asyncio.StreamWriter, frame: _Queued | None
+    ) -> None:
+        """Write frames; returns after a long time without any."""
+        while frame is not None:
+            if self._is_fresh(frame):
+                writer.write(frame.frame)
+                async with asyncio.timeout(WRITE_TIMEOUT_S):
+                    await writer.drain()
+            frame = await self._wait_for_frame()
+
+    async def _wait_for_frame(self) -> _Queued | None:
+        """Return the next frame, None after a long time without any."""
+        queued = self._frames.get_nowait()
+        if queued is not None:
+            return queued
+        try:
+            async with asyncio.timeout(IDLE_TIMEOUT_S):
+                return await self._frames.get()
+        except TimeoutError:
+            return None
+
+    def _is_fresh(self, queued: _Queued) -> bool:
+        if self._loop.time() - queued.time <= MAX_FRAME_AGE_S:
+            return True
+        self._expired += 1
+        return False
+
+    def _log_failure(
+        self, event: str, error: BaseException, level: int
+    ) -> None:
+        text = str(error) or type(error).__name__
+        LOG.log(
+            level, logs.format_event(event, address=self._address, error=text)
+        )
--- a/orioleshore/protocol/transport.py
+++ b/orioleshore/protocol/transport.py
@@ -1,8 +1,8 @@
 """Tasks that own the connections between the system's processes."""
 
 import asyncio
+import functools
 import logging
-import random
 import socket
 from typing import Any
 
@@ -14,6 +14,7 @@
 from orioleshore.protocol import codec
 from orioleshore.protocol import framing
 from orioleshore.protocol import messages
+from orioleshore.protocol import outgoing
 from orioleshore.protocol import tls
 from orioleshore.tasks import mailbox
 from orioleshore.tasks import task
@@ -22,14 +23,13 @@
 LOG = logging.getLogger(__name__)
 
 MAILBOX_CAPACITY = 4_096
-PEER_CAPACITY = 1_024
-CONNECT_TIMEOUT_S = 1.0
-MIN_BACKOFF_S = 0.05
-MAX_BACKOFF_S = 1.0
-# An idle or cut-off peer must not hold a frame for longer than an election.
-WRITE_TIMEOUT_S = 2.0
 # Time for a new connection to prove itself by its first frame.
 FIRST_FRAME_TIMEOUT_S = 5.0
+# Longer than the sender keeps an idle connection, so that only connections
+# of vanished hosts are closed here.
+IDLE_TIMEOUT_S = 1.5 * outgoing.IDLE_TIMEOUT_S
+# Each process of the system opens one connection.
+MAX_SESSIONS = 1_024
 
 
 class SendTo(msgspec.Struct, frozen=True):
@@ -40,81 +40,10 @@
     correlation: int = 0
 
 
-class _Peer:
-    """One outgoing connection with its bounded queue of frames."""
+class PeerEnded(msgspec.Struct, frozen=True):
+    """The connection to an address was idle for long and is closed."""
 
-    def __init__(self, address: str, contexts: tls.TlsContexts | None) -> None:
-        self._address = address
-        self._contexts = contexts
-        self._frames = mailbox.Mailbox(
-            f'peer {address}', PEER_CAPACITY, mailbox.Overflow.DROP_OLDEST
-        )
-        self._task = asyncio.create_task(self._run(), name=f'peer {address}')
-
-    @property
-    def queue_length(self) -> int:
-        return len(self._frames)
-
-    def put(self, frame: bytes) -> None:
-        """Queue a frame, dropping the oldest one when full."""
-        self._frames.put(frame)
-
-    async def stop(self) -> None:
-        """Close the connection."""
-        self._task.cancel()
-        await asyncio.gather(self._task, return_exceptions=True)
-
-    async def _run(self) -> None:
-        backoff_s = MIN_BACKOFF_S
-        while True:
-            frame = await self._frames.get()
-            writer = await self._connect()
-            if writer is None:
-                await asyncio.sleep(backoff_s * random.uniform(0.5, 1.0))
-                backoff_s = min(MAX_BACKOFF_S, backoff_s * 2)
-                continue
-            backoff_s = MIN_BACKOFF_S
-            try:
-                await self._write_all(writer, frame)
-            finally:
-                writer.close()
-
-    async def _connect(self) -> asyncio.StreamWriter | None:
-        host, port = settings.parse_address(self._address)
-        try:
-            context = self._contexts and self._contexts.get_client()
-            _, writer = await asyncio.wait_for(
-                asyncio.open_connection(host, port, ssl=context),
-                CONNECT_TIMEOUT_S,
-            )
-        except (OSError, TimeoutError) as error:
-            LOG.debug(
-                logs.format_event(
-                    'peer_unreachable', address=self._address, error=error
-                )
-            )
-            return None
-        return writer
-
-    async def _write_all(
-        self, writer: asyncio.StreamWriter, frame: bytes | None
-    ) -> None:
-        """Write frames until the connection fails."""
-        try:
-            while True:
-                while frame is not None:
-                    writer.write(frame)
-                    frame = self._frames.get_nowait()
-                await asyncio.wait_for(writer.drain(), WRITE_TIMEOUT_S)
-                frame = await self._frames.get()
-                if writer.transport.is_closing():
-                    return
-        except (OSError, TimeoutError) as error:
-            LOG.info(
-                logs.format_event(
-                    'peer_connection_lost', address=self._address, error=error
-                )
-            )
+    address: str
 
 
 class Transport(task.Task):
@@ -141,13 +70,16 @@
         self._incarnation = incarnation
         self._contexts = tls.TlsContexts(tls_files) if tls_files else None
         self._receivers: dict[type, mailbox.Mailbox] = {}
-        self._peers: dict[str, _Peer] = {}
+        self._peers: dict[str, outgoing.Connection] = {}
         self._server: asyncio.Server | None = None
         self._sessions: set[asyncio.Task] = set()
         self._received = 0
         self._received_bytes = 0
         self._sent = 0
         self._sent_bytes = 0
+        self._refused = 0
+        # Frames that closed connections dropped.
+        self._dropped = 0
 
     @property
     def address(self) -> str:
@@ -160,6 +92,14 @@
             'received_bytes': self._received_bytes,
             'sent_messages': self._sent,
             'sent_bytes': self._sent_bytes,
+            'refused_connections': self._refused,
+            'outgoing_connections': len(self._peers),
+            'incoming_connections': len(self._sessions),
+            'queued_frames': sum(
+                peer.queue_length for peer in self._peers.values()
+            ),
+            'dropped_frames': self._dropped
+            + sum(peer.dropped for peer in self._peers.values()),
         }
 
     def register(
@@ -179,19 +119,50 @@
         bound = self._server.sockets[0].getsockname()
         self._address = f'{host}:{bound[1]}'
 
-    async def handle(self, message: SendTo) -> None:
-        """Send one message."""
+    async def handle(self, message: Any) -> None:
+        """Send one message, or forget a connection."""
+        _take(message, self)
+
+    def _send(self, message: SendTo) -> None:
         header = messages.Header(
             self._node, self._incarnation, message.correlation, self._address
         )
-        frame = framing.pack_frame(codec.encode(header, message.message))
-        peer = self._peers.get(message.address)
-        if peer is None:
-            peer = _Peer(message.address, self._contexts)
-            self._peers[message.address] = peer
+        try:
+            # Peers name the address for replies, so it may be malformed.
+            settings.parse_address(message.address)
+            frame = framing.pack_frame(codec.encode(header, message.message))
+        except ValueError as error:
+            LOG.error(
+                logs.format_event(
+                    'message_not_sent',
+                    address=message.address,
+                    kind=type(message.message).__name__,
+                    error=error,
+                )
+            )
+            return
         self._sent += 1
         self._sent_bytes += len(frame)
-        peer.put(frame)
+        self._get_peer(message.address).put(frame)
+
+    def _get_peer(self, address: str) -> outgoing.Connection:
+        peer = self._peers.get(address)
+        if peer is not None and not peer.is_ended:
+            return peer
+        self._forget_peer(address)
+        peer = outgoing.Connection(
+            address,
+            self._contexts,
+            lambda: self.mailbox.put(PeerEnded(address)),
+        )
+        self._peers[address] = peer
+        return peer
+
+    def _forget_peer(self, address: str) -> None:
+        peer = self._peers.get(address)
+        if peer is not None and peer.is_ended:
+            self._dropped += peer.dropped
+            del self._peers[address]
 
     async def close(self) -> None:
         """Close all connections."""
@@ -211,6 +182,7 @@
         try:
             failure = await self._read_all(reader, writer)
             if failure.kind is errors.ErrorKind.PROTOCOL_ERROR:
+                self._refused += 1
                 LOG.warning(
                     logs.format_event(
                         'connection_refused',
@@ -222,24 +194,25 @@
             LOG.debug(logs.format_event('connection_closed_by_stop'))
         finally:
             self._sessions.discard(session)
-            writer.close()
+            writer.transport.abort()
 
     async def _read_all(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> errors.Failure:
         """Deliver messages until the connection ends, and say why."""
+        if len(self._sessions) > MAX_SESSIONS:
+            return _refuse(f'{MAX_SESSIONS} connections are open already')
         proven_name = None
         if self._contexts is not None:
             proven_name = tls.get_peer_name(writer.get_extra_info('peercert'))
-        timeout_s: float | None = FIRST_FRAME_TIMEOUT_S
+        timeout_s = FIRST_FRAME_TIMEOUT_S
         while True:
             try:
-                frame = await asyncio.wait_for(
-                    framing.read_frame(reader), timeout_s
-                )
+                async with asyncio.timeout(timeout_s):
+                    frame = await framing.read_frame(reader)
             except TimeoutError:
-                return _refuse('no frame arrived after connecting')
-            timeout_s = None
+                return _refuse(f'no whole frame arrived in {timeout_s:g} s')
+            timeout_s = IDLE_TIMEOUT_S
             outcome = frame.and_then(codec.decode)
             if outcome.is_err():
                 return outcome.unwrap_err()
@@ -271,3 +244,18 @@
 
 def _refuse(message: str) -> errors.Failure:
     return errors.Failure(errors.ErrorKind.PROTOCOL_ERROR, message)
+
+
+@functools.singledispatch
+def _take(message: Any, sender: Transport) -> None:
+    raise TypeError(f'unknown message {type(message).__name__}')
+
+
+@_take.register
+def _(message: SendTo, sender: Transport) -> None:
+    sender._send(message)
+
+
+@_take.register
+def _(message: PeerEnded, sender: Transport) -> None:
+    sender._forget_peer(message.address)
--- a/orioleshore/tests/support.py
+++ b/orioleshore/tests/support.py
@@ -5,10 +5,13 @@
 from collections.abc import Iterable
 import heapq
 import itertools
+import pathlib
 import random
+import subprocess
 import time
 from typing import Any
 
+from orioleshore import settings
 from orioleshore.membership import events as membership_events
 from orioleshore.model import states
 
@@ -182,3 +185,38 @@
         action.subject_address,
         action.peers,
     )
+
+
+def make_authority(folder: pathlib.Path, name: str = 'authority') -> str:
+    """Write a certificate authority for tests; returns its certificate."""
+    _run_openssl(
+        f'req -x509 -newkey ec -pkeyopt ec_paramgen_curve:prime256v1 -nodes '
+        f'-days 2 -subj /CN={name} -keyout {folder}/{name}.key '
+        f'-out {folder}/{name}.crt'
+    )
+    return f'{folder}/{name}.crt'
+
+
+def make_certificate(
+    folder: pathlib.Path, node: str, authority: str = 'authority'
+) -> settings.Tls:
+    """Write a key and its certificate, in place of earlier ones."""
+    path = f'{folder}/{node}'
+    _run_openssl(
+        f'req -newkey ec -pkeyopt ec_paramgen_curve:prime256v1 -nodes '
+        f'-subj /CN={node} -keyout {path}.key -out {path}.csr'
+    )
+    _run_openssl(
+        f'x509 -req -days 2 -in {path}.csr -CAcreateserial '
+        f'-CA {folder}/{authority}.crt -CAkey {folder}/{authority}.key '
+        f'-out {path}.crt'
+    )
+    return settings.Tls(
+        f'{path}.crt', f'{path}.key', f'{folder}/authority.crt'
+    )
+
+
+def _run_openssl(arguments: str) -> None:
+    subprocess.run(
+        ['openssl', *arguments.split()], check=True, capture_output=True
+    )
--- /dev/null
+++ b/orioleshore/tests/test_protocol_transport.py
@@ -0,0 +1,357 @@
+"""Transport between processes, over real sockets on loopback."""
+
+import asyncio
+import contextlib
+import logging
+import random
+import struct
+
+import pytest
+
+from orioleshore.membership import detector
+from orioleshore.membership import gossip
+from orioleshore.membership import packing
+from orioleshore.model import ids
+from orioleshore.model import states
+from orioleshore.protocol import codec
+from orioleshore.protocol import framing
+from orioleshore.protocol import messages
+from orioleshore.protocol import outgoing
+from orioleshore.protocol import transport
+from orioleshore.protocol.gen.wire import ttypes
+from orioleshore.tasks import mailbox
+from orioleshore.tests import builders
+from orioleshore.tests import support
+from orioleshore.timers import clock
+from orioleshore.timers import service
+
+HEADER = messages.Header(ids.NodeId('peer'), ids.Incarnation(1), 0, '')
+
+
+class _Node:
+    """A transport whose received reports land in a box."""
+
+    def __init__(self, name: str, files=None, address: str = '127.0.0.1:0'):
+        self.transport = transport.Transport(
+            ids.NodeId(name), address, ids.Incarnation(1), files
+        )
+        self.box: mailbox.Mailbox = mailbox.Mailbox(name, 4_096)
+        self.transport.register(self.box, messages.VersionReport)
+
+    @property
+    def versions(self) -> list[int]:
+        return [item.message.version for item in self.box._messages]
+
+    def send(self, other: '_Node', version: int) -> None:
+        message = messages.VersionReport(ids.Version(version))
+        address = other.transport.address
+        self.transport.mailbox.put(transport.SendTo(address, message))
+
+    async def wait_for(self, version: int) -> None:
+        await support.wait_until(
+            lambda: version in self.versions, f'version {version}'
+        )
+
+
+@contextlib.asynccontextmanager
+async def _run_nodes(*nodes: _Node):
+    for node in nodes:
+        await node.transport.start()
+    try:
+        yield nodes
+    finally:
+        for node in nodes:
+            await node.transport.stop()
+
+
+def _pack_report(version: int) -> bytes:
+    message = messages.VersionReport(ids.Version(version))
+    return framing.pack_frame(codec.encode(HEADER, message))
+
+
+def _pack_unknown_kind() -> bytes:
+    envelope = ttypes.Envelope(1, 'peer', 1, 999, 0, b'', '')
+    return framing.pack_frame(
+        codec.TSerialization.serialize(envelope, codec._FACTORY)
+    )
+
+
+def _pack_unknown_field() -> bytes:
+    """Return a report with a field 40 before the end of its body."""
+    message = messages.VersionReport(ids.Version(5))
+    wire = codec._to_wire(message)
+    body = codec.TSerialization.serialize(wire, codec._FACTORY)
+    body = body[:-1] + b'\x08\x00\x28\x00\x00\x00\x07' + b'\x00'
+    envelope = ttypes.Envelope(
+        2, 'peer', 1, ttypes.Kind.VERSION_REPORT, 0, body, ''
+    )
+    return framing.pack_frame(
+        codec.TSerialization.serialize(envelope, codec._FACTORY)
+    )
+
+
+BAD_FRAMES = {
+    'oversized': struct.pack('>I', framing.MAX_FRAME_BYTES + 1) + b'x',
+    'malformed': framing.pack_frame(b'\xff' * 50),
+    'empty': framing.pack_frame(b''),
+    'unknown kind': _pack_unknown_kind(),
+}
+
+
+@pytest.mark.parametrize('label', BAD_FRAMES)
+def test_bad_frame_closes_only_its_connection(label, caplog):
+    """Guards against a bad peer that disturbs others or fills the log."""
+
+    async def check():
+        async with _run_nodes(_Node('a'), _Node('b')) as (a, b):
+            b.send(a, 1)
+            await a.wait_for(1)
+            host, port = a.transport.address.split(':')
+            reader, writer = await asyncio.open_connection(host, int(port))
+            writer.write(BAD_FRAMES[label])
+            assert await reader.read() == b''
+            writer.close()
+            b.send(a, 2)
+            await a.wait_for(2)
+            # The same peer talks again over a new connection.
+            _, writer = await asyncio.open_connection(host, int(port))
+            writer.write(_pack_report(3))
+            await a.wait_for(3)
+            writer.close()
+
+    with caplog.at_level(logging.INFO):
+        support.run(check())
+    assert caplog.text.count('event=connection_refused') == 1
+
+
+def test_random_bytes_never_raise():
+    """Guards against frames that stop the process by an exception."""
+    generator = support.get_random()
+    good = _pack_report(1)[4:]
+    for _ in range(3_000):
+        data = bytearray(good)
+        for _ in range(generator.randint(1, 4)):
+            data[generator.randrange(len(data))] = generator.randrange(256)
+        codec.decode(bytes(data[: generator.randint(0, len(data))]))
+
+
+def test_unknown_field_is_skipped():
+    """Guards against a newer process that an older one cannot read."""
+    message = codec.decode(_pack_unknown_field()[4:]).unwrap().message
+    assert message == messages.VersionReport(ids.Version(5))
+
+
+def test_peer_that_never_reads_does_not_block_others(monkeypatch):
+    """Guards against one full socket that stops all sending."""
+    monkeypatch.setattr(outgoing, 'WRITE_TIMEOUT_S', 0.2)
+
+    async def check():
+        async with _run_nodes(_Node('a'), _Node('b')) as (a, b):
+            stuck = asyncio.Event()
+
+            async def accept(reader, writer):
+                writer.transport.pause_reading()
+                await stuck.wait()
+                writer.transport.abort()
+
+            server = await asyncio.start_server(accept, '127.0.0.1', 0)
+            port = server.sockets[0].getsockname()[1]
+            chunk = messages.SnapshotChunk(1, 1, 1, 0, b'x' * 262_144, False)
+            for _ in range(64):
+                a.transport.mailbox.put(
+                    transport.SendTo(f'127.0.0.1:{port}', chunk)
+                )
+            a.send(b, 1)
+            await b.wait_for(1)
+            stuck.set()
+            server.close()
+
+    support.run(check())
+
+
+def test_frames_of_a_long_outage_are_not_sent(monkeypatch):
+    """Guards against old votes and probes that arrive after an outage."""
+    monkeypatch.setattr(outgoing, 'MAX_FRAME_AGE_S', 0.3)
+
+    async def check():
+        async with _run_nodes(_Node('a')) as (a,):
+            b = _Node('b')
+            await b.transport.start()
+            address = b.transport.address
+            await b.transport.stop()
+            for version in range(1, 50):
+                a.send(b, version)
+            await asyncio.sleep(0.4)
+            a.send(b, 100)
+            async with _run_nodes(_Node('b', None, address)) as (again,):
+                await again.wait_for(100)
+                assert again.versions == [100]
+
+    support.run(check())
+
+
+def test_closed_peer_is_noticed_before_the_next_frame():
+    """Guards against the first frame after a restart being lost."""
+
+    async def check():
+        async with _run_nodes(_Node('a')) as (a,):
+            b = _Node('b')
+            await b.transport.start()
+            address = b.transport.address
+            a.send(b, 1)
+            await b.wait_for(1)
+            await b.transport.stop()
+            async with _run_nodes(_Node('b', None, address)) as (again,):
+                await asyncio.sleep(0.1)
+                a.send(again, 2)
+                await again.wait_for(2)
+
+    support.run(check())
+
+
+def test_idle_connection_ends_and_comes_back(monkeypatch):
+    """Guards against a task for each process that ever existed."""
+    monkeypatch.setattr(outgoing, 'IDLE_TIMEOUT_S', 0.1)
+
+    async def check():
+        async with _run_nodes(_Node('a'), _Node('b')) as (a, b):
+            a.send(b, 1)
+            await b.wait_for(1)
+            await support.wait_until(
+                lambda: not a.transport.counters['outgoing_connections'],
+                'the end of the idle connection',
+            )
+            a.send(b, 2)
+            await b.wait_for(2)
+
+    support.run(check())
+
+
+def test_malformed_address_and_large_message_are_dropped(caplog):
+    """Guards against a peer's reply address that stops the process."""
+
+    async def check():
+        async with _run_nodes(_Node('a'), _Node('b')) as (a, b):
+            report = messages.VersionReport(ids.Version(1))
+            a.transport.mailbox.put(transport.SendTo('nowhere', report))
+            large = messages.Propose(b'x' * framing.MAX_FRAME_BYTES)
+            address = b.transport.address
+            a.transport.mailbox.put(transport.SendTo(address, large))
+            a.send(b, 1)
+            await b.wait_for(1)
+
+    support.run(check())
+    assert caplog.text.count('event=message_not_sent') == 2
+
+
+def test_wrong_certificates_are_refused(tmp_path):
+    """Guards against strangers, and nodes under another node's name."""
+    support.make_authority(tmp_path)
+    support.make_authority(tmp_path, 'stranger')
+    files = {
+        node: support.make_certificate(tmp_path, node)
+        for node in ('a', 'b', 'c')
+    }
+    files['d'] = support.make_certificate(tmp_path, 'd', 'stranger')
+
+    async def check():
+        nodes = [
+            _Node('a', files['a']),
+            _Node('b', files['b']),
+            _Node('b', files['c']),
+            _Node('d', files['d']),
+            _Node('e'),
+        ]
+        async with _run_nodes(*nodes) as (a, good, *bad):
+            for version, node in enumerate(bad):
+                node.send(a, version + 10)
+            good.send(a, 1)
+            await a.wait_for(1)
+            await asyncio.sleep(0.3)
+            assert a.versions == [1]
+
+    support.run(check())
+
+
+def test_certificates_are_renewed_without_a_restart(tmp_path):
+    """Guards against a process that serves its first certificate for ever."""
+    support.make_authority(tmp_path)
+    files = {n: support.make_certificate(tmp_path, n) for n in ('a', 'b')}
+
+    async def check():
+        nodes = (_Node('a', files['a']), _Node('b', files['b']))
+        async with _run_nodes(*nodes) as (a, b):
+            b.send(a, 1)
+            await a.wait_for(1)
+            # A new authority, so that no earlier certificate is valid.
+            support.make_authority(tmp_path)
+            for node in ('a', 'b'):
+                support.make_certificate(tmp_path, node)
+            c_files = support.make_certificate(tmp_path, 'c')
+            async with _run_nodes(_Node('c', c_files)) as (c,):
+                c.send(a, 2)
+                await a.wait_for(2)
+                a.send(c, 3)
+                await c.wait_for(3)
+
+    support.run(check())
+
+
+def test_silent_process_is_found_over_sockets():
+    """Guards against a process that sends probes but hears nothing."""
+    period_s = 0.1
+
+    async def check():
+        timers = service.TimerService(clock.SystemClock())
+        await timers.start()
+        nodes = [_Node(f'node-{number}') for number in range(4)]
+        async with _run_nodes(*nodes):
+            tasks = [_make_gossip(node, nodes, timers) for node in nodes]
+            for task in tasks:
+                await task.start()
+            await _wait_for_state(tasks[0], states.PeerState.ALIVE)
+            silent: mailbox.Mailbox = mailbox.Mailbox(
+                'silent', 64, mailbox.Overflow.DROP_OLDEST
+            )
+            nodes[3].transport.register(
+                silent,
+                messages.Probe,
+                messages.ProbeAck,
+                messages.IndirectProbe,
+            )
+            await _wait_for_state(tasks[0], states.PeerState.DEAD)
+            for task in tasks:
+                await task.stop()
+        await timers.stop()
+
+    def _make_gossip(node, nodes, timers):
+        own = builders.build_peer(
+            node.box.name, address=node.transport.address
+        )
+        decisions = detector.Detector(
+            own,
+            (nodes[0].transport.address,),
+            period_s,
+            period_s / 3,
+            packing.get_size,
+            random.Random(own.node),
+        )
+        task = gossip.Gossip(
+            decisions, node.transport.mailbox, timers, (), period_s
+        )
+        node.transport.register(
+            task.mailbox,
+            messages.Probe,
+            messages.ProbeAck,
+            messages.IndirectProbe,
+        )
+        return task
+
+    async def _wait_for_state(task, state):
+        def check_state() -> bool:
+            peer = task._detector.peers.get('node-3')
+            return peer is not None and peer.state is state
+
+        await support.wait_until(check_state, f'node-3 {state.value}')
+
+    support.run(check())
--- a/orioleshore/timers/service.py
+++ b/orioleshore/timers/service.py
@@ -43,7 +43,9 @@
     def __init__(self, source: clock.Clock) -> None:
         self._clock = source
         self._heap: list[tuple[float, int, Subscription]] = []
-        self._active: dict[tuple[str, ids.TimerId], Subscription] = {}
+        self._active: dict[
+            tuple[mailbox.Mailbox, ids.TimerId], Subscription
+        ] = {}
         self._sequence = itertools.count()
         self._changed = asyncio.Event()
         self._loop_task: asyncio.Task | None = None
@@ -66,7 +68,7 @@
 
     def cancel(self, receiver: mailbox.Mailbox, timer: ids.TimerId) -> None:
         """Forget a timer; unknown names are accepted."""
-        subscription = self._active.pop((receiver.name, timer), None)
+        subscription = self._active.pop((receiver, timer), None)
         if subscription is not None:
             subscription.cancelled = True
 
@@ -116,7 +118,7 @@
         self.cancel(receiver, timer)
         due = self._clock.get_monotonic() + delay_s
         subscription = Subscription(timer, receiver, due, interval_s)
-        self._active[(receiver.name, timer)] = subscription
+        self._active[(receiver, timer)] = subscription
         self._push(subscription)
 
     def _push(self, subscription: Subscription) -> None:
@@ -135,9 +137,7 @@
                 )
             )
         if subscription.interval_s is None:
-            self._active.pop(
-                (subscription.receiver.name, subscription.timer), None
-            )
+            self._active.pop((subscription.receiver, subscription.timer), None)
             return
         # A process that was paused gets one firing, not one per interval.
         subscription.due = max(subscription.due + subscription.interval_s, now)
