Fix firings after a pause, refused one-shot timers and heap growth

Cause: a paused process got two firings of an interval at once, a one-shot timer that met a full mailbox was lost, and cancelled timers stayed in the heap until they were due.

Change: the next firing is one interval after a late one, a refused one-shot timer is offered again after 50 ms, and the heap is compacted. The loop waits without a further task for each firing.

--- a/orioleshore/timers/service.py
+++ b/orioleshore/timers/service.py
@@ -15,6 +15,12 @@
 LOG = logging.getLogger(__name__)
 
 MAX_SUBSCRIPTIONS = 4_096
+# Cancelled timers stay in the heap until they are due or outnumber the
+# active ones by this factor.
+COMPACT_FACTOR = 2
+MIN_HEAP = 64
+# Delay after which a full mailbox is offered a one-shot timer again.
+REFUSED_RETRY_S = 0.05
 
 
 class TimerFired(msgspec.Struct, frozen=True):
@@ -92,10 +98,12 @@
 
     async def _run(self) -> None:
         while True:
-            self._changed.clear()
             self.fire_due()
+            # Subscriptions made by now are part of the delay below.
+            self._changed.clear()
             try:
-                await asyncio.wait_for(self._changed.wait(), self._get_delay())
+                async with asyncio.timeout(self._get_delay()):
+                    await self._changed.wait()
             except TimeoutError:
                 continue
 
@@ -124,6 +132,11 @@
     def _push(self, subscription: Subscription) -> None:
         entry = (subscription.due, next(self._sequence), subscription)
         heapq.heappush(self._heap, entry)
+        if len(self._heap) > COMPACT_FACTOR * len(self._active) + MIN_HEAP:
+            self._heap = [
+                entry for entry in self._heap if not entry[2].cancelled
+            ]
+            heapq.heapify(self._heap)
         self._changed.set()
 
     def _fire(self, subscription: Subscription, now: float) -> None:
@@ -131,14 +144,21 @@
         if outcome.is_err():
             LOG.warning(
                 logs.format_event(
-                    'timer_dropped',
+                    'timer_refused',
                     timer=subscription.timer,
                     mailbox=subscription.receiver.name,
                 )
             )
-        if subscription.interval_s is None:
-            self._active.pop((subscription.receiver, subscription.timer), None)
+        if subscription.interval_s is not None:
+            # A paused process gets one firing, not one per interval.
+            due = subscription.due + subscription.interval_s
+            if due <= now:
+                due = now + subscription.interval_s
+            subscription.due = due
+        elif outcome.is_err():
+            # A part may wait for this firing alone, so it is not dropped.
+            subscription.due = now + REFUSED_RETRY_S
+        else:
+            del self._active[(subscription.receiver, subscription.timer)]
             return
-        # A process that was paused gets one firing, not one per interval.
-        subscription.due = max(subscription.due + subscription.interval_s, now)
         self._push(subscription)
