--- a/orioleshore/fleet/planner.py
+++ b/orioleshore/fleet/planner.py
@@ -98,7 +98,13 @@
         if record.state is not states.HostState.SERVING:
             return []
         if host in budgets.get_held_hosts(self._state):
-            return []
+            return self._propose_once(
+                f'enter/{host}',
+                now,
+                commands.StartWaveHost(
+                    time=ids.WallTime(now), wave=wave, host=host
+                ),
+            )
         loss = budgets.find_exceeded(
             self._state, record.pool, (host, *self._get_pending_hosts())
         )
@@ -117,9 +123,6 @@
                 epoch=self._epoch,
                 until=ids.WallTime(now + PERMISSION_S),
             ),
-            commands.StartWaveHost(
-                time=ids.WallTime(now), wave=wave, host=host
-            ),
         ) + [
             events.Record(
                 'host',
--- a/orioleshore/frontends/access.py
+++ b/orioleshore/frontends/access.py
@@ -9,7 +9,7 @@
 
 from aiohttp import web
 
-OPERATOR_KEY = 'operator'
+OPERATOR_KEY = web.RequestKey('operator', str)
 
 
 class Access:
--- a/orioleshore/tests/support.py
+++ b/orioleshore/tests/support.py
@@ -1,9 +1,17 @@
 """Support of all tests: a seed, clocks, and waiting with a limit."""
 
 import asyncio
+import os
+import pathlib
 import random
+import socket
 import time
 
+import yaml
+
+from orioleshore import settings
+from orioleshore.roles import process
+
 SEED = 20_261_204
 WAIT_S = 10.0
 POLL_S = 0.01
@@ -26,3 +34,112 @@
 def run(coroutine) -> None:
     """Run a test coroutine with a limit on its time."""
     asyncio.run(asyncio.wait_for(coroutine, 60.0))
+
+
+GOLDEN = pathlib.Path(__file__).parent / 'golden'
+TOKEN = 'token-of-the-operator-alice'
+UPDATE_VARIABLE = 'ORIOLESHORE_UPDATE_GOLDEN'
+
+
+def compare_golden(name: str, text: str) -> None:
+    """Compare a text with a golden file.
+
+    The environment variable ORIOLESHORE_UPDATE_GOLDEN writes it anew.
+    """
+    path = GOLDEN / name
+    if os.environ.get(UPDATE_VARIABLE):
+        path.write_text(text, 'utf-8')
+    assert text == path.read_text('utf-8')
+
+
+def reserve_addresses(count: int) -> list[str]:
+    """Return loopback addresses whose ports the kernel says are free."""
+    sockets = [socket.socket() for _ in range(count)]
+    for item in sockets:
+        item.bind(('127.0.0.1', 0))
+    addresses = [f'127.0.0.1:{item.getsockname()[1]}' for item in sockets]
+    for item in sockets:
+        item.close()
+    return addresses
+
+
+class Cluster:
+    """Processes of one system in the event loop of a test."""
+
+    def __init__(self, folder: pathlib.Path) -> None:
+        self.folder = folder
+        self.processes: dict[str, process.Process] = {}
+        self._members: dict[str, str] = {}
+        self._token_file = folder / 'token'
+        self._token_file.write_text(TOKEN, 'utf-8')
+
+    async def start(
+        self, control: int, entry: int, platform_url: str | None = None
+    ) -> None:
+        """Start control members and entry hosts."""
+        names = [f'control-{number + 1}' for number in range(control)]
+        self._members = dict(
+            zip(names, reserve_addresses(control), strict=True)
+        )
+        for name in names:
+            await self.start_control(name, platform_url)
+        for number in range(entry):
+            await self.start_entry(f'entry-{number + 1}')
+
+    async def start_control(
+        self, name: str, platform_url: str | None = None
+    ) -> process.Process:
+        """Start one control member, or start it again."""
+        content = {
+            'roles': ['control'],
+            'data_folder': str(self.folder / name),
+            'addresses': {
+                'inner': self._members[name],
+                'operators': '127.0.0.1:0',
+                'health': '127.0.0.1:0',
+            },
+            'control': {
+                'initial_members': self._members,
+                'platform': platform_url,
+            },
+        }
+        return await self._start(name, content)
+
+    async def start_entry(self, name: str) -> process.Process:
+        """Start one entry host."""
+        address = '127.0.0.1:0'
+        content = {
+            'roles': ['entry'],
+            'addresses': {
+                'inner': address,
+                'callers': address,
+                'upstreams': address,
+                'health': address,
+            },
+            'entry': {'drain_notice_s': 0.2},
+        }
+        return await self._start(name, content)
+
+    async def stop(self) -> None:
+        """Stop all processes."""
+        for running in reversed(self.processes.values()):
+            await running.stop()
+
+    def get_url(self, name: str, interface: str) -> str:
+        """Return the base URL of an interface of a process."""
+        return f'http://{self.processes[name].addresses[interface]}'
+
+    async def _start(self, name: str, content: dict) -> process.Process:
+        content = {
+            'node': name,
+            'availability_zone': f'az{len(self.processes) % 3 + 1}',
+            'seeds': list(self._members.values()),
+            'token_files': {'alice': str(self._token_file)},
+            **content,
+        }
+        path = self.folder / f'{name}.yaml'
+        path.write_text(yaml.safe_dump(content), 'utf-8')
+        running = process.Process(settings.read_settings(str(path)).unwrap())
+        (await running.start()).unwrap()
+        self.processes[name] = running
+        return running
--- /dev/null
+++ b/orioleshore/tests/test_model.py
@@ -0,0 +1,58 @@
+"""Documents: differences, and references that do not fit."""
+
+from hypothesis import given
+from hypothesis import settings
+from hypothesis import strategies
+import msgspec
+
+from orioleshore.model import changes
+from orioleshore.model import documents
+from orioleshore.model import ids
+from orioleshore.tests import builders
+
+names = strategies.sets(strategies.integers(0, 8), max_size=6)
+
+
+def build(hosts: set[int], cores: int) -> documents.Document:
+    return documents.Document(
+        pools=(documents.Pool(ids.PoolId('freight')),),
+        hosts=tuple(
+            builders.build_host(f'freight-{number}', cores=float(cores))
+            for number in sorted(hosts)
+        ),
+    )
+
+
+@settings(derandomize=True, max_examples=200)
+@given(names, names, strategies.integers(1, 3), strategies.integers(1, 3))
+def test_delta_leads_to_the_new_document(before, after, old, new):
+    """Guards against deltas that lose, keep or change an item wrongly."""
+    first = build(before, old)
+    second = build(after, new)
+    delta = changes.get_delta(first, second)
+    result = changes.apply_delta(first, delta)
+    assert {h.name: h for h in result.hosts} == {
+        h.name: h for h in second.hosts
+    }
+    assert changes.get_delta(second, result) == ()
+
+
+def test_contradictions_are_all_named():
+    """Guards against references to what does not exist."""
+    document = msgspec.structs.replace(
+        builders.build_document(),
+        hosts=(
+            builders.build_host(pool='nowhere'),
+            builders.build_host(pool='freight'),
+        ),
+        services=(
+            builders.build_service('freight'),
+            builders.build_service(
+                'quotes', pool=ids.PoolId('freight'), brands=('/freight',)
+            ),
+        ),
+    )
+    problems = '\n'.join(documents.find_contradictions(document))
+    assert "$.hosts[0].pool: no pool is named 'nowhere'" in problems
+    assert '$.hosts[1].name' in problems
+    assert "'/freight' belongs to service 'freight'" in problems
