--- a/orioleshore/model/checks.py
+++ b/orioleshore/model/checks.py
@@ -23,7 +23,7 @@
 
 def find_problems(value: Any, wanted: Any, path: str) -> list[str]:
     """Return what is wrong with a value, field by field."""
-    struct = _get_struct(wanted)
+    struct = get_struct(wanted)
     if struct is not None and isinstance(value, dict):
         return _find_field_problems(value, struct, path)
     item = _get_item_type(wanted)
@@ -63,7 +63,8 @@
     return []
 
 
-def _get_struct(wanted: Any) -> type | None:
+def get_struct(wanted: Any) -> type | None:
+    """Return the struct that a type is or may be, None when there is none."""
     for candidate in _get_alternatives(wanted):
         if isinstance(candidate, type) and issubclass(
             candidate, msgspec.Struct
--- a/orioleshore/tests/test_settings.py
+++ b/orioleshore/tests/test_settings.py
@@ -1,8 +1,12 @@
 """Settings: all mistakes of a file are found at once."""
 
+import pathlib
+
+import msgspec
 import yaml
 
 from orioleshore import settings
+from orioleshore.model import checks
 from orioleshore.model import errors
 
 
@@ -77,3 +81,32 @@
     )
     details = read(tmp_path, content).unwrap_err().details
     assert any('election_timeout_s' in line for line in details)
+
+
+def list_keys(struct, defaults, prefix=''):
+    """Return every key with its default; sections are followed."""
+    keys = {}
+    for field in msgspec.structs.fields(struct):
+        name = prefix + field.name
+        default = defaults.get(field.name) if defaults else None
+        section = checks.get_struct(field.type)
+        if section is not None:
+            keys |= list_keys(section, default, f'{name}.')
+        else:
+            keys[name] = default
+    return keys
+
+
+def test_reference_lists_every_key_with_its_default():
+    """Guards against a settings reference that lags behind the code."""
+    path = pathlib.Path(__file__).parent.parent.parent / 'docs/settings.md'
+    rows = {}
+    for line in path.read_text('utf-8').splitlines():
+        if line.startswith('| `'):
+            _, key, default, _, _ = (part.strip() for part in line.split('|'))
+            rows[key.strip('`')] = default.strip('`')
+    expected = list_keys(settings.Settings, settings.DEFAULT_SETTINGS)
+    assert set(rows) == set(expected)
+    for key, default in expected.items():
+        if default is not None:
+            assert yaml.safe_load(rows[key]) == default, key
