--- a/orioleshore/tests/support.py
+++ b/orioleshore/tests/support.py
@@ -22,6 +22,11 @@
     return random.Random(SEED + offset)
 
 
+def get_wall_time() -> float:
+    """Return the real time, for processes that run on the system clock."""
+    return time.time()
+
+
 async def wait_until(check, what: str, limit_s: float = WAIT_S) -> None:
     """Wait until a check returns a true value, or fail."""
     deadline = time.monotonic() + limit_s
