Check the promises under kills and freezes of separate processes

One test kills or freezes one of three control members and two entry hosts at a time, six times, while operators change the document and callers send each quote through both entry hosts.

--- a/orioleshore/tests/support.py
+++ b/orioleshore/tests/support.py
@@ -36,9 +36,9 @@
         await asyncio.sleep(POLL_S)
 
 
-def run(coroutine) -> None:
+def run(coroutine, limit_s: float = 60.0) -> None:
     """Run a test coroutine with a limit on its time."""
-    asyncio.run(asyncio.wait_for(coroutine, 60.0))
+    asyncio.run(asyncio.wait_for(coroutine, limit_s))
 
 
 GOLDEN = pathlib.Path(__file__).parent / 'golden'
--- /dev/null
+++ b/orioleshore/tests/test_faults.py
@@ -0,0 +1,220 @@
+"""Kills, freezes and stops of separate processes under load.
+
+The order of the faults comes from the stated seed. Whatever the timing,
+the promises to callers and operators must hold, and they are checked at
+the fakes: what ran, how often, and what each caller was told.
+"""
+
+import asyncio
+import json
+import time
+
+import aiohttp
+import msgspec
+
+from fakes import upstream
+from orioleshore.model import documents
+from orioleshore.model import ids
+from orioleshore.tests import builders
+from orioleshore.tests import support
+from scripts import fleet
+
+HEADERS = {'Authorization': f'Bearer {fleet.TOKEN}'}
+FAULTS = 6
+PAUSE_S = 2.5
+CALL_TIMEOUT_S = 20.0
+
+
+class Load:
+    """Callers and operators, and what each of them was told."""
+
+    def __init__(self, running: fleet.Fleet) -> None:
+        self.fleet = running
+        self.random = support.get_random()
+        self.acknowledged: list[str] = []
+        self.answers: dict[str, list[tuple[int, str, str]]] = {}
+        self.stopping = False
+        self.client: aiohttp.ClientSession | None = None
+        self._version = 0
+
+    async def submit_changes(self) -> None:
+        """Add one pool after the other, repeating lost answers."""
+        number = 0
+        while not self.stopping:
+            number += 1
+            name = f'pool-{number}'
+            if await self._submit(number, name):
+                self.acknowledged.append(name)
+
+    async def send_quotes(self, worker: int) -> None:
+        """Send each request through two entry hosts, at the same time."""
+        number = 0
+        while not self.stopping:
+            number += 1
+            key = f'{int(time.time())}-quote-{worker:02d}-{number:06d}'
+            urls = list(self.fleet.callers.values())
+            self.random.shuffle(urls)
+            self.answers[key] = []
+            await asyncio.gather(*(self._send_quote(url, key) for url in urls))
+
+    async def get_document(self) -> dict:
+        """Return the document from any control member that answers."""
+        deadline = time.monotonic() + CALL_TIMEOUT_S
+        while time.monotonic() < deadline:
+            for url in self.fleet.operators.values():
+                try:
+                    async with self.client.get(
+                        f'{url}/v1/document', headers=HEADERS
+                    ) as response:
+                        if response.status == 200:
+                            return await response.json()
+                except (aiohttp.ClientError, TimeoutError):
+                    continue
+            await asyncio.sleep(0.1)
+        raise AssertionError('no control member gives the document')
+
+    async def _submit(self, number: int, name: str) -> bool:
+        operation_id = builders.build_operation_id(number, time.time())
+        current = await self.get_document()
+        document = current['document']
+        document['pools'].append({'name': name})
+        content = {
+            'base_version': current['version'],
+            'operation_id': operation_id,
+            'document': document,
+        }
+        deadline = time.monotonic() + CALL_TIMEOUT_S
+        while time.monotonic() < deadline:
+            for url in self.fleet.operators.values():
+                answer = await self._post(f'{url}/v1/document', content)
+                if answer is not None:
+                    return answer
+        raise AssertionError(f'change {name} got no answer')
+
+    async def _post(self, url: str, content: dict) -> bool | None:
+        """Return whether a change was accepted, None when not known."""
+        try:
+            async with self.client.post(
+                url, json=content, headers=HEADERS
+            ) as response:
+                status = response.status
+        except (aiohttp.ClientError, TimeoutError):
+            return None
+        assert status in (200, 503, 504), status
+        return True if status == 200 else None
+
+    async def _send_quote(self, url: str, key: str) -> None:
+        try:
+            async with self.client.post(
+                f'{url}/freight/quote',
+                data=key,
+                headers={
+                    'Idempotency-Key': key,
+                    'Orioleshore-Deadline-Ms': '4000',
+                },
+            ) as response:
+                text = await response.text()
+                ran = response.headers.get('Orioleshore-Ran', '')
+                self.answers[key].append((response.status, ran, text))
+        except (aiohttp.ClientError, TimeoutError):
+            self.answers[key].append((0, 'unknown', ''))
+
+
+async def inject_faults(running: fleet.Fleet, randomness) -> None:
+    """Kill or freeze one process at a time, and bring it back."""
+    for _ in range(FAULTS):
+        names = [n for n in running.processes if n != 'platform']
+        name = randomness.choice(sorted(names))
+        if randomness.random() < 0.5:
+            running.kill(name)
+            await asyncio.sleep(randomness.uniform(0.1, 1.5))
+            running.start_node(name)
+        else:
+            running.pause(name)
+            await asyncio.sleep(PAUSE_S)
+            running.resume(name)
+        await asyncio.sleep(1.0)
+
+
+def check_answers(load: Load, upstreams: list) -> dict[str, int]:
+    """Check what every caller was told against what ran."""
+    told = {'answered': 0, 'no': 0, 'unknown': 0}
+    for key, answers in load.answers.items():
+        runs = sum(item.runs[key] for item in upstreams)
+        assert runs <= 1, f'{key} ran {runs} times: {answers}'
+        whole = {text for status, _, text in answers if status == 200}
+        assert len(whole) <= 1, f'{key}: copies got different answers'
+        for text in whole:
+            assert json.loads(text)['body'] == key
+        told['answered'] += bool(whole)
+        if answers and all(ran == 'no' for _, ran, _ in answers):
+            told['no'] += 1
+            assert runs == 0, f'{key} ran, and callers were told "no"'
+        elif not whole:
+            told['unknown'] += 1
+    return told
+
+
+async def start(running: fleet.Fleet, load: Load) -> list:
+    """Start all processes and upstreams, and apply the first document."""
+    running.start_platform()
+    for name in (*running.operators, *running.callers):
+        running.start_node(name)
+    upstreams = []
+    for position in range(3):
+        item = upstream.FakeUpstream(
+            'freight', list(running.upstreams.values()), f'az{position + 1}'
+        )
+        await item.start()
+        item.delay_s = 0.02
+        upstreams.append(item)
+    await load.get_document()
+    content = {
+        'base_version': 0,
+        'operation_id': builders.build_operation_id(0, time.time()),
+        'document': msgspec.to_builtins(
+            documents.Document(
+                pools=(documents.Pool(ids.PoolId('freight')),),
+                services=(builders.build_service(),),
+            )
+        ),
+    }
+    url = next(iter(running.operators.values()))
+    assert await load._post(f'{url}/v1/document', content)
+    return upstreams
+
+
+async def run_with_faults(folder) -> None:
+    running = fleet.Fleet(folder)
+    running.prepare(control=3, entry=2)
+    load = Load(running)
+    timeout = aiohttp.ClientTimeout(total=CALL_TIMEOUT_S)
+    load.client = aiohttp.ClientSession(timeout=timeout)
+    upstreams = []
+    try:
+        upstreams = await start(running, load)
+        workers = [
+            asyncio.create_task(load.submit_changes()),
+            *(asyncio.create_task(load.send_quotes(n)) for n in range(4)),
+        ]
+        await inject_faults(running, support.get_random(1))
+        load.stopping = True
+        await asyncio.gather(*workers)
+        told = check_answers(load, upstreams)
+        pools = [
+            pool['name']
+            for pool in (await load.get_document())['document']['pools']
+        ]
+        assert told['answered'] > 20, told
+        assert pools == ['freight', *load.acknowledged], 'changes were lost'
+        assert load.acknowledged
+    finally:
+        for item in upstreams:
+            await item.stop()
+        await load.client.close()
+        running.stop()
+
+
+def test_promises_hold_under_kills_and_freezes(tmp_path):
+    """Guards against lost changes, double runs and wrong "not run"."""
+    support.run(run_with_faults(tmp_path), limit_s=120.0)
--- a/scripts/fleet.py
+++ b/scripts/fleet.py
@@ -80,6 +80,14 @@
         process.kill()
         process.wait()
 
+    def pause(self, name: str) -> None:
+        """Freeze a process, as a long pause of its host does."""
+        self.processes[name].send_signal(signal.SIGSTOP)
+
+    def resume(self, name: str) -> None:
+        """Let a frozen process go on."""
+        self.processes[name].send_signal(signal.SIGCONT)
+
     def stop(self) -> list[str]:
         """Stop all processes; return those that had to be killed."""
         stubborn = []
