--- a/orioleshore/tests/test_membership_detector.py
+++ b/orioleshore/tests/test_membership_detector.py
@@ -9,6 +9,7 @@
 from orioleshore.protocol import codec
 from orioleshore.protocol import messages
 from orioleshore.tests import builders
+from orioleshore.tests import membership_network
 from orioleshore.tests import support
 
 ALIVE = states.PeerState.ALIVE
@@ -19,13 +20,13 @@
 
 def _make_network(
     count: int, seed: int = 1, loss: float = 0.0
-) -> support.MembershipNetwork:
+) -> membership_network.MembershipNetwork:
     def make(node: str, run: int):
         seeds = ('node-0', 'node-1')
         return builders.build_detector(node, run, seeds, seed)
 
     random = support.get_random(seed)
-    network = support.MembershipNetwork(make, count, random, loss)
+    network = membership_network.MembershipNetwork(make, count, random, loss)
     network.run(SETTLE_S)
     return network
 
