Check the replicated log with random schedules, and split it by concern

Cause: nothing checked raft.py under faults.

Faults found and removed: - A member with a fresh disk kept the progress of its lost one, so it was promoted while empty, and could never catch up. - A blank member refused every batch that held an older list of members. - A blank member with its own files refused a candidate with a log; one lost disk could stop a new group. Stamps already tell lost files apart. - A voter refused a candidate that its older list did not name, although no other candidate had a complete log. - A granted vote did not count as support, and a new leader timed its contact from the election instead of the request, so two leaders of different terms could overlap. Old rounds were searched at each read. - Log.get_entries sliced from the wrong end for a range below the log.

The leader replaces a member that answers with other files by a learner, and refuses a change that would leave it without a quorum.

--- /dev/null
+++ b/orioleshore/consensus/group.py
@@ -0,0 +1,126 @@
+"""Changes of the group, one at a time, each as one log entry."""
+
+import msgspec
+
+from orioleshore.consensus import core
+from orioleshore.consensus import events
+from orioleshore.consensus import log
+from orioleshore.consensus import replication
+from orioleshore.model import errors
+from orioleshore.model import ids
+
+# A learner becomes a voter once it lacks at most this many entries.
+PROMOTE_LAG_ENTRIES = 64
+
+
+def change_members(
+    member: core.Core, request: events.MembersChangeRequested
+) -> None:
+    """Add a learner, remove a member, or both in one entry."""
+    refusal = _find_refusal(member, request)
+    if refusal is not None:
+        member.refuse(request.token, refusal)
+        return
+    changed = _get_changed(member, request)
+    if not _keeps_quorum(member, changed):
+        member.refuse(request.token, errors.ErrorKind.NO_QUORUM)
+        return
+    index = _append_members(member, changed)
+    member.actions.append(events.Accepted(request.token, index, member.term))
+
+
+def maintain(member: core.Core) -> None:
+    """Replace members that lost their files, and promote learners."""
+    if member.mismatches and _may_change(member):
+        _replace_lost(member)
+    if _may_change(member):
+        _promote_learner(member)
+
+
+def _find_refusal(
+    member: core.Core, request: events.MembersChangeRequested
+) -> errors.ErrorKind | None:
+    if not member.is_leader:
+        return errors.ErrorKind.NOT_LEADER
+    if not _may_change(member):
+        return errors.ErrorKind.OVERLOADED
+    if request.remove and member.get_member(request.remove) is None:
+        return errors.ErrorKind.NOT_FOUND
+    known = request.add and member.get_member(request.add.name)
+    if known and known.stamp == request.add.stamp:
+        return errors.ErrorKind.ILLEGAL_TRANSITION
+    return None
+
+
+def _get_changed(
+    member: core.Core, request: events.MembersChangeRequested
+) -> list[events.Member]:
+    gone = {request.remove}
+    added = []
+    if request.add is not None:
+        gone.add(request.add.name)
+        # Only the leader promotes, after it has seen the copy.
+        added.append(msgspec.structs.replace(request.add, voter=False))
+    kept = [m for m in member.get_members() if m.name not in gone]
+    return [*kept, *added]
+
+
+def _may_change(member: core.Core) -> bool:
+    """Allow one change at a time, and only in an established term."""
+    return (
+        member.is_leader
+        and member.members is not None
+        and member.log.find_last_members_index() <= member.commit_index
+        and member.log.get_term(member.commit_index) == member.term
+    )
+
+
+def _keeps_quorum(member: core.Core, changed: list[events.Member]) -> bool:
+    """Check that the changed group could commit its own change now."""
+    voters = [m for m in changed if m.voter]
+    return bool(voters) and member.get_lease_end(voters) >= member.now
+
+
+def _replace_lost(member: core.Core) -> None:
+    name, stamp = member.mismatches.popitem()
+    listed = member.get_member(name)
+    if listed is None or listed.stamp == stamp:
+        return
+    learner = msgspec.structs.replace(listed, stamp=stamp, voter=False)
+    changed = _replace(member, learner)
+    if _keeps_quorum(member, changed):
+        _append_members(member, changed)
+
+
+def _promote_learner(member: core.Core) -> None:
+    for listed in member.get_members():
+        if not listed.voter and _has_caught_up(member, listed.name):
+            voter = msgspec.structs.replace(listed, voter=True)
+            _append_members(member, _replace(member, voter))
+            return
+
+
+def _has_caught_up(member: core.Core, name: ids.NodeId) -> bool:
+    progress = member.progress.get(name)
+    if progress is None or not progress.match_index:
+        return False
+    silence_s = member.now - progress.contact
+    if silence_s > member.config.election_timeout_s:
+        return False
+    lag = member.log.last_index - progress.match_index
+    return lag <= PROMOTE_LAG_ENTRIES
+
+
+def _replace(member: core.Core, changed: events.Member) -> list[events.Member]:
+    others = [m for m in member.get_members() if m.name != changed.name]
+    return [*others, changed]
+
+
+def _append_members(
+    member: core.Core, members: list[events.Member]
+) -> ids.LogIndex:
+    ordered = tuple(sorted(members, key=lambda listed: listed.name))
+    data = log.encode_members(events.Members(ordered))
+    index = replication.append_entry(member, events.EntryKind.MEMBERS, data)
+    replication.replicate(member)
+    return index
--- a/orioleshore/consensus/log.py
+++ b/orioleshore/consensus/log.py
@@ -73,7 +73,8 @@
     def get_entries(self, first: int, last: int) -> tuple[messages.Entry, ...]:
         """Return the entries from ``first`` to ``last``, both included."""
         start = max(0, first - self.first_index)
-        return tuple(self._entries[start : last - self.first_index + 1])
+        end = max(0, last - self.first_index + 1)
+        return tuple(self._entries[start:end])
 
     def append(self, entries: Sequence[messages.Entry]) -> None:
         """Add entries, replacing all from the index of the first one."""
--- /dev/null
+++ b/orioleshore/consensus/replication.py
@@ -0,0 +1,264 @@
+"""Replication at the leader: appends, commit index, proposals, reads."""
+
+from orioleshore.consensus import core
+from orioleshore.consensus import events
+from orioleshore.consensus import snapshots
+from orioleshore.model import errors
+from orioleshore.model import ids
+from orioleshore.protocol import messages
+
+MAX_ENTRIES_PER_APPEND = 256
+MAX_BYTES_PER_APPEND = 524_288
+# Rounds older than this many election timeouts are of no use.
+ROUND_MEMORY_TIMEOUTS = 10
+
+
+def broadcast_when_due(member: core.Core) -> None:
+    """Send heartbeats at their interval."""
+    if member.now >= member.broadcast_due:
+        broadcast(member)
+
+
+def broadcast(member: core.Core) -> None:
+    """Start a round: send an append, if only a heartbeat, to all."""
+    member.round += 1
+    member.round_sent[member.round] = member.now
+    _forget_old_rounds(member)
+    member.broadcast_due = member.now + member.config.heartbeat_s
+    for name in member.get_peer_addresses():
+        _send_append(member, name, force=True)
+    advance_commit(member)
+
+
+def replicate(member: core.Core) -> None:
+    """Send new entries to all followers that wait for none."""
+    for name in member.get_peer_addresses():
+        _send_append(member, name, force=False)
+    advance_commit(member)
+
+
+def append_entry(
+    member: core.Core, kind: events.EntryKind, data: bytes
+) -> ids.LogIndex:
+    """Append an entry of the own term; it is not committed yet."""
+    index = ids.LogIndex(member.log.last_index + 1)
+    entry = messages.Entry(index, member.term, kind, data)
+    member.log.append((entry,))
+    if kind is events.EntryKind.MEMBERS:
+        member.use_newest_members()
+    member.persist((entry,))
+    return index
+
+
+def propose(member: core.Core, request: events.ProposeRequested) -> None:
+    """Append a command, or refuse it at a member that does not lead."""
+    if not member.is_leader:
+        member.refuse(request.token, errors.ErrorKind.NOT_LEADER)
+        return
+    index = append_entry(member, events.EntryKind.COMMAND, request.data)
+    member.actions.append(events.Accepted(request.token, index, member.term))
+    replicate(member)
+
+
+def read(member: core.Core, request: events.ReadRequested) -> None:
+    """Answer a read once a later round proves that this member leads."""
+    if not member.is_leader:
+        member.refuse(request.token, errors.ErrorKind.NOT_LEADER)
+        return
+    if member.log.get_term(member.commit_index) != member.term:
+        # Before its barrier is committed, a new leader does not know
+        # which entries of its predecessors are committed.
+        member.refuse(request.token, errors.ErrorKind.NO_QUORUM)
+        return
+    member.reads.append(
+        core.PendingRead(request.token, member.commit_index, member.round + 1)
+    )
+    broadcast(member)
+    _answer_reads(member)
+
+
+def take_persisted(member: core.Core, event: events.Persisted) -> None:
+    """Count the own copy of entries that are synced now."""
+    if member.log.get_term(event.index) != event.term:
+        return
+    member.persisted_index = max(member.persisted_index, event.index)
+    if member.is_leader:
+        advance_commit(member)
+
+
+def take_append_reply(
+    member: core.Core, sender: ids.NodeId, reply: messages.AppendReply
+) -> None:
+    """Learn how far a follower follows, and send what it lacks."""
+    if reply.term > member.term:
+        member.follow_newer_term(reply.term)
+        return
+    if not member.is_leader or reply.term != member.term:
+        return
+    if not member.has_expected_stamp(sender, reply.stamp):
+        return
+    progress = member.progress[sender]
+    _take_round(member, progress, reply.round)
+    if reply.success:
+        _take_match(progress, reply.match_index)
+    else:
+        progress.in_flight = None
+        known = max(progress.match_index, reply.match_index)
+        progress.next_index = min(progress.next_index, known + 1)
+    advance_commit(member)
+    _answer_reads(member)
+    _send_append(member, sender, force=False)
+
+
+def take_snapshot_reply(
+    member: core.Core, sender: ids.NodeId, reply: messages.SnapshotReply
+) -> None:
+    """Send the part of a snapshot that a follower asks for."""
+    if reply.term > member.term:
+        member.follow_newer_term(reply.term)
+        return
+    if not member.is_leader or reply.term != member.term:
+        return
+    if not member.has_expected_stamp(sender, reply.stamp):
+        return
+    snapshots.continue_transfer(member, sender, reply)
+
+
+def advance_commit(member: core.Core) -> None:
+    """Commit what a quorum has synced, if it reaches the own term."""
+    if not member.is_leader or member.members is None:
+        return
+    candidate = member.get_quorum_value(
+        lambda progress: progress.match_index, member.persisted_index
+    )
+    if member.log.get_term(candidate) != member.term:
+        return
+    if commit(member, candidate):
+        _step_down_when_removed(member)
+
+
+def commit(member: core.Core, index: int) -> bool:
+    """Apply all entries up to an index; return whether it is new."""
+    index = min(index, member.log.last_index)
+    if index <= member.commit_index:
+        return False
+    entries = member.log.get_entries(member.applied_index + 1, index)
+    member.commit_index = ids.LogIndex(index)
+    member.applied_index = ids.LogIndex(index)
+    member.actions.append(events.Apply(entries))
+    return True
+
+
+def step_down_without_quorum(member: core.Core) -> None:
+    """Stop to lead when a quorum may support another member by now."""
+    if member.is_leader and member.now > member.get_lease_end():
+        member.step_down()
+
+
+def _step_down_when_removed(member: core.Core) -> None:
+    if member.log.find_last_members_index() > member.commit_index:
+        return
+    if member.may_campaign():
+        return
+    # The others learn that the removal is committed and elect a leader.
+    for name in member.get_peer_addresses():
+        _send_append(member, name, force=True)
+    member.step_down()
+
+
+def _take_round(
+    member: core.Core, progress: core.Progress, number: int
+) -> None:
+    sent = member.round_sent.get(number, core.NEVER)
+    progress.contact = max(progress.contact, sent)
+    progress.acknowledged_round = max(progress.acknowledged_round, number)
+
+
+def _take_match(progress: core.Progress, match_index: int) -> None:
+    progress.match_index = max(progress.match_index, match_index)
+    progress.next_index = max(progress.next_index, progress.match_index + 1)
+    transfer = progress.transfer
+    if transfer and progress.match_index >= transfer.last_index:
+        progress.transfer = None
+    in_flight = progress.in_flight
+    if in_flight is not None and progress.match_index >= in_flight:
+        progress.in_flight = None
+
+
+def _answer_reads(member: core.Core) -> None:
+    if not member.is_leader:
+        return
+    reached = member.get_quorum_value(
+        lambda progress: progress.acknowledged_round, member.round
+    )
+    waiting = []
+    for pending in member.reads:
+        if pending.round <= reached:
+            member.actions.append(
+                events.ReadReady(pending.token, pending.index)
+            )
+        else:
+            waiting.append(pending)
+    member.reads = waiting
+
+
+def _forget_old_rounds(member: core.Core) -> None:
+    memory_s = ROUND_MEMORY_TIMEOUTS * member.config.election_timeout_s
+    while True:
+        oldest = next(iter(member.round_sent))
+        if member.round_sent[oldest] >= member.now - memory_s:
+            return
+        del member.round_sent[oldest]
+
+
+def _send_append(member: core.Core, name: ids.NodeId, force: bool) -> None:
+    """Send what a follower lacks; a heartbeat when ``force`` is set."""
+    progress = member.progress.get(name)
+    if progress is None:
+        return
+    if progress.transfer or progress.next_index < member.log.first_index:
+        if force:
+            _send_heartbeat(member, name)
+        snapshots.send_transfer(member, name, progress)
+        return
+    lost_after_s = 2 * member.config.heartbeat_s
+    lost = member.now - progress.appended_at > lost_after_s
+    entries: tuple[messages.Entry, ...] = ()
+    if progress.in_flight is None or lost:
+        entries = _get_batch(member, progress.next_index)
+    if not entries and not force:
+        return
+    previous = progress.next_index - 1
+    append = messages.Append(
+        member.term,
+        ids.LogIndex(previous),
+        member.log.get_term(previous),
+        entries,
+        member.commit_index,
+        member.round,
+    )
+    member.send(name, append)
+    if entries:
+        progress.in_flight = entries[-1].index
+        progress.appended_at = member.now
+
+
+def _send_heartbeat(member: core.Core, name: ids.NodeId) -> None:
+    """Send an append that every follower can accept."""
+    start = ids.LogIndex(0)
+    heartbeat = messages.Append(
+        member.term, start, ids.Term(0), (), start, member.round
+    )
+    member.send(name, heartbeat)
+
+
+def _get_batch(member: core.Core, first: int) -> tuple[messages.Entry, ...]:
+    candidates = member.log.get_entries(
+        first, first + MAX_ENTRIES_PER_APPEND - 1
+    )
+    size = 0
+    for count, entry in enumerate(candidates):
+        size += len(entry.data)
+        if size > MAX_BYTES_PER_APPEND and count:
+            return candidates[:count]
+    return candidates
--- /dev/null
+++ b/orioleshore/consensus/snapshots.py
@@ -0,0 +1,102 @@
+"""Snapshots: their encoding, and their transfer to a follower in parts."""
+
+import msgspec
+
+from orioleshore.consensus import core
+from orioleshore.consensus import events
+from orioleshore.model import ids
+from orioleshore.protocol import messages
+
+
+def encode_snapshot(snapshot: events.Snapshot) -> bytes:
+    """Return a snapshot as it travels and as it is stored."""
+    return msgspec.msgpack.encode(snapshot)
+
+
+def decode_snapshot(data: bytes) -> events.Snapshot:
+    """Return the snapshot that was encoded."""
+    return msgspec.msgpack.decode(data, type=events.Snapshot)
+
+
+def send_transfer(
+    member: core.Core, name: ids.NodeId, progress: core.Progress
+) -> None:
+    """Start a transfer, or repeat a part whose answer is overdue."""
+    if progress.transfer is None:
+        snapshot = member.log.snapshot
+        # One encoded snapshot is sent to its end, even when this member
+        # takes a newer one meanwhile: parts of two must not be mixed.
+        progress.transfer = core.Transfer(
+            snapshot.last_index, snapshot.last_term, encode_snapshot(snapshot)
+        )
+    lost_after_s = 2 * member.config.heartbeat_s
+    if member.now - progress.transfer.sent_at > lost_after_s:
+        _send_part(member, name, progress.transfer)
+
+
+def continue_transfer(
+    member: core.Core, name: ids.NodeId, reply: messages.SnapshotReply
+) -> None:
+    """Send the part that a follower asks for, unless it is under way."""
+    transfer = member.progress[name].transfer
+    if transfer is None or transfer.last_index != reply.last_index:
+        return
+    if transfer.offset == reply.next_offset:
+        return
+    transfer.offset = reply.next_offset
+    _send_part(member, name, transfer)
+
+
+def take_chunk(
+    member: core.Core, sender: ids.NodeId, chunk: messages.SnapshotChunk
+) -> events.Snapshot | None:
+    """Add a part; return the snapshot when it is whole."""
+    incoming = member.incoming
+    if incoming is None or not _belongs_to(chunk, incoming, sender):
+        incoming = core.Incoming(
+            sender, chunk.term, chunk.last_index, chunk.last_term, bytearray()
+        )
+        member.incoming = incoming
+    if chunk.offset == len(incoming.data):
+        incoming.data += chunk.data
+        if chunk.done:
+            member.incoming = None
+            return decode_snapshot(bytes(incoming.data))
+    reply = messages.SnapshotReply(
+        member.term,
+        chunk.last_index,
+        len(incoming.data),
+        member.config.stamp,
+    )
+    member.send(sender, reply)
+    return None
+
+
+def _belongs_to(
+    chunk: messages.SnapshotChunk,
+    incoming: core.Incoming,
+    sender: ids.NodeId,
+) -> bool:
+    """Check the origin, too: two leaders may encode a state differently."""
+    return (
+        incoming.leader == sender
+        and incoming.term == chunk.term
+        and incoming.last_index == chunk.last_index
+        and incoming.last_term == chunk.last_term
+    )
+
+
+def _send_part(
+    member: core.Core, name: ids.NodeId, transfer: core.Transfer
+) -> None:
+    end = transfer.offset + member.config.chunk_bytes
+    chunk = messages.SnapshotChunk(
+        member.term,
+        transfer.last_index,
+        transfer.last_term,
+        transfer.offset,
+        transfer.data[transfer.offset : end],
+        end >= len(transfer.data),
+    )
+    transfer.sent_at = member.now
+    member.send(name, chunk)
--- a/orioleshore/consensus/storage.py
+++ b/orioleshore/consensus/storage.py
@@ -13,8 +13,8 @@
 
 from orioleshore.consensus import events
 from orioleshore.consensus import log
-from orioleshore.consensus import raft
 from orioleshore.consensus import records
+from orioleshore.consensus import snapshots
 from orioleshore.model import errors
 from orioleshore.protocol import messages
 
@@ -136,7 +136,8 @@
         self._create_file(
             f'snapshot-{index:020d}',
             records.pack_record(
-                records.RecordType.SNAPSHOT, raft.encode_snapshot(snapshot)
+                records.RecordType.SNAPSHOT,
+                snapshots.encode_snapshot(snapshot),
             ),
         )
         parts = [_pack_hard_state(self._hard_state)]
@@ -215,7 +216,7 @@
         )
         if record is None:
             return self._fail_damaged(f'{names[-1]} has a wrong checksum')
-        return Ok(raft.decode_snapshot(record.payload))
+        return Ok(snapshots.decode_snapshot(record.payload))
 
     def _load_segment(
         self, stamp: str, snapshot: events.Snapshot | None
--- a/orioleshore/tests/builders.py
+++ b/orioleshore/tests/builders.py
@@ -1,10 +1,16 @@
 """Builders of test data."""
 
+import random
+
+from orioleshore.consensus import events as consensus_events
+from orioleshore.consensus import log
+from orioleshore.consensus import raft
 from orioleshore.model import announcements
 from orioleshore.model import changes
 from orioleshore.model import documents
 from orioleshore.model import ids
 from orioleshore.model import states
+from orioleshore.protocol import messages
 from orioleshore.routing import events as routing_events
 from orioleshore.state import commands
 from orioleshore.state import machine
@@ -135,3 +141,55 @@
     return routing_events.RequestInfo(
         request=ids.RequestId(f'request-{number}'), **{**defaults, **fields}
     )
+
+
+def build_entry(index: int, term: int = 1, **fields) -> messages.Entry:
+    """Return a log entry that holds a command."""
+    defaults = {
+        'kind': consensus_events.EntryKind.COMMAND,
+        'data': f'command-{index}'.encode(),
+    }
+    return messages.Entry(
+        ids.LogIndex(index), ids.Term(term), **{**defaults, **fields}
+    )
+
+
+def build_members(*names: str) -> consensus_events.Members:
+    """Return a group of voters with their first files."""
+    return consensus_events.Members(
+        tuple(
+            consensus_events.Member(
+                ids.NodeId(name), f'{name}:1', f'{name}-0', True
+            )
+            for name in names
+        )
+    )
+
+
+def build_raft(
+    name: str = 'm0', terms: tuple[int, ...] = (1,), now: float = 100.0
+) -> raft.Raft:
+    """Return a member of a group of three with an entry for each term.
+
+    The first entry founds the group of m0, m1 and m2.
+    """
+    group = build_members('m0', 'm1', 'm2')
+    founding = build_entry(
+        1,
+        terms[0],
+        kind=consensus_events.EntryKind.MEMBERS,
+        data=log.encode_members(group),
+    )
+    entries = [build_entry(n, t) for n, t in enumerate(terms[1:], 2)]
+    return raft.Raft(
+        raft.Config(
+            ids.NodeId(name),
+            f'{name}:1',
+            f'{name}-0',
+            {member.name: member.address for member in group.members},
+        ),
+        consensus_events.HardState(ids.Term(terms[-1])),
+        log.Log(None, (founding, *entries)),
+        random.Random(1),
+        now,
+    )
--- /dev/null
+++ b/orioleshore/tests/consensus_simulation.py
@@ -0,0 +1,426 @@
+"""A simulated group of members: network, disks and time from a counter."""
+
+import heapq
+import itertools
+import random
+from typing import Any
+
+import msgspec
+
+from orioleshore.consensus import events
+from orioleshore.consensus import log
+from orioleshore.consensus import raft
+from orioleshore.model import ids
+from orioleshore.model import states
+from orioleshore.protocol import messages
+
+TICK_S = 0.05
+SYNC_S = (0.0005, 0.02)
+# Small, so that leaders change in the middle of a snapshot.
+CHUNK_BYTES = 600
+# Clocks of two members differ by at most this fraction.
+MAX_DRIFT = 0.02
+
+
+class Disk(msgspec.Struct):
+    """What a member has synced."""
+
+    stamp: str
+    hard_state: events.HardState = events.HardState()
+    snapshot: events.Snapshot | None = None
+    entries: list[messages.Entry] = []
+
+    def write(self, persist: events.Persist) -> None:
+        """Store entries as the loader of the real files reads them."""
+        self.hard_state = persist.hard_state
+        stored = log.Log(self.snapshot, self.entries)
+        stored.append(persist.entries)
+        self.entries = list(
+            stored.get_entries(stored.first_index, stored.last_index)
+        )
+
+    def save_snapshot(
+        self, snapshot: events.Snapshot, rest: tuple[messages.Entry, ...]
+    ) -> None:
+        """Replace snapshot and entries, as one step."""
+        self.snapshot = snapshot
+        self.entries = list(rest)
+
+
+class Node:
+    """One member with its disk, its clock and its mailbox."""
+
+    def __init__(self, name: str, initial: dict[str, str], drift: float):
+        self.name = ids.NodeId(name)
+        self.initial = initial
+        self.drift = drift
+        self.generation = 0
+        self.disk = Disk(f'{name}-0')
+        self.raft: raft.Raft | None = None
+        self.mailbox: list[events.Event] = []
+        self.writing: list[events.Persist] | None = None
+        self.paused_until = 0.0
+        self.applied: list[bytes] = []
+        self.applied_index = 0
+
+
+class Group:
+    """Runs members on a schedule of random events, and checks them."""
+
+    def __init__(self, seed: int, size: int = 3, spare: int = 1) -> None:
+        self.random = random.Random(seed)
+        self.now = 100.0
+        self._heap: list[tuple[float, int, Any]] = []
+        self._sequence = itertools.count()
+        self.blocked: set[tuple[str, str]] = set()
+        self.loss = 0.0
+        names = [f'm{number}' for number in range(size)]
+        initial = {ids.NodeId(name): f'{name}:1' for name in names}
+        self.nodes = {name: self._make_node(name, initial) for name in names}
+        for number in range(size, size + spare):
+            name = f'm{number}'
+            self.nodes[name] = self._make_node(name, {})
+        self.leaders: dict[int, str] = {}
+        self.committed: dict[int, tuple[int, int, bytes]] = {}
+        self.tokens: dict[tuple[int, int], int] = {}
+        self.acknowledged: dict[int, bytes] = {}
+        self.acknowledged_index = 0
+        self.read_floor: dict[int, int] = {}
+        self.reads_answered = 0
+        self.mismatches = 0
+        self.next_token = itertools.count(1)
+        for node in self.nodes.values():
+            self.start(node)
+
+    def _make_node(self, name: str, initial: dict[str, str]) -> Node:
+        drift = 1.0 + self.random.uniform(-MAX_DRIFT, MAX_DRIFT) / 2
+        return Node(name, initial, drift)
+
+    # Faults.
+
+    def start(self, node: Node) -> None:
+        """Start a member from what its disk holds."""
+        node.generation += 1
+        node.mailbox = []
+        node.writing = None
+        node.applied, node.applied_index = [], 0
+        if node.disk.snapshot is not None:
+            self._restore(node, node.disk.snapshot)
+        node.raft = raft.Raft(
+            raft.Config(
+                node.name,
+                f'{node.name}:1',
+                node.disk.stamp,
+                node.initial,
+                chunk_bytes=CHUNK_BYTES,
+            ),
+            node.disk.hard_state,
+            log.Log(node.disk.snapshot, node.disk.entries),
+            random.Random(self.random.random()),
+            self.now * node.drift,
+        )
+        self._schedule(self.random.random() * TICK_S, self._tick, node)
+
+    def crash(self, node: Node) -> None:
+        """Stop a member; of what it has not synced, any part is lost."""
+        for persist in node.writing or ():
+            if self.random.random() < 0.5:
+                break
+            node.disk.write(persist)
+        node.writing = None
+        node.raft = None
+        node.generation += 1
+
+    def lose_disk(self, node: Node) -> None:
+        """Stop a member and give it an empty disk with a fresh stamp."""
+        self.crash(node)
+        node.disk = Disk(f'{node.name}-{node.generation}')
+
+    def pause(self, node: Node, seconds: float) -> None:
+        """Let a member handle nothing for some time."""
+        node.paused_until = self.now + seconds
+        self._schedule(seconds + 0.0001, self._work, node)
+
+    def isolate(self, name: str, inward: bool, outward: bool) -> None:
+        """Cut one or both directions between a member and all others."""
+        for other in self.nodes:
+            if inward:
+                self.blocked.add((other, name))
+            if outward:
+                self.blocked.add((name, other))
+
+    def heal(self) -> None:
+        """Repair the network and start members that are down."""
+        self.blocked.clear()
+        self.loss = 0.0
+        for node in self.nodes.values():
+            node.paused_until = min(node.paused_until, self.now)
+            if node.raft is None:
+                self.start(node)
+
+    # Requests.
+
+    def find_leader(self) -> Node | None:
+        """Return the leader of the highest term, if any."""
+        leaders = [
+            node
+            for node in self.nodes.values()
+            if node.raft and node.raft.role is states.RaftRole.LEADER
+        ]
+        return max(leaders, key=lambda node: node.raft.term, default=None)
+
+    def propose(self, node: Node) -> int:
+        """Ask a member to commit a command."""
+        token = next(self.next_token)
+        data = f'command-{token}'.encode()
+        self.deliver(node, events.ProposeRequested(token, data))
+        return token
+
+    def read(self, node: Node) -> None:
+        """Ask a member for a read of the newest state."""
+        token = next(self.next_token)
+        self.read_floor[token] = self.acknowledged_index
+        self.deliver(node, events.ReadRequested(token))
+
+    def change_members(
+        self, node: Node, add: str | None, remove: str | None
+    ) -> None:
+        """Ask a member to change the group."""
+        added = None
+        if add is not None:
+            stamp = self.nodes[add].disk.stamp
+            added = events.Member(ids.NodeId(add), f'{add}:1', stamp, False)
+        token = next(self.next_token)
+        self.deliver(node, events.MembersChangeRequested(token, added, remove))
+
+    def take_snapshot(self, node: Node) -> None:
+        """Compact the log of a member up to what it applied."""
+        if node.raft is None or node.writing is not None:
+            return
+        index = node.applied_index
+        if index <= node.raft.log.snapshot_index:
+            return
+        snapshot = events.Snapshot(
+            ids.LogIndex(index),
+            node.raft.log.get_term(index),
+            node.raft.log.find_members_at(index),
+            msgspec.msgpack.encode(node.applied),
+        )
+        rest = node.raft.log.get_entries(index + 1, node.raft.log.last_index)
+        node.disk.save_snapshot(snapshot, rest)
+        self.deliver(node, events.SnapshotTaken(snapshot))
+
+    # Running.
+
+    def run_for(self, seconds: float) -> None:
+        """Run all events of the next seconds."""
+        until = self.now + seconds
+        while self._heap and self._heap[0][0] <= until:
+            self.step()
+        self.now = until
+
+    def step(self) -> None:
+        """Run the next event; start the group when all members are down."""
+        if not self._heap:
+            self.heal()
+        due, _, (function, node, generation, argument) = heapq.heappop(
+            self._heap
+        )
+        self.now = max(self.now, due)
+        if node.generation != generation and function != self._arrive:
+            return
+        if argument is None:
+            function(node)
+        else:
+            function(node, argument)
+
+    def _schedule(
+        self, delay: float, function, node: Node, argument: Any = None
+    ) -> None:
+        item = (function, node, node.generation, argument)
+        heapq.heappush(
+            self._heap, (self.now + delay, next(self._sequence), item)
+        )
+
+    def _tick(self, node: Node) -> None:
+        if node.raft is None:
+            return
+        self._schedule(TICK_S, self._tick, node)
+        # A real timer leaves at most one firing in the mailbox of a task
+        # that does not run.
+        if not any(isinstance(e, events.Tick) for e in node.mailbox):
+            self.deliver(node, events.Tick())
+
+    def _arrive(self, node: Node, event: events.MessageReceived) -> None:
+        if (event.sender, node.name) not in self.blocked:
+            self.deliver(node, event)
+
+    def deliver(self, node: Node, event: events.Event) -> None:
+        """Put an event into the mailbox of a member."""
+        if node.raft is None:
+            return
+        node.mailbox.append(event)
+        self._work(node)
+
+    def _work(self, node: Node) -> None:
+        """Handle a group of events with one sync, as the task does."""
+        if node.raft is None or node.writing is not None:
+            return
+        if node.paused_until > self.now:
+            return
+        group, node.mailbox = node.mailbox, []
+        actions: list[events.Action] = []
+        for event in group:
+            actions += self._decide(node, event)
+        self._carry_out(node, actions)
+
+    def _decide(self, node: Node, event: events.Event) -> list[events.Action]:
+        before = node.raft.commit_index
+        actions = node.raft.handle(event, self.now * node.drift)
+        assert node.raft.commit_index >= before, 'commit index went back'
+        return actions
+
+    def _carry_out(self, node: Node, actions: list[events.Action]) -> None:
+        persists = [a for a in actions if isinstance(a, events.Persist)]
+        installs = any(isinstance(a, events.InstallSnapshot) for a in actions)
+        if not persists and not installs:
+            self._perform_all(node, actions)
+            return
+        changed = any(p.hard_state != node.disk.hard_state for p in persists)
+        rest = []
+        for action in actions:
+            early = isinstance(action, events.Send) and isinstance(
+                action.message, messages.Append
+            )
+            if early and not changed and not installs:
+                self._send(node, action)
+            else:
+                rest.append(action)
+        node.writing = [] if installs else persists
+        self._schedule(self.random.uniform(*SYNC_S), self._synced, node, rest)
+
+    def _synced(self, node: Node, actions: list[events.Action]) -> None:
+        node.writing = None
+        following: list[events.Action] = []
+        for action in actions:
+            if isinstance(action, events.Persist):
+                node.disk.write(action)
+        self._perform_all(node, actions)
+        entries = [
+            entry
+            for action in actions
+            if isinstance(action, events.Persist)
+            for entry in action.entries
+        ]
+        if entries:
+            last = entries[-1]
+            following = self._decide(
+                node, events.Persisted(last.index, last.term)
+            )
+        self._carry_out(node, following)
+        self._work(node)
+
+    def _install(self, node: Node, snapshot: events.Snapshot) -> None:
+        last = node.raft.log.last_index
+        rest = node.raft.log.get_entries(snapshot.last_index + 1, last)
+        node.disk.save_snapshot(snapshot, rest)
+        assert snapshot.last_index > node.applied_index, 'state went back'
+        self._restore(node, snapshot)
+
+    def _restore(self, node: Node, snapshot: events.Snapshot) -> None:
+        node.applied = msgspec.msgpack.decode(snapshot.data, type=list[bytes])
+        node.applied_index = snapshot.last_index
+
+    def _perform_all(self, node: Node, actions: list[events.Action]) -> None:
+        for action in actions:
+            if isinstance(action, events.Send):
+                self._send(node, action)
+            elif isinstance(action, events.InstallSnapshot):
+                self._install(node, action.snapshot)
+            elif isinstance(action, events.Apply):
+                self._apply(node, action.entries)
+            elif isinstance(action, events.Accepted):
+                self.tokens[(action.index, action.term)] = action.token
+            elif isinstance(action, events.ReadReady):
+                self.reads_answered += 1
+                floor = self.read_floor[action.token]
+                assert action.index >= floor, 'a read misses a change'
+            elif isinstance(action, events.StampMismatch):
+                self.mismatches += 1
+            elif isinstance(action, events.RoleChanged):
+                self._check_role(node, action)
+
+    def _send(self, node: Node, action: events.Send) -> None:
+        target = self.nodes.get(action.to)
+        if target is None or self.random.random() < self.loss:
+            return
+        event = events.MessageReceived(node.name, action.message)
+        for _ in range(2 if self.random.random() < self.loss / 4 else 1):
+            slow = self.random.random() < self.loss
+            delay = self.random.uniform(0.0005, 0.6 if slow else 0.005)
+            self._schedule(delay, self._arrive, target, event)
+
+    # Checks.
+
+    def _apply(self, node: Node, entries: tuple[messages.Entry, ...]) -> None:
+        for entry in entries:
+            assert entry.index == node.applied_index + 1, 'not in sequence'
+            node.applied_index = entry.index
+            content = (entry.term, entry.kind, entry.data)
+            known = self.committed.setdefault(entry.index, content)
+            assert known == content, f'two entries at {entry.index}'
+            leads = node.raft.role is states.RaftRole.LEADER
+            if entry.kind != events.EntryKind.COMMAND:
+                continue
+            node.applied.append(entry.data)
+            token = self.tokens.get((entry.index, entry.term))
+            if leads and node.raft.term == entry.term and token is not None:
+                self.acknowledged[token] = entry.data
+                self.acknowledged_index = max(
+                    self.acknowledged_index, entry.index
+                )
+
+    def _check_role(self, node: Node, action: events.RoleChanged) -> None:
+        if action.role is not states.RaftRole.LEADER:
+            return
+        known = self.leaders.setdefault(action.term, node.name)
+        assert known == node.name, f'two leaders in term {action.term}'
+        self._check_log(node)
+        for other in self.nodes.values():
+            if other is node or other.raft is None:
+                continue
+            if other.raft.role is states.RaftRole.LEADER:
+                until = other.raft.lease_until / other.drift
+                assert until <= self.now, (
+                    f'{other.name} leads until {until}, {node.name} '
+                    f'is elected at {self.now}'
+                )
+
+    def _check_log(self, node: Node) -> None:
+        """Check that a new leader has everything that is committed."""
+        entries = node.raft.log
+        for index, (term, _, _) in self.committed.items():
+            if index > entries.snapshot_index:
+                assert entries.get_term(index) == term, (
+                    f'leader {node.name} lacks committed entry {index}'
+                )
+
+    def check_end(self) -> None:
+        """Check that a healed group works again and has lost nothing."""
+        self.heal()
+        self.run_for(8.0)
+        # Requests in the old leader's mailbox are refused; ask again.
+        leader = self.find_leader()
+        assert leader is not None, 'no leader after the network healed'
+        token = self.propose(leader)
+        self.run_for(4.0)
+        assert token in self.acknowledged, 'a healed group accepts nothing'
+        leader = self.find_leader()
+        listed = leader.raft.members.members
+        for member in listed:
+            node = self.nodes[member.name]
+            assert node.applied == leader.applied, f'{node.name} differs'
+            assert member.stamp == node.disk.stamp
+            assert member.voter, f'{node.name} is not promoted'
+        missing = set(self.acknowledged.values()) - set(leader.applied)
+        assert not missing, f'acknowledged and lost: {sorted(missing)[:5]}'
--- /dev/null
+++ b/orioleshore/tests/test_consensus_schedules.py
@@ -0,0 +1,94 @@
+"""Random schedules of faults over the decision part of the log."""
+
+import pytest
+
+from orioleshore.model import states
+from orioleshore.tests import consensus_simulation
+from orioleshore.tests import support
+
+STEPS = 4_000
+SCHEDULES = 24
+
+
+def cause_fault(group: consensus_simulation.Group) -> None:
+    """Cause one random fault, request or repair."""
+    choice = group.random.random()
+    node = group.random.choice(list(group.nodes.values()))
+    if choice < 0.08:
+        group.crash(node)
+    elif choice < 0.14:
+        lose_one_disk(group)
+    elif choice < 0.20:
+        group.pause(node, group.random.uniform(0.1, 3.0))
+    elif choice < 0.28:
+        inward = group.random.random() < 0.6
+        group.isolate(node.name, inward, not inward)
+    elif choice < 0.34:
+        group.isolate(node.name, True, True)
+    elif choice < 0.46:
+        change_members(group, node.name)
+    elif choice < 0.62:
+        group.take_snapshot(node)
+    elif choice < 0.68:
+        group.loss = group.random.choice((0.0, 0.05, 0.3))
+    else:
+        group.heal()
+
+
+def lose_one_disk(group: consensus_simulation.Group) -> None:
+    """Lose a disk when every voter of the group still has its own."""
+    leader = group.find_leader()
+    if leader is None or leader.raft.members is None:
+        return
+    listed = leader.raft.members.members
+    whole = all(
+        member.voter and group.nodes[member.name].disk.stamp == member.stamp
+        for member in listed
+    )
+    settled = leader.raft.log.find_last_members_index()
+    if not whole or len(listed) < 3 or settled > leader.raft.commit_index:
+        return
+    victim = group.nodes[group.random.choice(listed).name]
+    group.lose_disk(victim)
+    group.start(victim)
+
+
+def change_members(group: consensus_simulation.Group, name: str) -> None:
+    """Ask the leader to add or remove a member."""
+    leader = group.find_leader()
+    if leader is None or leader.raft.members is None:
+        return
+    listed = [member.name for member in leader.raft.members.members]
+    if name not in listed:
+        group.change_members(leader, name, None)
+    elif len(listed) > 3:
+        group.change_members(leader, None, name)
+
+
+def run_schedule(seed: int) -> consensus_simulation.Group:
+    """Run one random schedule to its end, with all checks."""
+    group = consensus_simulation.Group(seed, 3 if seed % 3 else 5)
+    for number in range(STEPS):
+        group.step()
+        if number % 7 == 0:
+            target = group.find_leader()
+            if target is not None:
+                group.propose(target)
+        if number % 31 == 0:
+            group.read(group.random.choice(list(group.nodes.values())))
+        if number % 60 == 0 and number > 200:
+            cause_fault(group)
+    group.check_end()
+    return group
+
+
+@pytest.mark.parametrize('number', range(SCHEDULES))
+def test_random_schedule_keeps_what_was_acknowledged(number):
+    """Guards against lost changes, two leaders and diverging members."""
+    group = run_schedule(support.SEED + number)
+    assert len(group.acknowledged) > 20
+    assert len(group.leaders) > 1
+    assert any(
+        node.raft.role is states.RaftRole.LEADER
+        for node in group.nodes.values()
+    )
