Detect every damage of the data folder that a restart can see

Change: files.py holds the calls and refuses all of them after the first failure. A mark follows each sync in the segment, without a sync of its own, so damage in front of it is never a torn tail (a loss of power may take the newest mark together with its protection). The first segment is created before the identity and starts with a hard state, so a folder with a stamp always has a log. Segments are synced when they are opened.

--- /dev/null
+++ b/orioleshore/consensus/files.py
@@ -0,0 +1,113 @@
+"""Calls of the operating system on the files of a data folder."""
+
+import os
+import pathlib
+
+from orioleshore.model import errors
+
+
+class StorageError(Exception):
+    """A write or sync failed; the process must stop and not go on."""
+
+    def __init__(self, failure: errors.Failure) -> None:
+        super().__init__(failure.message)
+        self.failure = failure
+
+
+class Files:
+    """Calls of the operating system, replaced by tests that fail them."""
+
+    def create(self, path: pathlib.Path) -> int:
+        """Open an empty file for writing."""
+        flags = os.O_WRONLY | os.O_CREAT | os.O_TRUNC | os.O_CLOEXEC
+        return os.open(path, flags, 0o640)
+
+    def write(self, descriptor: int, data: bytes) -> None:
+        """Write all bytes."""
+        view = memoryview(data)
+        while view:
+            view = view[os.write(descriptor, view) :]
+
+    def sync(self, descriptor: int) -> None:
+        """Make what was written survive a loss of power."""
+        os.fsync(descriptor)
+
+    def replace(self, source: pathlib.Path, target: pathlib.Path) -> None:
+        """Give a file its final name, in one step."""
+        os.replace(source, target)
+
+    def remove(self, path: pathlib.Path) -> None:
+        """Remove a file."""
+        path.unlink()
+
+
+class Folder:
+    """A data folder; failed calls raise StorageError.
+
+    After a failed call the state of the files is in doubt, so every later
+    call fails as well: a sync that is repeated may report success although
+    the kernel has dropped the data.
+    """
+
+    def __init__(self, path: pathlib.Path, files: Files) -> None:
+        self._path = path
+        self._files = files
+        self._failure: errors.Failure | None = None
+        self._sync_count = 0
+
+    @property
+    def path(self) -> pathlib.Path:
+        return self._path
+
+    @property
+    def sync_count(self) -> int:
+        return self._sync_count
+
+    def write(self, descriptor: int, data: bytes) -> None:
+        """Write all bytes; they are not synced yet."""
+        self._call('write', self._files.write, descriptor, data)
+
+    def sync(self, descriptor: int) -> None:
+        """Sync a file or folder."""
+        self._call('sync', self._files.sync, descriptor)
+        self._sync_count += 1
+
+    def create(self, name: str, data: bytes) -> None:
+        """Create a file that is either whole or absent after a crash."""
+        temporary = self._path / f'{name}.tmp'
+        descriptor = self._call('create', self._files.create, temporary)
+        try:
+            self.write(descriptor, data)
+            self.sync(descriptor)
+        finally:
+            os.close(descriptor)
+        target = self._path / name
+        self._call('rename', self._files.replace, temporary, target)
+        self.sync_names()
+
+    def remove(self, names: list[str]) -> None:
+        """Remove files, the first name first."""
+        for name in names:
+            self._call('remove', self._files.remove, self._path / name)
+        if names:
+            self.sync_names()
+
+    def sync_names(self) -> None:
+        """Make created, renamed and removed names survive."""
+        descriptor = os.open(self._path, os.O_RDONLY | os.O_DIRECTORY)
+        try:
+            self.sync(descriptor)
+        finally:
+            os.close(descriptor)
+
+    def _call(self, name: str, function, *arguments):
+        if self._failure is not None:
+            raise StorageError(self._failure)
+        try:
+            return function(*arguments)
+        except OSError as error:
+            self._failure = errors.Failure(
+                errors.ErrorKind.STORAGE_FAILED,
+                f'{name} in {self._path} failed: {error.strerror or error}',
+            )
+            raise StorageError(self._failure) from error
--- a/orioleshore/consensus/records.py
+++ b/orioleshore/consensus/records.py
@@ -22,6 +22,8 @@
     ENTRY = 2
     SNAPSHOT = 3
     IDENTITY = 4
+    # Everything in front of the record is synced.
+    SYNCED = 5
 
 
 class Record(msgspec.Struct, frozen=True):
--- /dev/null
+++ b/orioleshore/consensus/segments.py
@@ -0,0 +1,129 @@
+"""Reading of log segments: hard state, entries and marks of syncs."""
+
+import struct
+
+import msgspec
+from result import Err
+from result import Ok
+from result import Result
+
+from orioleshore.consensus import events
+from orioleshore.consensus import log
+from orioleshore.consensus import records
+from orioleshore.model import errors
+from orioleshore.protocol import messages
+
+_OFFSET = struct.Struct('>Q')
+
+
+class Segment(msgspec.Struct):
+    """What a segment holds; ``length`` is that of its whole records."""
+
+    hard_state: events.HardState
+    log: log.Log
+    length: int
+
+
+class Problem(msgspec.Struct, frozen=True):
+    """Why a file cannot be used."""
+
+    kind: errors.ErrorKind
+    message: str
+
+
+def pack_hard_state(hard_state: events.HardState) -> bytes:
+    """Return the record of a term and a vote."""
+    return records.pack_record(
+        records.RecordType.HARD_STATE, msgspec.msgpack.encode(hard_state)
+    )
+
+
+def pack_entry(entry: messages.Entry) -> bytes:
+    """Return the record of a log entry."""
+    return records.pack_record(
+        records.RecordType.ENTRY, msgspec.msgpack.encode(entry)
+    )
+
+
+def pack_mark(offset: int) -> bytes:
+    """Return the record that tells that all bytes before it are synced.
+
+    It is written after each sync, without a sync of its own. Damage in
+    front of it cannot be a torn tail, so it is never cut off.
+    """
+    return records.pack_record(records.RecordType.SYNCED, _OFFSET.pack(offset))
+
+
+def read_segment(data: bytes, base: log.Log) -> Result[Segment, Problem]:
+    """Return what a segment holds behind a base, without a torn tail."""
+    first = records.read_record(data, 0)
+    if first is None or first.record_type != records.RecordType.HARD_STATE:
+        return _fail_damaged('the hard state at its start is damaged')
+    segment = Segment(events.HardState(), base, 0)
+    while segment.length < len(data):
+        record = records.read_record(data, segment.length)
+        if record is None:
+            return _check_tail(data, segment)
+        outcome = _take_record(record, segment)
+        if outcome.is_err():
+            return outcome
+        segment.length = record.end
+    return Ok(segment)
+
+
+def _check_tail(data: bytes, segment: Segment) -> Result[Segment, Problem]:
+    """Accept a torn tail; anything else is damage."""
+    if records.has_record_after(data, segment.length):
+        return _fail_damaged(f'the record at byte {segment.length} is damaged')
+    return Ok(segment)
+
+
+def _take_record(
+    record: records.Record, segment: Segment
+) -> Result[None, Problem]:
+    outcome = check_version(record)
+    if outcome.is_err():
+        return outcome
+    if record.record_type == records.RecordType.HARD_STATE:
+        segment.hard_state = msgspec.msgpack.decode(
+            record.payload, type=events.HardState
+        )
+        return Ok(None)
+    if record.record_type == records.RecordType.SYNCED:
+        return _check_mark(record, segment)
+    if record.record_type != records.RecordType.ENTRY:
+        return _fail_damaged(f'unexpected record type {record.record_type}')
+    entry = msgspec.msgpack.decode(record.payload, type=messages.Entry)
+    if entry.index > segment.log.last_index + 1:
+        return _fail_damaged(f'entry {segment.log.last_index + 1} is missing')
+    if entry.index > segment.log.snapshot_index:
+        segment.log.append((entry,))
+    return Ok(None)
+
+
+def check_version(record: records.Record) -> Result[None, Problem]:
+    """Refuse records that a newer program wrote."""
+    if record.version == records.RECORD_VERSION:
+        return Ok(None)
+    return Err(
+        Problem(
+            errors.ErrorKind.FORMAT_UNSUPPORTED,
+            f'a record has version {record.version}, this program reads '
+            f'version {records.RECORD_VERSION}',
+        )
+    )
+
+
+def _check_mark(
+    record: records.Record, segment: Segment
+) -> Result[None, Problem]:
+    (offset,) = _OFFSET.unpack(record.payload)
+    if offset != segment.length:
+        return _fail_damaged(
+            f'the mark at byte {segment.length} belongs to byte {offset}'
+        )
+    return Ok(None)
+
+
+def _fail_damaged(message: str) -> Err[Problem]:
+    return Err(Problem(errors.ErrorKind.STORAGE_DAMAGED, message))
--- a/orioleshore/consensus/storage.py
+++ b/orioleshore/consensus/storage.py
@@ -12,24 +12,22 @@
 from result import Result
 
 from orioleshore.consensus import events
+from orioleshore.consensus import files
 from orioleshore.consensus import log
 from orioleshore.consensus import records
+from orioleshore.consensus import segments
 from orioleshore.consensus import snapshots
 from orioleshore.model import errors
+from orioleshore.model import ids
 from orioleshore.protocol import messages
 
 FORMAT_VERSION = 1
 
 _SEGMENT = re.compile(r'^log-(\d{20})$')
 _SNAPSHOT = re.compile(r'^snapshot-(\d{20})$')
+_TEMPORARY = re.compile(r'^(FORMAT|identity|(log|snapshot)-\d{20})\.tmp$')
 
-
-class StorageError(Exception):
-    """A write or sync failed; the process must stop and not go on."""
-
-    def __init__(self, failure: errors.Failure) -> None:
-        super().__init__(failure.message)
-        self.failure = failure
+StorageError = files.StorageError
 
 
 class Loaded(msgspec.Struct):
@@ -40,38 +38,25 @@
     stamp: str
 
 
-class Files:
-    """Calls of the operating system, replaced by tests that fail them."""
-
-    def write(self, descriptor: int, data: bytes) -> None:
-        """Write all bytes."""
-        view = memoryview(data)
-        while view:
-            view = view[os.write(descriptor, view) :]
-
-    def sync(self, descriptor: int) -> None:
-        """Make what was written survive a loss of power."""
-        os.fsync(descriptor)
-
-
 class Storage:
     """The data folder of one member.
 
     ``write`` and ``save_snapshot`` return once everything is synced. They
-    raise StorageError, after which the object must not be used.
+    raise StorageError, after which every further call fails.
     """
 
-    def __init__(self, folder: str, files: Files | None = None) -> None:
-        self._folder = pathlib.Path(folder)
-        self._files = files or Files()
+    def __init__(self, folder: str, calls: files.Files | None = None) -> None:
+        path = pathlib.Path(folder)
+        self._folder = files.Folder(path, calls or files.Files())
+        self._path = path
         self._lock: int | None = None
         self._segment: int | None = None
+        self._length = 0
         self._hard_state = events.HardState()
-        self._sync_count = 0
 
     @property
     def sync_count(self) -> int:
-        return self._sync_count
+        return self._folder.sync_count
 
     @property
     def hard_state(self) -> events.HardState:
@@ -84,21 +69,17 @@
         ``STORAGE_DAMAGED`` or ``STORAGE_FAILED``.
         """
         try:
-            self._folder.mkdir(parents=True, exist_ok=True)
-            outcome = self._take_lock()
-            if outcome.is_err():
-                return outcome
-            outcome = self._check_format()
-            if outcome.is_err():
-                return outcome
-            return self._load()
+            outcome = self._open()
         except OSError as error:
-            return _fail(
+            outcome = _fail(
                 errors.ErrorKind.STORAGE_FAILED,
-                f'{self._folder}: {error.strerror or error}',
+                f'{self._path}: {error.strerror or error}',
             )
         except StorageError as error:
-            return Err(error.failure)
+            outcome = Err(error.failure)
+        if outcome.is_err():
+            self.close()
+        return outcome
 
     def close(self) -> None:
         """Release the folder."""
@@ -116,11 +97,11 @@
         """Append a group of records and sync once."""
         parts = []
         if hard_state != self._hard_state:
-            parts.append(_pack_hard_state(hard_state))
-        parts += [_pack_entry(entry) for entry in entries]
+            parts.append(segments.pack_hard_state(hard_state))
+        parts += [segments.pack_entry(entry) for entry in entries]
         if not parts:
             return
-        self._append(self._segment, b''.join(parts))
+        self._append(b''.join(parts))
         self._hard_state = hard_state
 
     def save_snapshot(
@@ -133,77 +114,103 @@
         Older files are removed only after the new ones are synced.
         """
         index = snapshot.last_index
-        self._create_file(
+        self._folder.create(
             f'snapshot-{index:020d}',
             records.pack_record(
                 records.RecordType.SNAPSHOT,
                 snapshots.encode_snapshot(snapshot),
             ),
         )
-        parts = [_pack_hard_state(self._hard_state)]
-        parts += [_pack_entry(entry) for entry in entries]
-        name = f'log-{index + 1:020d}'
-        self._create_file(name, b''.join(parts))
-        self._open_segment(name)
+        parts = [segments.pack_hard_state(self._hard_state)]
+        parts += [segments.pack_entry(entry) for entry in entries]
+        data = b''.join(parts)
+        name = _get_segment_name(index)
+        self._folder.create(name, data)
+        self._use_segment(name, len(data))
         self._remove_older(index)
 
+    def _open(self) -> Result[Loaded, errors.Failure]:
+        self._path.mkdir(parents=True, exist_ok=True)
+        outcome = self._take_lock()
+        if outcome.is_err():
+            return outcome
+        self._folder.remove(self._find(_TEMPORARY))
+        outcome = self._check_format()
+        if outcome.is_err():
+            return outcome
+        return self._load()
+
     def _take_lock(self) -> Result[None, errors.Failure]:
         self._lock = os.open(
-            self._folder / 'LOCK', os.O_RDWR | os.O_CREAT | os.O_CLOEXEC
+            self._path / 'LOCK', os.O_RDWR | os.O_CREAT | os.O_CLOEXEC
         )
         try:
             fcntl.flock(self._lock, fcntl.LOCK_EX | fcntl.LOCK_NB)
         except BlockingIOError:
-            os.close(self._lock)
-            self._lock = None
             return _fail(
                 errors.ErrorKind.FOLDER_IN_USE,
-                f'data folder {self._folder} is used by another process',
+                f'data folder {self._path} is used by another process',
             )
         return Ok(None)
 
     def _check_format(self) -> Result[None, errors.Failure]:
-        path = self._folder / 'FORMAT'
+        path = self._path / 'FORMAT'
         if not path.exists():
-            if self._find(_SEGMENT) or self._find(_SNAPSHOT):
+            if self._has_content():
                 return self._fail_damaged('FORMAT is missing')
-            self._create_file('FORMAT', f'{FORMAT_VERSION}\n'.encode())
+            self._folder.create('FORMAT', f'{FORMAT_VERSION}\n'.encode())
             return Ok(None)
-        found = path.read_text(encoding='utf-8').strip()
+        found = path.read_bytes().decode(errors='replace').strip()
         if found != str(FORMAT_VERSION):
             return _fail(
                 errors.ErrorKind.FORMAT_UNSUPPORTED,
-                f'data folder {self._folder} has format {found!r}, this '
+                f'data folder {self._path} has format {found!r}, this '
                 f'program reads format {FORMAT_VERSION}',
             )
         return Ok(None)
 
+    def _has_content(self) -> bool:
+        if self._find(_SEGMENT) or self._find(_SNAPSHOT):
+            return True
+        return (self._path / 'identity').exists()
+
     def _load(self) -> Result[Loaded, errors.Failure]:
+        if not (self._path / 'identity').exists():
+            outcome = self._create_identity()
+            if outcome.is_err():
+                return outcome
         stamp = self._load_stamp()
         if stamp.is_err():
             return stamp
         snapshot = self._load_snapshot()
         if snapshot.is_err():
             return snapshot
-        return self._load_segment(stamp.unwrap(), snapshot.unwrap())
+        return self._load_log(stamp.unwrap(), snapshot.unwrap())
+
+    def _create_identity(self) -> Result[None, errors.Failure]:
+        """Create the first segment, then the stamp of these files.
+
+        A folder with a stamp always has a segment, so a lost log is never
+        taken for that of a new member.
+        """
+        first = _get_segment_name(0)
+        blank = segments.pack_hard_state(events.HardState())
+        others = [name for name in self._find(_SEGMENT) if name != first]
+        path = self._path / first
+        is_new = not path.exists() or path.read_bytes() == blank
+        if others or self._find(_SNAPSHOT) or not is_new:
+            return self._fail_damaged('identity is missing')
+        self._folder.create(first, blank)
+        stamp = uuid.uuid4().hex.encode()
+        self._folder.create(
+            'identity',
+            records.pack_record(records.RecordType.IDENTITY, stamp),
+        )
+        return Ok(None)
 
     def _load_stamp(self) -> Result[str, errors.Failure]:
-        path = self._folder / 'identity'
-        if not path.exists():
-            if self._find(_SEGMENT):
-                return self._fail_damaged('identity is missing')
-            stamp = uuid.uuid4().hex
-            self._create_file(
-                'identity',
-                records.pack_record(
-                    records.RecordType.IDENTITY, stamp.encode()
-                ),
-            )
-            return Ok(stamp)
-        record = records.read_record(path.read_bytes(), 0)
-        if record is None:
-            return self._fail_damaged('identity has a wrong checksum')
-        return Ok(record.payload.decode())
+        payload = self._read_single('identity', records.RecordType.IDENTITY)
+        return payload.map(lambda content: content.decode())
 
     def _load_snapshot(
         self,
@@ -211,192 +218,137 @@
         names = self._find(_SNAPSHOT)
         if not names:
             return Ok(None)
-        record = records.read_record(
-            (self._folder / names[-1]).read_bytes(), 0
-        )
-        if record is None:
-            return self._fail_damaged(f'{names[-1]} has a wrong checksum')
-        return Ok(snapshots.decode_snapshot(record.payload))
+        payload = self._read_single(names[-1], records.RecordType.SNAPSHOT)
+        return payload.map(snapshots.decode_snapshot)
+
+    def _read_single(
+        self, name: str, record_type: records.RecordType
+    ) -> Result[bytes, errors.Failure]:
+        """Return the payload of a file that holds one record."""
+        data = (self._path / name).read_bytes()
+        record = records.read_record(data, 0)
+        if record is None or record.record_type != record_type:
+            return self._fail_damaged(f'{name} has a wrong checksum')
+        outcome = segments.check_version(record)
+        if outcome.is_err():
+            return self._fail_segment(name, outcome.unwrap_err())
+        return Ok(record.payload)
 
-    def _load_segment(
+    def _load_log(
         self, stamp: str, snapshot: events.Snapshot | None
     ) -> Result[Loaded, errors.Failure]:
-        first = snapshot.last_index + 1 if snapshot else 1
-        name = f'log-{first:020d}'
-        path = self._folder / name
-        if not path.exists():
-            if snapshot is None and self._find(_SEGMENT):
-                return self._fail_damaged('a snapshot is missing')
-            # A crash between the snapshot and its segment leaves the older
-            # segment, which still has every later entry.
-            older = self._find(_SEGMENT)
-            if older:
-                return self._load_older_segment(stamp, snapshot, older[-1])
-            self._create_file(name, b'')
-        loaded = Loaded(events.HardState(), log.Log(snapshot, ()), stamp)
-        outcome = self._read_segment(path, loaded)
+        index = snapshot.last_index if snapshot else 0
+        name = _get_segment_name(index)
+        if not (self._path / name).exists():
+            return self._load_older(stamp, snapshot)
+        outcome = self._read_segment(name, log.Log(snapshot, ()))
         if outcome.is_err():
             return outcome
-        self._open_segment(name)
-        self._hard_state = loaded.hard_state
-        return Ok(loaded)
+        segment = outcome.unwrap()
+        self._hard_state = segment.hard_state
+        self._use_segment(name, segment.length)
+        self._remove_older(index)
+        return Ok(Loaded(segment.hard_state, segment.log, stamp))
 
-    def _load_older_segment(
-        self, stamp: str, snapshot: events.Snapshot, name: str
+    def _load_older(
+        self, stamp: str, snapshot: events.Snapshot | None
     ) -> Result[Loaded, errors.Failure]:
-        first = int(_SEGMENT.match(name).group(1))
-        base = events.Snapshot(first - 1, 0, snapshot.members, b'')
-        loaded = Loaded(events.HardState(), log.Log(base, ()), stamp)
-        outcome = self._read_segment(self._folder / name, loaded)
+        """Finish a snapshot whose segment was not written before a crash.
+
+        The older segment still has every later entry.
+        """
+        names = self._find(_SEGMENT)
+        if snapshot is None or not names:
+            return self._fail_damaged('a log segment or snapshot is missing')
+        start = int(_SEGMENT.match(names[-1]).group(1)) - 1
+        if start > snapshot.last_index:
+            return self._fail_damaged('a snapshot is missing')
+        base = events.Snapshot(
+            ids.LogIndex(start), ids.Term(0), snapshot.members, b''
+        )
+        outcome = self._read_segment(names[-1], log.Log(base, ()))
         if outcome.is_err():
             return outcome
-        loaded.log.compact(snapshot)
-        self._hard_state = loaded.hard_state
-        rest = loaded.log.get_entries(
-            snapshot.last_index + 1, loaded.log.last_index
+        segment = outcome.unwrap()
+        if segment.log.get_term(snapshot.last_index) == snapshot.last_term:
+            segment.log.compact(snapshot)
+        else:
+            # The leader sent the snapshot because this log is another one.
+            segment.log.reset(snapshot)
+        rest = segment.log.get_entries(
+            snapshot.last_index + 1, segment.log.last_index
         )
+        self._hard_state = segment.hard_state
         self.save_snapshot(snapshot, rest)
-        return Ok(loaded)
+        return Ok(Loaded(segment.hard_state, segment.log, stamp))
 
     def _read_segment(
-        self, path: pathlib.Path, loaded: Loaded
-    ) -> Result[None, errors.Failure]:
-        data = path.read_bytes()
-        offset = 0
-        while offset < len(data):
-            record = records.read_record(data, offset)
-            if record is None:
-                return self._handle_bad_record(path, data, offset)
-            if record.version > records.RECORD_VERSION:
-                return _fail(
-                    errors.ErrorKind.FORMAT_UNSUPPORTED,
-                    f'{path} has records of version {record.version}',
-                )
-            outcome = self._take_record(record, loaded)
-            if outcome.is_err():
-                return outcome
-            offset = record.end
-        return Ok(None)
-
-    def _handle_bad_record(
-        self, path: pathlib.Path, data: bytes, offset: int
-    ) -> Result[None, errors.Failure]:
-        """Cut off a torn tail; anything else is damage."""
-        if records.has_record_after(data, offset):
-            return self._fail_damaged(
-                f'{path.name} has a damaged record at byte {offset}'
-            )
-        descriptor = os.open(path, os.O_RDWR | os.O_CLOEXEC)
-        try:
-            os.ftruncate(descriptor, offset)
-            self._sync(descriptor)
-        finally:
-            os.close(descriptor)
-        return Ok(None)
-
-    def _take_record(
-        self, record: records.Record, loaded: Loaded
-    ) -> Result[None, errors.Failure]:
-        if record.record_type == records.RecordType.HARD_STATE:
-            loaded.hard_state = msgspec.msgpack.decode(
-                record.payload, type=events.HardState
-            )
-            return Ok(None)
-        if record.record_type != records.RecordType.ENTRY:
-            return self._fail_damaged(
-                f'unexpected record of type {record.record_type}'
-            )
-        entry = msgspec.msgpack.decode(record.payload, type=messages.Entry)
-        if entry.index > loaded.log.last_index + 1:
-            return self._fail_damaged(
-                f'entry {loaded.log.last_index + 1} is missing'
-            )
-        if entry.index > loaded.log.snapshot_index:
-            loaded.log.append((entry,))
-        return Ok(None)
-
-    def _append(self, descriptor: int, data: bytes) -> None:
-        try:
-            self._files.write(descriptor, data)
-        except OSError as error:
-            raise self._get_error('write', error) from error
-        self._sync(descriptor)
+        self, name: str, base: log.Log
+    ) -> Result[segments.Segment, errors.Failure]:
+        data = (self._path / name).read_bytes()
+        outcome = segments.read_segment(data, base)
+        if outcome.is_err():
+            return self._fail_segment(name, outcome.unwrap_err())
+        return outcome
 
-    def _sync(self, descriptor: int) -> None:
-        try:
-            self._files.sync(descriptor)
-        except OSError as error:
-            raise self._get_error('sync', error) from error
-        self._sync_count += 1
+    def _use_segment(self, name: str, length: int) -> None:
+        """Append to a segment behind its whole records.
 
-    def _get_error(self, call: str, error: OSError) -> StorageError:
-        return StorageError(
-            errors.Failure(
-                errors.ErrorKind.STORAGE_FAILED,
-                f'{call} in {self._folder} failed: {error.strerror}',
-            )
-        )
-
-    def _create_file(self, name: str, data: bytes) -> None:
-        """Create a file that is either whole or absent after a crash."""
-        temporary = self._folder / f'{name}.tmp'
-        descriptor = os.open(
-            temporary,
-            os.O_WRONLY | os.O_CREAT | os.O_TRUNC | os.O_CLOEXEC,
-            0o640,
-        )
-        try:
-            self._append(descriptor, data)
-        finally:
-            os.close(descriptor)
-        os.replace(temporary, self._folder / name)
-        self._sync_folder()
-
-    def _sync_folder(self) -> None:
-        descriptor = os.open(self._folder, os.O_RDONLY | os.O_DIRECTORY)
-        try:
-            self._sync(descriptor)
-        finally:
-            os.close(descriptor)
-
-    def _open_segment(self, name: str) -> None:
+        An earlier run may have written them without a sync, so they are
+        synced before this member answers for them.
+        """
         if self._segment is not None:
             os.close(self._segment)
         self._segment = os.open(
-            self._folder / name, os.O_WRONLY | os.O_APPEND | os.O_CLOEXEC
+            self._path / name, os.O_WRONLY | os.O_APPEND | os.O_CLOEXEC
         )
+        os.ftruncate(self._segment, length)
+        self._length = length
+        self._sync()
+
+    def _append(self, data: bytes) -> None:
+        self._folder.write(self._segment, data)
+        self._length += len(data)
+        self._sync()
+
+    def _sync(self) -> None:
+        self._folder.sync(self._segment)
+        mark = segments.pack_mark(self._length)
+        self._folder.write(self._segment, mark)
+        self._length += len(mark)
 
     def _remove_older(self, index: int) -> None:
+        older = []
         for pattern, newest in ((_SEGMENT, index + 1), (_SNAPSHOT, index)):
             for name in self._find(pattern):
                 if int(pattern.match(name).group(1)) < newest:
-                    (self._folder / name).unlink()
-        self._sync_folder()
+                    older.append(name)
+        self._folder.remove(older)
 
     def _find(self, pattern: re.Pattern) -> list[str]:
         return sorted(
             path.name
-            for path in self._folder.iterdir()
+            for path in self._path.iterdir()
             if pattern.match(path.name)
         )
 
+    def _fail_segment(
+        self, name: str, problem: segments.Problem
+    ) -> Err[errors.Failure]:
+        if problem.kind is errors.ErrorKind.STORAGE_DAMAGED:
+            return self._fail_damaged(f'{name}: {problem.message}')
+        return _fail(problem.kind, f'{self._path / name}: {problem.message}')
+
     def _fail_damaged(self, message: str) -> Err[errors.Failure]:
         return _fail(
             errors.ErrorKind.STORAGE_DAMAGED,
-            f'data folder {self._folder} is damaged: {message}',
+            f'data folder {self._path} is damaged: {message}; set it aside '
+            'and start with an empty folder, the group then copies its log',
         )
 
 
-def _pack_hard_state(hard_state: events.HardState) -> bytes:
-    return records.pack_record(
-        records.RecordType.HARD_STATE, msgspec.msgpack.encode(hard_state)
-    )
-
-
-def _pack_entry(entry: messages.Entry) -> bytes:
-    return records.pack_record(
-        records.RecordType.ENTRY, msgspec.msgpack.encode(entry)
-    )
+def _get_segment_name(snapshot_index: int) -> str:
+    return f'log-{snapshot_index + 1:020d}'
 
 
 def _fail(kind: errors.ErrorKind, message: str) -> Err[errors.Failure]:
--- /dev/null
+++ b/orioleshore/tests/test_storage.py
@@ -0,0 +1,302 @@
+"""Faults of the data folder: each is detected, nothing is lost or added."""
+
+import errno
+import os
+import pathlib
+import shutil
+
+import pytest
+
+from orioleshore.consensus import events
+from orioleshore.consensus import files
+from orioleshore.consensus import records
+from orioleshore.consensus import storage
+from orioleshore.model import errors
+from orioleshore.tests import builders
+
+HARD_STATE = events.HardState(1, 'm0')
+
+
+class Crash(BaseException):
+    """The process ends between two calls of the operating system."""
+
+
+class FailingFiles(files.Files):
+    """Fails or crashes at one of its calls, counted from 1.
+
+    A crash is a loss of power: what was not synced is cut off.
+    """
+
+    def __init__(self, fail_at: int = 0, crash_at: int = 0) -> None:
+        self.calls = 0
+        self.fail_at = fail_at
+        self.crash_at = crash_at
+        self.synced: dict[str, int] = {}
+
+    def create(self, path):
+        self._count()
+        return super().create(path)
+
+    def write(self, descriptor, data):
+        path = os.readlink(f'/proc/self/fd/{descriptor}')
+        size = os.fstat(descriptor).st_size
+        self.synced.setdefault(path, size)
+        self._count()
+        super().write(descriptor, data)
+
+    def sync(self, descriptor):
+        self._count()
+        path = os.readlink(f'/proc/self/fd/{descriptor}')
+        super().sync(descriptor)
+        self.synced[path] = os.fstat(descriptor).st_size
+
+    def replace(self, source, target):
+        self._count()
+        super().replace(source, target)
+        self.synced[str(target)] = self.synced.pop(str(source))
+
+    def remove(self, path):
+        self._count()
+        super().remove(path)
+        self.synced.pop(str(path), None)
+
+    def _count(self) -> None:
+        self.calls += 1
+        if self.calls == self.fail_at:
+            raise OSError(errno.ENOSPC, os.strerror(errno.ENOSPC))
+        if self.calls == self.crash_at:
+            for path, length in self.synced.items():
+                if pathlib.Path(path).is_file():
+                    os.truncate(path, length)
+            raise Crash
+
+
+def open_folder(folder, calls: files.Files | None = None):
+    """Open a data folder, and return the storage and what it held."""
+    opened = storage.Storage(str(folder), calls)
+    return opened, opened.open()
+
+
+def load(folder):
+    """Return what a data folder holds."""
+    opened, outcome = open_folder(folder)
+    opened.close()
+    return outcome
+
+
+def load_indexes(folder) -> list[int]:
+    """Return the indexes of the stored entries."""
+    entries = load(folder).unwrap().log
+    return [
+        entry.index
+        for entry in entries.get_entries(
+            entries.first_index, entries.last_index
+        )
+    ]
+
+
+def fill(folder, count: int = 3) -> pathlib.Path:
+    """Write a hard state and entries one by one; return the segment."""
+    opened, outcome = open_folder(folder)
+    outcome.unwrap()
+    for index in range(1, count + 1):
+        opened.write(HARD_STATE, (builders.build_entry(index),))
+    opened.close()
+    return folder / f'log-{1:020d}'
+
+
+def build_snapshot(index: int) -> events.Snapshot:
+    members = builders.build_members('m0', 'm1', 'm2')
+    return events.Snapshot(index, 1, members, b'state')
+
+
+def get_kind(folder) -> errors.ErrorKind:
+    return load(folder).unwrap_err().kind
+
+
+def test_torn_tail_is_cut_at_every_byte(tmp_path):
+    """Guards against a member that cannot start after a loss of power."""
+    segment = fill(tmp_path / 'whole')
+    whole = segment.read_bytes()
+    tail = records.pack_record(records.RecordType.ENTRY, b'x' * 20)
+    for length in range(len(tail)):
+        segment.write_bytes(whole + tail[:length])
+        assert load_indexes(segment.parent) == [1, 2, 3], length
+        assert segment.read_bytes()[: len(whole)] == whole
+        segment.write_bytes(whole)
+
+
+def test_flipped_bit_in_acknowledged_record_is_damage(tmp_path):
+    """Guards against a damaged record taken for a torn tail."""
+    segment = fill(tmp_path)
+    whole = segment.read_bytes()
+    mark = len(whole) - records.HEADER_BYTES - 8
+    for position in range(mark):
+        damaged = bytearray(whole)
+        damaged[position] ^= 1 << position % 8
+        segment.write_bytes(damaged)
+        failure = load(tmp_path).unwrap_err()
+        assert failure.kind is errors.ErrorKind.STORAGE_DAMAGED, position
+        assert segment.name in failure.message
+    segment.write_bytes(whole[:mark] + b'\0' * (len(whole) - mark))
+    assert load_indexes(tmp_path) == [1, 2, 3]
+
+
+def test_flipped_bit_in_single_records_is_damage(tmp_path):
+    """Guards against a wrong stamp or state after damage of a file."""
+    fill(tmp_path)
+    opened, outcome = open_folder(tmp_path)
+    outcome.unwrap()
+    opened.save_snapshot(build_snapshot(2), (builders.build_entry(3),))
+    opened.close()
+    for name in ('identity', f'snapshot-{2:020d}'):
+        path = tmp_path / name
+        whole = path.read_bytes()
+        for position in range(len(whole)):
+            damaged = bytearray(whole)
+            damaged[position] ^= 1 << position % 8
+            path.write_bytes(damaged)
+            assert get_kind(tmp_path) is errors.ErrorKind.STORAGE_DAMAGED
+        path.write_bytes(whole)
+    assert load_indexes(tmp_path) == [3]
+
+
+@pytest.mark.parametrize('name', ['FORMAT', 'identity', 'log', 'snapshot'])
+def test_missing_file_is_damage(tmp_path, name):
+    """Guards against a member that votes without what it acknowledged."""
+    fill(tmp_path)
+    opened, outcome = open_folder(tmp_path)
+    outcome.unwrap()
+    opened.save_snapshot(build_snapshot(2), (builders.build_entry(3),))
+    opened.close()
+    for path in tmp_path.glob(f'{name}*'):
+        path.unlink()
+    failure = load(tmp_path).unwrap_err()
+    assert failure.kind is errors.ErrorKind.STORAGE_DAMAGED
+    assert 'missing' in failure.message
+
+
+def test_missing_first_segment_is_damage(tmp_path):
+    """Guards against a lost log that looks like that of a new member."""
+    segment = fill(tmp_path)
+    segment.write_bytes(b'')
+    assert get_kind(tmp_path) is errors.ErrorKind.STORAGE_DAMAGED
+    segment.unlink()
+    assert get_kind(tmp_path) is errors.ErrorKind.STORAGE_DAMAGED
+
+
+def test_missing_identity_of_a_log_is_damage(tmp_path):
+    """Guards against a fresh stamp on files that already voted."""
+    fill(tmp_path)
+    (tmp_path / 'identity').unlink()
+    assert get_kind(tmp_path) is errors.ErrorKind.STORAGE_DAMAGED
+
+
+@pytest.mark.parametrize('version', ['0', '2', 'one', ''])
+def test_other_format_is_refused(tmp_path, version):
+    """Guards against files of an older or newer program read wrongly."""
+    fill(tmp_path)
+    (tmp_path / 'FORMAT').write_text(version, 'utf-8')
+    assert get_kind(tmp_path) is errors.ErrorKind.FORMAT_UNSUPPORTED
+
+
+def test_newer_record_version_is_refused(tmp_path, monkeypatch):
+    """Guards against a record of a newer program cut off as damage."""
+    with monkeypatch.context() as patch:
+        patch.setattr(records, 'RECORD_VERSION', 2)
+        fill(tmp_path)
+    assert get_kind(tmp_path) is errors.ErrorKind.FORMAT_UNSUPPORTED
+
+
+def test_folder_in_use_is_refused(tmp_path):
+    """Guards against two processes that write one log."""
+    first, outcome = open_folder(tmp_path)
+    outcome.unwrap()
+    assert get_kind(tmp_path) is errors.ErrorKind.FOLDER_IN_USE
+    first.close()
+    load(tmp_path).unwrap()
+
+
+@pytest.mark.parametrize('call', [1, 2, 3])
+def test_failed_call_is_never_retried(tmp_path, call):
+    """Guards against a sync that succeeds after its data was dropped.
+
+    The calls are the write, the sync and the mark of one group.
+    """
+    fill(tmp_path)
+    calls = FailingFiles()
+    opened, outcome = open_folder(tmp_path, calls)
+    outcome.unwrap()
+    calls.fail_at = calls.calls + call
+    for index in (4, 5):
+        with pytest.raises(files.StorageError) as caught:
+            opened.write(HARD_STATE, (builders.build_entry(index),))
+        failure = caught.value.failure
+        assert failure.kind is errors.ErrorKind.STORAGE_FAILED
+        assert 'No space left' in failure.message
+    opened.close()
+    assert load_indexes(tmp_path)[:3] == [1, 2, 3]
+
+
+def test_crash_between_any_two_calls_of_a_snapshot(tmp_path):
+    """Guards against lost entries when a snapshot replaces the log."""
+    fill(tmp_path / 'start')
+    finished = False
+    crash_at = 0
+    while not finished and crash_at < 100:
+        crash_at += 1
+        folder = tmp_path / f'crash-{crash_at}'
+        shutil.copytree(tmp_path / 'start', folder)
+        calls = FailingFiles()
+        opened = storage.Storage(str(folder), calls)
+        opened.open().unwrap()
+        calls.calls, calls.crash_at = 0, crash_at
+        try:
+            opened.save_snapshot(build_snapshot(2), (builders.build_entry(3),))
+            finished = True
+        except Crash:
+            finished = False
+        opened.close()
+        loaded = load(folder).unwrap()
+        assert loaded.hard_state == HARD_STATE
+        assert loaded.log.last_index == 3, crash_at
+        assert loaded.log.get_term(3) == 1
+        assert loaded.log.snapshot_index in (0, 2)
+        assert loaded.log.snapshot_index == 2 or not finished
+    assert crash_at > 10
+
+
+def test_crash_between_any_two_calls_of_the_first_start(tmp_path):
+    """Guards against a folder that the next start refuses."""
+    for crash_at in range(1, 18):
+        folder = tmp_path / f'crash-{crash_at}'
+        opened = storage.Storage(str(folder), FailingFiles(0, crash_at))
+        with pytest.raises(Crash):
+            opened.open()
+        opened.close()
+        assert load(folder).unwrap().log.is_blank
+
+
+def test_snapshot_of_a_leader_drops_another_log(tmp_path):
+    """Guards against entries of an older leader behind a snapshot."""
+    fill(tmp_path)
+    opened, outcome = open_folder(tmp_path)
+    outcome.unwrap()
+    snapshot = events.Snapshot(2, 7, build_snapshot(2).members, b'state')
+    opened.save_snapshot(snapshot, ())
+    opened.close()
+    (tmp_path / f'log-{3:020d}').unlink()
+    other = tmp_path / 'other'
+    segment = fill(other)
+    shutil.copy(segment, tmp_path / segment.name)
+    assert load_indexes(tmp_path) == []
+
+
+def test_found_records_are_synced_before_use(tmp_path):
+    """Guards against answers for records that an earlier run wrote only."""
+    segment = fill(tmp_path)
+    calls = FailingFiles()
+    opened, outcome = open_folder(tmp_path, calls)
+    outcome.unwrap()
+    opened.close()
+    assert str(segment) in calls.synced
