--- a/fakes/upstream.py
+++ b/fakes/upstream.py
@@ -16,6 +16,7 @@
 KEY_HEADER = 'Idempotency-Key'
 RENEW_S = 1.0
 HANG_S = 600.0
+EXTRA_ANSWER = b'HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nold reply'
 
 
 class Behaviour(enum.Enum):
@@ -29,6 +30,20 @@
     WRONG_REQUEST = 'wrong_request'
     REFUSE = 'refuse'
     FAIL = 'fail'
+    # Answers without naming the request.
+    ANONYMOUS = 'anonymous'
+    # Sends one more answer on the same connection, a moment later.
+    EXTRA_ANSWER = 'extra_answer'
+    CUT_CHUNKS = 'cut_chunks'
+    # Ends its answer by closing the connection.
+    OPEN_ENDED = 'open_ended'
+
+
+EXTRA_DELAY_S = 0.02
+
+_CUTS = frozenset(
+    {Behaviour.CUT_ANSWER, Behaviour.CUT_CHUNKS, Behaviour.OPEN_ENDED}
+)
 
 
 class FakeUpstream:
@@ -176,15 +191,28 @@
             REQUEST_HEADER: identity,
             'Content-Type': 'application/json',
         }
-        if self.behaviour is Behaviour.CUT_ANSWER:
+        if self.behaviour in _CUTS:
             return await self._cut(request, content, headers)
+        if self.behaviour is Behaviour.ANONYMOUS:
+            del headers[REQUEST_HEADER]
+        if self.behaviour is Behaviour.EXTRA_ANSWER and request.transport:
+            asyncio.get_running_loop().call_later(
+                EXTRA_DELAY_S, request.transport.write, EXTRA_ANSWER
+            )
         return web.Response(body=content, headers=headers)
 
     async def _cut(
         self, request: web.Request, content: bytes, headers: dict[str, str]
     ) -> web.StreamResponse:
+        if self.behaviour is Behaviour.OPEN_ENDED:
+            request.transport.write(b'HTTP/1.0 200 OK\r\n\r\nhalf an ans')
+            request.transport.close()
+            return web.Response()
         response = web.StreamResponse(headers=headers)
-        response.content_length = len(content)
+        if self.behaviour is Behaviour.CUT_CHUNKS:
+            response.enable_chunked_encoding()
+        else:
+            response.content_length = len(content)
         await response.prepare(request)
         await response.write(content[: len(content) // 2])
         request.transport.close()
--- /dev/null
+++ b/orioleshore/frontends/caller_server.py
@@ -0,0 +1,195 @@
+"""Listening socket of the callers, with answers of its own to bad HTTP."""
+
+from collections.abc import Awaitable
+from collections.abc import Callable
+import logging
+
+from aiohttp import http_exceptions
+from aiohttp import web
+
+from orioleshore import settings
+from orioleshore.frontends import web as frontend_web
+from orioleshore.model import errors
+from orioleshore.telemetry import logs
+
+LOG = logging.getLogger(__name__)
+
+KEEP_ALIVE_S = 75.0
+BACKLOG = 1_024
+# Time to write the last answers at a stop.
+FAREWELL_S = 2.0
+# Time to read and ignore the rest of a refused body, so that its caller
+# sees the answer before the connection is reset.
+LINGER_S = 1.0
+
+_Serve = Callable[[web.BaseRequest], Awaitable[web.StreamResponse]]
+
+_TOO_SLOW = (
+    b'HTTP/1.1 408 Request Timeout\r\n'
+    b'Orioleshore-Error: request_too_slow\r\n'
+    b'Orioleshore-Ran: no\r\n'
+    b'Retry-After: 1\r\n'
+    b'Content-Length: 0\r\n'
+    b'Connection: close\r\n\r\n'
+)
+
+
+class CallerConnection(web.RequestHandler):
+    """One connection of a caller.
+
+    A caller that sends no whole request head in time is cut off, so that
+    slow senders cannot use up the connections.
+    """
+
+    __slots__ = ('_head_timer', '_header_bytes', '_head_timeout_s', '_lost')
+
+    def __init__(
+        self, manager: web.Server, limits: settings.Entry, **options
+    ) -> None:
+        super().__init__(manager, **options)
+        self._header_bytes = limits.header_bytes
+        self._head_timeout_s = limits.body_timeout_s
+        self._head_timer = None
+        self._lost: Callable[[], None] | None = None
+
+    def watch(self, lost: Callable[[], None]) -> None:
+        """Call a function if the caller leaves during its request."""
+        self._lost = lost
+
+    def begin(self) -> None:
+        """Note that the head of a request is complete."""
+        self._lost = None
+        if self._head_timer is not None:
+            self._head_timer.cancel()
+            self._head_timer = None
+
+    def connection_made(self, transport) -> None:
+        """Start to wait for the first request."""
+        super().connection_made(transport)
+        self._head_timer = self._loop.call_later(
+            self._head_timeout_s, self._refuse_slow
+        )
+
+    def connection_lost(self, exc: BaseException | None) -> None:
+        """Tell the request under way that its caller is gone."""
+        lost = self._lost
+        self.begin()
+        super().connection_lost(exc)
+        if lost is not None:
+            lost()
+
+    def handle_error(
+        self,
+        request: web.BaseRequest,
+        status: int = 500,
+        exc: BaseException | None = None,
+        message: str | None = None,
+    ) -> web.StreamResponse:
+        """Return the answer to malformed HTTP, or to a program bug."""
+        if request.writer.output_size > 0:
+            raise ConnectionError('an answer is under way already')
+        failure = self._get_failure(status, exc)
+        LOG.info(
+            logs.format_event(
+                'request_refused', error=failure.kind, reason=exc
+            ),
+            exc_info=exc if status >= 500 else None,
+        )
+        response = frontend_web.make_failure(failure)
+        response.force_close()
+        return response
+
+    def _get_failure(
+        self, status: int, error: BaseException | None
+    ) -> errors.Failure:
+        if status >= 500:
+            return errors.Failure(
+                errors.ErrorKind.INTERNAL, 'the request met a program fault'
+            )
+        if isinstance(error, http_exceptions.LineTooLong) or (
+            'Too many headers' in str(error)
+        ):
+            return errors.Failure(
+                errors.ErrorKind.HEADERS_TOO_LARGE,
+                f'at most {self._header_bytes} bytes of headers are accepted',
+            )
+        return errors.Failure(
+            errors.ErrorKind.INVALID_REQUEST, 'the request is malformed HTTP'
+        )
+
+    def _refuse_slow(self) -> None:
+        if self.transport is not None:
+            self.transport.write(_TOO_SLOW)
+            self.transport.close()
+
+
+class _Request(web.BaseRequest):
+    async def _prepare_hook(self, response: web.StreamResponse) -> None:
+        await frontend_web.hide_server(self, response)
+
+
+class _Server(web.Server):
+    def __init__(self, serve: _Serve, limits: settings.Entry) -> None:
+        super().__init__(
+            self._begin, request_factory=self._make_caller_request
+        )
+        self._serve = serve
+        self._limits = limits
+
+    def __call__(self) -> CallerConnection:
+        return CallerConnection(
+            self,
+            self._limits,
+            loop=self._loop,
+            keepalive_timeout=KEEP_ALIVE_S,
+            access_log=None,
+            max_line_size=self._limits.header_bytes,
+            max_field_size=self._limits.header_bytes,
+            lingering_time=LINGER_S,
+            # Bodies are passed on as they came.
+            auto_decompress=False,
+        )
+
+    async def _begin(self, request: web.BaseRequest) -> web.StreamResponse:
+        request.protocol.begin()
+        return await self._serve(request)
+
+    def _make_caller_request(
+        self, message, payload, protocol, writer, task
+    ) -> _Request:
+        return _Request(message, payload, protocol, writer, task, self._loop)
+
+
+class CallerListener:
+    """Accepts callers' connections and passes whole heads on."""
+
+    def __init__(
+        self, address: str, limits: settings.Entry, serve: _Serve
+    ) -> None:
+        self._address = address
+        self._limits = limits
+        self._serve = serve
+        self._runner: web.ServerRunner | None = None
+
+    @property
+    def address(self) -> str:
+        return self._address
+
+    async def start(self) -> None:
+        """Listen; port 0 is replaced by the one that the kernel chose."""
+        self._runner = web.ServerRunner(
+            _Server(self._serve, self._limits),
+            # Requests whose body still arrives, or whose answer is still
+            # being written, are finished.
+            shutdown_timeout=self._limits.body_timeout_s + FAREWELL_S,
+        )
+        await self._runner.setup()
+        host, port = settings.parse_address(self._address)
+        site = web.TCPSite(self._runner, host, port, backlog=BACKLOG)
+        await site.start()
+        self._address = f'{host}:{self._runner.addresses[0][1]}'
+
+    async def stop(self) -> None:
+        """Close the socket and the connections."""
+        if self._runner is not None:
+            await self._runner.cleanup()
--- a/orioleshore/frontends/callers.py
+++ b/orioleshore/frontends/callers.py
@@ -14,6 +14,7 @@
 from result import Result
 
 from orioleshore import settings
+from orioleshore.frontends import caller_server
 from orioleshore.frontends import upstream_client
 from orioleshore.frontends import web as frontend_web
 from orioleshore.model import documents
@@ -23,6 +24,7 @@
 from orioleshore.routing import dispatcher
 from orioleshore.routing import events
 from orioleshore.routing import table
+from orioleshore.state import claim_commands
 from orioleshore.state import operations
 from orioleshore.state import subscriber
 from orioleshore.tasks import mailbox
@@ -47,6 +49,9 @@
 
 _OWN_HEADERS = frozenset(
     {
+        'content-length',
+        # The body is read whole before an upstream sees the request.
+        'expect',
         DEADLINE_HEADER.lower(),
         CALLER_HEADER.lower(),
         PRIORITY_HEADER.lower(),
@@ -73,17 +78,8 @@
         self._client = upstream_client.UpstreamClient(
             limits.answer_buffer_bytes
         )
-        app = web.Application(client_max_size=0)
-        app.router.add_route('*', '/{path:.*}', self._serve)
-        app.on_response_prepare.append(frontend_web.hide_server)
-        self._listener = frontend_web.Listener(
-            address,
-            app,
-            max_line_size=limits.header_bytes,
-            max_field_size=limits.header_bytes,
-            handler_cancellation=False,
-            # The stop of an entry host waits for requests by itself.
-            shutdown_timeout=0.0,
+        self._listener = caller_server.CallerListener(
+            address, limits, self._serve
         )
 
     @property
@@ -104,7 +100,7 @@
         """Take a newer configuration."""
         _take(message, self)
 
-    async def _serve(self, request: web.Request) -> web.StreamResponse:
+    async def _serve(self, request: web.BaseRequest) -> web.StreamResponse:
         service = self._table.find(request.host, request.path)
         if service is None:
             return _refuse(
@@ -126,7 +122,7 @@
         ).run()
 
     async def _read(
-        self, request: web.Request, service: documents.Service
+        self, request: web.BaseRequest, service: documents.Service
     ) -> Result[
         tuple[events.RequestInfo, upstream_client.Outgoing], errors.Failure
     ]:
@@ -147,7 +143,9 @@
         )
         return Ok((info.unwrap(), outgoing))
 
-    def _check_headers(self, request: web.Request) -> errors.Failure | None:
+    def _check_headers(
+        self, request: web.BaseRequest
+    ) -> errors.Failure | None:
         size = sum(
             len(name) + len(value) for name, value in request.raw_headers
         )
@@ -163,7 +161,7 @@
         return None
 
     async def _read_body(
-        self, request: web.Request, service: documents.Service
+        self, request: web.BaseRequest, service: documents.Service
     ) -> Result[bytes, errors.Failure]:
         limit = service.limits.body_bytes
         body = bytearray()
@@ -177,11 +175,13 @@
                             f'a body has at most {limit} bytes',
                         )
         except TimeoutError:
-            return _fail(
+            failure = errors.Failure(
                 errors.ErrorKind.REQUEST_TOO_SLOW,
                 'the body did not arrive within '
                 f'{self._limits.body_timeout_s:g} s',
+                retry_after_s=1.0,
             )
+            return Err(failure)
         except (aiohttp.ClientError, web.HTTPException, OSError) as error:
             return _fail(
                 errors.ErrorKind.INVALID_REQUEST, f'malformed body: {error}'
@@ -189,7 +189,7 @@
         return Ok(bytes(body))
 
     def _get_info(
-        self, request: web.Request, service: documents.Service, body: bytes
+        self, request: web.BaseRequest, service: documents.Service, body: bytes
     ) -> Result[events.RequestInfo, errors.Failure]:
         idempotent = table.is_idempotent(service, request.method, request.path)
         key = _parse_key(request, idempotent, self._clock.get_wall())
@@ -223,7 +223,7 @@
 
     def __init__(
         self,
-        request: web.Request,
+        request: web.BaseRequest,
         info: events.RequestInfo,
         outgoing: upstream_client.Outgoing,
         exchange: mailbox.Mailbox,
@@ -241,6 +241,7 @@
 
     async def run(self) -> web.StreamResponse:
         """Return the one answer to the caller."""
+        self._request.protocol.watch(self._report_loss)
         while True:
             message = await self._mailbox.get()
             if isinstance(message, events.StartAttempt):
@@ -250,6 +251,10 @@
                 continue
             return _make_response(message, self._incoming)
 
+    def _report_loss(self) -> None:
+        # When the mailbox is full, the deadline ends the request instead.
+        self._routing.put(events.CallerGone(self._info.request))
+
     async def _attempt(self, start: events.StartAttempt) -> None:
         once = self._info.key is not None
         ended, incoming = await self._client.run(self._outgoing, start, once)
@@ -276,15 +281,16 @@
         incoming = self._incoming
         response = web.StreamResponse(status=incoming.status)
         _copy_headers(response, incoming.headers)
-        outcome = events.AttemptOutcome.TRUNCATED
+        outcome = events.AttemptOutcome.CUT_STREAM
         try:
-            await response.prepare(self._request)
-            await response.write(incoming.body)
-            async for chunk in incoming.rest.content.iter_any():
-                await response.write(chunk)
-            outcome = events.AttemptOutcome.ANSWERED
-            await response.write_eof()
-        except (aiohttp.ClientError, OSError) as error:
+            async with asyncio.timeout_at(incoming.read_until):
+                await response.prepare(self._request)
+                await response.write(incoming.body)
+                async for chunk in incoming.rest.content.iter_any():
+                    await response.write(chunk)
+                outcome = events.AttemptOutcome.ANSWERED
+                await response.write_eof()
+        except (aiohttp.ClientError, OSError, TimeoutError) as error:
             LOG.info(
                 logs.format_event(
                     'answer_cut', request=self._info.request, error=error
@@ -316,9 +322,7 @@
 def _(
     message: events.Deliver, incoming: upstream_client.Incoming | None
 ) -> web.StreamResponse:
-    response = web.Response(status=incoming.status, body=incoming.body)
-    _copy_headers(response, incoming.headers)
-    return response
+    return _make_copy(incoming.status, incoming.headers, incoming.body)
 
 
 @_make_response.register
@@ -326,9 +330,7 @@
     message: events.Replay, incoming: upstream_client.Incoming | None
 ) -> web.StreamResponse:
     answer = message.answer
-    response = web.Response(status=answer.status, body=answer.body)
-    _copy_headers(response, answer.headers)
-    return response
+    return _make_copy(answer.status, answer.headers, answer.body)
 
 
 @_make_response.register
@@ -350,6 +352,14 @@
     frontend._table = table.RouteTable(message.document.services)
 
 
+def _make_copy(
+    status: int, headers: tuple[tuple[str, str], ...], body: bytes
+) -> web.Response:
+    response = web.Response(status=status, body=body)
+    _copy_headers(response, headers)
+    return response
+
+
 def _copy_headers(
     response: web.StreamResponse, headers: tuple[tuple[str, str], ...]
 ) -> None:
@@ -359,9 +369,9 @@
 
 
 def _get_forwarded_headers(
-    request: web.Request,
+    request: web.BaseRequest,
 ) -> tuple[tuple[str, str], ...]:
-    dropped = upstream_client.HOP_BY_HOP | _OWN_HEADERS | {'content-length'}
+    dropped = upstream_client.HOP_BY_HOP | _OWN_HEADERS
     return tuple(
         (str(name), value)
         for name, value in request.headers.items()
@@ -370,7 +380,7 @@
 
 
 def _parse_key(
-    request: web.Request, idempotent: bool, now: float
+    request: web.BaseRequest, idempotent: bool, now: float
 ) -> Result[
     tuple[ids.IdempotencyKey | None, ids.WallTime | None], errors.Failure
 ]:
@@ -390,11 +400,16 @@
             f'{KEY_HEADER} is not "<unix seconds>-<token>", or lies in the '
             'future; a token has 8 to 64 letters, digits, "_" or "-"',
         )
+    if issued <= now - claim_commands.CLAIM_RETENTION_S:
+        return _fail(
+            errors.ErrorKind.KEY_EXPIRED,
+            'the key is too old to tell whether its request ran',
+        )
     return Ok((ids.IdempotencyKey(text), issued))
 
 
 def _parse_deadline(
-    request: web.Request, service: documents.Service
+    request: web.BaseRequest, service: documents.Service
 ) -> Result[float, errors.Failure]:
     text = request.headers.get(DEADLINE_HEADER)
     if text is None:
@@ -408,7 +423,7 @@
 
 
 def _parse_priority(
-    request: web.Request,
+    request: web.BaseRequest,
 ) -> Result[states.Priority, errors.Failure]:
     text = request.headers.get(PRIORITY_HEADER, states.Priority.NORMAL.value)
     for priority in states.Priority:
@@ -422,7 +437,7 @@
 
 
 def _get_digest(
-    request: web.Request, service: documents.Service, body: bytes
+    request: web.BaseRequest, service: documents.Service, body: bytes
 ) -> bytes:
     """Return what tells two requests under one key apart."""
     digest = hashlib.sha256()
--- a/orioleshore/frontends/upstream_client.py
+++ b/orioleshore/frontends/upstream_client.py
@@ -9,10 +9,13 @@
 from yarl import URL
 
 from orioleshore.frontends import web as frontend_web
+from orioleshore.model import ids
 from orioleshore.model import states
 from orioleshore.routing import events
 
 CONNECT_TIMEOUT_S = 1.0
+# Bounds what is remembered about upstreams that are long gone.
+MAX_NAMING = 65_536
 
 # RFC 9110, section 7.6.1: these concern one connection only.
 HOP_BY_HOP = frozenset(
@@ -29,6 +32,16 @@
     }
 )
 
+# An upstream must not be able to forge what the entry host says itself.
+_PRODUCT_HEADERS = frozenset(
+    name.lower()
+    for name in (
+        frontend_web.ERROR_HEADER,
+        frontend_web.RAN_HEADER,
+        frontend_web.REQUEST_HEADER,
+    )
+)
+
 
 class Outgoing(msgspec.Struct, frozen=True):
     """The request as it is sent to an upstream."""
@@ -42,13 +55,15 @@
 class Incoming(msgspec.Struct):
     """The answer of an upstream.
 
-    ``rest`` is set while a long answer is still being read.
+    ``rest`` is set while a long answer is still being read, until
+    ``read_until`` in the time of the event loop.
     """
 
     status: int
     headers: tuple[tuple[str, str], ...]
     body: bytes
     rest: aiohttp.ClientResponse | None = None
+    read_until: float = 0.0
 
 
 class BrokenConnectionError(aiohttp.ClientError):
@@ -76,12 +91,16 @@
 
     A request that is not idempotent gets a new connection, because a kept
     one may turn out to be closed only after the request was written.
+    Connections are kept only to upstreams that name the request in their
+    answers. On a kept one, an answer without a name may be a late answer to
+    an earlier request, so it counts as mismatched.
     """
 
     def __init__(self, buffer_bytes: int) -> None:
         self._buffer_bytes = buffer_bytes
         self._reusing: aiohttp.ClientSession | None = None
         self._single_use: aiohttp.ClientSession | None = None
+        self._naming: set[ids.UpstreamId] = set()
 
     async def open(self) -> None:
         """Create the sessions in the running loop."""
@@ -129,7 +148,11 @@
     async def _exchange(
         self, outgoing: Outgoing, start: events.StartAttempt, once: bool
     ) -> tuple[events.AttemptOutcome, Incoming | None]:
-        session = self._single_use if once else self._reusing
+        read_until = asyncio.get_running_loop().time() + start.timeout_s
+        # What disturbed the first attempt may concern all kept connections.
+        is_kept = not once and start.attempt == 1
+        is_kept = is_kept and start.upstream in self._naming
+        session = self._reusing if is_kept else self._single_use
         headers = CIMultiDict(outgoing.headers)
         identity = f'{start.request}.{start.attempt}'
         headers[frontend_web.REQUEST_HEADER] = identity
@@ -142,17 +165,24 @@
         )
         try:
             echo = response.headers.get(frontend_web.REQUEST_HEADER)
-            if echo is not None and echo != identity:
+            self._note_naming(start.upstream, echo)
+            problem = _find_problem(response, echo, identity, is_kept)
+            if problem is not None:
                 response.close()
-                return events.AttemptOutcome.MISMATCHED, None
-            if _is_refusal(response):
-                response.close()
-                return events.AttemptOutcome.REFUSED, None
-            return await self._read(response)
+                return problem, None
+            outcome, incoming = await self._read(response)
+            incoming.read_until = read_until
+            return outcome, incoming
         except BaseException:
             response.close()
             raise
 
+    def _note_naming(self, upstream: ids.UpstreamId, echo: str | None) -> None:
+        if echo is None:
+            self._naming.discard(upstream)
+        elif len(self._naming) < MAX_NAMING:
+            self._naming.add(upstream)
+
     async def _read(
         self, response: aiohttp.ClientResponse
     ) -> tuple[events.AttemptOutcome, Incoming]:
@@ -165,7 +195,6 @@
                     response.status, headers, bytes(body), response
                 )
                 return events.AttemptOutcome.ANSWERED, incoming
-        response.release()
         incoming = Incoming(response.status, headers, bytes(body))
         return events.AttemptOutcome.ANSWERED, incoming
 
@@ -187,6 +216,36 @@
     )
 
 
+def _find_problem(
+    response: aiohttp.ClientResponse,
+    echo: str | None,
+    identity: str,
+    is_kept: bool,
+) -> events.AttemptOutcome | None:
+    if echo is None and is_kept:
+        return events.AttemptOutcome.MISMATCHED
+    if echo is not None and echo != identity:
+        return events.AttemptOutcome.MISMATCHED
+    if _is_refusal(response):
+        return events.AttemptOutcome.REFUSED
+    if not _has_visible_end(response):
+        return events.AttemptOutcome.TRUNCATED
+    return None
+
+
+def _has_visible_end(response: aiohttp.ClientResponse) -> bool:
+    """Return whether a cut answer can be told from a whole one.
+
+    An answer that ends with its connection looks whole when it is cut.
+    """
+    if response.method == 'HEAD' or response.status in (204, 304):
+        return True
+    if 'Content-Length' in response.headers:
+        return True
+    coding = response.headers.get('Transfer-Encoding', '')
+    return coding.lower().endswith('chunked')
+
+
 def _is_refusal(response: aiohttp.ClientResponse) -> bool:
     """Return whether the upstream says that it did not run the request."""
     ran = response.headers.get(frontend_web.RAN_HEADER)
@@ -196,10 +255,9 @@
 def _get_end_to_end(
     response: aiohttp.ClientResponse,
 ) -> tuple[tuple[str, str], ...]:
-    dropped = HOP_BY_HOP | {
-        'content-length',
-        frontend_web.REQUEST_HEADER.lower(),
-    }
+    dropped = HOP_BY_HOP | _PRODUCT_HEADERS
+    if response.method != 'HEAD':
+        dropped |= {'content-length'}
     return tuple(
         (str(name), value)
         for name, value in response.headers.items()
--- a/orioleshore/frontends/upstreams.py
+++ b/orioleshore/frontends/upstreams.py
@@ -17,14 +17,14 @@
 from orioleshore.model import ids
 from orioleshore.model import states
 from orioleshore.routing import dispatcher
-from orioleshore.routing import router
+from orioleshore.routing import upstreams
 from orioleshore.tasks import mailbox
 from orioleshore.tasks import task
 
 MAILBOX_CAPACITY = 16
 MAX_BODY_BYTES = 4_096
 # Renewals this often survive the loss of one of them.
-RENEW_EVERY_S = router.UPSTREAM_EXPIRY_S / 3
+RENEW_EVERY_S = upstreams.UPSTREAM_EXPIRY_S / 3
 
 
 class UpstreamsFrontend(task.Task):
--- a/orioleshore/frontends/web.py
+++ b/orioleshore/frontends/web.py
@@ -1,6 +1,7 @@
 """What the HTTP front ends share."""
 
 import json
+import math
 from typing import Any
 
 from aiohttp import web
@@ -37,7 +38,8 @@
     response.headers[ERROR_HEADER] = failure.kind.value
     response.headers[RAN_HEADER] = answer.ran.value
     if failure.retry_after_s is not None:
-        response.headers['Retry-After'] = str(round(failure.retry_after_s))
+        seconds = max(1, math.ceil(failure.retry_after_s))
+        response.headers['Retry-After'] = str(seconds)
     return response
 
 
--- a/orioleshore/roles/entry.py
+++ b/orioleshore/roles/entry.py
@@ -3,6 +3,8 @@
 import asyncio
 import logging
 import random
+import time
+from typing import Any
 
 from orioleshore import settings
 from orioleshore.frontends import callers
@@ -23,6 +25,9 @@
 
 # How often a stopping entry host looks whether all requests are finished.
 FINISH_POLL_S = 0.05
+# Outcomes that the control members do not take by then stay open; their
+# claims become unknown when this entry host is gone.
+RECORD_LIMIT_S = 10.0
 
 
 class EntryRole:
@@ -55,7 +60,11 @@
         self._upstreams = upstreams.UpstreamsFrontend(
             config.addresses.upstreams, self._dispatcher.mailbox
         )
-        sender.register(self._dispatcher.mailbox, messages.Announce)
+        sender.register(
+            self._dispatcher.mailbox,
+            messages.Announce,
+            *dispatcher.SLOT_MESSAGES,
+        )
         dumper.add_task(
             'routing', self._dispatcher.mailbox, dispatcher.GetRoutingDump
         )
@@ -86,13 +95,20 @@
         """
         await asyncio.sleep(self._config.entry.drain_notice_s)
         await self._dispatcher.mailbox.put_wait(dispatcher.Stop())
+        record_until = time.monotonic() + RECORD_LIMIT_S
         while True:
             answer: reply.Reply = reply.Reply()
             await self._dispatcher.mailbox.put_wait(
                 dispatcher.GetRoutingDump(answer)
             )
             content = (await answer.wait()).unwrap()
-            if not content['held'] and not content['exchanges']:
+            if _is_finished(content, time.monotonic() >= record_until):
                 break
             await asyncio.sleep(FINISH_POLL_S)
         LOG.info(logs.format_event('drained'))
+
+
+def _is_finished(content: dict[str, Any], is_late: bool) -> bool:
+    if content['held'] or content['exchanges']:
+        return False
+    return is_late or not content['open_records']
--- /dev/null
+++ b/orioleshore/routing/claims.py
@@ -0,0 +1,112 @@
+"""Claims of requests that must run at most once, seen from routing."""
+
+import enum
+
+import msgspec
+from result import Result
+
+from orioleshore.model import errors
+from orioleshore.model import states
+from orioleshore.routing import events
+from orioleshore.state import claim_commands
+from orioleshore.state import records
+
+# How often a copy asks again for the outcome of the first one.
+POLL_S = 0.25
+
+
+class ClaimStage(enum.Enum):
+    """How far the claim of a held request is."""
+
+    # The operation is idempotent.
+    NOT_NEEDED = 'not_needed'
+    REQUESTED = 'requested'
+    GRANTED = 'granted'
+    # Another copy of the request holds the claim.
+    TAKEN = 'taken'
+
+
+class Claim(msgspec.Struct):
+    """Progress of the claim of one request; times are monotonic."""
+
+    stage: ClaimStage
+    poll_at: float | None = None
+
+    def take(self, now: float) -> None:
+        """Note that another copy holds the claim."""
+        self.stage = ClaimStage.TAKEN
+        self.poll_at = now + POLL_S
+
+    def is_poll_due(self, now: float) -> bool:
+        """Return whether to ask again for the outcome of the other copy."""
+        return self.poll_at is not None and now >= self.poll_at
+
+
+def create_claim(info: events.RequestInfo) -> Claim:
+    """Return the claim of a request that just arrived."""
+    if info.key is None:
+        return Claim(ClaimStage.NOT_NEEDED)
+    return Claim(ClaimStage.REQUESTED)
+
+
+def get_claim_event(
+    info: events.RequestInfo,
+    outcome: Result[claim_commands.ClaimAnswer, errors.Failure],
+) -> events.Event:
+    """Return the event for the log's answer to a claim."""
+    if outcome.is_err():
+        return events.ClaimRefused(
+            info.request, _get_told_failure(outcome.unwrap_err())
+        )
+    answer = outcome.unwrap()
+    if answer.granted:
+        return events.ClaimGranted(info.request)
+    return _get_copy_event(info, answer.record)
+
+
+def _get_told_failure(failure: errors.Failure) -> errors.Failure:
+    """Return what a caller is told; control's own errors are not for it.
+
+    A claim without an answer may be committed, but nothing was sent under
+    it.
+    """
+    if failure.kind not in _CONTROL_KINDS:
+        return failure
+    return errors.Failure(
+        errors.ErrorKind.CLAIM_UNAVAILABLE,
+        'the claim of the request could not be recorded in time',
+        retry_after_s=1.0,
+    )
+
+
+_CONTROL_KINDS = frozenset(
+    {
+        errors.ErrorKind.CHANGE_UNKNOWN,
+        errors.ErrorKind.NO_QUORUM,
+        errors.ErrorKind.NOT_LEADER,
+        errors.ErrorKind.OVERLOADED,
+        errors.ErrorKind.CLAIM_UNAVAILABLE,
+    }
+)
+
+
+def _get_copy_event(
+    info: events.RequestInfo, record: records.ClaimRecord
+) -> events.Event:
+    if record.state is states.ClaimState.CLAIMED:
+        return events.ClaimPending(info.request)
+    if record.state is states.ClaimState.UNKNOWN:
+        failure = errors.Failure(
+            errors.ErrorKind.OUTCOME_UNKNOWN,
+            'an earlier copy was accepted, and its outcome is not known',
+        )
+        return events.ClaimRefused(info.request, failure)
+    if not record.kept:
+        failure = errors.Failure(
+            errors.ErrorKind.ANSWER_NOT_KEPT,
+            'an earlier copy was answered, and the answer is too long to '
+            'be given again',
+        )
+        return events.ClaimRefused(info.request, failure)
+    answer = events.RecordedAnswer(record.status, record.headers, record.body)
+    return events.ClaimAnswered(info.request, answer)
--- a/orioleshore/routing/dispatcher.py
+++ b/orioleshore/routing/dispatcher.py
@@ -1,5 +1,7 @@
 """Task that runs the routing decisions of an entry host."""
 
+import asyncio
+from collections.abc import Callable
 import functools
 import logging
 from typing import Any
@@ -16,11 +18,11 @@
 from orioleshore.model import states
 from orioleshore.protocol import messages
 from orioleshore.protocol import transport
+from orioleshore.routing import claims
 from orioleshore.routing import events
 from orioleshore.routing import router
 from orioleshore.state import claim_commands
 from orioleshore.state import commands
-from orioleshore.state import records
 from orioleshore.state import subscriber
 from orioleshore.tasks import mailbox
 from orioleshore.tasks import reply
@@ -33,8 +35,18 @@
 MAILBOX_CAPACITY = 4_096
 TICK = ids.TimerId('routing-tick')
 TICK_S = 0.05
+RECORD_AGAIN = ids.TimerId('routing-record-again')
+RECORD_AGAIN_S = 1.0
 CLAIM_TIMEOUT_S = 3.0
 RECORD_TIMEOUT_S = 30.0
+# While more outcomes wait to be recorded, answers are not kept, which
+# bounds their memory to 64 MiB.
+MAX_OPEN_RECORDS = 1_024
+SLOT_MESSAGES = (
+    messages.SlotRequest,
+    messages.SlotGrant,
+    messages.SlotReturn,
+)
 # Longer answers are not recorded; copies are told that the request ran.
 MAX_RECORDED_BYTES = 65_536
 
@@ -74,6 +86,15 @@
     outcome: Result[claim_commands.ClaimAnswer, errors.Failure]
 
 
+class _EarlierMarked(msgspec.Struct, frozen=True):
+    outcome: Result[Any, errors.Failure]
+
+
+class _RecordEnded(msgspec.Struct, frozen=True):
+    command: commands.RecordOutcome
+    outcome: Result[Any, errors.Failure]
+
+
 class Dispatcher(task.Task):
     """Owns the routing decisions, and one mailbox for each request."""
 
@@ -95,11 +116,17 @@
         self._timers = timers
         self._exchanges: dict[ids.RequestId, mailbox.Mailbox] = {}
         self._answers: dict[ids.RequestId, events.RecordedAnswer] = {}
-        self._entry_hosts: tuple[announcements.Peer, ...] = ()
+        self._addresses: dict[ids.NodeId, str] = {}
+        self._open_records = 0
+        self._unrecorded: list[commands.RecordOutcome] = []
+        self._is_marking_due = False
+        self._waiting_outcomes: set[asyncio.Task] = set()
 
     async def open(self) -> None:
-        """Subscribe to the tick."""
+        """Subscribe to the tick, and mark the claims of earlier runs."""
         self._timers.subscribe_every(self.mailbox, TICK, TICK_S)
+        self._run(events.PeersChanged(self._node, (self._get_own_peer(),)))
+        self._mark_earlier_claims()
 
     async def close(self) -> None:
         """Stop the tick."""
@@ -134,21 +161,41 @@
             entry_host=self._node,
             incarnation=self._incarnation,
         )
+        self._call(
+            command,
+            CLAIM_TIMEOUT_S,
+            lambda outcome: _ClaimDecided(info, outcome),
+        )
+
+    def _call(
+        self,
+        command: commands.Command,
+        timeout_s: float,
+        make_message: Callable[[Result], Any],
+    ) -> None:
         answer: reply.Reply = reply.Reply()
         answer.add_callback(
-            lambda outcome: self.mailbox.put(_ClaimDecided(info, outcome))
-        )
-        outcome = self._control.put(
-            client.Call(command, answer, CLAIM_TIMEOUT_S)
+            lambda outcome: self._put_outcome(make_message(outcome))
         )
+        outcome = self._control.put(client.Call(command, answer, timeout_s))
         if outcome.is_err():
             answer.resolve(outcome)
 
+    def _put_outcome(self, message: Any) -> None:
+        # Only results of own calls come this way, which are bounded by the
+        # requests that this task holds, so they may wait for a place.
+        if self.mailbox.put(message).is_ok():
+            return
+        waiting = asyncio.create_task(self.mailbox.put_wait(message))
+        self._waiting_outcomes.add(waiting)
+        waiting.add_done_callback(self._waiting_outcomes.discard)
+
     def _record(self, action: events.RecordOutcome) -> None:
         request = action.info.request
         answer = self._answers.get(request)
         kept = answer is not None
         kept = kept and len(answer.body) <= MAX_RECORDED_BYTES
+        kept = kept and self._open_records < MAX_OPEN_RECORDS
         command = commands.RecordOutcome(
             time=self._timers.clock.get_wall(),
             key=action.info.key,
@@ -159,70 +206,68 @@
             body=answer.body if kept else b'',
             kept=kept,
         )
-        self._control.put(
-            client.Call(command, reply.Reply(), RECORD_TIMEOUT_S)
+        self._open_records += 1
+        self._send_record(command)
+
+    def _send_record(self, command: commands.RecordOutcome) -> None:
+        self._call(
+            command,
+            RECORD_TIMEOUT_S,
+            lambda outcome: _RecordEnded(command, outcome),
+        )
+
+    def _repeat_records(self) -> None:
+        repeated, self._unrecorded = self._unrecorded, []
+        for command in repeated:
+            self._send_record(command)
+        if self._is_marking_due:
+            self._is_marking_due = False
+            self._mark_earlier_claims()
+
+    def _mark_earlier_claims(self) -> None:
+        """Give up the open claims that earlier runs of this host left."""
+        command = commands.MarkClaimsUnknown(
+            time=self._timers.clock.get_wall(),
+            entry_host=self._node,
+            incarnation=ids.Incarnation(self._incarnation - 1),
+        )
+        self._call(
+            command,
+            RECORD_TIMEOUT_S,
+            lambda outcome: _EarlierMarked(outcome),
         )
 
-    def _spread(self, upstream: announcements.Upstream) -> None:
-        message = messages.Announce(msgspec.json.encode(upstream))
-        for peer in self._entry_hosts:
-            if peer.node != self._node:
-                self._sender.put(transport.SendTo(peer.address, message))
+    def _get_own_peer(self) -> announcements.Peer:
+        return announcements.Peer(
+            self._node,
+            '',
+            self._incarnation,
+            ids.AvailabilityZone(''),
+            (states.Role.ENTRY,),
+        )
+
+    def _send_to(
+        self, node: ids.NodeId, message: Any, correlation: int = 0
+    ) -> None:
+        address = self._addresses.get(node)
+        if address is not None:
+            self._sender.put(transport.SendTo(address, message, correlation))
 
     def get_dump(self) -> dict[str, Any]:
         """Return all state of this task."""
         return {
             'mailbox_length': len(self.mailbox),
             'exchanges': len(self._exchanges),
-            'entry_hosts': [peer.node for peer in self._entry_hosts],
+            'entry_hosts': sorted(self._addresses),
+            'open_records': self._open_records,
             'held': self._router.held,
             'in_flight': self._router.in_flight,
-            'router': self._router.get_dump(),
+            'router': self._router.get_dump(
+                self._timers.clock.get_monotonic()
+            ),
         }
 
 
-def _get_claim_event(
-    info: events.RequestInfo,
-    outcome: Result[claim_commands.ClaimAnswer, errors.Failure],
-) -> events.Event:
-    if outcome.is_err():
-        failure = outcome.unwrap_err()
-        if failure.kind is errors.ErrorKind.CHANGE_UNKNOWN:
-            # The claim may be committed, but nothing was sent under it.
-            failure = errors.Failure(
-                errors.ErrorKind.CLAIM_UNAVAILABLE,
-                'the claim of the request could not be recorded in time',
-                retry_after_s=1.0,
-            )
-        return events.ClaimRefused(info.request, failure)
-    answer = outcome.unwrap()
-    if answer.granted:
-        return events.ClaimGranted(info.request)
-    return _get_copy_event(info, answer.record)
-
-
-def _get_copy_event(
-    info: events.RequestInfo, record: records.ClaimRecord
-) -> events.Event:
-    if record.state is states.ClaimState.CLAIMED:
-        return events.ClaimPending(info.request)
-    if record.state is states.ClaimState.UNKNOWN:
-        failure = errors.Failure(
-            errors.ErrorKind.OUTCOME_UNKNOWN,
-            'an earlier copy was accepted, and its outcome is not known',
-        )
-        return events.ClaimRefused(info.request, failure)
-    if not record.kept:
-        failure = errors.Failure(
-            errors.ErrorKind.ANSWER_NOT_KEPT,
-            'an earlier copy was answered, and the answer is too long to '
-            'be given again',
-        )
-        return events.ClaimRefused(info.request, failure)
-    answer = events.RecordedAnswer(record.status, record.headers, record.body)
-    return events.ClaimAnswered(info.request, answer)
-
-
 @functools.singledispatch
 def _take(message: Any, dispatcher: Dispatcher) -> None:
     raise TypeError(f'unknown message {type(message).__name__}')
@@ -244,35 +289,50 @@
 
 @_take.register
 def _(message: _ClaimDecided, dispatcher: Dispatcher) -> None:
-    event = _get_claim_event(message.info, message.outcome)
-    if isinstance(event, events.ClaimRefused) and (
-        event.failure.kind is errors.ErrorKind.CLAIM_UNAVAILABLE
-    ):
-        # Release the key, in case the claim is committed after all.
-        dispatcher._record(
-            events.RecordOutcome(message.info, states.ClaimState.NOT_RUN)
+    dispatcher._run(claims.get_claim_event(message.info, message.outcome))
+
+
+@_take.register
+def _(message: _RecordEnded, dispatcher: Dispatcher) -> None:
+    if message.outcome.is_ok():
+        dispatcher._open_records -= 1
+        return
+    # The control client waited for as long as a repetition may take.
+    LOG.warning(
+        logs.format_event(
+            'outcome_not_recorded',
+            request=message.command.request,
+            error=message.outcome.unwrap_err().kind,
+        )
+    )
+    dispatcher._timers.subscribe_once(
+        dispatcher.mailbox, RECORD_AGAIN, RECORD_AGAIN_S
+    )
+    dispatcher._unrecorded.append(message.command)
+
+
+@_take.register
+def _(message: _EarlierMarked, dispatcher: Dispatcher) -> None:
+    if message.outcome.is_err():
+        dispatcher._is_marking_due = True
+        dispatcher._timers.subscribe_once(
+            dispatcher.mailbox, RECORD_AGAIN, RECORD_AGAIN_S
         )
-    dispatcher._run(event)
 
 
 @_take.register
 def _(message: UpstreamHeard, dispatcher: Dispatcher) -> None:
-    dispatcher._spread(message.upstream)
-    dispatcher._run(events.UpstreamAnnounced(message.upstream))
+    dispatcher._run(events.UpstreamAnnounced(message.upstream, True))
 
 
 @_take.register
 def _(message: messages.Received, dispatcher: Dispatcher) -> None:
-    upstream = msgspec.json.decode(
-        message.message.upstream, type=announcements.Upstream
-    )
-    dispatcher._run(events.UpstreamAnnounced(upstream))
+    _take_received(message.message, dispatcher, message.header)
 
 
 @_take.register
 def _(message: events.CallerGone, dispatcher: Dispatcher) -> None:
     dispatcher._run(message)
-    dispatcher._exchanges.pop(message.request, None)
 
 
 @_take.register
@@ -286,14 +346,16 @@
 
 @_take.register
 def _(message: membership_events.PeersChanged, dispatcher: Dispatcher) -> None:
-    dispatcher._entry_hosts = tuple(message.get_live(states.Role.ENTRY))
-    dispatcher._run(
-        events.PeersChanged(dispatcher._node, dispatcher._entry_hosts)
-    )
+    live = tuple(message.get_live(states.Role.ENTRY))
+    dispatcher._addresses = {peer.node: peer.address for peer in live}
+    dispatcher._run(events.PeersChanged(dispatcher._node, live))
 
 
 @_take.register
 def _(message: service.TimerFired, dispatcher: Dispatcher) -> None:
+    if message.timer == RECORD_AGAIN:
+        dispatcher._repeat_records()
+        return
     dispatcher._run(events.TimerFired())
 
 
@@ -307,6 +369,81 @@
     message.answer.resolve(Ok(dispatcher.get_dump()))
 
 
+@functools.singledispatch
+def _take_received(
+    message: Any, dispatcher: Dispatcher, header: messages.Header
+) -> None:
+    raise TypeError(f'unknown message {type(message).__name__}')
+
+
+@_take_received.register
+def _(
+    message: messages.Announce,
+    dispatcher: Dispatcher,
+    header: messages.Header,
+) -> None:
+    try:
+        upstream = msgspec.json.decode(
+            message.upstream, type=announcements.Upstream
+        )
+    except msgspec.MsgspecError as error:
+        LOG.warning(
+            logs.format_event(
+                'announcement_refused', sender=header.sender, error=error
+            )
+        )
+        return
+    dispatcher._run(events.UpstreamAnnounced(upstream))
+
+
+@_take_received.register
+def _(
+    message: messages.SlotRequest,
+    dispatcher: Dispatcher,
+    header: messages.Header,
+) -> None:
+    dispatcher._run(
+        events.SlotsRequested(
+            header.sender,
+            message.upstream,
+            message.wanted,
+            message.held,
+            header.correlation,
+        )
+    )
+
+
+@_take_received.register
+def _(
+    message: messages.SlotGrant,
+    dispatcher: Dispatcher,
+    header: messages.Header,
+) -> None:
+    dispatcher._run(
+        events.SlotsGranted(
+            header.sender,
+            message.upstream,
+            message.granted,
+            message.lease_ms / 1_000,
+            message.lease,
+            header.correlation,
+        )
+    )
+
+
+@_take_received.register
+def _(
+    message: messages.SlotReturn,
+    dispatcher: Dispatcher,
+    header: messages.Header,
+) -> None:
+    dispatcher._run(
+        events.SlotsReturned(
+            header.sender, message.upstream, message.returned, message.lease
+        )
+    )
+
+
 @functools.singledispatch
 def _perform(action: Any, dispatcher: Dispatcher) -> None:
     raise TypeError(f'unknown action {type(action).__name__}')
@@ -331,8 +468,66 @@
 
 
 @_perform.register
-def _(action: events.CancelAttempt, dispatcher: Dispatcher) -> None:
-    dispatcher._tell(action.request, action)
+def _(action: events.RequestSlots, dispatcher: Dispatcher) -> None:
+    if action.owner == dispatcher._node:
+        dispatcher._run(
+            events.SlotsRequested(
+                action.owner,
+                action.upstream,
+                action.wanted,
+                action.held,
+                action.token,
+            )
+        )
+        return
+    message = messages.SlotRequest(action.upstream, action.wanted, action.held)
+    dispatcher._send_to(action.owner, message, action.token)
+
+
+@_perform.register
+def _(action: events.GrantSlots, dispatcher: Dispatcher) -> None:
+    if action.node == dispatcher._node:
+        dispatcher._run(
+            events.SlotsGranted(
+                action.node,
+                action.upstream,
+                action.granted,
+                action.lease_s,
+                action.lease,
+                action.token,
+            )
+        )
+        return
+    message = messages.SlotGrant(
+        action.upstream,
+        action.granted,
+        int(action.lease_s * 1_000),
+        action.lease,
+    )
+    dispatcher._send_to(action.node, message, action.token)
+
+
+@_perform.register
+def _(action: events.ReturnSlots, dispatcher: Dispatcher) -> None:
+    if action.owner == dispatcher._node:
+        dispatcher._run(
+            events.SlotsReturned(
+                action.owner, action.upstream, action.returned, action.lease
+            )
+        )
+        return
+    message = messages.SlotReturn(
+        action.upstream, action.returned, action.lease
+    )
+    dispatcher._send_to(action.owner, message)
+
+
+@_perform.register
+def _(action: events.SpreadAnnouncement, dispatcher: Dispatcher) -> None:
+    message = messages.Announce(msgspec.json.encode(action.upstream))
+    for node in dispatcher._addresses:
+        if node != dispatcher._node:
+            dispatcher._send_to(node, message)
 
 
 @_perform.register(events.Deliver)
--- a/orioleshore/routing/events.py
+++ b/orioleshore/routing/events.py
@@ -41,6 +41,8 @@
     TIMED_OUT = 'timed_out'
     MISMATCHED = 'mismatched'
     TRUNCATED = 'truncated'
+    # The same, after the caller received a part.
+    CUT_STREAM = 'cut_stream'
 
 
 NOT_RUN_OUTCOMES = frozenset(
@@ -108,9 +110,13 @@
 
 
 class UpstreamAnnounced(msgspec.Struct, frozen=True):
-    """An upstream announced, renewed or withdrew itself."""
+    """An upstream announced, renewed or withdrew itself.
+
+    ``is_direct`` tells that it did so at this entry host.
+    """
 
     upstream: announcements.Upstream
+    is_direct: bool = False
 
 
 class ConfigurationChanged(msgspec.Struct, frozen=True):
@@ -127,6 +133,42 @@
     entry_hosts: tuple[announcements.Peer, ...]
 
 
+class SlotsRequested(msgspec.Struct, frozen=True):
+    """An entry host asks for slots of an upstream.
+
+    ``wanted`` includes those ``held`` by attempts under way.
+    """
+
+    node: ids.NodeId
+    upstream: ids.UpstreamId
+    wanted: int
+    held: int
+    token: int
+
+
+class SlotsGranted(msgspec.Struct, frozen=True):
+    """The owner answered a request for slots.
+
+    ``granted`` replaces what the holder had before.
+    """
+
+    node: ids.NodeId
+    upstream: ids.UpstreamId
+    granted: int
+    lease_s: float
+    lease: int
+    token: int
+
+
+class SlotsReturned(msgspec.Struct, frozen=True):
+    """An entry host gives slots of a lease back."""
+
+    node: ids.NodeId
+    upstream: ids.UpstreamId
+    returned: int
+    lease: int
+
+
 class StopRequested(msgspec.Struct, frozen=True):
     """This entry host takes no more requests."""
 
@@ -146,6 +188,9 @@
     | UpstreamAnnounced
     | ConfigurationChanged
     | PeersChanged
+    | SlotsRequested
+    | SlotsGranted
+    | SlotsReturned
     | StopRequested
     | TimerFired
 )
@@ -169,10 +214,40 @@
     timeout_s: float
 
 
-class CancelAttempt(msgspec.Struct, frozen=True):
-    """Close the connection of an attempt whose answer nobody awaits."""
+class RequestSlots(msgspec.Struct, frozen=True):
+    """Ask the owner of an upstream's slots for a lease."""
 
-    request: ids.RequestId
+    owner: ids.NodeId
+    upstream: ids.UpstreamId
+    wanted: int
+    held: int
+    token: int
+
+
+class GrantSlots(msgspec.Struct, frozen=True):
+    """Lease slots to an entry host."""
+
+    node: ids.NodeId
+    upstream: ids.UpstreamId
+    granted: int
+    lease_s: float
+    lease: int
+    token: int
+
+
+class ReturnSlots(msgspec.Struct, frozen=True):
+    """Give slots back to their owner."""
+
+    owner: ids.NodeId
+    upstream: ids.UpstreamId
+    returned: int
+    lease: int
+
+
+class SpreadAnnouncement(msgspec.Struct, frozen=True):
+    """Tell the other entry hosts about an upstream."""
+
+    upstream: announcements.Upstream
 
 
 class Deliver(msgspec.Struct, frozen=True):
@@ -205,7 +280,10 @@
 Action = (
     RequestClaim
     | StartAttempt
-    | CancelAttempt
+    | RequestSlots
+    | GrantSlots
+    | ReturnSlots
+    | SpreadAnnouncement
     | Deliver
     | Replay
     | Refuse
--- /dev/null
+++ b/orioleshore/routing/health.py
@@ -0,0 +1,99 @@
+"""Health of upstreams, judged by the attempts of this entry host."""
+
+import msgspec
+
+from orioleshore.model import ids
+from orioleshore.routing import events
+
+EJECT_AFTER_FAILURES = 5
+MIN_EJECTION_S = 1.0
+MAX_EJECTION_S = 60.0
+# Of a service's upstreams, so that a fault in common ejects not all.
+MAX_EJECTED_SHARE = 0.5
+# An answer that takes this many times the service's mean counts as failed.
+SLOW_FACTOR = 5.0
+SLOW_MIN_S = 0.5
+MEAN_WEIGHT = 0.05
+# Answers needed before the mean says what is slow.
+MIN_SAMPLES = 20
+
+_HEALTHY = frozenset(
+    # A refusal is how an upstream says that its slots are taken.
+    {events.AttemptOutcome.REFUSED}
+)
+
+
+class _Record(msgspec.Struct):
+    failures: int = 0
+    ejections: int = 0
+    ejected_until: float = 0.0
+
+
+class HealthTracker:
+    """Ejects the upstreams of one service after repeated failures."""
+
+    def __init__(self) -> None:
+        self._records: dict[ids.UpstreamId, _Record] = {}
+        self._mean_s = 0.0
+        self._samples = 0
+
+    def forget(self, upstream: ids.UpstreamId) -> None:
+        """Drop what is known about an upstream that is gone."""
+        self._records.pop(upstream, None)
+
+    def is_ejected(self, upstream: ids.UpstreamId, now: float) -> bool:
+        """Return whether an upstream gets no new attempts for now."""
+        record = self._records.get(upstream)
+        return record is not None and now < record.ejected_until
+
+    def note(self, ended: events.AttemptEnded, known: int, now: float) -> bool:
+        """Judge an attempt at one of ``known`` upstreams of the service.
+
+        Returns whether it led to an ejection.
+        """
+        if ended.outcome in _HEALTHY:
+            return False
+        record = self._records.setdefault(ended.upstream, _Record())
+        if not self._is_failure(ended):
+            record.failures = 0
+            if now >= record.ejected_until + MAX_EJECTION_S:
+                record.ejections = 0
+            return False
+        record.failures += 1
+        if record.failures < EJECT_AFTER_FAILURES:
+            return False
+        return self._eject(record, known, now)
+
+    def _eject(self, record: _Record, known: int, now: float) -> bool:
+        ejected = sum(
+            now < other.ejected_until for other in self._records.values()
+        )
+        if now < record.ejected_until:
+            return False
+        if ejected + 1 > known * MAX_EJECTED_SHARE:
+            return False
+        time_s = min(MAX_EJECTION_S, MIN_EJECTION_S * 2**record.ejections)
+        record.ejections += 1
+        # One more failure after its return ejects it again.
+        record.failures = EJECT_AFTER_FAILURES - 1
+        record.ejected_until = now + time_s
+        return True
+
+    def _is_failure(self, ended: events.AttemptEnded) -> bool:
+        if ended.outcome is not events.AttemptOutcome.ANSWERED:
+            return True
+        if ended.status >= 500:
+            return True
+        is_slow = (
+            self._samples >= MIN_SAMPLES
+            and ended.duration_s > SLOW_MIN_S
+            and ended.duration_s > SLOW_FACTOR * self._mean_s
+        )
+        weight = max(MEAN_WEIGHT, 1.0 / (self._samples + 1))
+        self._samples += 1
+        # A slow answer counts as the limit, so it cannot raise it at once.
+        sample_s = ended.duration_s
+        if is_slow:
+            sample_s = SLOW_FACTOR * self._mean_s
+        self._mean_s += weight * (sample_s - self._mean_s)
+        return is_slow
--- /dev/null
+++ b/orioleshore/routing/queues.py
@@ -0,0 +1,142 @@
+"""Admission queue of one service: bounded, by priority, fair to callers."""
+
+import collections
+import heapq
+import itertools
+
+from orioleshore.model import ids
+from orioleshore.model import states
+from orioleshore.routing import events
+
+# A caller may send this many requests before the next one has its turn.
+QUANTUM = 1
+# Weight of the newest interval between starts in the running mean.
+MEAN_WEIGHT = 0.1
+
+_ORDER = tuple(states.Priority)
+
+
+class _Lane:
+    """Requests of one priority: round robin over callers.
+
+    Each caller has its own heap by deadline, so a caller that sends many
+    requests delays its own ones only.
+    """
+
+    def __init__(self) -> None:
+        self._heaps: dict[ids.CallerId, list] = {}
+        self._turns: collections.deque[ids.CallerId] = collections.deque()
+        self._credit = QUANTUM
+        self._sequence = itertools.count()
+
+    def push(self, info: events.RequestInfo) -> None:
+        heap = self._heaps.get(info.caller)
+        if heap is None:
+            heap = self._heaps[info.caller] = []
+            self._turns.append(info.caller)
+        entry = (info.deadline, next(self._sequence), info.request)
+        heapq.heappush(heap, entry)
+
+    def pop(self) -> ids.RequestId | None:
+        if not self._turns:
+            return None
+        caller = self._turns[0]
+        heap = self._heaps[caller]
+        request = heapq.heappop(heap)[2]
+        self._credit -= 1
+        if not heap:
+            self._end_turns(caller)
+        elif self._credit <= 0:
+            self._turns.rotate(-1)
+            self._credit = QUANTUM
+        return request
+
+    def remove(self, info: events.RequestInfo) -> None:
+        heap = self._heaps[info.caller]
+        heap[:] = [entry for entry in heap if entry[2] != info.request]
+        heapq.heapify(heap)
+        if not heap:
+            self._end_turns(info.caller)
+
+    def _end_turns(self, caller: ids.CallerId) -> None:
+        del self._heaps[caller]
+        if self._turns[0] == caller:
+            self._credit = QUANTUM
+        self._turns.remove(caller)
+
+
+class AdmissionQueue:
+    """Holds the requests of a service until a slot is free.
+
+    Deferrable requests have a bound of their own, so that held work does
+    not crowd out the rest.
+    """
+
+    def __init__(self) -> None:
+        self._lanes = {priority: _Lane() for priority in _ORDER}
+        self._held: dict[ids.RequestId, events.RequestInfo] = {}
+        self._counts = dict.fromkeys(_ORDER, 0)
+        self._last_start: float | None = None
+        self._start_interval_s: float | None = None
+
+    def __len__(self) -> int:
+        return len(self._held)
+
+    def is_full(self, priority: states.Priority, limit: int) -> bool:
+        """Return whether one more request exceeds the bound."""
+        deferrable = self._counts[states.Priority.DEFERRABLE]
+        if priority is states.Priority.DEFERRABLE:
+            return deferrable >= limit
+        return len(self) - deferrable >= limit
+
+    def push(self, info: events.RequestInfo) -> None:
+        """Add a request."""
+        if not self._held:
+            # The idle time before it says nothing about the rate of starts.
+            self._last_start = None
+        self._lanes[info.priority].push(info)
+        self._held[info.request] = info
+        self._counts[info.priority] += 1
+
+    def pop(self, now: float) -> ids.RequestId | None:
+        """Take the request whose turn it is; ``now`` is in seconds."""
+        for lane in self._lanes.values():
+            request = lane.pop()
+            if request is not None:
+                self._forget(request)
+                self._note_start(now)
+                return request
+        return None
+
+    def remove(self, request: ids.RequestId) -> None:
+        """Forget a request, if it is held."""
+        info = self._held.get(request)
+        if info is not None:
+            self._lanes[info.priority].remove(info)
+            self._forget(request)
+
+    def _forget(self, request: ids.RequestId) -> None:
+        info = self._held.pop(request)
+        self._counts[info.priority] -= 1
+
+    def estimate_wait_s(self, priority: states.Priority) -> float:
+        """Return the expected wait of a request that arrives now.
+
+        0 while no interval between two starts under backlog is known.
+        """
+        if self._start_interval_s is None:
+            return 0.0
+        position = _ORDER.index(priority)
+        ahead = sum(self._counts[item] for item in _ORDER[: position + 1])
+        return ahead * self._start_interval_s
+
+    def _note_start(self, now: float) -> None:
+        if self._last_start is not None:
+            interval_s = now - self._last_start
+            mean = self._start_interval_s
+            self._start_interval_s = (
+                interval_s
+                if mean is None
+                else mean + MEAN_WEIGHT * (interval_s - mean)
+            )
+        self._last_start = now if self._held else None
--- /dev/null
+++ b/orioleshore/routing/refusals.py
@@ -0,0 +1,57 @@
+"""What callers are told when there is no answer of an upstream."""
+
+from orioleshore.model import errors
+from orioleshore.model import ids
+from orioleshore.routing import events
+
+_OUTCOME_KINDS = {
+    events.AttemptOutcome.UNREACHABLE: errors.ErrorKind.UPSTREAM_UNREACHABLE,
+    events.AttemptOutcome.REFUSED: errors.ErrorKind.UPSTREAM_REFUSED,
+    events.AttemptOutcome.FAILED: errors.ErrorKind.UPSTREAM_FAILED,
+    events.AttemptOutcome.TIMED_OUT: errors.ErrorKind.UPSTREAM_TIMEOUT,
+    events.AttemptOutcome.MISMATCHED: errors.ErrorKind.ANSWER_MISMATCH,
+    events.AttemptOutcome.TRUNCATED: errors.ErrorKind.ANSWER_TRUNCATED,
+    events.AttemptOutcome.CUT_STREAM: errors.ErrorKind.ANSWER_TRUNCATED,
+}
+
+_MESSAGES = {
+    errors.ErrorKind.STOPPING: 'this entry host is stopping',
+    errors.ErrorKind.UNKNOWN_SERVICE: 'no service has this name',
+    errors.ErrorKind.OVERLOADED: 'the queue of the service is full',
+    errors.ErrorKind.DEADLINE_UNREACHABLE: (
+        'the requests ahead of this one take longer than its deadline allows'
+    ),
+    errors.ErrorKind.QUEUE_TIMEOUT: 'no slot became free in time',
+    errors.ErrorKind.NO_UPSTREAM: 'the service has no upstream now',
+    errors.ErrorKind.OUTCOME_UNKNOWN: (
+        'an earlier copy was accepted, and its outcome is not known'
+    ),
+    errors.ErrorKind.CALLER_GONE: 'the caller closed its connection',
+    errors.ErrorKind.UPSTREAM_UNREACHABLE: 'the upstream was not reached',
+    errors.ErrorKind.UPSTREAM_REFUSED: 'the upstream refused the request',
+    errors.ErrorKind.UPSTREAM_FAILED: 'the upstream broke off',
+    errors.ErrorKind.UPSTREAM_TIMEOUT: 'the upstream did not answer in time',
+    errors.ErrorKind.ANSWER_MISMATCH: 'the answer was for another request',
+    errors.ErrorKind.ANSWER_TRUNCATED: 'the answer was cut short',
+}
+
+RETRY_AFTER_S = 1.0
+
+
+def refuse(
+    request: ids.RequestId,
+    kind: errors.ErrorKind,
+    retry_after_s: float = RETRY_AFTER_S,
+) -> events.Refuse:
+    """Return the refusal of a request."""
+    wait_s = retry_after_s if errors.ANSWERS[kind].may_resend else None
+    return events.Refuse(
+        request, errors.Failure(kind, _MESSAGES[kind], retry_after_s=wait_s)
+    )
+
+
+def refuse_outcome(
+    request: ids.RequestId, outcome: events.AttemptOutcome
+) -> events.Refuse:
+    """Return what a caller is told about a failed attempt."""
+    return refuse(request, _OUTCOME_KINDS[outcome])
--- /dev/null
+++ b/orioleshore/routing/retries.py
@@ -0,0 +1,68 @@
+"""Whether, when and where a request is tried again."""
+
+import random
+
+from orioleshore.routing import events
+
+# Retries may add this share to the first attempts of a service.
+BUDGET_RATIO = 0.2
+# Lets a service with little traffic retry at all.
+MAX_BUDGET = 20.0
+START_BUDGET = 3.0
+MAX_ATTEMPTS = 4
+MIN_BACKOFF_S = 0.02
+MAX_BACKOFF_S = 0.5
+# A retry that starts this close to the deadline cannot help.
+MIN_REMAINING_S = 0.05
+
+_RETRIED_STATUS = frozenset({502, 503, 504})
+
+
+class RetryBudget:
+    """Tokens of one service: a first attempt earns a part of a retry.
+
+    It bounds the load that retries add while a service is failing.
+    """
+
+    def __init__(self) -> None:
+        self._tokens = START_BUDGET
+
+    @property
+    def tokens(self) -> float:
+        return self._tokens
+
+    def earn(self) -> None:
+        """Note a first attempt."""
+        self._tokens = min(MAX_BUDGET, self._tokens + BUDGET_RATIO)
+
+    def spend(self) -> bool:
+        """Take the token of one retry; False when none is left."""
+        if self._tokens < 1.0:
+            return False
+        self._tokens -= 1.0
+        return True
+
+
+def is_retryable(
+    info: events.RequestInfo,
+    ended: events.AttemptEnded,
+    attempts: int,
+    now: float,
+) -> bool:
+    """Return whether another attempt is safe and may still help."""
+    if attempts >= MAX_ATTEMPTS or info.deadline - now < MIN_REMAINING_S:
+        return False
+    if ended.outcome in events.NOT_RUN_OUTCOMES:
+        return True
+    if not info.idempotent:
+        return False
+    if ended.outcome is events.AttemptOutcome.ANSWERED:
+        return ended.status in _RETRIED_STATUS
+    # A long answer was on its way to the caller when it was cut.
+    return ended.outcome is not events.AttemptOutcome.CUT_STREAM
+
+
+def get_backoff_s(attempts: int, randomness: random.Random) -> float:
+    """Return the wait before the next attempt, with full jitter."""
+    limit = min(MAX_BACKOFF_S, MIN_BACKOFF_S * 2 ** (attempts - 1))
+    return randomness.uniform(0.0, limit)
--- a/orioleshore/routing/router.py
+++ b/orioleshore/routing/router.py
@@ -1,6 +1,5 @@
 """Decisions of request routing at one entry host."""
 
-import collections
 import functools
 import random
 from typing import Any
@@ -12,44 +11,39 @@
 from orioleshore.model import errors
 from orioleshore.model import ids
 from orioleshore.model import states
+from orioleshore.routing import claims
 from orioleshore.routing import events
+from orioleshore.routing import health
+from orioleshore.routing import queues
+from orioleshore.routing import refusals
+from orioleshore.routing import retries
+from orioleshore.routing import slots
+from orioleshore.routing import upstreams
 
-# An upstream that does not renew gets no new work after this time.
-UPSTREAM_EXPIRY_S = 3.0
-# How often a copy asks again for the outcome of the first one.
-CLAIM_POLL_S = 0.25
-
-_FAILURE_KINDS = {
-    events.AttemptOutcome.UNREACHABLE: errors.ErrorKind.UPSTREAM_UNREACHABLE,
-    events.AttemptOutcome.REFUSED: errors.ErrorKind.UPSTREAM_REFUSED,
-    events.AttemptOutcome.FAILED: errors.ErrorKind.UPSTREAM_FAILED,
-    events.AttemptOutcome.TIMED_OUT: errors.ErrorKind.UPSTREAM_TIMEOUT,
-    events.AttemptOutcome.MISMATCHED: errors.ErrorKind.ANSWER_MISMATCH,
-    events.AttemptOutcome.TRUNCATED: errors.ErrorKind.ANSWER_TRUNCATED,
-}
-
-_MESSAGES = {
-    events.AttemptOutcome.UNREACHABLE: 'the upstream could not be reached',
-    events.AttemptOutcome.REFUSED: 'the upstream refused the request',
-    events.AttemptOutcome.FAILED: 'the upstream broke off',
-    events.AttemptOutcome.TIMED_OUT: 'the upstream did not answer in time',
-    events.AttemptOutcome.MISMATCHED: 'the answer was for another request',
-    events.AttemptOutcome.TRUNCATED: 'the answer was cut short',
-}
-
-
-class _Upstream(msgspec.Struct):
-    announced: announcements.Upstream
-    expires: float
-    in_flight: int = 0
+# After a stop is requested, queued work may still start for this time.
+STOP_GRACE_S = 2.0
 
 
 class _Request(msgspec.Struct):
     info: events.RequestInfo
-    claimed: bool = False
+    claim: claims.Claim
     attempts: int = 0
-    upstream: ids.UpstreamId | None = None
-    poll_at: float | None = None
+    upstream: announcements.Upstream | None = None
+    # Set between two attempts: when, and where the last one was.
+    retry_at: float | None = None
+    failed_at: announcements.Upstream | None = None
+    # Whether an attempt that failed may have run the request.
+    is_uncertain: bool = False
+
+
+class _Line(msgspec.Struct):
+    """What belongs to one service."""
+
+    queue: queues.AdmissionQueue
+    budget: retries.RetryBudget
+    health: health.HealthTracker
+    retrying: list[_Request] = []
+    claiming: set[ids.RequestId] = set()
 
 
 class Router:
@@ -59,18 +53,17 @@
         self._random = randomness
         self._services: dict[ids.ServiceId, documents.Service] = {}
         self._version = ids.Version(0)
-        self._upstreams: dict[ids.UpstreamId, _Upstream] = {}
+        self._upstreams = upstreams.UpstreamTable()
+        self._owner = slots.SlotOwner()
+        self._holder = slots.SlotHolder()
         self._requests: dict[ids.RequestId, _Request] = {}
-        self._queues: dict[ids.ServiceId, collections.deque[ids.RequestId]] = (
-            collections.defaultdict(collections.deque)
-        )
-        self._stopping = False
+        self._lines: dict[ids.ServiceId, _Line] = {}
+        self._in_flight = 0
+        self._refuse_from: float | None = None
 
     @property
     def in_flight(self) -> int:
-        return sum(
-            request.upstream is not None for request in self._requests.values()
-        )
+        return self._in_flight
 
     @property
     def held(self) -> int:
@@ -83,204 +76,400 @@
         """
         return _handle(event, self, now)
 
-    def get_dump(self) -> dict[str, Any]:
+    def get_dump(self, now: float) -> dict[str, Any]:
         """Return all state of the routing decisions."""
         return {
             'version': self._version,
-            'stopping': self._stopping,
-            'queues': {
-                name: len(queue)
-                for name, queue in sorted(self._queues.items())
-            },
+            'stopping': self._refuse_from is not None,
             'requests': len(self._requests),
+            'services': {
+                name: {
+                    'queued': len(line.queue),
+                    'retrying': len(line.retrying),
+                    'retry_budget': line.budget.tokens,
+                }
+                for name, line in sorted(self._lines.items())
+            },
             'upstreams': {
-                address: {
-                    'service': upstream.announced.service,
-                    'state': upstream.announced.state.value,
-                    'incarnation': upstream.announced.incarnation,
-                    'in_flight': upstream.in_flight,
+                upstream.address: {
+                    'service': upstream.service,
+                    'state': upstream.state.value,
+                    'incarnation': upstream.incarnation,
+                    'serving': self._upstreams.is_serving(
+                        upstream.address, now
+                    ),
+                    'ejected': self._get_line(
+                        upstream.service
+                    ).health.is_ejected(upstream.address, now),
                 }
-                for address, upstream in sorted(self._upstreams.items())
+                for upstream in self._upstreams.get_all()
             },
+            'slots_held': self._holder.get_dump(),
+            'slots_owned': self._owner.get_dump(now),
         }
 
-    # Requests.
+    def _get_line(self, service: ids.ServiceId) -> _Line:
+        line = self._lines.get(service)
+        if line is None:
+            line = _Line(
+                queues.AdmissionQueue(),
+                retries.RetryBudget(),
+                health.HealthTracker(),
+            )
+            self._lines[service] = line
+        return line
+
+    # Admission.
 
     def _arrive(
         self, info: events.RequestInfo, now: float
     ) -> list[events.Action]:
-        if self._stopping:
-            return [_refuse(info.request, errors.ErrorKind.STOPPING)]
+        kind = self._find_obstacle(info, now)
+        if kind is not None:
+            wait_s = self._get_line(info.service).queue.estimate_wait_s(
+                info.priority
+            )
+            return [refusals.refuse(info.request, kind, max(1.0, wait_s))]
+        held = _Request(info, claims.create_claim(info))
+        self._requests[info.request] = held
+        if held.claim.stage is claims.ClaimStage.REQUESTED:
+            self._get_line(info.service).claiming.add(info.request)
+            return [events.RequestClaim(info)]
+        return self._enqueue(held, now)
+
+    def _find_obstacle(
+        self, info: events.RequestInfo, now: float
+    ) -> errors.ErrorKind | None:
+        if self._refuse_from is not None:
+            return errors.ErrorKind.STOPPING
         service = self._services.get(info.service)
         if service is None:
-            return [_refuse(info.request, errors.ErrorKind.UNKNOWN_SERVICE)]
-        queue = self._queues[info.service]
-        if len(queue) >= service.limits.queue_length:
-            return [_refuse(info.request, errors.ErrorKind.OVERLOADED)]
-        self._requests[info.request] = _Request(info)
-        if info.key is not None:
-            return [events.RequestClaim(info)]
-        queue.append(info.request)
-        return self._dispatch(info.service, now)
+            return errors.ErrorKind.UNKNOWN_SERVICE
+        queue = self._get_line(info.service).queue
+        limit = service.limits.queue_length
+        limit -= len(self._get_line(info.service).claiming)
+        if queue.is_full(info.priority, limit):
+            return errors.ErrorKind.OVERLOADED
+        if info.priority is states.Priority.DEFERRABLE:
+            return None
+        if now + queue.estimate_wait_s(info.priority) > info.deadline:
+            return errors.ErrorKind.DEADLINE_UNREACHABLE
+        return None
+
+    def _enqueue(self, held: _Request, now: float) -> list[events.Action]:
+        self._get_line(held.info.service).queue.push(held.info)
+        return self._dispatch(held.info.service, now)
 
-    def _grant(
+    # Claims.
+
+    def _grant_claim(
         self, request: ids.RequestId, now: float
     ) -> list[events.Action]:
         held = self._requests.get(request)
-        if held is None:
+        if held is None or held.claim.stage is claims.ClaimStage.GRANTED:
             return []
-        held.claimed = True
-        self._queues[held.info.service].append(request)
-        return self._dispatch(held.info.service, now)
+        held.claim = claims.Claim(claims.ClaimStage.GRANTED)
+        self._get_line(held.info.service).claiming.discard(request)
+        return self._enqueue(held, now)
 
     def _wait_for_outcome(
         self, request: ids.RequestId, now: float
     ) -> list[events.Action]:
         held = self._requests.get(request)
         if held is not None:
-            held.poll_at = now + CLAIM_POLL_S
+            held.claim.take(now)
         return []
 
     def _replay(self, event: events.ClaimAnswered) -> list[events.Action]:
-        if self._requests.pop(event.request, None) is None:
+        if self._end_claim(event.request) is None:
             return []
         return [events.Replay(event.request, event.answer)]
 
     def _refuse_claim(self, event: events.ClaimRefused) -> list[events.Action]:
-        if self._requests.pop(event.request, None) is None:
+        held = self._end_claim(event.request)
+        if held is None:
             return []
-        return [events.Refuse(event.request, event.failure)]
+        if event.failure.kind is not errors.ErrorKind.CLAIM_UNAVAILABLE:
+            return [events.Refuse(event.request, event.failure)]
+        told = events.Refuse(event.request, event.failure)
+        if held.claim.stage is claims.ClaimStage.TAKEN:
+            # The other copy may have run.
+            told = refusals.refuse(
+                event.request, errors.ErrorKind.OUTCOME_UNKNOWN
+            )
+        # Releases the key, also when the claim is committed later.
+        return [
+            events.RecordOutcome(held.info, states.ClaimState.NOT_RUN),
+            told,
+        ]
+
+    def _end_claim(self, request: ids.RequestId) -> _Request | None:
+        held = self._requests.get(request)
+        if held is None or held.claim.stage is claims.ClaimStage.GRANTED:
+            # A late answer to a repeated question.
+            return None
+        self._get_line(held.info.service).claiming.discard(request)
+        return self._requests.pop(request)
+
+    # Attempts.
 
     def _dispatch(
         self, service: ids.ServiceId, now: float
     ) -> list[events.Action]:
-        actions: list[events.Action] = []
-        queue = self._queues[service]
-        while queue:
-            upstream = self._choose_upstream(service, now)
+        line = self._get_line(service)
+        if not line.queue and not line.retrying:
+            return []
+        usable = self._get_usable(service, line, now)
+        actions = self._start_retries(line, usable, now)
+        while line.queue:
+            upstream = self._choose_upstream(usable, now)
             if upstream is None:
                 break
-            actions.append(self._start(queue.popleft(), upstream, now))
+            held = self._requests[line.queue.pop(now)]
+            line.budget.earn()
+            actions.append(self._start(held, upstream, now))
+        self._random.shuffle(usable)
+        actions += self._holder.want(usable, len(line.queue), now)
+        for held in line.retrying:
+            if now >= held.retry_at:
+                others = _get_others(usable, held.failed_at)
+                actions += self._holder.want(others, 1, now)
+        return actions
+
+    def _get_usable(
+        self, service: ids.ServiceId, line: _Line, now: float
+    ) -> list[announcements.Upstream]:
+        return [
+            upstream
+            for upstream in self._upstreams.get_serving(service, now)
+            if not line.health.is_ejected(upstream.address, now)
+        ]
+
+    def _start_retries(
+        self,
+        line: _Line,
+        usable: list[announcements.Upstream],
+        now: float,
+    ) -> list[events.Action]:
+        actions: list[events.Action] = []
+        for held in [item for item in line.retrying if now >= item.retry_at]:
+            others = _get_others(usable, held.failed_at)
+            upstream = self._choose_upstream(others, now)
+            if upstream is not None:
+                line.retrying.remove(held)
+                actions.append(self._start(held, upstream, now))
         return actions
 
     def _choose_upstream(
-        self, service: ids.ServiceId, now: float
-    ) -> _Upstream | None:
+        self, usable: list[announcements.Upstream], now: float
+    ) -> announcements.Upstream | None:
+        """Return one with a free slot, and the fewest slots in use.
+
+        Speed has no say, because one that fails is often the fastest.
+        """
         free = [
             upstream
-            for upstream in self._upstreams.values()
-            if upstream.announced.service == service
-            and upstream.announced.state is states.UpstreamState.SERVING
-            and upstream.expires > now
-            and upstream.in_flight < upstream.announced.slots
+            for upstream in usable
+            if self._holder.get_free(upstream.address, now)
         ]
         if not free:
             return None
-        least = min(upstream.in_flight for upstream in free)
+        loads = [
+            self._holder.get_in_flight(upstream.address) / upstream.slots
+            for upstream in free
+        ]
+        least = min(loads)
         return self._random.choice(
-            [upstream for upstream in free if upstream.in_flight == least]
+            [
+                upstream
+                for upstream, load in zip(free, loads, strict=True)
+                if load == least
+            ]
         )
 
     def _start(
-        self, request: ids.RequestId, upstream: _Upstream, now: float
+        self,
+        held: _Request,
+        upstream: announcements.Upstream,
+        now: float,
     ) -> events.Action:
-        held = self._requests[request]
         held.attempts += 1
-        held.upstream = upstream.announced.address
-        upstream.in_flight += 1
-        limits = self._services[held.info.service].limits
-        timeout_s = min(limits.attempt_timeout_s, held.info.deadline - now)
+        held.upstream = upstream
+        held.retry_at = None
+        self._in_flight += 1
+        self._holder.take(upstream.address, now)
+        service = self._services.get(held.info.service)
+        limits = service.limits if service else documents.Limits()
         return events.StartAttempt(
-            request,
+            held.info.request,
             ids.Attempt(held.attempts),
-            upstream.announced.address,
-            timeout_s,
+            upstream.address,
+            min(limits.attempt_timeout_s, held.info.deadline - now),
         )
 
     def _end_attempt(
         self, event: events.AttemptEnded, now: float
     ) -> list[events.Action]:
-        upstream = self._upstreams.get(event.upstream)
-        if upstream is not None:
-            upstream.in_flight = max(0, upstream.in_flight - 1)
-        held = self._requests.pop(event.request, None)
-        if held is None:
+        held = self._requests.get(event.request)
+        if held is None or held.upstream is None:
             return []
-        actions = self._conclude(held, event.outcome)
+        self._in_flight -= 1
+        actions = self._holder.release(event.upstream, now)
+        line = self._get_line(held.info.service)
+        known = self._upstreams.get_serving(held.info.service, now)
+        line.health.note(event, len(known), now)
+        if self._retry(held, event, line, now):
+            return actions + self._dispatch(held.info.service, now)
+        del self._requests[event.request]
+        actions += _conclude(held, event.outcome)
         return actions + self._dispatch(held.info.service, now)
 
-    def _conclude(
-        self, held: _Request, outcome: events.AttemptOutcome
-    ) -> list[events.Action]:
-        if outcome is events.AttemptOutcome.ANSWERED:
-            state = states.ClaimState.ANSWERED
-            told: events.Action = events.Deliver(held.info.request)
-        else:
-            state = states.ClaimState.UNKNOWN
-            if outcome in events.NOT_RUN_OUTCOMES:
-                state = states.ClaimState.NOT_RUN
-            failure = errors.Failure(
-                _FAILURE_KINDS[outcome], _MESSAGES[outcome]
-            )
-            told = events.Refuse(held.info.request, failure)
-        if not held.claimed:
-            return [told]
-        return [events.RecordOutcome(held.info, state), told]
+    def _retry(
+        self,
+        held: _Request,
+        ended: events.AttemptEnded,
+        line: _Line,
+        now: float,
+    ) -> bool:
+        if self._refuse_from is not None and now >= self._refuse_from:
+            return False
+        if not retries.is_retryable(held.info, ended, held.attempts, now):
+            return False
+        if not line.budget.spend():
+            return False
+        held.is_uncertain |= ended.outcome not in events.NOT_RUN_OUTCOMES
+        held.failed_at = held.upstream
+        held.upstream = None
+        held.retry_at = now + retries.get_backoff_s(
+            held.attempts, self._random
+        )
+        line.retrying.append(held)
+        return True
+
+    # Requests that end without an attempt.
 
     def _lose_caller(self, request: ids.RequestId) -> list[events.Action]:
         held = self._requests.get(request)
         if held is None or held.upstream is not None:
             # An attempt under way finishes, so that its outcome is known.
             return []
-        return self._drop(held)
-
-    def _drop(self, held: _Request) -> list[events.Action]:
-        """Forget a request that was not sent to any upstream."""
-        del self._requests[held.info.request]
-        queue = self._queues[held.info.service]
-        if held.info.request in queue:
-            queue.remove(held.info.request)
-        if held.info.key is None or held.poll_at is not None:
-            return []
-        return [events.RecordOutcome(held.info, states.ClaimState.NOT_RUN)]
+        return self._drop(held, errors.ErrorKind.CALLER_GONE)
 
-    # Time, upstreams and configuration.
+    def _drop(
+        self, held: _Request, kind: errors.ErrorKind
+    ) -> list[events.Action]:
+        """End a request that has no attempt under way."""
+        request = held.info.request
+        del self._requests[request]
+        line = self._get_line(held.info.service)
+        line.queue.remove(request)
+        if held in line.retrying:
+            line.retrying.remove(held)
+        line.claiming.discard(request)
+        if held.claim.stage is claims.ClaimStage.TAKEN:
+            kind = errors.ErrorKind.OUTCOME_UNKNOWN
+        elif held.is_uncertain:
+            kind = errors.ErrorKind.UPSTREAM_FAILED
+        actions: list[events.Action] = []
+        if held.claim.stage is not claims.ClaimStage.NOT_NEEDED:
+            actions.append(
+                events.RecordOutcome(held.info, states.ClaimState.NOT_RUN)
+            )
+        return [*actions, refusals.refuse(request, kind)]
 
     def _check_time(self, now: float) -> list[events.Action]:
         actions: list[events.Action] = []
         for held in list(self._requests.values()):
-            if held.upstream is not None:
-                continue
-            if now >= held.info.deadline:
-                actions += self._drop(held)
-                actions.append(self._get_late_answer(held))
-            elif held.poll_at is not None and now >= held.poll_at:
-                held.poll_at = now + CLAIM_POLL_S
-                actions.append(events.RequestClaim(held.info))
-        for address, upstream in list(self._upstreams.items()):
-            if upstream.expires <= now and not upstream.in_flight:
-                del self._upstreams[address]
-        for service in list(self._queues):
+            actions += self._check_request(held, now)
+        for address in self._upstreams.remove_expired(now):
+            self._owner.remove(address)
+            self._holder.remove(address)
+            for line in self._lines.values():
+                line.health.forget(address)
+        for service in self._lines:
             actions += self._dispatch(service, now)
+        actions += self._holder.check(self._get_needs(now), now)
+        for address in self._owner.get_owned():
+            actions += self._grant_waiting(address, now)
         return actions
 
-    def _get_late_answer(self, held: _Request) -> events.Action:
-        if held.poll_at is not None:
-            return _refuse(held.info.request, errors.ErrorKind.OUTCOME_UNKNOWN)
-        return _refuse(held.info.request, errors.ErrorKind.QUEUE_TIMEOUT)
+    def _check_request(
+        self, held: _Request, now: float
+    ) -> list[events.Action]:
+        if held.upstream is not None:
+            return []
+        if now >= held.info.deadline:
+            return self._drop(held, self._get_late_kind(held, now))
+        if self._refuse_from is not None and now >= self._refuse_from:
+            return self._drop(held, errors.ErrorKind.STOPPING)
+        if held.claim.is_poll_due(now):
+            held.claim.take(now)
+            return [events.RequestClaim(held.info)]
+        return []
+
+    def _get_late_kind(self, held: _Request, now: float) -> errors.ErrorKind:
+        if held.claim.stage is claims.ClaimStage.REQUESTED:
+            return errors.ErrorKind.CLAIM_UNAVAILABLE
+        if not self._upstreams.get_serving(held.info.service, now):
+            return errors.ErrorKind.NO_UPSTREAM
+        return errors.ErrorKind.QUEUE_TIMEOUT
+
+    def _get_needs(self, now: float) -> dict[ids.UpstreamId, int]:
+        """Return the slots that each upstream could use for queued work."""
+        needs: dict[ids.UpstreamId, int] = {}
+        for service, line in self._lines.items():
+            queued = len(line.queue)
+            if not queued:
+                continue
+            usable = self._get_usable(service, line, now)
+            for upstream in usable:
+                in_flight = self._holder.get_in_flight(upstream.address)
+                part = -(-queued // len(usable))
+                needs[upstream.address] = min(
+                    part, max(0, upstream.slots - in_flight)
+                )
+        return needs
+
+    # Slots, upstreams and configuration.
+
+    def _grant_waiting(
+        self, address: ids.UpstreamId, now: float
+    ) -> list[events.Action]:
+        upstream = self._upstreams.get(address)
+        return [] if upstream is None else self._owner.grant(upstream, now)
+
+    def _request_slots(
+        self, event: events.SlotsRequested, now: float
+    ) -> list[events.Action]:
+        upstream = self._upstreams.get(event.upstream)
+        if not self._upstreams.is_serving(event.upstream, now):
+            upstream = None
+        return self._owner.request(event, upstream, now)
+
+    def _take_slots(
+        self, event: events.SlotsGranted, now: float
+    ) -> list[events.Action]:
+        actions = self._holder.grant(event, now)
+        upstream = self._upstreams.get(event.upstream)
+        if upstream is None:
+            return actions
+        return actions + self._dispatch(upstream.service, now)
+
+    def _take_back_slots(
+        self, event: events.SlotsReturned, now: float
+    ) -> list[events.Action]:
+        self._owner.take_back(event)
+        return self._grant_waiting(event.upstream, now)
 
     def _hear_upstream(
-        self, announced: announcements.Upstream, now: float
+        self, event: events.UpstreamAnnounced, now: float
     ) -> list[events.Action]:
-        known = self._upstreams.get(announced.address)
-        if known is None:
-            known = _Upstream(announced, now + UPSTREAM_EXPIRY_S)
-            self._upstreams[announced.address] = known
-        elif not _is_newer(announced, known.announced):
+        if not self._upstreams.hear(event.upstream, now):
             return []
-        known.announced = announced
-        known.expires = now + UPSTREAM_EXPIRY_S
-        return self._dispatch(announced.service, now)
+        actions: list[events.Action] = []
+        if event.is_direct:
+            actions.append(events.SpreadAnnouncement(event.upstream))
+        return actions + self._dispatch(event.upstream.service, now)
 
     def _configure(
         self, event: events.ConfigurationChanged
@@ -289,46 +478,50 @@
         self._services = {service.name: service for service in event.services}
         return []
 
-    def _stop(self) -> list[events.Action]:
-        self._stopping = True
-        actions: list[events.Action] = []
-        for held in list(self._requests.values()):
-            if held.upstream is None:
-                actions += self._drop(held)
-                actions.append(
-                    _refuse(held.info.request, errors.ErrorKind.STOPPING)
-                )
-        return actions
-
+    def _change_peers(
+        self, event: events.PeersChanged, now: float
+    ) -> list[events.Action]:
+        nodes = tuple(sorted({peer.node for peer in event.entry_hosts}))
+        self._owner.set_nodes(event.own, nodes, now)
+        return self._holder.set_nodes(event.own, nodes, now)
 
-def _is_newer(
-    announced: announcements.Upstream, known: announcements.Upstream
-) -> bool:
-    """Order announcements; leaving is final within an incarnation."""
-    if announced.incarnation != known.incarnation:
-        return announced.incarnation > known.incarnation
-    return known.state is not states.UpstreamState.LEAVING or (
-        announced.state is states.UpstreamState.LEAVING
-    )
+    def _stop(self, now: float) -> list[events.Action]:
+        if self._refuse_from is None:
+            self._refuse_from = now + STOP_GRACE_S
+        return []
 
 
-_REFUSALS = {
-    errors.ErrorKind.STOPPING: 'this entry host is stopping',
-    errors.ErrorKind.UNKNOWN_SERVICE: 'no service has this name',
-    errors.ErrorKind.OVERLOADED: 'the queue of the service is full',
-    errors.ErrorKind.QUEUE_TIMEOUT: 'no upstream became free in time',
-    errors.ErrorKind.OUTCOME_UNKNOWN: (
-        'an earlier copy was accepted, and its outcome is not known'
-    ),
-}
+def _get_others(
+    usable: list[announcements.Upstream],
+    failed: announcements.Upstream,
+) -> list[announcements.Upstream]:
+    """Return those away from a failed attempt, as far as there are any."""
+    others = [item for item in usable if item.address != failed.address]
+    elsewhere = [
+        item
+        for item in others
+        if item.availability_zone != failed.availability_zone
+    ]
+    return elsewhere or others or usable
 
 
-def _refuse(request: ids.RequestId, kind: errors.ErrorKind) -> events.Refuse:
-    retry_after_s = 1.0 if errors.ANSWERS[kind].may_resend else None
-    return events.Refuse(
-        request,
-        errors.Failure(kind, _REFUSALS[kind], retry_after_s=retry_after_s),
-    )
+def _conclude(
+    held: _Request, outcome: events.AttemptOutcome
+) -> list[events.Action]:
+    request = held.info.request
+    if outcome is events.AttemptOutcome.ANSWERED:
+        state = states.ClaimState.ANSWERED
+        told: events.Action = events.Deliver(request)
+    else:
+        state = states.ClaimState.UNKNOWN
+        if outcome in events.NOT_RUN_OUTCOMES:
+            state = states.ClaimState.NOT_RUN
+        told = refusals.refuse_outcome(request, outcome)
+        if state is states.ClaimState.NOT_RUN and held.is_uncertain:
+            told = refusals.refuse(request, errors.ErrorKind.UPSTREAM_FAILED)
+    if held.claim.stage is not claims.ClaimStage.GRANTED:
+        return [told]
+    return [events.RecordOutcome(held.info, state), told]
 
 
 @functools.singledispatch
@@ -347,7 +540,7 @@
 def _(
     event: events.ClaimGranted, router: Router, now: float
 ) -> list[events.Action]:
-    return router._grant(event.request, now)
+    return router._grant_claim(event.request, now)
 
 
 @_handle.register
@@ -389,7 +582,7 @@
 def _(
     event: events.UpstreamAnnounced, router: Router, now: float
 ) -> list[events.Action]:
-    return router._hear_upstream(event.upstream, now)
+    return router._hear_upstream(event, now)
 
 
 @_handle.register
@@ -403,14 +596,35 @@
 def _(
     event: events.PeersChanged, router: Router, now: float
 ) -> list[events.Action]:
-    return []
+    return router._change_peers(event, now)
+
+
+@_handle.register
+def _(
+    event: events.SlotsRequested, router: Router, now: float
+) -> list[events.Action]:
+    return router._request_slots(event, now)
+
+
+@_handle.register
+def _(
+    event: events.SlotsGranted, router: Router, now: float
+) -> list[events.Action]:
+    return router._take_slots(event, now)
+
+
+@_handle.register
+def _(
+    event: events.SlotsReturned, router: Router, now: float
+) -> list[events.Action]:
+    return router._take_back_slots(event, now)
 
 
 @_handle.register
 def _(
     event: events.StopRequested, router: Router, now: float
 ) -> list[events.Action]:
-    return router._stop()
+    return router._stop(now)
 
 
 @_handle.register
--- a/orioleshore/state/claim_commands.py
+++ b/orioleshore/state/claim_commands.py
@@ -12,6 +12,10 @@
 # Claims are remembered for this time after their key was issued.
 CLAIM_RETENTION_S = 86_400.0
 
+_FINAL_STATES = frozenset(
+    {states.ClaimState.ANSWERED, states.ClaimState.NOT_RUN}
+)
+
 
 class ClaimAnswer(msgspec.Struct, frozen=True):
     """Result of a claim: granted, or what an earlier claim left."""
@@ -78,11 +82,12 @@
     command: commands.RecordOutcome, state: records.State
 ) -> registry.CommandResult:
     known = state.claims.get(command.key)
+    if command.outcome is states.ClaimState.NOT_RUN:
+        # A copy of the claim that is committed later must not take the key.
+        state.released[command.request] = state.time
     if known is None or known.request != command.request:
-        if command.outcome is states.ClaimState.NOT_RUN:
-            state.released[command.request] = state.time
         return Ok(None)
-    if known.state is states.ClaimState.ANSWERED:
+    if known.state in _FINAL_STATES:
         return Ok(None)
     state.claims[command.key] = msgspec.structs.replace(
         known,
