--- a/orioleshore/roles/control.py
+++ b/orioleshore/roles/control.py
@@ -15,6 +15,7 @@
 from orioleshore.frontends import platform
 from orioleshore.model import errors
 from orioleshore.protocol import transport
+from orioleshore.state import claim_keeper
 from orioleshore.tasks import mailbox
 from orioleshore.tasks import task
 from orioleshore.telemetry import dumps
@@ -51,6 +52,7 @@
             self._platform.mailbox if self._platform else None,
             timers,
         )
+        self._claim_keeper = claim_keeper.ClaimKeeper(control, timers)
         self._operators = operators.OperatorsFrontend(
             config.addresses.operators,
             config.token_files,
@@ -69,7 +71,11 @@
         tasks: list[task.Task] = [self._member, self._manager]
         if self._platform is not None:
             tasks.append(self._platform)
-        return [*tasks, self._operators]
+        return [*tasks, self._claim_keeper, self._operators]
+
+    @property
+    def peer_listeners(self) -> tuple[mailbox.Mailbox, ...]:
+        return (self._claim_keeper.mailbox,)
 
     @property
     def addresses(self) -> dict[str, str]:
--- a/orioleshore/roles/process.py
+++ b/orioleshore/roles/process.py
@@ -80,6 +80,7 @@
 
     async def start(self) -> Result[None, errors.Failure]:
         """Start all tasks; fails when the data folder cannot be used."""
+        self._install_handlers()
         await self._timers.start()
         # The address is needed before the other tasks are built.
         await self._transport.start()
@@ -97,10 +98,6 @@
 
     async def run(self) -> Result[None, errors.Failure]:
         """Run until a stop is requested or a task fails."""
-        loop = asyncio.get_running_loop()
-        for number in (signal.SIGTERM, signal.SIGINT):
-            loop.add_signal_handler(number, self.request_stop)
-        loop.add_signal_handler(signal.SIGUSR1, self._start_dump)
         outcome = await self._wait_for_end()
         await self.stop()
         return outcome
@@ -120,6 +117,13 @@
         await self._timers.stop()
         LOG.info(logs.format_event('stopped'))
 
+    def _install_handlers(self) -> None:
+        # Before the tasks start, so that a stop at that moment is planned.
+        loop = asyncio.get_running_loop()
+        for number in (signal.SIGTERM, signal.SIGINT):
+            loop.add_signal_handler(number, self.request_stop)
+        loop.add_signal_handler(signal.SIGUSR1, self._start_dump)
+
     def _build_tasks(self) -> list[task.Task]:
         config = self._config
         seeds = self._get_control_addresses()
@@ -159,6 +163,8 @@
         config = self._config
         listeners = self._entry.listeners if self._entry else ()
         peer_listeners = self._entry.peer_listeners if self._entry else ()
+        if self._control is not None:
+            peer_listeners += self._control.peer_listeners
         self._subscriber = subscriber.Subscriber(
             ENTRY_SECTIONS,
             seeds,
--- /dev/null
+++ b/orioleshore/state/claim_keeper.py
@@ -0,0 +1,158 @@
+"""Task that gives up the open claims of entry hosts that are gone."""
+
+import functools
+from typing import Any
+
+import msgspec
+from result import Result
+
+from orioleshore.consensus import client
+from orioleshore.membership import events as membership_events
+from orioleshore.model import announcements
+from orioleshore.model import errors
+from orioleshore.model import ids
+from orioleshore.model import states
+from orioleshore.state import commands
+from orioleshore.tasks import mailbox
+from orioleshore.tasks import reply
+from orioleshore.tasks import task
+from orioleshore.timers import service
+
+MAILBOX_CAPACITY = 256
+TICK = ids.TimerId('claim-keeper-tick')
+TICK_S = 1.0
+# A claim that was on its way when its entry host died is committed within
+# this time, so the mark is repeated once after it.
+REPEAT_AFTER_S = 10.0
+MARKS_PER_HOST = 2
+
+_GONE = frozenset({states.PeerState.DEAD, states.PeerState.LEFT})
+
+
+class _Gone(msgspec.Struct):
+    incarnation: ids.Incarnation
+    due: float
+    marks_left: int = MARKS_PER_HOST
+    is_under_way: bool = False
+
+
+class GoneHosts:
+    """Decides whose claims to mark, and when; times are monotonic."""
+
+    def __init__(self) -> None:
+        self._hosts: dict[ids.NodeId, _Gone] = {}
+
+    def hear(self, peer: announcements.Peer, now: float) -> None:
+        """Take what membership believes about a process."""
+        if states.Role.ENTRY not in peer.roles:
+            return
+        if peer.state not in _GONE:
+            self._hosts.pop(peer.node, None)
+            return
+        known = self._hosts.get(peer.node)
+        if known is None or known.incarnation < peer.incarnation:
+            self._hosts[peer.node] = _Gone(peer.incarnation, now)
+
+    def take_due(self, now: float) -> list[tuple[ids.NodeId, ids.Incarnation]]:
+        """Return the runs of processes to mark now."""
+        due = []
+        for node, gone in self._hosts.items():
+            if gone.marks_left and not gone.is_under_way and now >= gone.due:
+                gone.is_under_way = True
+                due.append((node, gone.incarnation))
+        return due
+
+    def end(
+        self,
+        node: ids.NodeId,
+        incarnation: ids.Incarnation,
+        is_done: bool,
+        now: float,
+    ) -> None:
+        """Note whether a mark was committed; a failed one is repeated."""
+        gone = self._hosts.get(node)
+        if gone is None or gone.incarnation != incarnation:
+            return
+        gone.is_under_way = False
+        if is_done:
+            gone.marks_left -= 1
+            gone.due = now + REPEAT_AFTER_S
+
+
+class _MarkEnded(msgspec.Struct, frozen=True):
+    node: ids.NodeId
+    incarnation: ids.Incarnation
+    outcome: Result[Any, errors.Failure]
+
+
+class ClaimKeeper(task.Task):
+    """Runs on every control member; marking twice changes nothing."""
+
+    def __init__(
+        self, control: mailbox.Mailbox, timers: service.TimerService
+    ) -> None:
+        super().__init__(mailbox.Mailbox('claim-keeper', MAILBOX_CAPACITY))
+        self._control = control
+        self._timers = timers
+        self._gone = GoneHosts()
+
+    async def open(self) -> None:
+        """Subscribe to the tick."""
+        self._timers.subscribe_every(self.mailbox, TICK, TICK_S)
+
+    async def close(self) -> None:
+        """Stop the tick."""
+        self._timers.cancel(self.mailbox, TICK)
+
+    async def handle(self, message: Any) -> None:
+        """Handle news of membership, the tick or the end of a mark."""
+        _take(message, self)
+
+    def _mark_due(self) -> None:
+        now = self._timers.clock.get_monotonic()
+        for node, incarnation in self._gone.take_due(now):
+            self._mark(node, incarnation)
+
+    def _mark(self, node: ids.NodeId, incarnation: ids.Incarnation) -> None:
+        command = commands.MarkClaimsUnknown(
+            time=self._timers.clock.get_wall(),
+            entry_host=node,
+            incarnation=incarnation,
+        )
+        answer: reply.Reply = reply.Reply()
+        answer.add_callback(
+            lambda outcome: self.mailbox.put(
+                _MarkEnded(node, incarnation, outcome)
+            )
+        )
+        outcome = self._control.put(client.Call(command, answer))
+        if outcome.is_err():
+            answer.resolve(outcome)
+
+
+@functools.singledispatch
+def _take(message: Any, keeper: ClaimKeeper) -> None:
+    raise TypeError(f'unknown message {type(message).__name__}')
+
+
+@_take.register
+def _(message: membership_events.PeersChanged, keeper: ClaimKeeper) -> None:
+    now = keeper._timers.clock.get_monotonic()
+    for peer in message.peers.values():
+        keeper._gone.hear(peer, now)
+    keeper._mark_due()
+
+
+@_take.register
+def _(message: service.TimerFired, keeper: ClaimKeeper) -> None:
+    keeper._mark_due()
+
+
+@_take.register
+def _(message: _MarkEnded, keeper: ClaimKeeper) -> None:
+    keeper._gone.end(
+        message.node,
+        message.incarnation,
+        message.outcome.is_ok(),
+        keeper._timers.clock.get_monotonic(),
+    )
--- a/orioleshore/tests/builders.py
+++ b/orioleshore/tests/builders.py
@@ -135,3 +135,29 @@
     return routing_events.RequestInfo(
         request=ids.RequestId(f'request-{number}'), **{**defaults, **fields}
     )
+
+
+def build_claim(**fields) -> commands.ClaimRequest:
+    """Return the claim of the first request."""
+    defaults = {
+        'time': NOW,
+        'key': ids.IdempotencyKey(build_operation_id()),
+        'issued': NOW,
+        'digest': b'digest',
+        'request': ids.RequestId('request-1'),
+        'entry_host': ids.NodeId('entry-1'),
+        'incarnation': ids.Incarnation(1),
+    }
+    return commands.ClaimRequest(**{**defaults, **fields})
+
+
+def build_outcome(**fields) -> commands.RecordOutcome:
+    """Return the record of an answer to the first request."""
+    defaults = {
+        'time': NOW,
+        'key': ids.IdempotencyKey(build_operation_id()),
+        'request': ids.RequestId('request-1'),
+        'outcome': states.ClaimState.ANSWERED,
+        'status': 200,
+    }
+    return commands.RecordOutcome(**{**defaults, **fields})
--- a/orioleshore/tests/support.py
+++ b/orioleshore/tests/support.py
@@ -1,10 +1,12 @@
 """Support of all tests: a seed, clocks, and waiting with a limit."""
 
 import asyncio
+import contextlib
 import random
 import time
 from typing import Any
 
+import aiohttp
 import msgspec
 from result import Err
 
@@ -163,6 +165,7 @@
         defaults = settings.DEFAULT_SETTINGS['entry']
         self.limits = msgspec.convert({**defaults, **limits}, settings.Entry)
         self.hosts: list[EntryHost] = []
+        self.killed: list[EntryHost] = []
         self.fakes: list[fake_upstream.FakeUpstream] = []
 
     async def start(self, hosts: int = 1) -> None:
@@ -216,8 +219,16 @@
         await fake.announce()
         return fake
 
+    async def kill_host(self, host: EntryHost) -> None:
+        """Stop a host in the middle of its work."""
+        self.hosts.remove(host)
+        self.killed.append(host)
+        await host.dispatcher.stop()
+        host.dispatcher.mailbox._messages.clear()
+
     async def stop(self) -> None:
         """Stop everything."""
+        self.hosts += self.killed
         for fake in self.fakes:
             await fake.stop()
         for host in self.hosts:
@@ -225,3 +236,36 @@
                 await item.stop()
         for item in (self.network, self.control, self.timers):
             await item.stop()
+
+
+def get_key(host: EntryHost, number: int = 1, age_s: float = 0.0) -> str:
+    """Return an idempotency key that was issued some seconds ago."""
+    issued = int(host.callers._clock.get_wall() - age_s)
+    return f'{issued}-token-{number:08d}'
+
+
+async def send(
+    session, host: EntryHost, method: str = 'POST', number: int = 1, **options
+):
+    """Send a request; return status, headers and body."""
+    path = options.pop('path', '/freight/q')
+    key = options.pop('key', None)
+    headers = dict(options.pop('headers', {}))
+    if method == 'POST':
+        headers['Idempotency-Key'] = key or get_key(host, number)
+    async with session.request(
+        method, f'{host.url}{path}', headers=headers, **options
+    ) as response:
+        return response.status, response.headers, await response.read()
+
+
+@contextlib.asynccontextmanager
+async def run_entry(document, hosts: int = 1, **limits):
+    """Run entry hosts, and give them with a session of a caller."""
+    fleet = EntryFleet(document, **limits)
+    await fleet.start(hosts)
+    try:
+        async with aiohttp.ClientSession() as session:
+            yield fleet, session
+    finally:
+        await fleet.stop()
--- a/orioleshore/tests/test_requests_answers.py
+++ b/orioleshore/tests/test_requests_answers.py
@@ -1,7 +1,6 @@
 """Answers over real sockets: whole, the caller's own, honest otherwise."""
 
 import asyncio
-import contextlib
 
 import aiohttp
 import pytest
@@ -26,31 +25,8 @@
     )
 
 
-@contextlib.asynccontextmanager
-async def run_entry(hosts: int = 1, document=None, **limits):
-    fleet = support.EntryFleet(document or build_document(), **limits)
-    await fleet.start(hosts)
-    try:
-        async with aiohttp.ClientSession() as session:
-            yield fleet, session
-    finally:
-        await fleet.stop()
-
-
-async def send(session, host, method='POST', path='/freight/q', **options):
-    """Send a request; return status, headers and body."""
-    if method == 'POST':
-        number = options.pop('number', 1)
-        now = host.callers._clock.get_wall()
-        key = builders.build_operation_id(number, now)
-        options['headers'] = {
-            'Idempotency-Key': key,
-            **options.get('headers', {}),
-        }
-    async with session.request(
-        method, f'{host.url}{path}', **options
-    ) as response:
-        return response.status, response.headers, await response.read()
+def run_entry(**limits):
+    return support.run_entry(build_document(), **limits)
 
 
 @pytest.mark.parametrize(
@@ -73,7 +49,7 @@
         async with run_entry() as (fleet, session):
             fake = await fleet.add_upstream()
             fake.behaviour = behaviour
-            status, headers, body = await send(session, fleet.hosts[0])
+            status, headers, body = await support.send(session, fleet.hosts[0])
             assert headers['Orioleshore-Error'] == error
             assert headers['Orioleshore-Ran'] == ran
             assert ('Retry-After' in headers) == (ran == 'no')
@@ -95,8 +71,8 @@
                     Behaviour.EXTRA_ANSWER if number % 2 else Behaviour.ANSWER
                 )
                 path = f'/freight/{number}'
-                status, _, body = await send(
-                    session, fleet.hosts[0], 'GET', path
+                status, _, body = await support.send(
+                    session, fleet.hosts[0], 'GET', path=path
                 )
                 assert (status, path.encode() in body) == (200, True), body
                 await asyncio.sleep(0.03)
@@ -111,12 +87,14 @@
         async with run_entry() as (fleet, session):
             fake = await fleet.add_upstream()
             fake.delay_s = 0.5
-            status, _, _ = await send(session, fleet.hosts[0])
+            status, _, _ = await support.send(session, fleet.hosts[0])
             assert status == 504
             fake.delay_s = 0.0
             for number in range(10):
                 path = f'/freight/{number}'
-                _, _, body = await send(session, fleet.hosts[0], 'GET', path)
+                _, _, body = await support.send(
+                    session, fleet.hosts[0], 'GET', path=path
+                )
                 assert path.encode() in body
                 await asyncio.sleep(0.02)
 
@@ -131,7 +109,9 @@
             fake = await fleet.add_upstream()
             fake.behaviour = Behaviour.ANONYMOUS
             for _ in range(3):
-                status, _, _ = await send(session, fleet.hosts[0], 'GET')
+                status, _, _ = await support.send(
+                    session, fleet.hosts[0], 'GET'
+                )
                 assert status == 200
 
     support.run(check())
@@ -144,15 +124,15 @@
         async with run_entry(answer_buffer_bytes=65_536) as (fleet, session):
             fake = await fleet.add_upstream()
             fake.body = LONG_BODY
-            _, _, body = await send(session, fleet.hosts[0], number=1)
+            _, _, body = await support.send(session, fleet.hosts[0], number=1)
             assert body == LONG_BODY
             cuts = (Behaviour.CUT_ANSWER, Behaviour.CUT_CHUNKS)
             for number, behaviour in enumerate(cuts, 2):
                 fake.behaviour = behaviour
                 with pytest.raises(aiohttp.ClientError):
-                    await send(session, fleet.hosts[0], number=number)
+                    await support.send(session, fleet.hosts[0], number=number)
                 fake.behaviour = Behaviour.ANSWER
-                _, headers, _ = await send(
+                _, headers, _ = await support.send(
                     session, fleet.hosts[0], number=number
                 )
                 assert headers['Orioleshore-Ran'] == 'unknown'
