--- a/orioleshore/tests/builders.py
+++ b/orioleshore/tests/builders.py
@@ -224,3 +224,29 @@
         random.Random(1),
         now,
     )
+
+
+def build_claim(**fields) -> commands.ClaimRequest:
+    """Return the claim of the first request."""
+    defaults = {
+        'time': NOW,
+        'key': ids.IdempotencyKey(build_operation_id()),
+        'issued': NOW,
+        'digest': b'digest',
+        'request': ids.RequestId('request-1'),
+        'entry_host': ids.NodeId('entry-1'),
+        'incarnation': ids.Incarnation(1),
+    }
+    return commands.ClaimRequest(**{**defaults, **fields})
+
+
+def build_outcome(**fields) -> commands.RecordOutcome:
+    """Return the record of an answer to the first request."""
+    defaults = {
+        'time': NOW,
+        'key': ids.IdempotencyKey(build_operation_id()),
+        'request': ids.RequestId('request-1'),
+        'outcome': states.ClaimState.ANSWERED,
+        'status': 200,
+    }
+    return commands.RecordOutcome(**{**defaults, **fields})
