Answer 503 instead of 404 before an entry host has a configuration

A restarted entry host said that no service has this name, which a caller may take for final. The kind is now not_ready: it did not run, and may be sent again.

--- a/orioleshore/frontends/callers.py
+++ b/orioleshore/frontends/callers.py
@@ -74,7 +74,7 @@
         self._limits = limits
         self._routing = routing
         self._clock = source
-        self._table = table.RouteTable(())
+        self._table: table.RouteTable | None = None
         self._client = upstream_client.UpstreamClient(
             limits.answer_buffer_bytes
         )
@@ -101,6 +101,11 @@
         _take(message, self)
 
     async def _serve(self, request: web.BaseRequest) -> web.StreamResponse:
+        if self._table is None:
+            return _refuse(
+                errors.ErrorKind.NOT_READY,
+                'this entry host has no configuration yet',
+            )
         service = self._table.find(request.host, request.path)
         if service is None:
             return _refuse(
--- a/orioleshore/model/errors.py
+++ b/orioleshore/model/errors.py
@@ -14,6 +14,7 @@
     REQUEST_TOO_LARGE = 'request_too_large'
     HEADERS_TOO_LARGE = 'headers_too_large'
     REQUEST_TOO_SLOW = 'request_too_slow'
+    NOT_READY = 'not_ready'
     UNKNOWN_SERVICE = 'unknown_service'
     KEY_REQUIRED = 'key_required'
     KEY_INVALID = 'key_invalid'
@@ -99,6 +100,7 @@
     ErrorKind.REQUEST_TOO_LARGE: Answer(413, _NO, False, EXIT_INVALID),
     ErrorKind.HEADERS_TOO_LARGE: Answer(431, _NO, False, EXIT_INVALID),
     ErrorKind.REQUEST_TOO_SLOW: Answer(408, _NO, True, EXIT_REFUSED),
+    ErrorKind.NOT_READY: Answer(503, _NO, True, EXIT_UNREACHABLE),
     ErrorKind.UNKNOWN_SERVICE: Answer(404, _NO, False, EXIT_REFUSED),
     ErrorKind.KEY_REQUIRED: Answer(428, _NO, False, EXIT_INVALID),
     ErrorKind.KEY_INVALID: Answer(400, _NO, False, EXIT_INVALID),
--- a/orioleshore/tests/test_session.py
+++ b/orioleshore/tests/test_session.py
@@ -52,6 +52,7 @@
         self.client = aiohttp.ClientSession()
         await self.platform.start()
         await self.cluster.start(3, 2, self.platform.url)
+        await self.call('entry-1', 'GET', '/freight/too-early')
 
     async def stop(self) -> None:
         for item in self.upstreams:
