Serve metrics, and complete the state dump

Change: a table of metrics, a collector that asks tasks by messages at each scrape, /metrics at the health and operators' addresses, figures of the fleet in one pass at the leader only, the missing sources of the dump.

Refusals of the callers' front end itself, before a request reaches routing, are not counted yet.

--- a/orioleshore/consensus/member.py
+++ b/orioleshore/consensus/member.py
@@ -24,6 +24,7 @@
 from orioleshore.state import answers
 from orioleshore.state import commands
 from orioleshore.state import feed
+from orioleshore.state import figures
 from orioleshore.state import machine
 from orioleshore.state import queries
 from orioleshore.state import records
@@ -65,6 +66,12 @@
     answer: reply.Reply
 
 
+class GetMemberFigures(msgspec.Struct, frozen=True):
+    """Asks a member for its numbers, with those of the fleet if it leads."""
+
+    answer: reply.Reply
+
+
 class GetMemberDump(msgspec.Struct, frozen=True):
     """Asks a member for all the state that it holds."""
 
@@ -133,6 +140,7 @@
         self._address = address
         self._sender = sender
         self._timers = timers
+        self._sync_seconds = 0.0
         self._storage = files
         self._random = randomness
         self._raft: raft.Raft | None = None
@@ -296,11 +304,13 @@
 
     async def _call_storage(self, function, *arguments) -> None:
         """Run a blocking call in a thread; a failure stops the process."""
+        began = self._timers.clock.get_monotonic()
         try:
             await aiomisc.threaded(function)(*arguments)
         except storage.StorageError as error:
             self._failure = error.failure
             raise
+        self._sync_seconds += self._timers.clock.get_monotonic() - began
 
     async def _install(self, snapshot: events.Snapshot) -> None:
         last = self._raft.log.last_index
@@ -582,6 +592,16 @@
             'syncs': self._storage.sync_count,
         }
 
+    def get_figures(self) -> dict[str, Any]:
+        """Return the numbers that monitoring follows."""
+        leads = self._raft.role is states.RaftRole.LEADER
+        return {
+            **self.get_status(),
+            'pending_calls': len(self._calls),
+            'sync_seconds': self._sync_seconds,
+            'fleet': figures.get_figures(self._state) if leads else None,
+        }
+
     def get_dump(self) -> dict[str, Any]:
         """Return all state that this member holds."""
         return {
@@ -615,6 +635,12 @@
     return []
 
 
+@_take.register
+def _(message: GetMemberFigures, member: MemberTask) -> list[events.Action]:
+    message.answer.resolve(Ok(member.get_figures()))
+    return []
+
+
 @_take.register
 def _(message: GetMemberDump, member: MemberTask) -> list[events.Action]:
     message.answer.resolve(Ok(member.get_dump()))
--- a/orioleshore/frontends/health.py
+++ b/orioleshore/frontends/health.py
@@ -11,6 +11,7 @@
 from orioleshore.model import errors
 from orioleshore.tasks import mailbox
 from orioleshore.tasks import task
+from orioleshore.telemetry import collection
 from orioleshore.telemetry import dumps
 
 MAILBOX_CAPACITY = 16
@@ -27,16 +28,19 @@
         address: str,
         get_obstacle: Callable[[], Awaitable[str | None]],
         dumper: dumps.Dumper,
+        collector: collection.Collector,
         token_files: dict[str, str],
     ) -> None:
         super().__init__(mailbox.Mailbox('health', MAILBOX_CAPACITY))
         self._get_obstacle = get_obstacle
         self._dumper = dumper
+        self._collector = collector
         self._access = access.Access(token_files)
         app = web.Application()
         app.router.add_get('/healthz', self._show_health)
         app.router.add_get('/readyz', self._show_readiness)
         app.router.add_get('/v1/dump', self._dump)
+        app.router.add_get('/metrics', self._show_metrics)
         self._listener = frontend_web.Listener(address, app)
 
     @property
@@ -66,6 +70,9 @@
             {'ready': False, 'reason': obstacle}, 503
         )
 
+    async def _show_metrics(self, request: web.Request) -> web.Response:
+        return frontend_web.make_metrics(await self._collector.collect())
+
     async def _dump(self, request: web.Request) -> web.Response:
         if self._access.find_operator(request) is None:
             return frontend_web.make_failure(
--- a/orioleshore/frontends/operators.py
+++ b/orioleshore/frontends/operators.py
@@ -23,6 +23,7 @@
 from orioleshore.state import queries
 from orioleshore.tasks import mailbox
 from orioleshore.tasks import task
+from orioleshore.telemetry import collection
 from orioleshore.telemetry import dumps
 from orioleshore.timers import clock
 
@@ -42,12 +43,14 @@
         control: mailbox.Mailbox,
         source: clock.Clock,
         dumper: dumps.Dumper,
+        collector: collection.Collector,
     ) -> None:
         super().__init__(mailbox.Mailbox('operators', MAILBOX_CAPACITY))
         self._access = access.Access(token_files)
         self._control = control
         self._clock = source
         self._dumper = dumper
+        self._collector = collector
         app = web.Application(
             client_max_size=MAX_DOCUMENT_BYTES,
             middlewares=[self._authenticate],
@@ -61,6 +64,7 @@
                 web.get('/v1/status', self._get_status),
                 web.get('/v1/explain/{kind}/{name}', self._explain),
                 web.get('/v1/dump', self._dump),
+                web.get('/metrics', self._show_metrics),
                 web.get('/v1/state', self._get_state),
                 web.get('/', self._show_console),
                 web.get('/edit/{section}', self._show_form),
@@ -116,6 +120,9 @@
     async def _dump(self, request: web.Request) -> web.Response:
         return frontend_web.make_json(await self._dumper.get_dump())
 
+    async def _show_metrics(self, request: web.Request) -> web.Response:
+        return frontend_web.make_metrics(await self._collector.collect())
+
     async def _explain(self, request: web.Request) -> web.Response:
         try:
             kind = queries.SubjectKind(request.match_info['kind'])
--- a/orioleshore/frontends/platform.py
+++ b/orioleshore/frontends/platform.py
@@ -7,10 +7,12 @@
 
 import aiohttp
 import msgspec
+from result import Ok
 
 from orioleshore.fleet import events
 from orioleshore.model import ids
 from orioleshore.tasks import mailbox
+from orioleshore.tasks import reply
 from orioleshore.tasks import task
 from orioleshore.telemetry import logs
 from orioleshore.timers import service
@@ -58,6 +60,12 @@
     next: int
 
 
+class GetPlatformDump(msgspec.Struct, frozen=True):
+    """Asks for the state of the connections to the platform."""
+
+    answer: reply.Reply
+
+
 class _Polled(msgspec.Struct, frozen=True):
     reports: Reports | None
 
@@ -187,6 +195,19 @@
     raise TypeError(f'unknown message {type(message).__name__}')
 
 
+@_take.register
+def _(message: GetPlatformDump, platform: PlatformTask) -> None:
+    message.answer.resolve(
+        Ok(
+            {
+                'calls': len(platform._calls),
+                'position': platform._position,
+                'polling': platform._polling,
+            }
+        )
+    )
+
+
 @_take.register
 def _(message: events.CallPlatform, platform: PlatformTask) -> None:
     platform._start(platform._call(message))
--- a/orioleshore/frontends/web.py
+++ b/orioleshore/frontends/web.py
@@ -7,6 +7,7 @@
 
 from orioleshore import settings
 from orioleshore.model import errors
+from orioleshore.telemetry import metrics
 
 ERROR_HEADER = 'Orioleshore-Error'
 RAN_HEADER = 'Orioleshore-Ran'
@@ -21,6 +22,13 @@
     )
 
 
+def make_metrics(content: bytes) -> web.Response:
+    """Return a response with metrics in the text format."""
+    return web.Response(
+        body=content, headers={'Content-Type': metrics.CONTENT_TYPE}
+    )
+
+
 def make_failure(failure: errors.Failure) -> web.Response:
     """Return the answer that the table of errors gives for a failure."""
     answer = failure.answer
--- a/orioleshore/membership/gossip.py
+++ b/orioleshore/membership/gossip.py
@@ -1,5 +1,6 @@
 """Task that runs the failure detector over the inner protocol."""
 
+import collections
 import functools
 import logging
 from typing import Any
@@ -11,6 +12,7 @@
 from orioleshore.membership import events
 from orioleshore.membership import packing
 from orioleshore.model import ids
+from orioleshore.model import states
 from orioleshore.protocol import messages
 from orioleshore.protocol import transport
 from orioleshore.state import subscriber
@@ -33,6 +35,12 @@
     answer: reply.Reply
 
 
+class GetMembershipFigures(msgspec.Struct, frozen=True):
+    """Asks for numbers about the known processes."""
+
+    answer: reply.Reply
+
+
 class GetMembershipDump(msgspec.Struct, frozen=True):
     """Asks for what this process believes about others, for a dump."""
 
@@ -126,6 +134,11 @@
     message.answer.resolve(Ok(change))
 
 
+@_take.register
+def _(message: GetMembershipFigures, gossip: Gossip) -> None:
+    message.answer.resolve(Ok(_count_peers(gossip._detector)))
+
+
 @_take.register
 def _(message: GetMembershipDump, gossip: Gossip) -> None:
     message.answer.resolve(Ok(_describe(gossip._detector)))
@@ -256,6 +269,18 @@
     )
 
 
+def _count_peers(decisions: detector.Detector) -> dict[str, Any]:
+    counts = collections.Counter(
+        peer.state for peer in decisions.peers.values()
+    )
+    return {
+        'peers': {state.value: counts[state] for state in states.PeerState},
+        'isolated': decisions.isolated,
+        'broken_paths': len(decisions.broken_paths),
+        'waiting_rumours': decisions.rumours_waiting,
+    }
+
+
 def _describe(decisions: detector.Detector) -> dict[str, Any]:
     return {
         'own': msgspec.to_builtins(decisions.own),
--- a/orioleshore/roles/control.py
+++ b/orioleshore/roles/control.py
@@ -17,7 +17,9 @@
 from orioleshore.protocol import transport
 from orioleshore.tasks import mailbox
 from orioleshore.tasks import task
+from orioleshore.telemetry import collection
 from orioleshore.telemetry import dumps
+from orioleshore.telemetry import readers
 from orioleshore.timers import service
 
 
@@ -31,6 +33,7 @@
         sender: transport.Transport,
         control: mailbox.Mailbox,
         dumper: dumps.Dumper,
+        collector: collection.Collector,
     ) -> None:
         self._member = member.MemberTask(
             config,
@@ -57,8 +60,12 @@
             control,
             timers.clock,
             dumper,
+            collector,
         )
         self._connect(sender, dumper)
+        collector.add_task(
+            self._member.mailbox, member.GetMemberFigures, readers.read_member
+        )
 
     @property
     def member(self) -> member.MemberTask:
@@ -92,4 +99,8 @@
             *member.CALL_MESSAGES,
         )
         dumper.add_task('control', self._member.mailbox, member.GetMemberDump)
+        if self._platform is not None:
+            dumper.add_task(
+                'platform', self._platform.mailbox, platform.GetPlatformDump
+            )
         dumper.add_task('fleet', self._manager.mailbox, manager.GetManagerDump)
--- a/orioleshore/roles/entry.py
+++ b/orioleshore/roles/entry.py
@@ -15,8 +15,10 @@
 from orioleshore.tasks import mailbox
 from orioleshore.tasks import reply
 from orioleshore.tasks import task
+from orioleshore.telemetry import collection
 from orioleshore.telemetry import dumps
 from orioleshore.telemetry import logs
+from orioleshore.telemetry import readers
 from orioleshore.timers import service
 
 LOG = logging.getLogger(__name__)
@@ -36,6 +38,7 @@
         sender: transport.Transport,
         control: mailbox.Mailbox,
         dumper: dumps.Dumper,
+        collector: collection.Collector,
     ) -> None:
         self._config = config
         self._dispatcher = dispatcher.Dispatcher(
@@ -59,6 +62,11 @@
         dumper.add_task(
             'routing', self._dispatcher.mailbox, dispatcher.GetRoutingDump
         )
+        collector.add_task(
+            self._dispatcher.mailbox,
+            dispatcher.GetRoutingDump,
+            readers.read_routing,
+        )
 
     @property
     def tasks(self) -> list[task.Task]:
--- a/orioleshore/roles/process.py
+++ b/orioleshore/roles/process.py
@@ -29,8 +29,10 @@
 from orioleshore.state import subscriber
 from orioleshore.tasks import reply
 from orioleshore.tasks import task
+from orioleshore.telemetry import collection
 from orioleshore.telemetry import dumps
 from orioleshore.telemetry import logs
+from orioleshore.telemetry import readers
 from orioleshore.timers import clock
 from orioleshore.timers import service
 
@@ -57,6 +59,7 @@
             config.tls,
         )
         self._dumper = dumps.Dumper(config.node)
+        self._collector = collection.Collector(config.node)
         self._stopping = asyncio.Event()
         self._tasks: list[task.Task] = []
         self._control: control.ControlRole | None = None
@@ -91,6 +94,8 @@
             outcome = self._control.load()
             if outcome.is_err():
                 return outcome
+        for item in (self._transport, *tasks):
+            self._collector.add_mailbox(item.mailbox)
         for item in tasks:
             await item.start()
             self._tasks.append(item)
@@ -131,9 +136,7 @@
         self._transport.register(
             calls.mailbox, messages.ProposeReply, messages.QueryReply
         )
-        self._dumper.add_value(
-            'transport', lambda: dict(self._transport.counters)
-        )
+        self._add_telemetry_of_transport()
         tasks: list[task.Task] = [calls]
         if config.has_role(states.Role.CONTROL):
             self._control = control.ControlRole(
@@ -142,6 +145,7 @@
                 self._transport,
                 calls.mailbox,
                 self._dumper,
+                self._collector,
             )
             tasks += self._control.tasks
         if config.has_role(states.Role.ENTRY):
@@ -152,6 +156,7 @@
                 self._transport,
                 calls.mailbox,
                 self._dumper,
+                self._collector,
             )
             tasks += self._entry.tasks
         tasks += self._build_common_tasks(seeds)
@@ -201,17 +206,36 @@
         self._dumper.add_task(
             'membership', self._gossip.mailbox, gossip.GetMembershipDump
         )
+        self._collector.add_task(
+            self._gossip.mailbox,
+            gossip.GetMembershipFigures,
+            readers.read_membership,
+        )
+        self._collector.add_task(
+            self._subscriber.mailbox,
+            subscriber.GetSubscriberStatus,
+            readers.read_subscriber,
+        )
         tasks: list[task.Task] = [self._gossip, self._subscriber]
         if config.addresses.health is not None:
             self._health = health.HealthFrontend(
                 config.addresses.health,
                 self._get_obstacle,
                 self._dumper,
+                self._collector,
                 config.token_files,
             )
             tasks.append(self._health)
         return tasks
 
+    def _add_telemetry_of_transport(self) -> None:
+        def get_counters() -> dict[str, int]:
+            return dict(self._transport.counters)
+
+        self._dumper.add_value('transport', get_counters)
+        self._dumper.add_value('mailboxes', self._collector.get_mailboxes)
+        self._collector.add_value(get_counters, readers.read_transport)
+
     def _get_own_peer(self) -> announcements.Peer:
         return announcements.Peer(
             self._config.node,
@@ -275,5 +299,11 @@
 
     async def _write_dump(self) -> None:
         content = await self._dumper.get_dump()
-        sys.stderr.write(dumps.format_dump(content) + '\n')
-        sys.stderr.flush()
+        text = dumps.format_dump(content)
+        # A reader that stops reading must not block the process.
+        await asyncio.to_thread(_write_line, text)
+
+
+def _write_line(text: str) -> None:
+    sys.stderr.write(text + '\n')
+    sys.stderr.flush()
--- a/orioleshore/routing/dispatcher.py
+++ b/orioleshore/routing/dispatcher.py
@@ -1,5 +1,6 @@
 """Task that runs the routing decisions of an entry host."""
 
+import collections
 import functools
 import logging
 from typing import Any
@@ -96,6 +97,9 @@
         self._exchanges: dict[ids.RequestId, mailbox.Mailbox] = {}
         self._answers: dict[ids.RequestId, events.RecordedAnswer] = {}
         self._entry_hosts: tuple[announcements.Peer, ...] = ()
+        self._refusals: collections.Counter[errors.ErrorKind] = (
+            collections.Counter()
+        )
 
     async def open(self) -> None:
         """Subscribe to the tick."""
@@ -120,6 +124,8 @@
             exchange.put(message)
 
     def _finish(self, request: ids.RequestId, message: Any) -> None:
+        if isinstance(message, events.Refuse):
+            self._refusals[message.failure.kind] += 1
         self._tell(request, message)
         self._exchanges.pop(request, None)
         self._answers.pop(request, None)
@@ -177,6 +183,9 @@
             'entry_hosts': [peer.node for peer in self._entry_hosts],
             'held': self._router.held,
             'in_flight': self._router.in_flight,
+            'refusals': {
+                kind.value: count for kind, count in self._refusals.items()
+            },
             'router': self._router.get_dump(),
         }
 
--- /dev/null
+++ b/orioleshore/state/figures.py
@@ -0,0 +1,48 @@
+"""Numbers about the fleet for monitoring, in one pass over the state."""
+
+import collections
+from collections.abc import Iterable
+import enum
+from typing import Any
+
+from orioleshore.model import states
+from orioleshore.state import budgets
+from orioleshore.state import queries
+from orioleshore.state import records
+
+# Racks are too many for series of their own.
+_SCOPES = ('total', 'availability_zone/')
+
+
+def get_figures(state: records.State) -> dict[str, Any]:
+    """Return counts of hosts, jobs and waves, and what budgets have left."""
+    return {
+        'hosts': _count(
+            (host.state for host in state.hosts.values()), states.HostState
+        ),
+        'jobs': _count(
+            (job.state for job in state.jobs.values()), states.JobState
+        ),
+        'waves': {
+            name: queries.get_wave_status(wave)
+            for name, wave in state.waves.items()
+            if wave.state is not states.WaveState.FINISHED
+        },
+        'budgets': [
+            {
+                'service': loss.service,
+                'scope': loss.scope,
+                'cores_left': loss.allowed - loss.down,
+            }
+            for pool in sorted({s.pool for s in state.document.services})
+            for loss in budgets.get_losses(state, pool)
+            if loss.scope.startswith(_SCOPES)
+        ],
+    }
+
+
+def _count(
+    values: Iterable[enum.Enum], kinds: type[enum.Enum]
+) -> dict[str, int]:
+    counts = collections.Counter(values)
+    return {kind.value: counts[kind] for kind in kinds}
