Change the group of control members through the log

Cause: ChangeMembers was declared and not handled; a joining member had no address to answer to, so it could never join; the leader appended proposals that no member might be able to decode.

Change: requests.ChangeMembers travels as a proposal; the operators' interface has /v1/members and the command line member list, add, remove and replace. A repeated change is confirmed. Members answer to where a message came from. The leader decodes a proposal before it appends it. A mismatch of stamps is logged once for each stamp.

--- a/orioleshore/cli/application.py
+++ b/orioleshore/cli/application.py
@@ -21,6 +21,10 @@
         commands.StatusCommand,
         commands.DumpCommand,
         commands.ExplainCommand,
+        commands.MemberListCommand,
+        commands.MemberAddCommand,
+        commands.MemberRemoveCommand,
+        commands.MemberReplaceCommand,
     ):
         application.add(command())
     return application
--- a/orioleshore/cli/commands.py
+++ b/orioleshore/cli/commands.py
@@ -319,6 +319,78 @@
         return output.format_explanation(content)
 
 
+class MemberListCommand(_RemoteCommand):
+    """Shows the control members."""
+
+    name = 'member list'
+    description = 'Show the control members and how far each one follows.'
+    options = _REMOTE
+
+    def execute_command(self) -> Result[Any, errors.Failure]:
+        """Return leader, term and members."""
+        return self.call('GET', '/v1/members')
+
+
+class _ChangeMembersCommand(_RemoteCommand):
+    """Sends one change of the group of control members."""
+
+    options = _REMOTE
+
+    def change(self, **fields: str) -> Result[Any, errors.Failure]:
+        """Return the answer of the leader."""
+        body = msgspec.json.encode(fields).decode()
+        return self.call('POST', '/v1/members', body)
+
+
+class MemberAddCommand(_ChangeMembersCommand):
+    """Adds a control member."""
+
+    name = 'member add'
+    description = 'Add a control member; it votes once it has the log.'
+    arguments = [
+        argument('node', 'Its name.'),
+        argument('address', 'Its inner address, "IP:port".'),
+    ]
+
+    def execute_command(self) -> Result[Any, errors.Failure]:
+        """Return the answer of the leader."""
+        return self.change(
+            add=self.argument('node'), address=self.argument('address')
+        )
+
+
+class MemberRemoveCommand(_ChangeMembersCommand):
+    """Removes a control member."""
+
+    name = 'member remove'
+    description = 'Remove a control member.'
+    arguments = [argument('node', 'Its name.')]
+
+    def execute_command(self) -> Result[Any, errors.Failure]:
+        """Return the answer of the leader."""
+        return self.change(remove=self.argument('node'))
+
+
+class MemberReplaceCommand(_ChangeMembersCommand):
+    """Replaces a control member that will not return."""
+
+    name = 'member replace'
+    description = 'Replace a control member that will not return.'
+    arguments = [
+        argument('old', 'Name of the member to remove.'),
+        argument('node', 'Name of the new one; may be the same.'),
+        argument('address', 'Its inner address, "IP:port".'),
+    ]
+
+    def execute_command(self) -> Result[Any, errors.Failure]:
+        """Return the answer of the leader."""
+        return self.change(
+            remove=self.argument('old'),
+            add=self.argument('node'),
+            address=self.argument('address'),
+        )
+
+
 def _read_document(path: str) -> Result[documents.Document, errors.Failure]:
     """Read a document file, with or without the change around it."""
     try:
--- a/orioleshore/consensus/client.py
+++ b/orioleshore/consensus/client.py
@@ -9,12 +9,12 @@
 from result import Ok
 from result import Result
 
+from orioleshore.consensus import requests
 from orioleshore.model import errors
 from orioleshore.model import ids
 from orioleshore.protocol import messages
 from orioleshore.protocol import transport
 from orioleshore.state import answers
-from orioleshore.state import commands
 from orioleshore.state import queries
 from orioleshore.tasks import mailbox
 from orioleshore.tasks import reply
@@ -149,7 +149,7 @@
                 self._send(correlation, pending)
 
     def _give_up(self, pending: _Pending) -> None:
-        is_command = isinstance(pending.call.request, commands.Command)
+        is_command = requests.is_request(pending.call.request)
         kind = errors.ErrorKind.NO_QUORUM
         if is_command and pending.was_sent:
             kind = errors.ErrorKind.CHANGE_UNKNOWN
@@ -167,8 +167,8 @@
 
 
 def _pack(request: Any) -> messages.Propose | messages.Query:
-    if isinstance(request, commands.Command):
-        return messages.Propose(commands.encode(request))
+    if requests.is_request(request):
+        return messages.Propose(requests.encode(request))
     return messages.Query(type(request).__name__, queries.encode(request))
 
 
--- a/orioleshore/consensus/core.py
+++ b/orioleshore/consensus/core.py
@@ -121,6 +121,8 @@
         self.reads: list[PendingRead] = []
         self.incoming: Incoming | None = None
         self.mismatches: dict[ids.NodeId, str] = {}
+        self.reported_stamps: dict[ids.NodeId, str] = {}
+        # Late answers of a lost disk must not bring its stamp back.
         self.retired_stamps: set[str] = set()
         self.set_election_due()
 
@@ -219,7 +221,9 @@
             return False
         if member.stamp == stamp:
             return True
-        self.actions.append(events.StampMismatch(name, stamp))
+        if self.reported_stamps.get(name) != stamp:
+            self.reported_stamps[name] = stamp
+            self.actions.append(events.StampMismatch(name, stamp))
         if stamp not in self.retired_stamps:
             self.mismatches[name] = stamp
         return False
--- a/orioleshore/consensus/events.py
+++ b/orioleshore/consensus/events.py
@@ -165,6 +165,7 @@
 
     token: int
     kind: errors.ErrorKind
+    message: str = 'this control member cannot decide now'
 
 
 class RoleChanged(msgspec.Struct, frozen=True):
--- a/orioleshore/consensus/group.py
+++ b/orioleshore/consensus/group.py
@@ -17,13 +17,10 @@
     member: core.Core, request: events.MembersChangeRequested
 ) -> None:
     """Add a learner, remove a member, or both in one entry."""
-    refusal = _find_refusal(member, request)
-    if refusal is not None:
-        member.refuse(request.token, refusal)
-        return
     changed = _get_changed(member, request)
-    if not _keeps_quorum(member, changed):
-        member.refuse(request.token, errors.ErrorKind.NO_QUORUM)
+    refusal = _find_refusal(member, request, changed)
+    if refusal is not None:
+        member.actions.append(refusal)
         return
     index = _append_members(member, changed)
     member.actions.append(events.Accepted(request.token, index, member.term))
@@ -38,17 +35,38 @@
 
 
 def _find_refusal(
-    member: core.Core, request: events.MembersChangeRequested
-) -> errors.ErrorKind | None:
+    member: core.Core,
+    request: events.MembersChangeRequested,
+    changed: list[events.Member],
+) -> events.Refuse | None:
+    token = request.token
     if not member.is_leader:
-        return errors.ErrorKind.NOT_LEADER
+        return events.Refuse(token, errors.ErrorKind.NOT_LEADER)
     if not _may_change(member):
-        return errors.ErrorKind.OVERLOADED
+        return events.Refuse(
+            token,
+            errors.ErrorKind.OVERLOADED,
+            'another change of the group is under way',
+        )
     if request.remove and member.get_member(request.remove) is None:
-        return errors.ErrorKind.NOT_FOUND
-    known = request.add and member.get_member(request.add.name)
-    if known and known.stamp == request.add.stamp:
-        return errors.ErrorKind.ILLEGAL_TRANSITION
+        return events.Refuse(
+            token,
+            errors.ErrorKind.NOT_FOUND,
+            f'{request.remove!r} is not a member',
+        )
+    added = request.add and request.add.name
+    if added and added != request.remove and member.get_member(added):
+        return events.Refuse(
+            token,
+            errors.ErrorKind.ILLEGAL_TRANSITION,
+            f'{added!r} is a member already',
+        )
+    if not _keeps_quorum(member, changed):
+        return events.Refuse(
+            token,
+            errors.ErrorKind.ILLEGAL_TRANSITION,
+            'the members that answer would be no quorum of the new group',
+        )
     return None
 
 
--- a/orioleshore/consensus/member.py
+++ b/orioleshore/consensus/member.py
@@ -14,6 +14,7 @@
 from orioleshore import settings
 from orioleshore.consensus import events
 from orioleshore.consensus import raft
+from orioleshore.consensus import requests
 from orioleshore.consensus import storage
 from orioleshore.model import changes
 from orioleshore.model import errors
@@ -38,6 +39,7 @@
 MAILBOX_CAPACITY = 4_096
 # Messages handled between two syncs; bounds the time of one group.
 GROUP_LIMIT = 256
+PEER_ADDRESS_LIMIT = 64
 
 TICK = ids.TimerId('consensus-tick')
 
@@ -71,14 +73,6 @@
     answer: reply.Reply
 
 
-class ChangeMembers(msgspec.Struct, frozen=True):
-    """Asks to add, replace or remove a member of the group."""
-
-    add: events.Member | None
-    remove: ids.NodeId | None
-    answer: reply.Reply
-
-
 class ForgetSubscriber(msgspec.Struct, frozen=True):
     """Tells that a process is gone."""
 
@@ -144,6 +138,7 @@
         self._accepted: dict[tuple[int, int], int] = {}
         self._reads: list[tuple[int, int]] = []
         self._next_token = 1
+        self._peer_addresses: dict[ids.NodeId, str] = {}
         self._leads = False
         self._manager_behind = False
         self._failure: errors.Failure | None = None
@@ -183,6 +178,7 @@
                 'folder_opened',
                 folder=self._config.data_folder,
                 term=loaded.hard_state.term,
+                stamp=loaded.stamp,
                 last_index=loaded.log.last_index,
                 snapshot_index=loaded.log.snapshot_index,
             )
@@ -356,6 +352,26 @@
         self._calls[token] = _PendingCall(header, query)
         return token
 
+    def _remember_address(self, header: messages.Header) -> None:
+        self._peer_addresses.pop(header.sender, None)
+        self._peer_addresses[header.sender] = header.reply_address
+        if len(self._peer_addresses) > PEER_ADDRESS_LIMIT:
+            oldest = next(iter(self._peer_addresses))
+            del self._peer_addresses[oldest]
+
+    def _change_members(
+        self, token: int, request: requests.ChangeMembers
+    ) -> list[events.Action]:
+        """Start a change, or confirm one whose answer was lost."""
+        if self._leads and request.is_in_force(self._raft.members):
+            self._answer_call(token, Ok(None))
+            return []
+        return self._decide(
+            events.MembersChangeRequested(
+                token, request.added_member, request.remove
+            )
+        )
+
     def _answer_call(
         self, token: int, outcome: Result[Any, errors.Failure]
     ) -> None:
@@ -523,6 +539,7 @@
                 member.name: {
                     'address': member.address,
                     'voter': member.voter,
+                    'stamp': member.stamp,
                     'match_index': matches.get(member.name),
                 }
                 for member in members
@@ -632,6 +649,7 @@
     message: Any, member: MemberTask, received: messages.Received
 ) -> list[events.Action]:
     """Handle a message of another process; the default is for Raft."""
+    member._remember_address(received.header)
     return member._decide(
         events.MessageReceived(received.header.sender, message)
     )
@@ -643,7 +661,15 @@
     member: MemberTask,
     received: messages.Received,
 ) -> list[events.Action]:
+    try:
+        request = requests.decode(message.command)
+    except msgspec.MsgspecError as error:
+        failure = _fail(errors.ErrorKind.PROTOCOL_ERROR, str(error))
+        member._send_reply(received.header, answers.pack_reply(failure))
+        return []
     token = member._add_call(received.header)
+    if isinstance(request, requests.ChangeMembers):
+        return member._change_members(token, request)
     return member._decide(events.ProposeRequested(token, message.command))
 
 
@@ -698,8 +724,11 @@
 
 @_perform.register
 def _(action: events.Send, member: MemberTask) -> None:
-    if action.address:
-        member._sender.put(transport.SendTo(action.address, action.message))
+    # A member that joins has no list of the group yet, and one that lags
+    # has an old one, so they answer to where the message came from.
+    address = action.address or member._peer_addresses.get(action.to)
+    if address:
+        member._sender.put(transport.SendTo(address, action.message))
 
 
 @_perform.register
@@ -728,7 +757,7 @@
 def _(action: events.Refuse, member: MemberTask) -> None:
     member._answer_call(
         action.token,
-        _fail(action.kind, 'this control member cannot decide now'),
+        _fail(action.kind, action.message),
     )
 
 
--- /dev/null
+++ b/orioleshore/frontends/group_changes.py
@@ -0,0 +1,69 @@
+"""Requests of operators to change the group of control members."""
+
+import json
+
+import msgspec
+from result import Err
+from result import Ok
+from result import Result
+
+from orioleshore import settings
+from orioleshore.consensus import requests
+from orioleshore.model import checks
+from orioleshore.model import documents
+from orioleshore.model import errors
+from orioleshore.model import ids
+
+
+class _Change(msgspec.Struct, frozen=True):
+    """Fields of the request; at least one of ``add`` and ``remove``."""
+
+    add: documents.Name | None = None
+    address: str = ''
+    remove: documents.Name | None = None
+
+
+def read_change(text: str) -> Result[requests.ChangeMembers, errors.Failure]:
+    """Return the change that a request body asks for.
+
+    Fails with ``INVALID_REQUEST``.
+    """
+    try:
+        outcome = checks.convert(json.loads(text), _Change)
+    except ValueError as error:
+        return _fail([f'$: expected JSON ({error})'])
+    if outcome.is_err():
+        return _fail(outcome.unwrap_err())
+    change = outcome.unwrap()
+    problems = _find_problems(change)
+    if problems:
+        return _fail(problems)
+    return Ok(
+        requests.ChangeMembers(
+            change.add and ids.NodeId(change.add),
+            change.address,
+            change.remove and ids.NodeId(change.remove),
+        )
+    )
+
+
+def _find_problems(change: _Change) -> list[str]:
+    if change.add is None:
+        if change.remove is None:
+            return ['$: expected at least one of: add, remove']
+        return []
+    try:
+        settings.parse_address(change.address)
+    except ValueError as error:
+        return [f'$.address: expected "IP number:port" ({error})']
+    return []
+
+
+def _fail(problems: list[str]) -> Err[errors.Failure]:
+    return Err(
+        errors.Failure(
+            errors.ErrorKind.INVALID_REQUEST,
+            'the change of the group is not valid',
+            tuple(problems),
+        )
+    )
--- a/orioleshore/frontends/operators.py
+++ b/orioleshore/frontends/operators.py
@@ -14,6 +14,7 @@
 from orioleshore.consensus import client
 from orioleshore.frontends import access
 from orioleshore.frontends import forms
+from orioleshore.frontends import group_changes
 from orioleshore.frontends import submission
 from orioleshore.frontends import web as frontend_web
 from orioleshore.model import changes
@@ -59,6 +60,8 @@
                 web.post('/v1/document', self._change_document),
                 web.post('/v1/document/validate', self._validate),
                 web.get('/v1/status', self._get_status),
+                web.get('/v1/members', self._get_members),
+                web.post('/v1/members', self._change_members),
                 web.get('/v1/explain/{kind}/{name}', self._explain),
                 web.get('/v1/dump', self._dump),
                 web.get('/v1/state', self._get_state),
@@ -110,6 +113,25 @@
     async def _get_status(self, request: web.Request) -> web.Response:
         return await self._ask(queries.GetStatus())
 
+    async def _get_members(self, request: web.Request) -> web.Response:
+        answer = await client.call(
+            self._control, queries.GetStatus(), QUERY_TIMEOUT_S
+        )
+        if answer.is_err():
+            return frontend_web.make_failure(answer.unwrap_err())
+        return frontend_web.make_json(json.loads(answer.unwrap())['group'])
+
+    async def _change_members(self, request: web.Request) -> web.Response:
+        change = group_changes.read_change(await request.text())
+        if change.is_err():
+            return frontend_web.make_failure(change.unwrap_err())
+        answer = await client.call(
+            self._control, change.unwrap(), CHANGE_TIMEOUT_S
+        )
+        if answer.is_err():
+            return frontend_web.make_failure(answer.unwrap_err())
+        return frontend_web.make_json({'accepted': True})
+
     async def _get_state(self, request: web.Request) -> web.Response:
         return await self._ask(queries.GetDump())
 
--- /dev/null
+++ b/orioleshore/tests/test_consensus_processes.py
@@ -0,0 +1,306 @@
+"""Whole processes on loopback with real files, killed and brought back."""
+
+import json
+import pathlib
+import re
+import shutil
+import subprocess
+import sys
+import time
+import uuid
+
+from cleo.testers.command_tester import CommandTester
+import pytest
+import yaml
+
+from orioleshore.cli import application
+from orioleshore.cli import remote
+from orioleshore.model import errors
+from orioleshore.state import operations
+from scripts import fleet
+
+SNAPSHOT_ENTRIES = 40
+LIMIT_S = 20.0
+POLL_S = 0.05
+
+
+class Running:
+    """A fleet, with the calls that operators make."""
+
+    def __init__(self, folder: pathlib.Path) -> None:
+        self.fleet = fleet.Fleet(folder)
+        self.fleet.prepare(control=3, entry=1)
+        for name in self.fleet.operators:
+            self.edit_settings(name, snapshot_entries=SNAPSHOT_ENTRIES)
+        self.fleet.start_platform()
+        for name in self.fleet.health:
+            self.fleet.start_node(name)
+        self.acknowledged: dict[str, int] = {}
+
+    def edit_settings(self, name: str, **control) -> None:
+        """Change settings of a control member before it starts."""
+        path = self.fleet.folder / f'{name}.yaml'
+        content = yaml.safe_load(path.read_text('utf-8'))
+        content['control'] |= control
+        path.write_text(yaml.safe_dump(content), 'utf-8')
+
+    def call(self, name: str, method: str, path: str, body=None):
+        """Call the operators' interface of one member."""
+        text = None if body is None else json.dumps(body)
+        target = remote.Remote(self.fleet.operators[name], fleet.TOKEN)
+        return remote.call(target, method, path, text)
+
+    def call_any(self, method: str, path: str, body=None):
+        """Call member after member until one answers for certain."""
+        deadline = time.monotonic() + LIMIT_S
+        while True:
+            for name in self.fleet.operators:
+                if name not in self.fleet.processes:
+                    continue
+                answer = self.call(name, method, path, body)
+                failure = answer.err()
+                if failure is None or not failure.answer.may_resend:
+                    return answer
+            assert time.monotonic() < deadline, answer
+            time.sleep(POLL_S)
+
+    def get_version(self) -> int:
+        return self.call_any('GET', '/v1/document').unwrap()['version']
+
+    def get_group(self) -> dict:
+        return self.call_any('GET', '/v1/members').unwrap()
+
+    def change(self, base_version: int, operation_id: str):
+        """Send a change that differs from the one before it."""
+        team = {'name': 'members', 'cores': 10.0 + base_version % 7}
+        document = {
+            'pools': [{'name': 'freight'}],
+            'teams': [{**team, 'memory_gb': 10.0}],
+        }
+        body = {
+            'base_version': base_version,
+            'operation_id': operation_id,
+            'document': document,
+        }
+        return self.call_any('POST', '/v1/document', body)
+
+    def change_many(self, count: int, at: dict = ()) -> None:
+        """Make changes one after the other, with faults in between."""
+        version = self.get_version()
+        for number in range(count):
+            if number in at:
+                at[number]()
+            operation = make_operation_id()
+            answer = self.change(version, operation).unwrap()
+            assert answer['version'] == version + 1
+            version = answer['version']
+            self.acknowledged[operation] = version
+
+    def check_answers(self) -> None:
+        """Check that resent changes get their first answer."""
+        known = list(self.acknowledged.items())
+        for operation, version in (*known[:3], *known[-20:]):
+            assert self.change(version - 1, operation).unwrap() == {
+                'version': version
+            }
+        assert self.get_version() >= max(self.acknowledged.values())
+
+    def wait_for(self, check, what: str) -> None:
+        deadline = time.monotonic() + LIMIT_S
+        while not check():
+            assert time.monotonic() < deadline, f'{what}: {self.get_group()}'
+            time.sleep(POLL_S)
+
+    def wait_until_whole(self, count: int = 3) -> None:
+        """Wait until all members vote and have everything."""
+
+        def is_whole() -> bool:
+            group = self.get_group()
+            others = [
+                member
+                for name, member in group['members'].items()
+                if name != group['leader']
+            ]
+            return len(others) == count - 1 and all(
+                member['voter']
+                and member['match_index'] >= group['commit_index']
+                for member in others
+            )
+
+        self.wait_for(is_whole, 'all members vote and follow')
+
+    def restart(self, name: str) -> None:
+        self.fleet.kill(name)
+        self.fleet.start_node(name)
+
+    def lose_disk(self, name: str) -> str:
+        """Restart a member with an empty folder; return its old stamp."""
+        stamp = self.get_group()['members'][name]['stamp']
+        self.fleet.kill(name)
+        shutil.rmtree(self.fleet.folder / name)
+        self.fleet.start_node(name)
+        return stamp
+
+    def read_log(self, name: str) -> str:
+        return (self.fleet.folder / f'{name}.log').read_text('utf-8')
+
+
+def make_operation_id() -> str:
+    return operations.generate_id(time.time(), uuid.uuid4().hex)
+
+
+@pytest.fixture(scope='module')
+def running(tmp_path_factory):
+    group = Running(tmp_path_factory.mktemp('fleet'))
+    try:
+        yield group
+    finally:
+        group.fleet.stop()
+
+
+def test_killed_leader_loses_nothing_acknowledged(running):
+    """Guards against lost and twice applied changes at a leader change."""
+    running.wait_until_whole()
+    leader = running.get_group()['leader']
+    running.change_many(30, {15: lambda: running.fleet.kill(leader)})
+    running.check_answers()
+    assert running.get_group()['leader'] != leader
+    running.fleet.start_node(leader)
+    running.wait_until_whole()
+
+
+def test_member_away_for_hundreds_of_changes_catches_up(running):
+    """Guards against a member that stays behind the compacted log.
+
+    The first answers are known after snapshots and restarts, too.
+    """
+    running.wait_until_whole()
+    group = running.get_group()
+    away = next(name for name in group['members'] if name != group['leader'])
+    running.fleet.kill(away)
+    running.change_many(210)
+    running.fleet.start_node(away)
+    running.wait_until_whole()
+    assert 'snapshot_restored' in running.read_log(away)
+    running.check_answers()
+    for name in list(running.fleet.operators):
+        running.restart(name)
+    running.check_answers()
+
+
+def test_one_of_two_operators_wins(running):
+    """Guards against a change that overwrites one it did not know."""
+    version = running.get_version()
+    first = running.change(version, make_operation_id())
+    second = running.change(version, make_operation_id())
+    assert first.unwrap() == {'version': version + 1}
+    failure = second.unwrap_err()
+    assert failure.kind is errors.ErrorKind.VERSION_CONFLICT
+    assert failure.details[0].startswith(f'version {version + 1} by alice')
+
+
+def test_two_disks_lost_one_after_the_other(running):
+    """Guards against losing what only the repaired member could know."""
+    running.wait_until_whole()
+    for name in ('control-2', 'control-3'):
+        stamp = running.lose_disk(name)
+        running.change_many(10)
+        running.wait_for(
+            lambda name=name, stamp=stamp: (
+                running.get_group()['members'][name]['stamp'] != stamp
+            ),
+            'the member has new files',
+        )
+        running.wait_until_whole()
+    running.check_answers()
+
+
+def test_operator_adds_and_removes_a_member(running):
+    """Guards against a new member that cannot join a running group."""
+    running.wait_until_whole()
+    fleet_ = running.fleet
+    inner, operators = (f'127.0.0.1:{p}' for p in fleet.reserve_ports(2))
+    settings = yaml.safe_load(
+        (fleet_.folder / 'control-1.yaml').read_text('utf-8')
+    )
+    settings['node'] = 'control-4'
+    settings['data_folder'] = str(fleet_.folder / 'control-4')
+    settings['addresses'] = {'inner': inner, 'operators': operators}
+    settings['control']['initial_members'] = {}
+    (fleet_.folder / 'control-4.yaml').write_text(
+        yaml.safe_dump(settings), 'utf-8'
+    )
+    fleet_.start_node('control-4')
+    options = f'--url {fleet_.operators["control-1"]} '
+    options += f'--token-file {fleet_.token_file} --json'
+
+    def run(command: str, *arguments: str) -> tuple[int, str]:
+        tester = CommandTester(application.create_application().find(command))
+        code = tester.execute(' '.join((*arguments, options)))
+        return code, tester.io.fetch_output() + tester.io.fetch_error()
+
+    assert run('member add', 'control-4', inner)[0] == 0
+    running.wait_until_whole(4)
+    assert run('member add', 'control-4', inner)[0] == 0
+    code, text = run('member add', 'control-2', inner)
+    assert (code, 'is a member already' in text) == (1, True)
+    assert run('member remove', 'control-2')[0] == 0
+    fleet_.kill('control-2')
+    running.wait_until_whole(3)
+    replaced = run('member replace', 'control-4', 'control-2', inner)
+    assert replaced[0] == 0
+    fleet_.kill('control-4')
+    listed = json.loads(run('member list')[1])['members']
+    assert {n for n, m in listed.items() if m['voter']} == {
+        'control-1',
+        'control-3',
+    }
+    running.check_answers()
+
+
+def test_entry_host_never_goes_back(running):
+    """Guards against an older configuration after a leader change."""
+    leader = running.get_group()['leader']
+    running.change_many(10, {5: lambda: running.restart(leader)})
+    version = running.get_version()
+
+    def read_versions() -> list[int]:
+        log = running.read_log('entry-1')
+        found = re.findall(r'event=version_in_force.* version=(\d+)', log)
+        return [int(number) for number in found]
+
+    running.wait_for(lambda: read_versions()[-1] == version, 'in force')
+    assert read_versions() == sorted(set(read_versions()))
+
+
+FAIL_SYNCS = """
+import sys
+from orioleshore.cli import application
+from orioleshore.consensus import files
+synced = []
+def sync(self, descriptor):
+    synced.append(descriptor)
+    if len(synced) > 7:
+        print('sync', len(synced), flush=True)
+        raise OSError(5, 'Input/output error')
+files.Files.sync = sync
+application.main()
+"""
+
+
+def test_failed_sync_ends_the_process(tmp_path):
+    """Guards against a member that goes on after a failed sync."""
+    alone = fleet.Fleet(tmp_path)
+    alone.prepare(control=1, entry=0)
+    path = str(tmp_path / 'control-1.yaml')
+    ended = subprocess.run(
+        [sys.executable, '-c', FAIL_SYNCS, 'run', path],
+        cwd=fleet.ROOT,
+        capture_output=True,
+        text=True,
+        timeout=LIMIT_S,
+    )
+    assert ended.returncode == errors.EXIT_STORAGE
+    assert 'storage_failed' in ended.stderr
+    assert 'Input/output error' in ended.stderr
+    assert ended.stdout.split() == ['sync', '8']
