Prove queues, retries and health, and run steps against faults

Cause: order, fairness, early refusal, the retry budget and ejection had no test, and no test combined the steps of a request with faults.

--- /dev/null
+++ b/fakes/entry_hosts.py
@@ -0,0 +1,216 @@
+"""Entry hosts in one event loop, with fakes of what is around them."""
+
+import asyncio
+import random
+from typing import Any
+
+import msgspec
+from result import Err
+
+from fakes import upstream as fake_upstream
+from orioleshore import settings
+from orioleshore.consensus import client
+from orioleshore.frontends import callers
+from orioleshore.frontends import upstreams
+from orioleshore.membership import events as membership_events
+from orioleshore.model import announcements
+from orioleshore.model import documents
+from orioleshore.model import errors
+from orioleshore.model import ids
+from orioleshore.model import states
+from orioleshore.protocol import messages
+from orioleshore.protocol import transport
+from orioleshore.routing import dispatcher
+from orioleshore.routing import router
+from orioleshore.state import machine
+from orioleshore.state import records
+from orioleshore.state import subscriber
+from orioleshore.tasks import mailbox
+from orioleshore.tasks import task
+from orioleshore.timers import clock
+from orioleshore.timers import service
+
+# Longer than a new owner of slots waits before it grants any.
+OWNER_WAIT_S = 10.0
+
+
+class ShiftedClock(clock.SystemClock):
+    """The system clock, which a test may move forward."""
+
+    def __init__(self) -> None:
+        self._shift_s = 0.0
+
+    def get_monotonic(self) -> ids.MonotonicTime:
+        """Return seconds that never go back."""
+        return ids.MonotonicTime(super().get_monotonic() + self._shift_s)
+
+    def advance(self, seconds: float) -> None:
+        """Move the monotonic time forward."""
+        self._shift_s += seconds
+
+
+class FakeControl(task.Task):
+    """Applies commands at once, or stays silent while it is cut off."""
+
+    def __init__(self) -> None:
+        super().__init__(mailbox.Mailbox('fake-control', 10_000))
+        self.state = records.State()
+        self.is_cut_off = False
+        self.late: list[Any] = []
+
+    async def handle(self, message: client.Call) -> None:
+        """Apply one command; a late one is kept until ``catch_up``."""
+        if self.is_cut_off:
+            self.late.append(message.request)
+            failure = errors.Failure(errors.ErrorKind.CHANGE_UNKNOWN, 'lost')
+            message.answer.resolve(Err(failure))
+            return
+        message.answer.resolve(
+            machine.apply_command(message.request, self.state)
+        )
+
+    def catch_up(self) -> None:
+        """Commit the commands whose answers were lost."""
+        self.is_cut_off = False
+        for request in self.late:
+            machine.apply_command(request, self.state)
+
+
+class FakeNetwork(task.Task):
+    """Carries inner messages between the entry hosts of one test."""
+
+    def __init__(self) -> None:
+        super().__init__(mailbox.Mailbox('fake-network', 10_000))
+        self.receivers: dict[str, tuple[ids.NodeId, mailbox.Mailbox]] = {}
+        self.cut_off: set[str] = set()
+
+    def get_sender(self, node: str) -> mailbox.Mailbox:
+        """Return the mailbox through which a node sends."""
+        sender = mailbox.Mailbox(f'sender {node}', 1)
+        sender.put = lambda message: self.mailbox.put((node, message))
+        return sender
+
+    async def handle(self, message: tuple[str, transport.SendTo]) -> None:
+        """Deliver one message."""
+        node, sent = message
+        if self.cut_off & {node, sent.address}:
+            return
+        header = messages.Header(node, 1, sent.correlation, node)
+        self.receivers[sent.address][1].put(
+            messages.Received(header, sent.message)
+        )
+
+
+class EntryHost:
+    """The tasks of one entry host, without its process."""
+
+    def __init__(self, fleet: 'EntryFleet', name: str) -> None:
+        self.name = ids.NodeId(name)
+        self.dispatcher = dispatcher.Dispatcher(
+            self.name,
+            ids.Incarnation(1),
+            router.Router(random.Random(len(fleet.hosts))),
+            fleet.network.get_sender(name),
+            fleet.control.mailbox,
+            fleet.timers,
+        )
+        self.dispatcher.mailbox._name = f'routing {name}'
+        self.callers = callers.CallersFrontend(
+            '127.0.0.1:0',
+            fleet.limits,
+            self.dispatcher.mailbox,
+            fleet.clock,
+        )
+        self.upstreams = upstreams.UpstreamsFrontend(
+            '127.0.0.1:0', self.dispatcher.mailbox
+        )
+        self.tasks = [self.dispatcher, self.callers, self.upstreams]
+
+    @property
+    def url(self) -> str:
+        return f'http://{self.callers.address}'
+
+
+class EntryFleet:
+    """Entry hosts with fakes of control members and upstreams around."""
+
+    def __init__(self, document: documents.Document, **limits) -> None:
+        self.clock = ShiftedClock()
+        self.timers = service.TimerService(self.clock)
+        self.control = FakeControl()
+        self.network = FakeNetwork()
+        self.document = document
+        defaults = settings.DEFAULT_SETTINGS['entry']
+        self.limits = msgspec.convert({**defaults, **limits}, settings.Entry)
+        self.hosts: list[EntryHost] = []
+        self.killed: list[EntryHost] = []
+        self.fakes: list[fake_upstream.FakeUpstream] = []
+
+    async def start(self, hosts: int = 1) -> None:
+        """Start entry hosts that know each other and may grant slots."""
+        await self.timers.start()
+        await self.control.start()
+        await self.network.start()
+        for number in range(hosts):
+            await self.add_host(f'entry-{number + 1}')
+        self.tell_peers()
+        await asyncio.sleep(0)
+        self.clock.advance(OWNER_WAIT_S)
+
+    async def add_host(self, name: str) -> EntryHost:
+        """Start one more entry host, which the others do not know yet."""
+        host = EntryHost(self, name)
+        self.hosts.append(host)
+        self.network.receivers[name] = (host.name, host.dispatcher.mailbox)
+        for item in host.tasks:
+            await item.start()
+        change = subscriber.ConfigurationChanged(ids.Version(1), self.document)
+        host.dispatcher.mailbox.put(change)
+        host.callers.mailbox.put(change)
+        return host
+
+    def tell_peers(self) -> None:
+        """Tell every entry host about the others."""
+        peers = {
+            host.name: announcements.Peer(
+                host.name,
+                host.name,
+                ids.Incarnation(1),
+                ids.AvailabilityZone('az1'),
+                (states.Role.ENTRY,),
+            )
+            for host in self.hosts
+        }
+        for host in self.hosts:
+            host.dispatcher.mailbox.put(
+                membership_events.PeersChanged(peers[host.name], peers)
+            )
+
+    async def add_upstream(
+        self, name: str = 'freight', **fields
+    ) -> fake_upstream.FakeUpstream:
+        """Start an upstream that announces itself at all entry hosts."""
+        urls = [f'http://{host.upstreams.address}' for host in self.hosts]
+        fake = fake_upstream.FakeUpstream(name, urls, **fields)
+        self.fakes.append(fake)
+        await fake.start()
+        await fake.announce()
+        return fake
+
+    async def kill_host(self, host: EntryHost) -> None:
+        """Stop a host in the middle of its work."""
+        self.hosts.remove(host)
+        self.killed.append(host)
+        await host.dispatcher.stop()
+        host.dispatcher.mailbox._messages.clear()
+
+    async def stop(self) -> None:
+        """Stop everything."""
+        self.hosts += self.killed
+        for fake in self.fakes:
+            await fake.stop()
+        for host in self.hosts:
+            for item in reversed(host.tasks):
+                await item.stop()
+        for item in (self.network, self.control, self.timers):
+            await item.stop()
--- a/orioleshore/routing/retries.py
+++ b/orioleshore/routing/retries.py
@@ -8,7 +8,7 @@
 BUDGET_RATIO = 0.2
 # Lets a service with little traffic retry at all.
 MAX_BUDGET = 20.0
-START_BUDGET = 3.0
+START_BUDGET = 10.0
 MAX_ATTEMPTS = 4
 MIN_BACKOFF_S = 0.02
 MAX_BACKOFF_S = 0.5
