--- a/orioleshore/routing/dispatcher.py
+++ b/orioleshore/routing/dispatcher.py
@@ -456,14 +456,15 @@
 
 @_perform.register
 def _(action: events.StartAttempt, dispatcher: Dispatcher) -> None:
-    LOG.debug(
-        logs.format_event(
-            'attempt_started',
-            request=action.request,
-            attempt=action.attempt,
-            upstream=action.upstream,
+    if LOG.isEnabledFor(logging.DEBUG):
+        LOG.debug(
+            logs.format_event(
+                'attempt_started',
+                request=action.request,
+                attempt=action.attempt,
+                upstream=action.upstream,
+            )
         )
-    )
     dispatcher._tell(action.request, action)
 
 
