--- a/orioleshore/tests/support.py
+++ b/orioleshore/tests/support.py
@@ -1,6 +1,7 @@
 """Support of all tests: a seed, clocks, and waiting with a limit."""
 
 import asyncio
+import contextlib
 import os
 import pathlib
 import random
@@ -8,8 +9,10 @@
 import subprocess
 import time
 
+import aiohttp
 import yaml
 
+from fakes import entry_hosts
 from orioleshore import settings
 from orioleshore.roles import process
 
@@ -184,3 +187,42 @@
     subprocess.run(
         ['openssl', *arguments.split()], check=True, capture_output=True
     )
+
+
+def get_key(
+    host: entry_hosts.EntryHost, number: int = 1, age_s: float = 0.0
+) -> str:
+    """Return an idempotency key that was issued some seconds ago."""
+    issued = int(host.callers._clock.get_wall() - age_s)
+    return f'{issued}-token-{number:08d}'
+
+
+async def send(
+    session,
+    host: entry_hosts.EntryHost,
+    method: str = 'POST',
+    number: int = 1,
+    **options,
+):
+    """Send a request; return status, headers and body."""
+    path = options.pop('path', '/freight/q')
+    key = options.pop('key', None)
+    headers = dict(options.pop('headers', {}))
+    if method == 'POST':
+        headers['Idempotency-Key'] = key or get_key(host, number)
+    async with session.request(
+        method, f'{host.url}{path}', headers=headers, **options
+    ) as response:
+        return response.status, response.headers, await response.read()
+
+
+@contextlib.asynccontextmanager
+async def run_entry(document, hosts: int = 1, **limits):
+    """Run entry hosts, and give them with a session of a caller."""
+    fleet = entry_hosts.EntryFleet(document, **limits)
+    await fleet.start(hosts)
+    try:
+        async with aiohttp.ClientSession() as session:
+            yield fleet, session
+    finally:
+        await fleet.stop()
--- a/orioleshore/tests/test_requests_answers.py
+++ b/orioleshore/tests/test_requests_answers.py
@@ -8,7 +8,6 @@
 from fakes import upstream as fake_upstream
 from orioleshore.model import documents
 from orioleshore.tests import builders
-from orioleshore.tests import entry_fleet
 from orioleshore.tests import support
 
 Behaviour = fake_upstream.Behaviour
@@ -27,7 +26,7 @@
 
 
 def run_entry(**limits):
-    return entry_fleet.run_entry(build_document(), **limits)
+    return support.run_entry(build_document(), **limits)
 
 
 @pytest.mark.parametrize(
@@ -50,9 +49,7 @@
         async with run_entry() as (fleet, session):
             fake = await fleet.add_upstream()
             fake.behaviour = behaviour
-            status, headers, body = await entry_fleet.send(
-                session, fleet.hosts[0]
-            )
+            status, headers, body = await support.send(session, fleet.hosts[0])
             assert headers['Orioleshore-Error'] == error
             assert headers['Orioleshore-Ran'] == ran
             assert ('Retry-After' in headers) == (ran == 'no')
@@ -74,7 +71,7 @@
                     Behaviour.EXTRA_ANSWER if number % 2 else Behaviour.ANSWER
                 )
                 path = f'/freight/{number}'
-                status, _, body = await entry_fleet.send(
+                status, _, body = await support.send(
                     session, fleet.hosts[0], 'GET', path=path
                 )
                 assert (status, path.encode() in body) == (200, True), body
@@ -90,12 +87,12 @@
         async with run_entry() as (fleet, session):
             fake = await fleet.add_upstream()
             fake.delay_s = 0.5
-            status, _, _ = await entry_fleet.send(session, fleet.hosts[0])
+            status, _, _ = await support.send(session, fleet.hosts[0])
             assert status == 504
             fake.delay_s = 0.0
             for number in range(10):
                 path = f'/freight/{number}'
-                _, _, body = await entry_fleet.send(
+                _, _, body = await support.send(
                     session, fleet.hosts[0], 'GET', path=path
                 )
                 assert path.encode() in body
@@ -112,7 +109,7 @@
             fake = await fleet.add_upstream()
             fake.behaviour = Behaviour.ANONYMOUS
             for _ in range(3):
-                status, _, _ = await entry_fleet.send(
+                status, _, _ = await support.send(
                     session, fleet.hosts[0], 'GET'
                 )
                 assert status == 200
@@ -127,19 +124,15 @@
         async with run_entry(answer_buffer_bytes=65_536) as (fleet, session):
             fake = await fleet.add_upstream()
             fake.body = LONG_BODY
-            _, _, body = await entry_fleet.send(
-                session, fleet.hosts[0], number=1
-            )
+            _, _, body = await support.send(session, fleet.hosts[0], number=1)
             assert body == LONG_BODY
             cuts = (Behaviour.CUT_ANSWER, Behaviour.CUT_CHUNKS)
             for number, behaviour in enumerate(cuts, 2):
                 fake.behaviour = behaviour
                 with pytest.raises(aiohttp.ClientError):
-                    await entry_fleet.send(
-                        session, fleet.hosts[0], number=number
-                    )
+                    await support.send(session, fleet.hosts[0], number=number)
                 fake.behaviour = Behaviour.ANSWER
-                _, headers, _ = await entry_fleet.send(
+                _, headers, _ = await support.send(
                     session, fleet.hosts[0], number=number
                 )
                 assert headers['Orioleshore-Ran'] == 'unknown'
--- a/orioleshore/tests/test_requests_stop.py
+++ b/orioleshore/tests/test_requests_stop.py
@@ -13,7 +13,6 @@
 from orioleshore.model import ids
 from orioleshore.state import subscriber
 from orioleshore.tests import builders
-from orioleshore.tests import entry_fleet
 from orioleshore.tests import support
 from scripts import fleet as fleet_script
 
@@ -27,16 +26,14 @@
 
     async def check():
         document = builders.build_document()
-        async with entry_fleet.run_entry(document, 2) as (fleet, session):
+        async with support.run_entry(document, 2) as (fleet, session):
             leaving = await fleet.add_upstream()
             hosts = fleet.hosts
             for host in hosts:
-                await entry_fleet.send(session, host, 'GET')
+                await support.send(session, host, 'GET')
             leaving.delay_s = 0.3
             last = asyncio.create_task(
-                entry_fleet.send(
-                    session, hosts[0], 'GET', path='/freight/last'
-                )
+                support.send(session, hosts[0], 'GET', path='/freight/last')
             )
             await support.wait_until(lambda: leaving.running, 'the run')
             fleet.network.cut_off.add(hosts[1].name)
@@ -45,7 +42,7 @@
             started = sum(leaving.runs.values())
             for host in hosts:
                 deadline = {'Orioleshore-Deadline-Ms': '200'}
-                status, headers, _ = await entry_fleet.send(
+                status, headers, _ = await support.send(
                     session, host, 'GET', headers=deadline
                 )
                 assert headers['Orioleshore-Error'] == 'no_upstream'
