Split the planner into parts

A second part, for jobs, needs a place besides waves. The planner keeps the copy of the replicated state and gives each event to its parts; a command that the state machine refuses reaches them as CommandRefused.

--- a/orioleshore/fleet/planner.py
+++ b/orioleshore/fleet/planner.py
@@ -1,34 +1,45 @@
-"""Decisions about the fleet, made by the leader."""
+"""Decisions about the fleet, made by the leader.
+
+The planner keeps a copy of the replicated state and gives each event to
+its parts in turn. A part has the methods of ``Part``.
+"""
 
 import functools
 from typing import Any
+from typing import Protocol
 
 from orioleshore.fleet import events
+from orioleshore.fleet import view
+from orioleshore.fleet import waves
 from orioleshore.model import ids
-from orioleshore.model import states
-from orioleshore.state import budgets
-from orioleshore.state import commands
 from orioleshore.state import machine
-from orioleshore.state import records
 
-# How long a permission lasts, and how long a step may take, in seconds.
-PERMISSION_S = 900.0
-CALL_REPEAT_S = 2.0
+
+class Part(Protocol):
+    """Decides on one concern; sees the state after each command."""
+
+    def start(self, fleet: view.Fleet, now: float) -> list[events.Action]:
+        """Begin to lead: forget all soft state, plan from the records."""
+
+    def handle(
+        self, event: events.Event, fleet: view.Fleet, now: float
+    ) -> list[events.Action]:
+        """Return the actions that follow from an event."""
+
+    def get_dump(self) -> dict[str, Any]:
+        """Return the soft state for people."""
 
 
 class Planner:
     """Works on a copy of the replicated state."""
 
-    def __init__(self) -> None:
-        self._state = records.State()
-        self._epoch: ids.Epoch | None = None
-        self._reported: dict[ids.HostId, events.ReportedState] = {}
-        self._called_at: dict[ids.CallId, float] = {}
-        self._pending: dict[str, float] = {}
+    def __init__(self, parts: dict[str, Part] | None = None) -> None:
+        self._fleet: view.Fleet | None = None
+        self._parts = parts or get_parts()
 
     @property
     def leads(self) -> bool:
-        return self._epoch is not None
+        return self._fleet is not None
 
     def handle(
         self, event: events.Event, now: ids.WallTime
@@ -38,230 +49,60 @@
 
     def get_dump(self) -> dict[str, Any]:
         """Return what the planner holds besides the replicated state."""
+        if self._fleet is None:
+            return {'leads': False}
         return {
-            'leads': self.leads,
-            'epoch': self._epoch,
-            'reported': {
-                host: state.value
-                for host, state in sorted(self._reported.items())
-            },
+            'leads': True,
+            **self._fleet.get_dump(),
+            **{name: part.get_dump() for name, part in self._parts.items()},
         }
 
     def _gain(
         self, event: events.LeadershipGained, now: float
     ) -> list[events.Action]:
-        self._state = event.state
-        self._epoch = event.epoch
-        self._called_at = {}
-        self._pending = {}
-        return self._plan(now)
+        self._fleet = view.Fleet(event.state, event.epoch)
+        actions: list[events.Action] = []
+        for part in self._parts.values():
+            actions += part.start(self._fleet, now)
+        return actions
 
     def _lose(self) -> list[events.Action]:
-        self._epoch = None
-        self._reported = {}
+        self._fleet = None
         return []
 
-    def _apply(
-        self, command: commands.Command, now: float
-    ) -> list[events.Action]:
-        machine.apply_command(command, self._state)
-        self._pending.clear()
-        return self._plan(now)
-
-    def _plan(self, now: float) -> list[events.Action]:
-        if not self.leads:
+    def _pass_on(self, event: events.Event, now: float) -> list[events.Action]:
+        if self._fleet is None:
             return []
+        self._fleet.observe(event, now)
         actions: list[events.Action] = []
-        for wave in self._state.document.waves:
-            record = self._state.waves[wave.name]
-            if record.state is states.WaveState.RUNNING:
-                actions += self._advance_wave(wave.name, record, now)
-        return actions
-
-    def _advance_wave(
-        self, wave: ids.WaveId, record: records.WaveRecord, now: float
-    ) -> list[events.Action]:
-        actions: list[events.Action] = []
-        for host, progress in record.hosts.items():
-            if host not in self._state.hosts:
-                continue
-            if progress.state is states.WaveHostState.STARTED:
-                actions += self._advance_host(wave, host, now)
-            elif progress.state is states.WaveHostState.WAITING:
-                actions += self._start_host(wave, host, now)
+        for part in self._parts.values():
+            actions += part.handle(event, self._fleet, now)
         return actions
 
-    def _start_host(
-        self, wave: ids.WaveId, host: ids.HostId, now: float
-    ) -> list[events.Action]:
-        record = self._state.hosts[host]
-        if record.state is not states.HostState.SERVING:
-            return []
-        if host in budgets.get_held_hosts(self._state):
-            return []
-        loss = budgets.find_exceeded(
-            self._state, record.pool, (host, *self._get_pending_hosts())
-        )
-        if loss is not None:
-            return []
-        permission = ids.PermissionId(f'{wave}/{host}/{self._epoch}')
-        return self._propose_once(
-            f'start/{host}',
-            now,
-            commands.GrantPermission(
-                time=ids.WallTime(now),
-                permission=permission,
-                host=host,
-                host_epoch=record.epoch,
-                purpose=states.Purpose.MAINTENANCE,
-                epoch=self._epoch,
-                until=ids.WallTime(now + PERMISSION_S),
-            ),
-            commands.StartWaveHost(
-                time=ids.WallTime(now), wave=wave, host=host
-            ),
-        ) + [
-            events.Record(
-                'host',
-                host,
-                'drain for maintenance',
-                {'wave': wave, 'pool': record.pool},
-                'the loss with this host stays within every budget',
-            )
-        ]
-
-    def _get_pending_hosts(self) -> tuple[ids.HostId, ...]:
-        return tuple(
-            ids.HostId(name.partition('/')[2])
-            for name in self._pending
-            if name.startswith('start/')
-        )
-
-    def _advance_host(
-        self, wave: ids.WaveId, host: ids.HostId, now: float
-    ) -> list[events.Action]:
-        record = self._state.hosts[host]
-        reported = self._reported.get(host)
-        return _STEPS[record.state](self, wave, host, record, reported, now)
-
-    def _step_serving(
-        self, wave, host, record, reported, now
-    ) -> list[events.Action]:
-        return self._set_state(host, record, states.HostState.DRAINING, now)
-
-    def _step_draining(
-        self, wave, host, record, reported, now
-    ) -> list[events.Action]:
-        if reported is events.ReportedState.DRAINED:
-            return self._set_state(host, record, states.HostState.DRAINED, now)
-        return self._call(events.CallKind.DRAIN_HOST, wave, host, record, now)
-
-    def _step_drained(
-        self, wave, host, record, reported, now
-    ) -> list[events.Action]:
-        return self._set_state(host, record, states.HostState.REBOOTING, now)
-
-    def _step_rebooting(
-        self, wave, host, record, reported, now
-    ) -> list[events.Action]:
-        if reported is events.ReportedState.UP:
-            return self._set_state(host, record, states.HostState.PROVING, now)
-        return self._call(events.CallKind.REBOOT_HOST, wave, host, record, now)
-
-    def _step_proving(
-        self, wave, host, record, reported, now
+    def _apply(
+        self, event: events.CommandApplied, now: float
     ) -> list[events.Action]:
-        if reported is not events.ReportedState.UP:
+        if self._fleet is None:
             return []
-        return [
-            *self._set_state(host, record, states.HostState.SERVING, now),
-            *self._finish(wave, host, now),
-        ]
-
-    def _step_waiting(
-        self, wave, host, record, reported, now
-    ) -> list[events.Action]:
-        return []
-
-    def _finish(
-        self, wave: ids.WaveId, host: ids.HostId, now: float
-    ) -> list[events.Action]:
-        permissions = [
-            name
-            for name, permission in self._state.permissions.items()
-            if permission.host == host
-        ]
-        ends = [
-            events.Propose(
-                commands.EndPermission(time=ids.WallTime(now), permission=name)
+        outcome = machine.apply_command(event.command, self._fleet.state)
+        if outcome.is_err():
+            # The state machine refused it here as at every member.
+            reason = outcome.unwrap_err().message
+            return self._pass_on(
+                events.CommandRefused(event.command, reason), now
             )
-            for name in permissions
-        ]
-        finish = commands.FinishWaveHost(
-            time=ids.WallTime(now),
-            wave=wave,
-            host=host,
-            outcome=states.WaveHostState.DONE,
-        )
-        return [*ends, events.Propose(finish)]
+        return self._pass_on(event, now)
 
-    def _set_state(
-        self,
-        host: ids.HostId,
-        record: records.HostRecord,
-        state: states.HostState,
-        now: float,
-    ) -> list[events.Action]:
-        return self._propose_once(
-            f'{state.value}/{host}',
-            now,
-            commands.SetHostState(
-                time=ids.WallTime(now),
-                host=host,
-                host_epoch=record.epoch,
-                state=state,
-            ),
-        )
 
-    def _propose_once(
-        self, name: str, now: float, *proposed: commands.Command
-    ) -> list[events.Action]:
-        if name in self._pending:
-            return []
-        self._pending[name] = now
-        return [events.Propose(command) for command in proposed]
-
-    def _call(
-        self,
-        kind: events.CallKind,
-        wave: ids.WaveId,
-        host: ids.HostId,
-        record: records.HostRecord,
-        now: float,
-    ) -> list[events.Action]:
-        call = ids.CallId(f'{wave}/{host}/{kind.value}')
-        if now - self._called_at.get(call, -CALL_REPEAT_S) < CALL_REPEAT_S:
-            return []
-        self._called_at[call] = now
-        return [
-            events.CallPlatform(call, kind, host, self._epoch, record.epoch)
-        ]
-
-
-_STEPS = {
-    states.HostState.SERVING: Planner._step_serving,
-    states.HostState.DRAINING: Planner._step_draining,
-    states.HostState.DRAINED: Planner._step_drained,
-    states.HostState.REBOOTING: Planner._step_rebooting,
-    states.HostState.PROVING: Planner._step_proving,
-    states.HostState.DOWN: Planner._step_waiting,
-    states.HostState.SET_ASIDE: Planner._step_waiting,
-}
+def get_parts() -> dict[str, Part]:
+    """Return the parts in the order in which they see each event."""
+    return {'waves': waves.WavePlanner()}
 
 
 @functools.singledispatch
 def _handle(event: Any, planner: Planner, now: float) -> list[events.Action]:
-    raise TypeError(f'unknown event {type(event).__name__}')
+    """Events without a rule of their own go to every part."""
+    return planner._pass_on(event, now)
 
 
 @_handle.register
@@ -282,36 +123,4 @@
 def _(
     event: events.CommandApplied, planner: Planner, now: float
 ) -> list[events.Action]:
-    return planner._apply(event.command, now)
-
-
-@_handle.register
-def _(
-    event: events.CommandRefused, planner: Planner, now: float
-) -> list[events.Action]:
-    planner._pending.clear()
-    return []
-
-
-@_handle.register
-def _(
-    event: events.HostReported, planner: Planner, now: float
-) -> list[events.Action]:
-    planner._reported[event.host] = event.state
-    return planner._plan(now)
-
-
-@_handle.register(events.TaskReported)
-@_handle.register(events.DemandReported)
-@_handle.register(events.PlatformAnswered)
-def _(
-    event: events.Event, planner: Planner, now: float
-) -> list[events.Action]:
-    return []
-
-
-@_handle.register
-def _(
-    event: events.TimerFired, planner: Planner, now: float
-) -> list[events.Action]:
-    return planner._plan(now)
+    return planner._apply(event, now)
