--- /dev/null
+++ b/fakes/fleet.py
@@ -0,0 +1,311 @@
+"""A fleet in simulated time: replicated log, platform, hosts and faults.
+
+It drives the planner as the manager task does, with no sockets and no
+clock, so that tests and benches see every event in a repeatable order.
+"""
+
+import collections
+from collections.abc import Callable
+import heapq
+import itertools
+import random
+
+import msgspec
+
+from orioleshore.fleet import events
+from orioleshore.fleet import planner
+from orioleshore.fleet import view
+from orioleshore.model import ids
+from orioleshore.model import states
+from orioleshore.state import budgets
+from orioleshore.state import commands
+from orioleshore.state import machine
+from orioleshore.state import records
+
+COMMIT_S = 0.02
+ANSWER_S = 0.01
+
+Check = Callable[[commands.Command, records.State], None]
+
+
+class Behaviour(msgspec.Struct):
+    """How the simulated platform and its hosts act; times in seconds."""
+
+    drain_s: float = 60.0
+    reboot_s: float = 120.0
+    # Time between reports of a host that does not change, None for none.
+    heartbeat_s: float | None = 10.0
+    # Hosts that never finish to drain, or never come back.
+    stuck: set[ids.HostId] = msgspec.field(default_factory=set)
+    lost: set[ids.HostId] = msgspec.field(default_factory=set)
+    # How often a host fails again right after it came back.
+    relapses: dict[ids.HostId, int] = msgspec.field(default_factory=dict)
+    # Fractions of calls and reports that are lost, doubled or late.
+    lost_answers: float = 0.0
+    repeated_reports: float = 0.0
+    late_reports: float = 0.0
+    silent: bool = False
+
+
+class SimulatedFleet:
+    """One leader at a time over a state that survives leaders."""
+
+    def __init__(
+        self,
+        state: records.State,
+        now: float,
+        seed: int,
+        behaviour: Behaviour | None = None,
+        timings: view.Timings | None = None,
+        check: Check | None = None,
+        tick_s: float = 0.5,
+    ) -> None:
+        self.state = state
+        self.now = now
+        self.behaviour = behaviour or Behaviour()
+        self.reported: dict[ids.HostId, events.ReportedState] = {}
+        self.reboots: collections.Counter[ids.HostId] = collections.Counter()
+        self.explained: list[tuple[float, events.Record]] = []
+        self.refused: list[tuple[commands.Command, str]] = []
+        self.stale_calls = 0
+        self.events = 0
+        self.leader: planner.Planner | None = None
+        self.epoch = ids.Epoch(0)
+        self._random = random.Random(seed)
+        self._timings = timings or view.Timings()
+        self._check = check
+        self._tick_s = tick_s
+        self._agenda: list[tuple[float, int, Callable[[], None]]] = []
+        self._numbers = itertools.count()
+        self._answered: set[ids.CallId] = set()
+        self._platform_epoch = ids.Epoch(0)
+
+    def at(self, delay: float, action: Callable[[], None]) -> None:
+        """Run an action after a delay in seconds."""
+        entry = (self.now + delay, next(self._numbers), action)
+        heapq.heappush(self._agenda, entry)
+
+    def start(self) -> None:
+        """Start the hosts' reports, the ticks and the first leader."""
+        for host in self.state.hosts:
+            self.reported[host] = events.ReportedState.UP
+        if self.behaviour.heartbeat_s is not None:
+            self.at(0.0, self._beat)
+        self.elect()
+        self.at(self._tick_s, self._tick)
+
+    def elect(self) -> None:
+        """Give the lead to a new planner; the old one stops."""
+        if self.leader is not None:
+            self.leader.handle(events.LeadershipLost(), self.now)
+        self.epoch = ids.Epoch(self.epoch + 1)
+        self.leader = planner.Planner(self._timings)
+        image = records.decode_state(records.encode_state(self.state))
+        self.deliver(events.LeadershipGained(self.epoch, image))
+
+    def deliver(self, event: events.Event) -> None:
+        """Hand an event to the leader, and carry out what follows."""
+        if self.leader is None:
+            return
+        self.events += 1
+        for action in self.leader.handle(event, self.now):
+            self._perform(action)
+
+    def fail(self, host: ids.HostId) -> None:
+        """Let a host go down and report it."""
+        self._report(host, events.ReportedState.DOWN)
+
+    def repair(self, host: ids.HostId) -> None:
+        """Let a host come up and report it."""
+        self._report(host, events.ReportedState.UP)
+
+    def commit(self, command: commands.Command) -> None:
+        """Apply a command everywhere, as the log does."""
+        outcome = machine.apply_command(command, self.state)
+        if outcome.is_err():
+            self.refused.append((command, outcome.unwrap_err().message))
+        if self._check is not None:
+            self._check(command, self.state)
+        self.deliver(events.CommandApplied(command))
+
+    def run(self, duration: float) -> None:
+        """Let time pass."""
+        self.run_until(lambda: False, duration)
+
+    def run_until(self, done: Callable[[], bool], limit: float) -> bool:
+        """Let time pass until a condition holds, at most ``limit`` s."""
+        end = self.now + limit
+        while self._agenda and self._agenda[0][0] <= end:
+            self.now, _, action = heapq.heappop(self._agenda)
+            action()
+            if done():
+                return True
+        self.now = end
+        return done()
+
+    def is_finished(self, wave: str) -> bool:
+        """Return whether a wave has finished."""
+        record = self.state.waves[ids.WaveId(wave)]
+        return record.state is states.WaveState.FINISHED
+
+    def _perform(self, action: events.Action) -> None:
+        if isinstance(action, events.Propose):
+            command = action.command
+            self.at(COMMIT_S, lambda: self.commit(command))
+        elif isinstance(action, events.CallPlatform):
+            self.at(ANSWER_S, lambda: self._take_call(action))
+        else:
+            self.explained.append((self.now, action))
+
+    def _tick(self) -> None:
+        self.deliver(events.TimerFired())
+        self.at(self._tick_s, self._tick)
+
+    def _beat(self) -> None:
+        if not self.behaviour.silent:
+            for host, state in self.reported.items():
+                self.deliver(events.HostReported(host, state))
+        self.at(self.behaviour.heartbeat_s, self._beat)
+
+    def _take_call(self, action: events.CallPlatform) -> None:
+        if self.behaviour.silent:
+            self._answer(action, False, 'no answer')
+            return
+        if action.epoch < self._platform_epoch:
+            self.stale_calls += 1
+            self._answer(action, False, 'stale epoch')
+            return
+        self._platform_epoch = action.epoch
+        if action.call not in self._answered:
+            self._answered.add(action.call)
+            self._act(action.kind, action.host)
+        if self._random.random() < self.behaviour.lost_answers:
+            self._answer(action, False, 'no answer')
+            return
+        self._answer(action, True, '')
+
+    def _answer(
+        self, action: events.CallPlatform, accepted: bool, reason: str
+    ) -> None:
+        self.deliver(events.PlatformAnswered(action.call, accepted, reason))
+
+    def _act(self, kind: events.CallKind, host: ids.HostId) -> None:
+        behaviour = self.behaviour
+        if kind is events.CallKind.DRAIN_HOST:
+            self._report(host, events.ReportedState.DRAINING)
+            if host not in behaviour.stuck:
+                self.at(behaviour.drain_s, lambda: self._end_drain(host))
+        elif kind is events.CallKind.REBOOT_HOST:
+            self.reboots[host] += 1
+            self._report(host, events.ReportedState.REBOOTING)
+            if host not in behaviour.lost:
+                self.at(behaviour.reboot_s, lambda: self._come_back(host))
+        else:
+            self._report(host, events.ReportedState.UP)
+
+    def _end_drain(self, host: ids.HostId) -> None:
+        if self.reported[host] is events.ReportedState.DRAINING:
+            self._report(host, events.ReportedState.DRAINED)
+
+    def _come_back(self, host: ids.HostId) -> None:
+        if self.reported[host] is not events.ReportedState.REBOOTING:
+            return
+        self._report(host, events.ReportedState.UP)
+        if self.behaviour.relapses.get(host, 0) > 0:
+            self.behaviour.relapses[host] -= 1
+            self.at(1.0, lambda: self.fail(host))
+
+    def _report(self, host: ids.HostId, state: events.ReportedState) -> None:
+        self.reported[host] = state
+        if self.behaviour.silent:
+            return
+        event = events.HostReported(host, state)
+        self.deliver(event)
+        if self._random.random() < self.behaviour.repeated_reports:
+            self.deliver(event)
+        if self._random.random() < self.behaviour.late_reports:
+            delay = self._random.uniform(0.1, 30.0)
+            self.at(delay, lambda: self.deliver(event))
+
+
+class RuleError(AssertionError):
+    """A rule of budgets or ownership does not hold."""
+
+
+class RuleCheck:
+    """Checks budgets and ownership after each command, with plain sums.
+
+    It does not use the sums of the state machine, so that a fault there
+    is found.
+    """
+
+    def __init__(self) -> None:
+        self.breaches = 0
+        self.grants = 0
+        self._known: dict[ids.HostId, records.HostRecord] = {}
+
+    def __call__(
+        self, command: commands.Command, state: records.State
+    ) -> None:
+        """Raise RuleError when a rule does not hold."""
+        host = getattr(command, 'host', None)
+        if host is not None and host in state.hosts:
+            self._check_owner(host, state)
+        if not isinstance(command, commands.GrantPermission):
+            return
+        if command.permission in state.permissions:
+            self.grants += 1
+            self._check_budget(state.hosts[host].pool, state)
+
+    def _check_owner(self, host: ids.HostId, state: records.State) -> None:
+        new = state.hosts[host]
+        old = self._known.get(host)
+        self._known[host] = new
+        if old is None or new.epoch > old.epoch:
+            return
+        if new.epoch < old.epoch or new.pool != old.pool:
+            self.breaches += 1
+            raise RuleError(f'{host}: {old} became {new}')
+
+    def _check_budget(self, pool: ids.PoolId, state: records.State) -> None:
+        for loss in get_plain_losses(pool, state):
+            if loss.is_exceeded:
+                self.breaches += 1
+                raise RuleError(f'granted beyond the budget: {loss}')
+
+
+def get_plain_losses(
+    pool: ids.PoolId, state: records.State
+) -> list[budgets.Loss]:
+    """Return the losses of a pool, summed host by host."""
+    held = {
+        permission.host
+        for permission in state.permissions.values()
+        if permission.until > state.time
+    }
+    groups: dict[str, list[float]] = collections.defaultdict(lambda: [0, 0])
+    for host in state.document.hosts:
+        record = state.hosts[host.name]
+        if record.pool != pool or record.arriving:
+            continue
+        is_down = (
+            record.state is not states.HostState.SERVING or host.name in held
+        )
+        for scope in (
+            'total',
+            f'availability_zone/{host.availability_zone}',
+            f'rack/{host.rack}',
+        ):
+            groups[scope][0] += host.cores
+            groups[scope][1] += host.cores if is_down else 0
+    losses = []
+    for service in state.document.services:
+        if service.pool != pool:
+            continue
+        for scope, (total, down) in groups.items():
+            fraction = getattr(service.budget, scope.partition('/')[0])
+            if fraction is not None:
+                losses.append(
+                    budgets.Loss(service.name, scope, down, fraction * total)
+                )
+    return losses
--- a/fakes/platform.py
+++ b/fakes/platform.py
@@ -10,6 +10,8 @@
 EPOCH_HEADER = 'Orioleshore-Epoch'
 HOST_EPOCH_HEADER = 'Orioleshore-Host-Epoch'
 CALL_HEADER = 'Orioleshore-Call'
+# The platform repeats the state of each known host after this time.
+HEARTBEAT_S = 10.0
 
 
 class FakePlatform:
@@ -58,6 +60,7 @@
         await self._runner.setup()
         await web.TCPSite(self._runner, '127.0.0.1', self._port).start()
         self.url = f'http://127.0.0.1:{self._runner.addresses[0][1]}'
+        self._after(HEARTBEAT_S, self._repeat_states)
 
     async def stop(self) -> None:
         """Close the socket."""
@@ -71,6 +74,11 @@
         self.states[host] = state
         self._reports.append({'host': host, 'state': state})
 
+    def _repeat_states(self) -> None:
+        for host, state in self.states.items():
+            self._reports.append({'host': host, 'state': state})
+        self._after(HEARTBEAT_S, self._repeat_states)
+
     def _is_stale(self, request: web.Request) -> bool:
         host = request.match_info['host']
         epoch = int(request.headers[EPOCH_HEADER])
--- a/orioleshore/fleet/planner.py
+++ b/orioleshore/fleet/planner.py
@@ -8,11 +8,11 @@
 from typing import Any
 from typing import Protocol
 
+from orioleshore.fleet import capacity
 from orioleshore.fleet import events
 from orioleshore.fleet import view
 from orioleshore.fleet import waves
 from orioleshore.model import ids
-from orioleshore.state import machine
 
 
 class Part(Protocol):
@@ -33,8 +33,13 @@
 class Planner:
     """Works on a copy of the replicated state."""
 
-    def __init__(self, parts: dict[str, Part] | None = None) -> None:
+    def __init__(
+        self,
+        timings: view.Timings | None = None,
+        parts: dict[str, Part] | None = None,
+    ) -> None:
         self._fleet: view.Fleet | None = None
+        self._timings = timings or view.Timings()
         self._parts = parts or get_parts()
 
     @property
@@ -60,7 +65,7 @@
     def _gain(
         self, event: events.LeadershipGained, now: float
     ) -> list[events.Action]:
-        self._fleet = view.Fleet(event.state, event.epoch)
+        self._fleet = view.Fleet(event.state, event.epoch, self._timings, now)
         actions: list[events.Action] = []
         for part in self._parts.values():
             actions += part.start(self._fleet, now)
@@ -84,7 +89,7 @@
     ) -> list[events.Action]:
         if self._fleet is None:
             return []
-        outcome = machine.apply_command(event.command, self._fleet.state)
+        outcome = self._fleet.apply(event.command)
         if outcome.is_err():
             # The state machine refused it here as at every member.
             reason = outcome.unwrap_err().message
@@ -96,7 +101,7 @@
 
 def get_parts() -> dict[str, Part]:
     """Return the parts in the order in which they see each event."""
-    return {'waves': waves.WavePlanner()}
+    return {'waves': waves.WavePlanner(), 'hosts': capacity.HostWatch()}
 
 
 @functools.singledispatch
--- a/orioleshore/fleet/waves.py
+++ b/orioleshore/fleet/waves.py
@@ -1,233 +1,909 @@
 """Maintenance waves: which host is taken down when."""
 
+import collections
+from collections.abc import Callable
+import functools
+import heapq
 from typing import Any
 
+from orioleshore.fleet import capacity
 from orioleshore.fleet import events
+from orioleshore.fleet import failures
+from orioleshore.fleet import queues
 from orioleshore.fleet import view
+from orioleshore.model import documents
 from orioleshore.model import ids
 from orioleshore.model import states
 from orioleshore.state import budgets
 from orioleshore.state import commands
-from orioleshore.state import records
 
-# How long a permission lasts, and how long a step may take, in seconds.
-PERMISSION_S = 900.0
-CALL_REPEAT_S = 2.0
+# Times that a host is drained or rebooted before it is set aside.
+MAX_ATTEMPTS = 3
+# Bounds on the work of one event, which shares its loop with others.
+MAX_STARTS = 16
+MAX_SCANS = 64
+MAX_POOLS = 8
+# A host under way is looked at this often, in seconds.
+LOOK_S = 2.0
+
+_GONE = (events.ReportedState.DOWN, events.ReportedState.REBOOTING)
+_DRAINED = (events.ReportedState.DRAINING, events.ReportedState.DRAINED)
+_RETURNABLE = (states.HostState.DRAINING, states.HostState.DRAINED)
 
 
 class WavePlanner:
-    """Walks each wave host by host."""
+    """Fills the budget of each pool, and walks each host to its end."""
 
     def __init__(self) -> None:
-        self._fleet: view.Fleet | None = None
-        self._called_at: dict[ids.CallId, float] = {}
-        self._pending: dict[str, float] = {}
+        self._clear(0.0)
 
     def start(self, fleet: view.Fleet, now: float) -> list[events.Action]:
         """Take up every wave where its record stands."""
-        self._fleet = fleet
-        self._called_at = {}
-        self._pending = {}
-        return self._plan(now)
+        self._clear(now)
+        self._load(fleet, now)
+        return self._fill(fleet, now)
 
     def handle(
         self, event: events.Event, fleet: view.Fleet, now: float
     ) -> list[events.Action]:
         """Return the actions that follow from an event."""
-        if isinstance(event, (events.CommandApplied, events.CommandRefused)):
-            self._pending.clear()
-        return self._plan(now)
+        actions: list[events.Action] = []
+        if fleet.is_document_new:
+            self._load(fleet, now)
+        if isinstance(event, events.CommandApplied):
+            actions += _follow(event.command, self, fleet, now)
+        if isinstance(event, events.CommandRefused):
+            self._forget_refused(event.command, fleet)
+        for host in fleet.touched:
+            actions += self._look(host, fleet, now)
+            self._mark(host, fleet)
+        if isinstance(event, events.TimerFired):
+            actions += self._tick(fleet, now)
+        return actions + self._fill(fleet, now)
 
     def get_dump(self) -> dict[str, Any]:
-        """Return the proposals that wait for an answer."""
-        return {'pending': sorted(self._pending)}
+        """Return the hosts under way and how many wait in each pool."""
+        return {
+            'active': dict(sorted(self._active.items())),
+            'waiting': {
+                f'{wave}/{pool}': len(queue)
+                for (wave, pool), queue in sorted(self._queues.items())
+            },
+        }
 
-    def _plan(self, now: float) -> list[events.Action]:
-        actions: list[events.Action] = []
-        for wave in self._fleet.state.document.waves:
-            record = self._fleet.state.waves[wave.name]
+    def _clear(self, now: float) -> None:
+        self._waves: dict[ids.WaveId, documents.Wave] = {}
+        self._queues: dict[
+            tuple[ids.WaveId, ids.PoolId], queues.RackQueue
+        ] = {}
+        self._pool_waves: dict[ids.PoolId, list[ids.WaveId]] = {}
+        self._active: dict[ids.HostId, ids.WaveId] = {}
+        self._planned: collections.Counter[ids.PoolId] = collections.Counter()
+        self._planned_hosts: dict[ids.HostId, tuple[ids.PoolId, int]] = {}
+        self._due: list[tuple[float, ids.HostId]] = []
+        self._scheduled: set[ids.HostId] = set()
+        self._dirty: dict[ids.PoolId, None] = {}
+        self._failures = failures.FailureLog(now)
+        self._pausing: set[tuple[ids.WaveId, str]] = set()
+        self._sections: tuple[object, object] | None = None
+
+    # Following the document and the log.
+
+    def _load(self, fleet: view.Fleet, now: float) -> None:
+        document = fleet.state.document
+        known = self._sections
+        if (
+            known is not None
+            and known[0] is document.hosts
+            and known[1] is document.waves
+        ):
+            return
+        self._sections = (document.hosts, document.waves)
+        for host in list(self._active):
+            self._release(host, fleet)
+        self._waves = {}
+        self._queues = {}
+        self._pool_waves = {}
+        for wave in document.waves:
+            record = fleet.state.waves[wave.name]
             if record.state is states.WaveState.RUNNING:
-                actions += self._advance_wave(wave.name, record, now)
+                self._waves[wave.name] = wave
+                self._load_wave(wave.name, fleet, now)
+
+    def _load_wave(
+        self, wave: ids.WaveId, fleet: view.Fleet, now: float
+    ) -> None:
+        waiting: dict[ids.PoolId, list[documents.Host]] = {}
+        for host, progress in fleet.state.waves[wave].hosts.items():
+            if host not in fleet.state.hosts:
+                continue
+            if progress.state is states.WaveHostState.STARTED:
+                self._activate(host, wave, fleet, now)
+            elif progress.state is states.WaveHostState.WAITING:
+                pool = fleet.state.hosts[host].pool
+                waiting.setdefault(pool, []).append(fleet.index.hosts[host])
+        for pool, hosts in waiting.items():
+            self._queues[wave, pool] = queues.RackQueue(hosts)
+            self._pool_waves.setdefault(pool, []).append(wave)
+            self._dirty[pool] = None
+
+    def _follow_finish(
+        self, command: commands.FinishWaveHost, fleet: view.Fleet
+    ) -> None:
+        if self._active.get(command.host) == command.wave:
+            self._release(command.host, fleet)
+        record = fleet.state.waves.get(command.wave)
+        if record is None:
+            return
+        if record.state is states.WaveState.FINISHED:
+            self._waves.pop(command.wave, None)
+        elif command.outcome is states.WaveHostState.WAITING:
+            self._queue(command.wave, command.host, fleet)
+
+    def _forget_refused(
+        self, command: commands.Command, fleet: view.Fleet
+    ) -> None:
+        if isinstance(command, (commands.PauseWave, commands.ResumeWave)):
+            self._pausing.discard((command.wave, command.scope))
+        if not isinstance(command, commands.GrantPermission):
+            return
+        wave = self._active.get(command.host)
+        if wave is None or command.purpose is not states.Purpose.MAINTENANCE:
+            return
+        progress = fleet.state.waves[wave].hosts[command.host]
+        if progress.state is states.WaveHostState.WAITING:
+            self._release(command.host, fleet)
+            self._queue(wave, command.host, fleet)
+
+    def _queue(
+        self, wave: ids.WaveId, host: ids.HostId, fleet: view.Fleet
+    ) -> None:
+        record = fleet.state.hosts.get(host)
+        if record is None or wave not in self._waves:
+            return
+        key = (wave, record.pool)
+        if key not in self._queues:
+            self._queues[key] = queues.RackQueue([])
+            self._pool_waves.setdefault(record.pool, []).append(wave)
+        self._queues[key].add(fleet.index.hosts[host])
+        self._dirty[record.pool] = None
+
+    def _activate(
+        self,
+        host: ids.HostId,
+        wave: ids.WaveId,
+        fleet: view.Fleet,
+        now: float,
+    ) -> None:
+        self._active[host] = wave
+        fleet.claimed.add(host)
+        if host not in self._planned_hosts:
+            units = _get_units(host, fleet)
+            pool = fleet.state.hosts[host].pool
+            self._planned_hosts[host] = (pool, units)
+            self._planned[pool] += units
+        self._schedule(host, now)
+
+    def _release(self, host: ids.HostId, fleet: view.Fleet) -> None:
+        self._active.pop(host, None)
+        fleet.claimed.discard(host)
+        pool, units = self._planned_hosts.pop(host)
+        self._planned[pool] -= units
+        self._dirty[pool] = None
+
+    def _schedule(self, host: ids.HostId, due: float) -> None:
+        if host not in self._scheduled:
+            self._scheduled.add(host)
+            heapq.heappush(self._due, (due, host))
+
+    def _mark(self, host: ids.HostId, fleet: view.Fleet) -> None:
+        record = fleet.state.hosts.get(host)
+        if record is not None and record.pool in self._pool_waves:
+            self._dirty[record.pool] = None
+
+    def _tick(self, fleet: view.Fleet, now: float) -> list[events.Action]:
+        actions: list[events.Action] = []
+        while self._due and self._due[0][0] <= now:
+            host = heapq.heappop(self._due)[1]
+            self._scheduled.discard(host)
+            actions += self._look(host, fleet, now)
+        for wave in list(self._waves):
+            actions += self._resume_quiet(wave, fleet, now)
+        if not self._dirty:
+            self._dirty.update(dict.fromkeys(self._pool_waves))
         return actions
 
-    def _advance_wave(
-        self, wave: ids.WaveId, record: records.WaveRecord, now: float
+    # Correlated failures.
+
+    def _note_failure(
+        self, command: commands.SetHostState, fleet: view.Fleet, now: float
+    ) -> list[events.Action]:
+        scopes = self._failures.note(
+            command.host,
+            self._get_rebooted_image(command.host, fleet, now),
+            len(self._active),
+            fleet,
+            now,
+        )
+        actions: list[events.Action] = []
+        for wave in self._waves:
+            for scope in scopes:
+                actions += self._pause(wave, scope, fleet, now)
+        record = fleet.state.hosts[command.host]
+        return actions + self._withdraw_beyond_budget(record.pool, fleet, now)
+
+    def _get_rebooted_image(
+        self, host: ids.HostId, fleet: view.Fleet, now: float
+    ) -> ids.ImageId | None:
+        for name, wave in self._waves.items():
+            progress = fleet.state.waves[name].hosts.get(host)
+            if progress is None:
+                continue
+            is_recent = now - progress.since <= failures.WINDOW_S
+            if progress.state is states.WaveHostState.STARTED or (
+                progress.state is states.WaveHostState.DONE and is_recent
+            ):
+                return _get_image(wave, fleet.index.hosts[host])
+        return None
+
+    def _pause(
+        self, wave: ids.WaveId, scope: str, fleet: view.Fleet, now: float
+    ) -> list[events.Action]:
+        paused = fleet.state.waves[wave].paused
+        if scope in paused or (wave, scope) in self._pausing:
+            return []
+        self._pausing.add((wave, scope))
+        return [
+            events.Propose(
+                commands.PauseWave(
+                    time=ids.WallTime(now),
+                    wave=wave,
+                    scope=scope,
+                    reason='failures correlate',
+                    epoch=fleet.epoch,
+                )
+            ),
+            *fleet.explain(
+                events.Record(
+                    'wave',
+                    wave,
+                    f'pause {scope}',
+                    {'scope': scope, 'window_s': failures.WINDOW_S},
+                    'several hosts of one failure domain failed together',
+                    f'no failure there for {failures.QUIET_S:g} s',
+                )
+            ),
+        ]
+
+    def _resume_quiet(
+        self, wave: ids.WaveId, fleet: view.Fleet, now: float
     ) -> list[events.Action]:
         actions: list[events.Action] = []
-        for host, progress in record.hosts.items():
-            if host not in self._fleet.state.hosts:
+        for scope in fleet.state.waves[wave].paused:
+            if (wave, scope) in self._pausing:
                 continue
-            if progress.state is states.WaveHostState.STARTED:
-                actions += self._advance_host(wave, host, now)
-            elif progress.state is states.WaveHostState.WAITING:
-                actions += self._start_host(wave, host, now)
+            if not self._failures.is_quiet(scope, now):
+                continue
+            self._pausing.add((wave, scope))
+            resume = commands.ResumeWave(
+                time=ids.WallTime(now),
+                wave=wave,
+                scope=scope,
+                epoch=fleet.epoch,
+            )
+            actions.append(events.Propose(resume))
+            actions += fleet.explain(
+                events.Record(
+                    'wave',
+                    wave,
+                    f'resume {scope}',
+                    {'scope': scope},
+                    f'no failure there for {failures.QUIET_S:g} s',
+                )
+            )
         return actions
 
-    def _start_host(
-        self, wave: ids.WaveId, host: ids.HostId, now: float
+    def _withdraw_paused(
+        self, scope: str, fleet: view.Fleet, now: float
     ) -> list[events.Action]:
-        record = self._fleet.state.hosts[host]
-        if record.state is not states.HostState.SERVING:
+        actions: list[events.Action] = []
+        for host, wave in list(self._active.items()):
+            if scope in self._get_scopes(wave, host, fleet):
+                actions += self._withdraw(host, fleet, now, f'{scope} paused')
+        return actions
+
+    def _withdraw_beyond_budget(
+        self, pool: ids.PoolId, fleet: view.Fleet, now: float
+    ) -> list[events.Action]:
+        loss = fleet.index.find_exceeded_in(pool)
+        if loss is None:
             return []
-        if host in budgets.get_held_hosts(self._fleet.state):
+        actions = fleet.explain(
+            events.Record(
+                'pool',
+                pool,
+                'stop planned work',
+                _get_facts(loss),
+                'failures took more than the budget allows',
+                'hosts that come back',
+            )
+        )
+        for host in list(self._active):
+            if self._planned_hosts[host][0] == pool:
+                actions += self._withdraw(
+                    host, fleet, now, 'failures exceed the budget'
+                )
+        return actions
+
+    def _withdraw(
+        self, host: ids.HostId, fleet: view.Fleet, now: float, reason: str
+    ) -> list[events.Action]:
+        """Give a host back that is not rebooted yet."""
+        record = fleet.state.hosts[host]
+        if record.state not in _RETURNABLE:
             return []
-        loss = budgets.find_exceeded(
-            self._fleet.state, record.pool, (host, *self._get_pending_hosts())
+        return self._finish(
+            host,
+            fleet,
+            now,
+            states.WaveHostState.WAITING,
+            reason,
+            [fleet.set_state(host, states.HostState.SERVING, now, reason)],
+            withdrawn=True,
+        )
+
+    def _get_scopes(
+        self, wave: ids.WaveId, host: ids.HostId, fleet: view.Fleet
+    ) -> tuple[str, str, str]:
+        described = fleet.index.hosts[host]
+        return (
+            f'rack/{described.rack}',
+            f'pool/{fleet.state.hosts[host].pool}',
+            f'image/{_get_image(self._waves[wave], described)}',
         )
-        if loss is not None:
+
+    # Starting hosts.
+
+    def _fill(self, fleet: view.Fleet, now: float) -> list[events.Action]:
+        if not self._dirty or fleet.is_platform_silent(now):
             return []
-        permission = ids.PermissionId(f'{wave}/{host}/{self._fleet.epoch}')
-        return self._propose_once(
-            f'start/{host}',
+        actions: list[events.Action] = []
+        for pool in list(self._dirty)[:MAX_POOLS]:
+            del self._dirty[pool]
+            for wave in self._pool_waves.get(pool, ()):
+                if wave in self._waves:
+                    actions += self._fill_pool(wave, pool, fleet, now)
+            if len(actions) > MAX_STARTS:
+                break
+        return actions
+
+    def _fill_pool(
+        self,
+        wave: ids.WaveId,
+        pool: ids.PoolId,
+        fleet: view.Fleet,
+        now: float,
+    ) -> list[events.Action]:
+        queue = self._queues[wave, pool]
+        room = self._get_room(pool, fleet)
+        actions: list[events.Action] = []
+        started = 0
+        for _ in range(min(len(queue), MAX_SCANS)):
+            if started >= MAX_STARTS:
+                self._dirty[pool] = None
+                break
+            host = queue.pop()
+            verdict = self._judge(wave, pool, host, fleet, now)
+            if verdict is not None:
+                actions += verdict
+                if self._is_waiting(wave, host, fleet):
+                    queue.add(fleet.index.hosts[host])
+                continue
+            if not self._has_room(pool, host, room, fleet):
+                queue.add_first(fleet.index.hosts[host])
+                actions += self._explain_reserve(pool, room, fleet)
+                break
+            loss = fleet.index.find_exceeded(host)
+            if loss is not None:
+                actions += self._explain_budget(pool, loss, fleet)
+                if loss.scope == 'total':
+                    queue.add_first(fleet.index.hosts[host])
+                    break
+                queue.add(fleet.index.hosts[host])
+                continue
+            actions += self._start(wave, host, fleet, now)
+            started += 1
+        return actions
+
+    def _has_room(
+        self, pool: ids.PoolId, host: ids.HostId, room: int, fleet: view.Fleet
+    ) -> bool:
+        # One host at a time goes on where the reserve takes the budget.
+        planned = self._planned[pool]
+        return not planned or planned + _get_units(host, fleet) <= room
+
+    def _is_waiting(
+        self, wave: ids.WaveId, host: ids.HostId, fleet: view.Fleet
+    ) -> bool:
+        progress = fleet.state.waves[wave].hosts.get(host)
+        return (
+            progress is not None
+            and progress.state is states.WaveHostState.WAITING
+            and host not in self._active
+        )
+
+    def _judge(
+        self,
+        wave: ids.WaveId,
+        pool: ids.PoolId,
+        host: ids.HostId,
+        fleet: view.Fleet,
+        now: float,
+    ) -> list[events.Action] | None:
+        """Return None when a waiting host may start, else what follows."""
+        record = fleet.state.hosts.get(host)
+        if record is None:
+            return []
+        if not self._is_waiting(wave, host, fleet):
+            return []
+        if host in fleet.claimed or fleet.is_pending(host):
+            return []
+        if record.state is not states.HostState.SERVING:
+            return self._give_up_waiting(wave, host, fleet, now)
+        report = fleet.reports.get(host)
+        if host in fleet.suspects or (
+            report is not None and report.state is not events.ReportedState.UP
+        ):
+            return []
+        if fleet.index.is_down(host) or record.pool != pool:
+            return []
+        paused = fleet.state.waves[wave].paused
+        if paused and any(
+            scope in paused for scope in self._get_scopes(wave, host, fleet)
+        ):
+            return []
+        return None
+
+    def _give_up_waiting(
+        self,
+        wave: ids.WaveId,
+        host: ids.HostId,
+        fleet: view.Fleet,
+        now: float,
+    ) -> list[events.Action]:
+        record = fleet.state.hosts[host]
+        since = max(record.since, fleet.state.waves[wave].started)
+        is_set_aside = record.state is states.HostState.SET_ASIDE
+        if not is_set_aside and now - since < fleet.timings.down_s:
+            return []
+        self._activate(host, wave, fleet, now)
+        return self._finish(
+            host,
+            fleet,
             now,
-            commands.GrantPermission(
-                time=ids.WallTime(now),
-                permission=permission,
-                host=host,
-                host_epoch=record.epoch,
-                purpose=states.Purpose.MAINTENANCE,
-                epoch=self._fleet.epoch,
-                until=ids.WallTime(now + PERMISSION_S),
+            states.WaveHostState.SET_ASIDE,
+            f'{record.state.value} before maintenance: {record.reason}',
+            [],
+        )
+
+    def _get_room(self, pool: ids.PoolId, fleet: view.Fleet) -> int:
+        """Return the planned loss that leaves the reserve, in units.
+
+        The reserve is what the failure of one rack takes. It is bounded
+        by the weight of idle capacity against that of roll-out time, and
+        failures that have happened use it up.
+        """
+        sums = fleet.index.get_sums(pool)
+        services = fleet.index.services.get(pool, ())
+        if not services:
+            return sums.capacity
+        fraction = min(service.budget.total for service in services)
+        allowed = int(fraction * sums.capacity * (1 + budgets.TOLERANCE))
+        racks = fleet.index.get_scopes(pool, 'rack/').values()
+        rack = max((r.capacity - r.down for r in racks), default=0)
+        policy = fleet.state.document.policy
+        weights = policy.buffer_cost + policy.rollout_time
+        share = policy.buffer_cost / weights if weights else 0.0
+        reserve = min(rack, int(allowed * share))
+        failed = max(0, sums.down - self._planned[pool])
+        return allowed - max(reserve, failed)
+
+    def _start(
+        self,
+        wave: ids.WaveId,
+        host: ids.HostId,
+        fleet: view.Fleet,
+        now: float,
+    ) -> list[events.Action]:
+        self._activate(host, wave, fleet, now)
+        record = fleet.state.hosts[host]
+        return [
+            *fleet.propose(
+                host,
+                now,
+                fleet.grant(host, states.Purpose.MAINTENANCE, now),
+                _start_host(wave, host, fleet, now),
+                fleet.set_state(host, states.HostState.DRAINING, now, wave),
             ),
-            commands.StartWaveHost(
-                time=ids.WallTime(now), wave=wave, host=host
+            *fleet.explain(
+                events.Record(
+                    'host',
+                    host,
+                    'drain for maintenance',
+                    {'wave': wave, 'pool': record.pool},
+                    'the loss with this host stays within every budget',
+                )
             ),
-        ) + [
+        ]
+
+    def _explain_budget(
+        self, pool: ids.PoolId, loss: budgets.Loss, fleet: view.Fleet
+    ) -> list[events.Action]:
+        return fleet.explain(
             events.Record(
-                'host',
-                host,
-                'drain for maintenance',
-                {'wave': wave, 'pool': record.pool},
-                'the loss with this host stays within every budget',
+                'pool',
+                pool,
+                'hold hosts back from maintenance',
+                _get_facts(loss),
+                'one more host would exceed a budget',
+                'hosts that come back, or a larger budget',
             )
-        ]
+        )
 
-    def _get_pending_hosts(self) -> tuple[ids.HostId, ...]:
-        return tuple(
-            ids.HostId(name.partition('/')[2])
-            for name in self._pending
-            if name.startswith('start/')
+    def _explain_reserve(
+        self, pool: ids.PoolId, room: int, fleet: view.Fleet
+    ) -> list[events.Action]:
+        return fleet.explain(
+            events.Record(
+                'pool',
+                pool,
+                'hold hosts back from maintenance',
+                {
+                    'planned': self._planned[pool] / budgets.UNITS_PER_CORE,
+                    'room': room / budgets.UNITS_PER_CORE,
+                },
+                'the rest of the budget is kept for the failure of a rack',
+                'a lower weight of buffer_cost against rollout_time',
+            )
         )
 
-    def _advance_host(
-        self, wave: ids.WaveId, host: ids.HostId, now: float
+    # Steps of a host under way.
+
+    def _look(
+        self, host: ids.HostId, fleet: view.Fleet, now: float
     ) -> list[events.Action]:
-        record = self._fleet.state.hosts[host]
-        reported = self._fleet.reported.get(host)
-        return _STEPS[record.state](self, wave, host, record, reported, now)
+        wave = self._active.get(host)
+        if wave is None:
+            return []
+        if host not in fleet.state.hosts:
+            self._release(host, fleet)
+            return []
+        self._schedule(host, now + min(LOOK_S, fleet.timings.proving_s))
+        if fleet.is_pending(host):
+            return []
+        progress = fleet.state.waves[wave].hosts[host]
+        if progress.state is not states.WaveHostState.STARTED:
+            # The proposal to start was lost.
+            self._release(host, fleet)
+            if progress.state is states.WaveHostState.WAITING:
+                self._queue(wave, host, fleet)
+            return []
+        return _STEPS[fleet.state.hosts[host].state](self, host, fleet, now)
 
     def _step_serving(
-        self, wave, host, record, reported, now
+        self, host: ids.HostId, fleet: view.Fleet, now: float
     ) -> list[events.Action]:
-        return self._set_state(host, record, states.HostState.DRAINING, now)
+        if host in budgets.get_index(fleet.state).held:
+            drain = fleet.set_state(host, states.HostState.DRAINING, now)
+            return fleet.propose(host, now, drain)
+        return self._finish(
+            host,
+            fleet,
+            now,
+            states.WaveHostState.WAITING,
+            'permission ended',
+            [],
+            withdrawn=True,
+        )
 
     def _step_draining(
-        self, wave, host, record, reported, now
+        self, host: ids.HostId, fleet: view.Fleet, now: float
     ) -> list[events.Action]:
-        if reported is events.ReportedState.DRAINED:
-            return self._set_state(host, record, states.HostState.DRAINED, now)
-        return self._call(events.CallKind.DRAIN_HOST, wave, host, record, now)
+        report = fleet.reports.get(host)
+        record = fleet.state.hosts[host]
+        is_new = report is not None and report.time >= record.since
+        if is_new and report.state is events.ReportedState.DRAINED:
+            return fleet.propose(
+                host,
+                now,
+                fleet.set_state(host, states.HostState.DRAINED, now),
+                fleet.set_state(host, states.HostState.REBOOTING, now),
+            )
+        if is_new and report.state in _GONE:
+            return self._fail(host, fleet, now, 'failed while it drained')
+        if now - record.since < fleet.timings.drain_s:
+            return fleet.call(events.CallKind.DRAIN_HOST, host, now)
+        reason = f'drain did not end in {fleet.timings.drain_s:g} s'
+        outcome = states.WaveHostState.WAITING
+        if self._get_attempts(host, fleet) >= MAX_ATTEMPTS:
+            outcome = states.WaveHostState.SET_ASIDE
+        serve = fleet.set_state(host, states.HostState.SERVING, now, reason)
+        return self._finish(host, fleet, now, outcome, reason, [serve])
 
     def _step_drained(
-        self, wave, host, record, reported, now
+        self, host: ids.HostId, fleet: view.Fleet, now: float
     ) -> list[events.Action]:
-        return self._set_state(host, record, states.HostState.REBOOTING, now)
+        reboot = fleet.set_state(host, states.HostState.REBOOTING, now)
+        return fleet.propose(host, now, reboot)
 
     def _step_rebooting(
-        self, wave, host, record, reported, now
+        self, host: ids.HostId, fleet: view.Fleet, now: float
     ) -> list[events.Action]:
-        if reported is events.ReportedState.UP:
-            return self._set_state(host, record, states.HostState.PROVING, now)
-        return self._call(events.CallKind.REBOOT_HOST, wave, host, record, now)
+        if _is_rebooted(host, fleet, now):
+            prove = fleet.set_state(host, states.HostState.PROVING, now)
+            return fleet.propose(host, now, prove)
+        record = fleet.state.hosts[host]
+        if now - record.since < fleet.timings.reboot_s:
+            return fleet.call(events.CallKind.REBOOT_HOST, host, now)
+        return self._fail(
+            host,
+            fleet,
+            now,
+            f'did not come back in {fleet.timings.reboot_s:g} s',
+        )
 
     def _step_proving(
-        self, wave, host, record, reported, now
-    ) -> list[events.Action]:
-        if reported is not events.ReportedState.UP:
-            return []
-        return [
-            *self._set_state(host, record, states.HostState.SERVING, now),
-            *self._finish(wave, host, now),
-        ]
-
-    def _step_waiting(
-        self, wave, host, record, reported, now
+        self, host: ids.HostId, fleet: view.Fleet, now: float
     ) -> list[events.Action]:
+        record = fleet.state.hosts[host]
+        report = fleet.reports.get(host)
+        if capacity.is_proven(host, fleet, now):
+            serve = fleet.set_state(host, states.HostState.SERVING, now)
+            return self._finish(
+                host, fleet, now, states.WaveHostState.DONE, '', [serve]
+            )
+        is_new = report is not None and report.time >= record.since
+        if is_new and report.state in _GONE:
+            return self._fail(host, fleet, now, 'failed after its reboot')
+        if now - record.since >= fleet.timings.proving_limit_s:
+            return self._fail(host, fleet, now, 'was not proved in time')
+        if is_new and report.state in _DRAINED:
+            return fleet.call(events.CallKind.RETURN_HOST, host, now)
         return []
 
-    def _finish(
-        self, wave: ids.WaveId, host: ids.HostId, now: float
+    def _step_down(
+        self, host: ids.HostId, fleet: view.Fleet, now: float
     ) -> list[events.Action]:
-        permissions = [
-            name
-            for name, permission in self._fleet.state.permissions.items()
-            if permission.host == host
-        ]
-        ends = [
-            events.Propose(
-                commands.EndPermission(time=ids.WallTime(now), permission=name)
+        record = fleet.state.hosts[host]
+        if self._get_attempts(host, fleet) < MAX_ATTEMPTS:
+            wave = self._active[host]
+            return fleet.propose(
+                host,
+                now,
+                _start_host(wave, host, fleet, now),
+                fleet.set_state(host, states.HostState.REBOOTING, now),
             )
-            for name in permissions
-        ]
-        finish = commands.FinishWaveHost(
-            time=ids.WallTime(now),
-            wave=wave,
-            host=host,
-            outcome=states.WaveHostState.DONE,
+        aside = fleet.set_state(
+            host, states.HostState.SET_ASIDE, now, record.reason
+        )
+        return self._finish(
+            host,
+            fleet,
+            now,
+            states.WaveHostState.SET_ASIDE,
+            record.reason,
+            [aside],
         )
-        return [*ends, events.Propose(finish)]
 
-    def _set_state(
-        self,
-        host: ids.HostId,
-        record: records.HostRecord,
-        state: states.HostState,
-        now: float,
+    def _step_set_aside(
+        self, host: ids.HostId, fleet: view.Fleet, now: float
     ) -> list[events.Action]:
-        return self._propose_once(
-            f'{state.value}/{host}',
+        return self._finish(
+            host,
+            fleet,
             now,
-            commands.SetHostState(
-                time=ids.WallTime(now),
-                host=host,
-                host_epoch=record.epoch,
-                state=state,
-            ),
+            states.WaveHostState.SET_ASIDE,
+            fleet.state.hosts[host].reason,
+            [],
         )
 
-    def _propose_once(
-        self, name: str, now: float, *proposed: commands.Command
+    def _fail(
+        self, host: ids.HostId, fleet: view.Fleet, now: float, reason: str
     ) -> list[events.Action]:
-        if name in self._pending:
-            return []
-        self._pending[name] = now
-        return [events.Propose(command) for command in proposed]
+        down = fleet.set_state(host, states.HostState.DOWN, now, reason)
+        return [
+            *fleet.propose(host, now, down),
+            *fleet.explain(
+                events.Record(
+                    'host',
+                    host,
+                    'count as down',
+                    {
+                        'wave': self._active[host],
+                        'attempt': self._get_attempts(host, fleet),
+                        'reason': reason,
+                    },
+                    f'a step has a time limit and {MAX_ATTEMPTS} attempts',
+                    'repair of the host',
+                )
+            ),
+        ]
 
-    def _call(
+    def _finish(
         self,
-        kind: events.CallKind,
-        wave: ids.WaveId,
         host: ids.HostId,
-        record: records.HostRecord,
+        fleet: view.Fleet,
         now: float,
+        outcome: states.WaveHostState,
+        reason: str,
+        changes: list[commands.SetHostState],
+        withdrawn: bool = False,
     ) -> list[events.Action]:
-        call = ids.CallId(f'{wave}/{host}/{kind.value}')
-        if now - self._called_at.get(call, -CALL_REPEAT_S) < CALL_REPEAT_S:
+        finish = commands.FinishWaveHost(
+            time=ids.WallTime(now),
+            wave=self._active[host],
+            host=host,
+            outcome=outcome,
+            reason=reason,
+            withdrawn=withdrawn,
+            epoch=fleet.epoch,
+        )
+        # The outcome comes first: a leader that sees only a part of these
+        # commands must not reboot the host again.
+        actions = fleet.propose(
+            host, now, finish, *changes, *fleet.end_permission(host, now)
+        )
+        if not actions:
             return []
-        self._called_at[call] = now
-        return [
-            events.CallPlatform(
-                call, kind, host, self._fleet.epoch, record.epoch
-            )
-        ]
+        record = events.Record(
+            'host',
+            host,
+            f'{outcome.value} in wave',
+            {'wave': self._active[host], 'reason': reason},
+            _RULES[outcome],
+            _REMEDIES[outcome],
+        )
+        return actions + fleet.explain(record)
+
+    def _get_attempts(self, host: ids.HostId, fleet: view.Fleet) -> int:
+        return fleet.state.waves[self._active[host]].hosts[host].attempts
+
+
+_RULES = {
+    states.WaveHostState.DONE: 'rebooted and up for the proving time',
+    states.WaveHostState.WAITING: 'a host that is not rebooted is given back',
+    states.WaveHostState.SET_ASIDE: (
+        f'a host has {MAX_ATTEMPTS} attempts, then the wave goes on without it'
+    ),
+}
+
+_REMEDIES = {
+    states.WaveHostState.DONE: '',
+    states.WaveHostState.WAITING: 'it is tried again when the cause has ended',
+    states.WaveHostState.SET_ASIDE: 'repair the host, then start a new wave',
+}
 
+_Step = Callable[
+    [WavePlanner, ids.HostId, view.Fleet, float], list[events.Action]
+]
 
-_STEPS = {
+_STEPS: dict[states.HostState, _Step] = {
     states.HostState.SERVING: WavePlanner._step_serving,
     states.HostState.DRAINING: WavePlanner._step_draining,
     states.HostState.DRAINED: WavePlanner._step_drained,
     states.HostState.REBOOTING: WavePlanner._step_rebooting,
     states.HostState.PROVING: WavePlanner._step_proving,
-    states.HostState.DOWN: WavePlanner._step_waiting,
-    states.HostState.SET_ASIDE: WavePlanner._step_waiting,
+    states.HostState.DOWN: WavePlanner._step_down,
+    states.HostState.SET_ASIDE: WavePlanner._step_set_aside,
 }
+
+
+@functools.singledispatch
+def _follow(
+    command: commands.Command,
+    planner: WavePlanner,
+    fleet: view.Fleet,
+    now: float,
+) -> list[events.Action]:
+    """Keep the soft state in step with a committed command."""
+    return []
+
+
+@_follow.register
+def _(
+    command: commands.StartWaveHost,
+    planner: WavePlanner,
+    fleet: view.Fleet,
+    now: float,
+) -> list[events.Action]:
+    if command.wave in planner._waves:
+        planner._activate(command.host, command.wave, fleet, now)
+    return []
+
+
+@_follow.register
+def _(
+    command: commands.FinishWaveHost,
+    planner: WavePlanner,
+    fleet: view.Fleet,
+    now: float,
+) -> list[events.Action]:
+    planner._follow_finish(command, fleet)
+    return []
+
+
+@_follow.register
+def _(
+    command: commands.PauseWave,
+    planner: WavePlanner,
+    fleet: view.Fleet,
+    now: float,
+) -> list[events.Action]:
+    planner._pausing.discard((command.wave, command.scope))
+    return planner._withdraw_paused(command.scope, fleet, now)
+
+
+@_follow.register
+def _(
+    command: commands.ResumeWave,
+    planner: WavePlanner,
+    fleet: view.Fleet,
+    now: float,
+) -> list[events.Action]:
+    planner._pausing.discard((command.wave, command.scope))
+    planner._dirty.update(dict.fromkeys(planner._pool_waves))
+    return []
+
+
+@_follow.register
+def _(
+    command: commands.SetHostState,
+    planner: WavePlanner,
+    fleet: view.Fleet,
+    now: float,
+) -> list[events.Action]:
+    if command.state is not states.HostState.DOWN:
+        return []
+    return planner._note_failure(command, fleet, now)
+
+
+def _start_host(
+    wave: ids.WaveId, host: ids.HostId, fleet: view.Fleet, now: float
+) -> commands.StartWaveHost:
+    return commands.StartWaveHost(
+        time=ids.WallTime(now), wave=wave, host=host, epoch=fleet.epoch
+    )
+
+
+def _is_rebooted(host: ids.HostId, fleet: view.Fleet, now: float) -> bool:
+    report = fleet.reports.get(host)
+    if report is None or report.state is not events.ReportedState.UP:
+        return False
+    since = fleet.state.hosts[host].since
+    if report.time < since:
+        return False
+    if report.out >= since:
+        return True
+    # A report of the time before the reboot may arrive late.
+    accepted = fleet.get_accepted(host)
+    if accepted is None or accepted < since:
+        return False
+    return now - accepted >= fleet.timings.reboot_unseen_s
+
+
+def _get_units(host: ids.HostId, fleet: view.Fleet) -> int:
+    capacity_cores = budgets.get_capacity(fleet.index.hosts[host])
+    return round(capacity_cores * budgets.UNITS_PER_CORE)
+
+
+def _get_image(wave: documents.Wave, host: documents.Host) -> ids.ImageId:
+    return host.image if wave.image is None else wave.image
+
+
+def _get_facts(loss: budgets.Loss) -> dict[str, Any]:
+    return {
+        'service': loss.service,
+        'scope': loss.scope,
+        'down': loss.down,
+        'allowed': loss.allowed,
+    }
--- a/orioleshore/roles/control.py
+++ b/orioleshore/roles/control.py
@@ -11,6 +11,7 @@
 from orioleshore.consensus import storage
 from orioleshore.fleet import manager
 from orioleshore.fleet import planner
+from orioleshore.fleet import view
 from orioleshore.frontends import operators
 from orioleshore.frontends import platform
 from orioleshore.model import errors
@@ -46,7 +47,7 @@
                 config.control.platform, timers
             )
         self._manager = manager.ManagerTask(
-            planner.Planner(),
+            planner.Planner(view.Timings(proving_s=config.control.proving_s)),
             control,
             self._platform.mailbox if self._platform else None,
             timers,
--- a/orioleshore/settings.py
+++ b/orioleshore/settings.py
@@ -39,6 +39,7 @@
         'election_timeout_s': 0.9,
         'snapshot_entries': 1_000,
         'platform': None,
+        'proving_s': 30.0,
     },
     'entry': {
         'drain_notice_s': 5.0,
@@ -85,6 +86,7 @@
 
     ``initial_members`` maps the name of each first member to its inner
     address. ``platform`` is the base URL of the platform's interface.
+    A host that comes back counts as serving after ``proving_s`` seconds.
     """
 
     initial_members: dict[ids.NodeId, str]
@@ -93,6 +95,7 @@
     election_timeout_s: Positive
     snapshot_entries: PositiveCount
     platform: str | None
+    proving_s: Positive
 
 
 class Entry(_Section, frozen=True):
--- a/orioleshore/state/budgets.py
+++ b/orioleshore/state/budgets.py
@@ -1,6 +1,13 @@
-"""Capacity of a pool that is down, against the budgets of its services."""
+"""Capacity of pools that is down, against the budgets of their services.
+
+Sums are kept by pool, availability zone and rack, so that the check of
+one grant does not depend on the number of hosts. They are whole numbers
+of a thousandth of a core: sums of fractions depend on the order of
+addition, and members that restart at different times must agree.
+"""
 
 from collections.abc import Iterable
+import heapq
 
 import msgspec
 
@@ -9,9 +16,12 @@
 from orioleshore.model import states
 from orioleshore.state import records
 
-# Sums of declared capacities carry rounding errors of this relative size.
+UNITS_PER_CORE = 1_000
+# The product of a fraction and a sum carries a rounding error.
 TOLERANCE = 1e-9
 
+_INDEX = '_capacity_index'
+
 
 class Loss(msgspec.Struct, frozen=True):
     """Capacity that is down in one scope, against what may be, in cores.
@@ -29,100 +39,200 @@
         return self.down > self.allowed * (1 + TOLERANCE)
 
 
+class Sums(msgspec.Struct):
+    """Capacity of one scope and the part of it that is down, in units."""
+
+    capacity: int = 0
+    down: int = 0
+
+
+class _Share(msgspec.Struct, frozen=True):
+    """What one host adds to the sums of its pool, in units."""
+
+    pool: ids.PoolId
+    capacity: int
+    down: int
+
+
+class Index:
+    """Sums of one state; follows each change of a host."""
+
+    def __init__(self, state: records.State) -> None:
+        self.hosts = {host.name: host for host in state.document.hosts}
+        self.services: dict[ids.PoolId, list[documents.Service]] = {}
+        self.members: dict[ids.PoolId, set[ids.HostId]] = {}
+        self.held: dict[ids.HostId, ids.PermissionId] = {}
+        self._sections = _get_sections(state)
+        self._scopes: dict[ids.PoolId, dict[str, Sums]] = {}
+        self._shares: dict[ids.HostId, _Share] = {}
+        self._expiries: list[tuple[float, ids.PermissionId]] = []
+        for service in state.document.services:
+            self.services.setdefault(service.pool, []).append(service)
+        for permission, record in state.permissions.items():
+            self.hold(permission, record)
+        for host, record in state.hosts.items():
+            self.update(host, record)
+
+    def is_of(self, state: records.State) -> bool:
+        """Return whether hosts and services are those of the state."""
+        hosts, services = self._sections
+        document = state.document
+        return hosts is document.hosts and services is document.services
+
+    def hold(
+        self, permission: ids.PermissionId, record: records.PermissionRecord
+    ) -> None:
+        """Note a permission; the caller updates its host."""
+        self.held[record.host] = permission
+        heapq.heappush(self._expiries, (record.until, permission))
+
+    def pop_expired(self, now: float) -> list[ids.PermissionId]:
+        """Return the permissions whose end has passed, once each."""
+        expired = []
+        while self._expiries and self._expiries[0][0] <= now:
+            expired.append(heapq.heappop(self._expiries)[1])
+        return expired
+
+    def update(
+        self,
+        name: ids.HostId,
+        record: records.HostRecord | None,
+        extra_down: bool = False,
+    ) -> None:
+        """Count a host as its record says, or as down."""
+        host = self.hosts.get(name)
+        share = None
+        if host is not None and record is not None:
+            share = self._get_share(host, record, extra_down)
+        old = self._shares.pop(name, None)
+        if old is not None:
+            self._add(host, old, -1)
+            self.members[old.pool].discard(name)
+        if share is not None:
+            self._shares[name] = share
+            self._add(host, share, 1)
+            self.members.setdefault(share.pool, set()).add(name)
+
+    def is_down(self, name: ids.HostId) -> bool:
+        """Return whether a host counts as down."""
+        share = self._shares.get(name)
+        return share is None or share.down > 0
+
+    def get_sums(self, pool: ids.PoolId, scope: str = 'total') -> Sums:
+        """Return the sums of a scope; unknown ones are empty."""
+        return self._scopes.get(pool, {}).get(scope) or Sums()
+
+    def get_scopes(self, pool: ids.PoolId, prefix: str) -> dict[str, Sums]:
+        """Return the sums of all racks or zones of a pool."""
+        return {
+            scope: sums
+            for scope, sums in self._scopes.get(pool, {}).items()
+            if scope.startswith(prefix)
+        }
+
+    def find_exceeded(self, name: ids.HostId) -> Loss | None:
+        """Return a budget that the loss of one more host exceeds."""
+        share = self._shares.get(name)
+        if share is None:
+            return None
+        extra = share.capacity - share.down
+        return self._find_exceeded(
+            share.pool, get_scopes(self.hosts[name]), extra
+        )
+
+    def find_exceeded_in(self, pool: ids.PoolId) -> Loss | None:
+        """Return a budget that the present loss of a pool exceeds."""
+        return self._find_exceeded(pool, self._scopes.get(pool, {}), 0)
+
+    def get_losses(self, pool: ids.PoolId) -> list[Loss]:
+        """Return the loss of each service in every scope with losses."""
+        return [
+            loss
+            for service in self.services.get(pool, ())
+            for scope, sums in sorted(self._scopes.get(pool, {}).items())
+            if scope == 'total' or sums.down
+            if (loss := _get_loss(service, scope, sums, 0)) is not None
+        ]
+
+    def _find_exceeded(
+        self, pool: ids.PoolId, scopes: Iterable[str], extra: int
+    ) -> Loss | None:
+        for service in self.services.get(pool, ()):
+            for scope in scopes:
+                loss = _get_loss(
+                    service, scope, self.get_sums(pool, scope), extra
+                )
+                if loss is not None and loss.is_exceeded:
+                    return loss
+        return None
+
+    def _get_share(
+        self,
+        host: documents.Host,
+        record: records.HostRecord,
+        extra_down: bool,
+    ) -> _Share:
+        if record.arriving:
+            return _Share(record.pool, 0, 0)
+        units = round(get_capacity(host) * UNITS_PER_CORE)
+        down = extra_down or is_down(record) or host.name in self.held
+        return _Share(record.pool, units, units if down else 0)
+
+    def _add(self, host: documents.Host, share: _Share, sign: int) -> None:
+        scopes = self._scopes.setdefault(share.pool, {})
+        for scope in get_scopes(host):
+            sums = scopes.setdefault(scope, Sums())
+            sums.capacity += sign * share.capacity
+            sums.down += sign * share.down
+
+
+def get_index(state: records.State) -> Index:
+    """Return the sums of a state, made anew when its hosts changed."""
+    index = state.__dict__.get(_INDEX)
+    if index is None or not index.is_of(state):
+        index = Index(state)
+        state.__dict__[_INDEX] = index
+    return index
+
+
+def get_scopes(host: documents.Host) -> tuple[str, str, str]:
+    """Return the scopes whose sums a host is part of."""
+    return (
+        'total',
+        f'availability_zone/{host.availability_zone}',
+        f'rack/{host.rack}',
+    )
+
+
 def get_capacity(host: documents.Host) -> float:
     """Return the capacity that a host adds to its pool, in cores."""
     return host.cores
 
 
-def get_held_hosts(state: records.State) -> set[ids.HostId]:
-    """Return the hosts under a permission that has not ended."""
-    return {
-        permission.host
-        for permission in state.permissions.values()
-        if permission.until > state.time
-    }
-
-
 def is_down(record: records.HostRecord) -> bool:
     """Return whether a host gives no capacity to its pool."""
     return record.state is not states.HostState.SERVING
 
 
-def get_losses(
-    state: records.State,
-    pool: ids.PoolId,
-    extra_down: Iterable[ids.HostId] = (),
-) -> list[Loss]:
-    """Return the loss of each service of a pool, in every scope.
+def get_losses(state: records.State, pool: ids.PoolId) -> list[Loss]:
+    """Return the loss of each service of a pool, in every scope."""
+    return get_index(state).get_losses(pool)
 
-    ``extra_down`` are hosts to count as down besides those recorded.
-    """
-    members = [
-        host
-        for host in state.document.hosts
-        if (record := state.hosts.get(host.name)) and record.pool == pool
-    ]
-    down_hosts = get_held_hosts(state) | set(extra_down)
-    down = [
-        host
-        for host in members
-        if host.name in down_hosts or is_down(state.hosts[host.name])
-    ]
-    losses: list[Loss] = []
-    for service in state.document.services:
-        if service.pool == pool:
-            losses += _get_service_losses(service, members, down)
-    return losses
-
-
-def find_exceeded(
-    state: records.State,
-    pool: ids.PoolId,
-    extra_down: Iterable[ids.HostId] = (),
-) -> Loss | None:
-    """Return a budget that the loss exceeds, None when all hold."""
-    for loss in get_losses(state, pool, extra_down):
-        if loss.is_exceeded:
-            return loss
-    return None
-
-
-def _get_service_losses(
-    service: documents.Service,
-    members: list[documents.Host],
-    down: list[documents.Host],
-) -> list[Loss]:
-    budget = service.budget
-    losses = [_get_loss(service.name, 'total', budget.total, members, down)]
-    for attribute, fraction in (
-        ('availability_zone', budget.availability_zone),
-        ('rack', budget.rack),
-    ):
-        if fraction is None:
-            continue
-        for name in sorted({getattr(host, attribute) for host in down}):
-            losses.append(
-                _get_loss(
-                    service.name,
-                    f'{attribute}/{name}',
-                    fraction,
-                    [h for h in members if getattr(h, attribute) == name],
-                    [h for h in down if getattr(h, attribute) == name],
-                )
-            )
-    return losses
+
+def _get_sections(state: records.State) -> tuple[object, object]:
+    # A change of the document replaces the tuples that it touches.
+    return state.document.hosts, state.document.services
 
 
 def _get_loss(
-    service: ids.ServiceId,
-    scope: str,
-    fraction: float,
-    members: list[documents.Host],
-    down: list[documents.Host],
-) -> Loss:
+    service: documents.Service, scope: str, sums: Sums, extra: int
+) -> Loss | None:
+    fraction = getattr(service.budget, scope.partition('/')[0])
+    if fraction is None:
+        return None
     return Loss(
-        service,
+        service.name,
         scope,
-        sum(get_capacity(host) for host in down),
-        fraction * sum(get_capacity(host) for host in members),
+        (sums.down + extra) / UNITS_PER_CORE,
+        fraction * sums.capacity / UNITS_PER_CORE,
     )
--- a/orioleshore/state/commands.py
+++ b/orioleshore/state/commands.py
@@ -78,6 +78,7 @@
 
     time: ids.WallTime
     permission: ids.PermissionId
+    epoch: ids.Epoch | None = None
 
 
 class SetHostState(_Command, frozen=True, kw_only=True):
@@ -88,6 +89,7 @@
     host_epoch: ids.Epoch
     state: states.HostState
     reason: str = ''
+    epoch: ids.Epoch | None = None
 
 
 class MoveHost(_Command, frozen=True, kw_only=True):
@@ -99,6 +101,7 @@
     from_pool: ids.PoolId
     to_pool: ids.PoolId
     permission: ids.PermissionId
+    epoch: ids.Epoch | None = None
 
 
 class StartWaveHost(_Command, frozen=True, kw_only=True):
@@ -107,6 +110,7 @@
     time: ids.WallTime
     wave: ids.WaveId
     host: ids.HostId
+    epoch: ids.Epoch | None = None
 
 
 class FinishWaveHost(_Command, frozen=True, kw_only=True):
@@ -117,6 +121,9 @@
     host: ids.HostId
     outcome: states.WaveHostState
     reason: str = ''
+    # Takes back the attempt of a host that goes back to waiting.
+    withdrawn: bool = False
+    epoch: ids.Epoch | None = None
 
 
 class PauseWave(_Command, frozen=True, kw_only=True):
@@ -126,6 +133,7 @@
     wave: ids.WaveId
     scope: str
     reason: str
+    epoch: ids.Epoch | None = None
 
 
 class ResumeWave(_Command, frozen=True, kw_only=True):
@@ -134,6 +142,7 @@
     time: ids.WallTime
     wave: ids.WaveId
     scope: str
+    epoch: ids.Epoch | None = None
 
 
 class PlaceTask(_Command, frozen=True, kw_only=True):
--- a/orioleshore/state/document_commands.py
+++ b/orioleshore/state/document_commands.py
@@ -11,9 +11,11 @@
 from orioleshore.model import ids
 from orioleshore.model import states
 from orioleshore.state import commands
+from orioleshore.state import host_safety
 from orioleshore.state import operations
 from orioleshore.state import records
 from orioleshore.state import registry
+from orioleshore.state import wave_commands
 
 DELTA_LIMIT = 512
 # Answers of changes are remembered for this time; older copies are refused.
@@ -97,6 +99,14 @@
             'the document is not valid',
             *problems,
         )
+    unsafe = host_safety.find_unsafe_changes(state, document)
+    if unsafe:
+        return registry.refuse(
+            errors.ErrorKind.BUDGET_EXCEEDED,
+            'the change would break the rules of hosts in planned work',
+            *unsafe,
+        )
+    old = state.document
     state.document = document
     state.version = ids.Version(state.version + 1)
     state.deltas.append(
@@ -109,7 +119,7 @@
         )
     )
     del state.deltas[:-DELTA_LIMIT]
-    _follow_document(state)
+    _follow_document(state, old)
     return Ok(state.version)
 
 
@@ -122,25 +132,25 @@
     ]
 
 
-def _follow_document(state: records.State) -> None:
+def _follow_document(state: records.State, old: documents.Document) -> None:
     """Create records for new items, and drop those of removed ones."""
-    _follow_hosts(state)
+    if state.document.hosts is not old.hosts:
+        _follow_hosts(state)
     _follow_waves(state)
     _follow_jobs(state)
 
 
 def _follow_hosts(state: records.State) -> None:
-    named = {host.name: host for host in state.document.hosts}
-    for name in [name for name in state.hosts if name not in named]:
-        del state.hosts[name]
-    for name, host in named.items():
-        if name not in state.hosts:
-            state.hosts[name] = records.HostRecord(
-                host.pool,
-                ids.Epoch(1),
-                states.HostState.SERVING,
-                state.time,
-            )
+    followed = host_safety.get_followed_hosts(state, state.document)
+    for name, record in state.hosts.items():
+        if name not in followed:
+            state.host_epoch_floor = max(state.host_epoch_floor, record.epoch)
+    state.hosts = followed
+    # Expired permissions stay until the next grant, others cannot name a
+    # removed host.
+    for permission, record in list(state.permissions.items()):
+        if record.host not in followed:
+            del state.permissions[permission]
 
 
 def _follow_waves(state: records.State) -> None:
@@ -155,6 +165,10 @@
                 _get_wave_hosts(wave, state),
                 {},
             )
+    for record in state.waves.values():
+        for host in [name for name in record.hosts if name not in state.hosts]:
+            del record.hosts[host]
+        wave_commands.finish_if_done(record)
 
 
 def _get_wave_hosts(
--- a/orioleshore/state/host_commands.py
+++ b/orioleshore/state/host_commands.py
@@ -1,6 +1,7 @@
 """Permissions, stages and owners of hosts."""
 
 import msgspec
+from result import Err
 from result import Ok
 
 from orioleshore.model import errors
@@ -55,22 +56,66 @@
 }
 
 
-@registry.apply.register
-def _(
-    command: commands.GrantPermission, state: records.State
-) -> registry.CommandResult:
-    if command.epoch < state.epoch:
-        return registry.refuse_epoch(command.epoch, state.epoch)
+def check_epoch(
+    epoch: ids.Epoch | None, state: records.State
+) -> Err[errors.Failure] | None:
+    """Refuse the command of an earlier leader; note a newer epoch.
+
+    Commands stored by older versions carry no epoch.
+    """
+    if epoch is None:
+        return None
+    if epoch < state.epoch:
+        return registry.refuse_epoch(epoch, state.epoch)
+    state.epoch = epoch
+    return None
+
+
+def _find_host_refusal(
+    command: commands.GrantPermission
+    | commands.SetHostState
+    | commands.MoveHost,
+    state: records.State,
+) -> Err[errors.Failure] | None:
+    stale = check_epoch(command.epoch, state)
+    if stale is not None:
+        return stale
     record = state.hosts.get(command.host)
     if record is None:
         return registry.refuse_host(command.host)
     if record.epoch != command.host_epoch:
         return registry.refuse_epoch(command.host_epoch, record.epoch)
+    return None
+
+
+def _put_host(
+    state: records.State, host: ids.HostId, record: records.HostRecord
+) -> None:
+    state.hosts[host] = record
+    budgets.get_index(state).update(host, record)
+
+
+def is_held(state: records.State, host: ids.HostId) -> bool:
+    """Return whether a host is under a permission that has not ended."""
+    permission = budgets.get_index(state).held.get(host)
+    if permission is None:
+        return False
+    return state.permissions[permission].until > state.time
+
+
+@registry.apply.register
+def _(
+    command: commands.GrantPermission, state: records.State
+) -> registry.CommandResult:
+    refusal = _find_host_refusal(command, state)
+    if refusal is not None:
+        return refusal
     known = state.permissions.get(command.permission)
     if known is not None and known.host == command.host:
         return Ok(None)
     _forget_permissions(state)
-    if command.host in budgets.get_held_hosts(state):
+    record = state.hosts[command.host]
+    if is_held(state, command.host):
         return registry.refuse(
             errors.ErrorKind.ILLEGAL_TRANSITION,
             f'host {command.host!r} is under a permission already',
@@ -80,35 +125,47 @@
             errors.ErrorKind.ILLEGAL_TRANSITION,
             f'host {command.host!r} is {record.state.value}, not serving',
         )
-    loss = budgets.find_exceeded(state, record.pool, (command.host,))
+    index = budgets.get_index(state)
+    loss = index.find_exceeded(command.host)
     if loss is not None:
         return registry.refuse(
             errors.ErrorKind.BUDGET_EXCEEDED,
             f'service {loss.service!r}, {loss.scope}: {loss.down:g} cores '
             f'down, {loss.allowed:g} allowed',
         )
-    state.epoch = command.epoch
-    state.permissions[command.permission] = records.PermissionRecord(
+    permission = records.PermissionRecord(
         command.host, command.purpose, command.epoch, command.until
     )
+    state.permissions[command.permission] = permission
+    index.hold(command.permission, permission)
+    index.update(command.host, record)
     return Ok(None)
 
 
 def _forget_permissions(state: records.State) -> None:
-    ended = [
-        permission
-        for permission, record in state.permissions.items()
-        if record.until <= state.time
-    ]
-    for permission in ended:
-        del state.permissions[permission]
+    for permission in budgets.get_index(state).pop_expired(state.time):
+        _end_permission(state, permission)
+
+
+def _end_permission(
+    state: records.State, permission: ids.PermissionId
+) -> None:
+    ended = state.permissions.pop(permission, None)
+    if ended is None:
+        return
+    index = budgets.get_index(state)
+    index.held.pop(ended.host, None)
+    index.update(ended.host, state.hosts.get(ended.host))
 
 
 @registry.apply.register
 def _(
     command: commands.EndPermission, state: records.State
 ) -> registry.CommandResult:
-    state.permissions.pop(command.permission, None)
+    stale = check_epoch(command.epoch, state)
+    if stale is not None:
+        return stale
+    _end_permission(state, command.permission)
     return Ok(None)
 
 
@@ -116,11 +173,10 @@
 def _(
     command: commands.SetHostState, state: records.State
 ) -> registry.CommandResult:
-    record = state.hosts.get(command.host)
-    if record is None:
-        return registry.refuse_host(command.host)
-    if record.epoch != command.host_epoch:
-        return registry.refuse_epoch(command.host_epoch, record.epoch)
+    refusal = _find_host_refusal(command, state)
+    if refusal is not None:
+        return refusal
+    record = state.hosts[command.host]
     if record.state is command.state:
         return Ok(None)
     if command.state not in LEGAL_TRANSITIONS[record.state]:
@@ -129,20 +185,24 @@
             f'host {command.host!r} cannot go from {record.state.value} '
             f'to {command.state.value}',
         )
-    if (
-        command.state is states.HostState.DRAINING
-        and command.host not in budgets.get_held_hosts(state)
+    if command.state is states.HostState.DRAINING and not is_held(
+        state, command.host
     ):
         return registry.refuse(
             errors.ErrorKind.BUDGET_EXCEEDED,
             f'host {command.host!r} has no permission to drain',
         )
-    state.hosts[command.host] = msgspec.structs.replace(
+    arriving = record.arriving and (
+        command.state is not states.HostState.SERVING
+    )
+    changed = msgspec.structs.replace(
         record,
         state=command.state,
         since=state.time,
         reason=command.reason,
+        arriving=arriving,
     )
+    _put_host(state, command.host, changed)
     return Ok(None)
 
 
@@ -150,11 +210,10 @@
 def _(
     command: commands.MoveHost, state: records.State
 ) -> registry.CommandResult:
-    record = state.hosts.get(command.host)
-    if record is None:
-        return registry.refuse_host(command.host)
-    if record.epoch != command.host_epoch:
-        return registry.refuse_epoch(command.host_epoch, record.epoch)
+    refusal = _find_host_refusal(command, state)
+    if refusal is not None:
+        return refusal
+    record = state.hosts[command.host]
     if record.pool != command.from_pool:
         return registry.refuse(
             errors.ErrorKind.ILLEGAL_TRANSITION,
@@ -170,12 +229,16 @@
             errors.ErrorKind.NOT_FOUND,
             f'no pool is named {command.to_pool!r}',
         )
-    state.hosts[command.host] = records.HostRecord(
+    moved = records.HostRecord(
         command.to_pool,
         ids.Epoch(record.epoch + 1),
         states.HostState.PROVING,
         state.time,
         f'moved from {command.from_pool}',
+        arriving=True,
     )
-    state.permissions.pop(command.permission, None)
-    return Ok(ids.Epoch(record.epoch + 1))
+    permission = budgets.get_index(state).held.get(command.host)
+    if permission is not None:
+        _end_permission(state, permission)
+    _put_host(state, command.host, moved)
+    return Ok(moved.epoch)
--- /dev/null
+++ b/orioleshore/state/host_safety.py
@@ -0,0 +1,110 @@
+"""Checks of document changes against hosts in planned work."""
+
+from orioleshore.model import documents
+from orioleshore.model import ids
+from orioleshore.model import states
+from orioleshore.state import budgets
+from orioleshore.state import records
+
+PLANNED_STATES = (
+    states.HostState.DRAINING,
+    states.HostState.DRAINED,
+    states.HostState.REBOOTING,
+)
+
+
+def find_unsafe_changes(
+    state: records.State, document: documents.Document
+) -> list[str]:
+    """Return why a document cannot be followed now, one line each.
+
+    A host leaves the fleet only outside planned work, and planned work
+    that was within a budget stays within it.
+    """
+    old = state.document
+    if document.hosts is old.hosts and document.services is old.services:
+        return []
+    planned = _get_planned_hosts(state)
+    if not planned:
+        return []
+    return [
+        *_find_removed(document, planned, state),
+        *_find_exceeded(state, document, planned),
+    ]
+
+
+def get_followed_hosts(
+    state: records.State, document: documents.Document
+) -> dict[ids.HostId, records.HostRecord]:
+    """Return the records of hosts under a document.
+
+    Hosts of the first document serve; a host added later proves itself
+    before its capacity counts.
+    """
+    is_first = state.version <= 1 and not state.hosts
+    epoch = ids.Epoch(state.host_epoch_floor + 1)
+    followed = {}
+    for host in document.hosts:
+        followed[host.name] = state.hosts.get(host.name) or records.HostRecord(
+            host.pool,
+            epoch,
+            states.HostState.SERVING if is_first else states.HostState.PROVING,
+            state.time,
+            '' if is_first else 'added',
+            arriving=not is_first,
+        )
+    return followed
+
+
+def _get_planned_hosts(state: records.State) -> set[ids.HostId]:
+    held = {
+        permission.host
+        for permission in state.permissions.values()
+        if permission.until > state.time
+    }
+    return held | {
+        name
+        for name, record in state.hosts.items()
+        if record.state in PLANNED_STATES
+    }
+
+
+def _find_removed(
+    document: documents.Document,
+    planned: set[ids.HostId],
+    state: records.State,
+) -> list[str]:
+    named = {host.name for host in document.hosts}
+    return [
+        f'$.hosts: {host!r} is {state.hosts[host].state.value} in planned '
+        'work, remove it when that has ended'
+        for host in sorted(planned - named)
+    ]
+
+
+def _find_exceeded(
+    state: records.State,
+    document: documents.Document,
+    planned: set[ids.HostId],
+) -> list[str]:
+    preview = budgets.Index(
+        records.State(
+            time=state.time,
+            document=document,
+            hosts=get_followed_hosts(state, document),
+            permissions=state.permissions,
+        )
+    )
+    current = budgets.get_index(state)
+    problems = []
+    pools = {state.hosts[host].pool for host in planned if host in state.hosts}
+    for pool in sorted(pools):
+        loss = preview.find_exceeded_in(pool)
+        if loss is None or current.find_exceeded_in(pool) is not None:
+            continue
+        problems.append(
+            f'pool {pool!r}, service {loss.service!r}, {loss.scope}: '
+            f'{loss.down:g} cores down in planned work, '
+            f'{loss.allowed:g} allowed'
+        )
+    return problems
--- a/orioleshore/state/records.py
+++ b/orioleshore/state/records.py
@@ -10,13 +10,18 @@
 
 
 class HostRecord(msgspec.Struct, frozen=True):
-    """Owner and stage of a host; ``since`` is a wall time in seconds."""
+    """Owner and stage of a host; ``since`` is a wall time in seconds.
+
+    An arriving host has not served its pool yet, so its capacity does
+    not count there, neither as declared nor as down.
+    """
 
     pool: ids.PoolId
     epoch: ids.Epoch
     state: states.HostState
     since: ids.WallTime
     reason: str = ''
+    arriving: bool = False
 
 
 class PermissionRecord(msgspec.Struct, frozen=True):
@@ -100,8 +105,12 @@
     edits: tuple[changes.Edit, ...]
 
 
-class State(msgspec.Struct):
-    """Everything that the log decides; owned by the consensus member."""
+class State(msgspec.Struct, dict=True):
+    """Everything that the log decides; owned by the consensus member.
+
+    Values derived from the fields are kept in ``__dict__`` and are not
+    encoded.
+    """
 
     time: ids.WallTime = ids.WallTime(0.0)
     version: ids.Version = ids.Version(0)
@@ -116,6 +125,9 @@
     claims: dict[ids.IdempotencyKey, ClaimRecord] = {}
     # Requests recorded as not run before their claim was committed.
     released: dict[ids.RequestId, ids.WallTime] = {}
+    # Newest epoch of a removed host. A host that is added later starts
+    # above it, so calls meant for a removed host of that name are stale.
+    host_epoch_floor: ids.Epoch = ids.Epoch(0)
 
 
 def encode_state(state: State) -> bytes:
--- a/orioleshore/state/wave_commands.py
+++ b/orioleshore/state/wave_commands.py
@@ -7,7 +7,9 @@
 from orioleshore.model import errors
 from orioleshore.model import ids
 from orioleshore.model import states
+from orioleshore.state import budgets
 from orioleshore.state import commands
+from orioleshore.state import host_commands
 from orioleshore.state import records
 from orioleshore.state import registry
 
@@ -16,10 +18,23 @@
 def _(
     command: commands.StartWaveHost, state: records.State
 ) -> registry.CommandResult:
+    stale = host_commands.check_epoch(command.epoch, state)
+    if stale is not None:
+        return stale
     found = _find_wave_host(state, command.wave, command.host)
     if found.is_err():
         return found
     record = found.unwrap()
+    host = state.hosts.get(command.host)
+    if host is None:
+        return registry.refuse_host(command.host)
+    if not budgets.is_down(host) and not host_commands.is_held(
+        state, command.host
+    ):
+        return registry.refuse(
+            errors.ErrorKind.BUDGET_EXCEEDED,
+            f'host {command.host!r} has no permission for maintenance',
+        )
     state.waves[command.wave].hosts[command.host] = msgspec.structs.replace(
         record,
         state=states.WaveHostState.STARTED,
@@ -33,20 +48,30 @@
 def _(
     command: commands.FinishWaveHost, state: records.State
 ) -> registry.CommandResult:
+    stale = host_commands.check_epoch(command.epoch, state)
+    if stale is not None:
+        return stale
     found = _find_wave_host(state, command.wave, command.host)
     if found.is_err():
         return found
     wave = state.waves[command.wave]
+    record = found.unwrap()
     wave.hosts[command.host] = msgspec.structs.replace(
-        found.unwrap(),
+        record,
+        attempts=record.attempts - int(command.withdrawn),
         state=command.outcome,
         since=state.time,
         reason=command.reason,
     )
+    finish_if_done(wave)
+    return Ok(None)
+
+
+def finish_if_done(wave: records.WaveRecord) -> None:
+    """Finish a wave none of whose hosts waits or is under way."""
     unfinished = (states.WaveHostState.WAITING, states.WaveHostState.STARTED)
     if not any(host.state in unfinished for host in wave.hosts.values()):
         wave.state = states.WaveState.FINISHED
-    return Ok(None)
 
 
 def _find_wave_host(
@@ -65,6 +90,9 @@
 def _(
     command: commands.PauseWave, state: records.State
 ) -> registry.CommandResult:
+    stale = host_commands.check_epoch(command.epoch, state)
+    if stale is not None:
+        return stale
     wave = state.waves.get(command.wave)
     if wave is None:
         return registry.refuse(
@@ -78,6 +106,9 @@
 def _(
     command: commands.ResumeWave, state: records.State
 ) -> registry.CommandResult:
+    stale = host_commands.check_epoch(command.epoch, state)
+    if stale is not None:
+        return stale
     wave = state.waves.get(command.wave)
     if wave is not None:
         wave.paused.pop(command.scope, None)
--- a/scripts/fleet.py
+++ b/scripts/fleet.py
@@ -123,6 +123,7 @@
                 'control': {
                     'initial_members': self._members,
                     'platform': self.platform_url,
+                    'proving_s': 0.5,
                 },
             },
         )
