--- a/fakes/fleet.py
+++ b/fakes/fleet.py
@@ -261,17 +261,30 @@
         new = state.hosts[host]
         old = self._known.get(host)
         self._known[host] = new
-        if old is None or new.epoch > old.epoch:
+        if old is None or old == new:
             return
-        if new.epoch < old.epoch or new.pool != old.pool:
-            self.breaches += 1
-            raise RuleError(f'{host}: {old} became {new}')
+        is_moved = new.epoch > old.epoch
+        if new.epoch < old.epoch or (new.pool != old.pool and not is_moved):
+            self._report(f'{host}: {old} became {new}')
+        drains = new.state is states.HostState.DRAINING
+        if (
+            drains
+            and old.state is not new.state
+            and not any(
+                permission.host == host and permission.until > state.time
+                for permission in state.permissions.values()
+            )
+        ):
+            self._report(f'{host} drains without a permission')
+
+    def _report(self, text: str) -> None:
+        self.breaches += 1
+        raise RuleError(text)
 
     def _check_budget(self, pool: ids.PoolId, state: records.State) -> None:
         for loss in get_plain_losses(pool, state):
             if loss.is_exceeded:
-                self.breaches += 1
-                raise RuleError(f'granted beyond the budget: {loss}')
+                self._report(f'granted beyond the budget: {loss}')
 
 
 def get_plain_losses(
--- a/orioleshore/tests/builders.py
+++ b/orioleshore/tests/builders.py
@@ -135,3 +135,66 @@
     return routing_events.RequestInfo(
         request=ids.RequestId(f'request-{number}'), **{**defaults, **fields}
     )
+
+
+def build_grant(
+    host: str, host_epoch: int, epoch: int, now: float, number: int = 1
+) -> commands.GrantPermission:
+    """Return a permission for maintenance of 900 s."""
+    return commands.GrantPermission(
+        time=ids.WallTime(now),
+        permission=ids.PermissionId(f'maintenance/{host}/{epoch}/{number}'),
+        host=ids.HostId(host),
+        host_epoch=ids.Epoch(host_epoch),
+        purpose=states.Purpose.MAINTENANCE,
+        epoch=ids.Epoch(epoch),
+        until=ids.WallTime(now + 900.0),
+    )
+
+
+def build_end(
+    permission: str, epoch: int, now: float
+) -> commands.EndPermission:
+    """Return the end of a permission."""
+    return commands.EndPermission(
+        time=ids.WallTime(now),
+        permission=ids.PermissionId(permission),
+        epoch=ids.Epoch(epoch),
+    )
+
+
+def build_stage(
+    host: str,
+    host_epoch: int,
+    epoch: int,
+    now: float,
+    state: states.HostState,
+) -> commands.SetHostState:
+    """Return a change of the stage of a host."""
+    return commands.SetHostState(
+        time=ids.WallTime(now),
+        host=ids.HostId(host),
+        host_epoch=ids.Epoch(host_epoch),
+        state=state,
+        epoch=ids.Epoch(epoch),
+    )
+
+
+def build_move(
+    host: str,
+    host_epoch: int,
+    epoch: int,
+    now: float,
+    from_pool: str,
+    to_pool: str,
+) -> commands.MoveHost:
+    """Return a move between pools."""
+    return commands.MoveHost(
+        time=ids.WallTime(now),
+        host=ids.HostId(host),
+        host_epoch=ids.Epoch(host_epoch),
+        from_pool=ids.PoolId(from_pool),
+        to_pool=ids.PoolId(to_pool),
+        permission=ids.PermissionId(''),
+        epoch=ids.Epoch(epoch),
+    )
--- /dev/null
+++ b/orioleshore/tests/test_fleet_hosts_budgets.py
@@ -0,0 +1,246 @@
+"""Budgets and ownership: no order of events breaks a rule."""
+
+import hypothesis
+from hypothesis import strategies
+import msgspec
+import pytest
+
+from fakes import fleet as fakes_fleet
+from orioleshore.model import documents
+from orioleshore.model import errors
+from orioleshore.model import ids
+from orioleshore.model import states
+from orioleshore.state import budgets
+from orioleshore.state import host_commands
+from orioleshore.state import host_safety
+from orioleshore.state import machine
+from orioleshore.state import records
+from orioleshore.tests import builders
+
+SETTINGS = hypothesis.settings(
+    derandomize=True, deadline=None, max_examples=120, database=None
+)
+
+POOLS = ('freight', 'calendar', 'spare')
+
+
+@strategies.composite
+def fleets(draw) -> documents.Document:
+    """Documents with three pools and budgets in every scope."""
+    fraction = strategies.sampled_from((0.0, 0.1, 0.25, 0.34, 0.5, 1.0))
+    optional = strategies.one_of(strategies.none(), fraction)
+    hosts = [
+        builders.build_host(
+            f'h{number}',
+            draw(strategies.sampled_from(POOLS)),
+            rack=f'r{draw(strategies.integers(1, 4))}',
+            availability_zone=f'az{draw(strategies.integers(1, 3))}',
+            cores=draw(strategies.sampled_from((0.1, 0.7, 16.0, 64.0))),
+        )
+        for number in range(draw(strategies.integers(1, 14)))
+    ]
+    services = tuple(
+        builders.build_service(
+            pool,
+            budget=documents.Budget(
+                draw(fraction), draw(optional), draw(optional)
+            ),
+        )
+        for pool in POOLS
+    )
+    return documents.Document(
+        pools=tuple(documents.Pool(ids.PoolId(pool)) for pool in POOLS),
+        services=services,
+        hosts=tuple(hosts),
+    )
+
+
+def draw_command(draw, state: records.State, now: float):
+    """Return a command that may name stale epochs and wrong pools."""
+    names = sorted(state.hosts)
+    planned = [
+        name
+        for name in names
+        if name in budgets.get_index(state).held
+        or state.hosts[name].state in host_safety.PLANNED_STATES
+    ]
+    host = draw(strategies.sampled_from(planned or names))
+    if draw(strategies.booleans()):
+        host = draw(strategies.sampled_from(names))
+    host_epoch = state.hosts[host].epoch + draw(
+        strategies.sampled_from((0, 0, 0, 0, -1))
+    )
+    epoch = max(0, state.epoch + draw(strategies.sampled_from((0, 0, 1, -1))))
+    kind = draw(strategies.integers(0, 5))
+    if kind <= 1:
+        return builders.build_grant(
+            host, host_epoch, epoch, now, number=draw(strategies.integers(1))
+        )
+    if kind == 2 and state.permissions:
+        return builders.build_end(
+            draw(strategies.sampled_from(sorted(state.permissions))),
+            epoch,
+            now,
+        )
+    if kind == 3 or state.hosts[host].state is states.HostState.DRAINED:
+        return builders.build_move(
+            host,
+            host_epoch,
+            epoch,
+            now,
+            from_pool=state.hosts[host].pool,
+            to_pool=draw(strategies.sampled_from(POOLS)),
+        )
+    return builders.build_stage(
+        host,
+        host_epoch,
+        epoch,
+        now,
+        state=draw(
+            strategies.sampled_from(
+                sorted(
+                    host_commands.LEGAL_TRANSITIONS[state.hosts[host].state],
+                    key=lambda stage: stage.value,
+                )
+            )
+        ),
+    )
+
+
+@SETTINGS
+@hypothesis.given(data=strategies.data())
+def test_no_order_of_commands_breaks_a_rule(data):
+    """Guards against grants beyond a budget and two owners of a host."""
+    state = builders.build_state(data.draw(fleets()))
+    check = fakes_fleet.RuleCheck()
+    now = builders.NOW
+    for _ in range(data.draw(strategies.integers(1, 40))):
+        now += data.draw(strategies.sampled_from((0.0, 1.0, 1_000.0)))
+        command = draw_command(data.draw, state, now)
+        before = msgspec.msgpack.encode((state.hosts, state.permissions))
+        epoch = state.epoch
+        old = state.hosts.get(getattr(command, 'host', None))
+        outcome = machine.apply_command(command, state)
+        after = msgspec.msgpack.encode((state.hosts, state.permissions))
+        if command.epoch < epoch:
+            assert outcome.is_err()
+            assert before == after
+        if old is not None and command.host_epoch != old.epoch:
+            assert outcome.is_err()
+        check(command, state)
+        assert_sums_are_plain(state)
+
+
+def assert_sums_are_plain(state: records.State) -> None:
+    """Compare the kept sums with sums made host by host."""
+    live = {
+        name: permission
+        for name, permission in state.permissions.items()
+        if permission.until > state.time
+    }
+    if len(live) < len(state.permissions):
+        return  # The sums count a permission until the next grant.
+    for pool in POOLS:
+        plain = {
+            (loss.service, loss.scope): (loss.down, loss.allowed)
+            for loss in fakes_fleet.get_plain_losses(pool, state)
+        }
+        for loss in budgets.get_losses(state, pool):
+            if (loss.service, loss.scope) not in plain:
+                assert loss.allowed == 0
+                continue
+            down, allowed = plain[loss.service, loss.scope]
+            assert loss.down == pytest.approx(down)
+            assert loss.allowed == pytest.approx(allowed)
+
+
+def test_two_leaders_never_grant_the_same_capacity():
+    """Guards against grants that each fit but together do not."""
+    state = builders.build_state(builders.build_document(6))
+    for number, host in enumerate(('freight-0', 'freight-1')):
+        grant = builders.build_grant(host, 1, number + 1, builders.NOW)
+        machine.apply_command(grant, state).unwrap()
+    refused = builders.build_grant('freight-2', 1, 2, builders.NOW)
+    failure = machine.apply_command(refused, state).unwrap_err()
+    assert failure.kind is errors.ErrorKind.BUDGET_EXCEEDED
+
+
+def test_a_permission_that_ends_keeps_counting_while_the_host_is_out():
+    """Guards against capacity granted twice after a slow drain."""
+    state = builders.build_state(builders.build_document(3))
+    grant = builders.build_grant('freight-0', 1, 1, builders.NOW)
+    machine.apply_command(grant, state).unwrap()
+    drain = builders.build_stage(
+        'freight-0', 1, 1, builders.NOW, states.HostState.DRAINING
+    )
+    machine.apply_command(drain, state).unwrap()
+    late = builders.NOW + 10_000.0
+    second = builders.build_grant('freight-1', 1, 1, late)
+    failure = machine.apply_command(second, state).unwrap_err()
+    assert failure.kind is errors.ErrorKind.BUDGET_EXCEEDED
+    assert not state.permissions
+
+
+def test_documents_cannot_free_capacity_that_planned_work_holds():
+    """Guards against removal or resizing of hosts in planned work."""
+    document = builders.build_document(6)
+    state = builders.build_state(document)
+    grant = builders.build_grant('freight-0', 1, 1, builders.NOW)
+    machine.apply_command(grant, state).unwrap()
+    removed = msgspec.structs.replace(document, hosts=document.hosts[1:])
+    shrunk = msgspec.structs.replace(document, hosts=document.hosts[:2])
+    for number, changed in enumerate((removed, shrunk), 2):
+        change = builders.build_change(changed, document, 1, number)
+        failure = machine.apply_command(change, state).unwrap_err()
+        assert failure.kind is errors.ErrorKind.BUDGET_EXCEEDED
+        assert failure.details
+    assert state.version == 1
+
+
+def test_a_host_that_is_removed_and_added_gets_a_newer_epoch():
+    """Guards against calls for a removed host that reach its successor."""
+    document = builders.build_document(6)
+    state = builders.build_state(document)
+    smaller = msgspec.structs.replace(document, hosts=document.hosts[1:])
+    machine.apply_command(
+        builders.build_change(smaller, document, 1, 2), state
+    ).unwrap()
+    machine.apply_command(
+        builders.build_change(document, smaller, 2, 3), state
+    ).unwrap()
+    record = state.hosts[ids.HostId('freight-0')]
+    assert record.epoch == 2
+    assert record.state is states.HostState.PROVING
+    # Capacity that has not served yet is neither declared nor lost.
+    assert budgets.get_losses(state, 'freight')[0].allowed == pytest.approx(
+        0.34 * 5 * 16
+    )
+
+
+def test_a_move_changes_owner_epoch_and_sums_at_once():
+    """Guards against a moved host that two pools count or command."""
+    document = msgspec.structs.replace(
+        builders.build_document(),
+        pools=(documents.Pool('freight'), documents.Pool('spare')),
+        hosts=builders.build_hosts(6) + builders.build_hosts(2, 'spare'),
+    )
+    state = builders.build_state(document)
+    now = builders.NOW
+    grant = builders.build_grant('freight-0', 1, 1, now)
+    stages = [
+        builders.build_stage('freight-0', 1, 1, now, stage)
+        for stage in (states.HostState.DRAINING, states.HostState.DRAINED)
+    ]
+    move = builders.build_move('freight-0', 1, 1, now, 'freight', 'spare')
+    for command in (grant, *stages, move):
+        machine.apply_command(command, state).unwrap()
+    record = state.hosts[ids.HostId('freight-0')]
+    assert (record.pool, record.epoch) == ('spare', 2)
+    index = budgets.get_index(state)
+    assert index.get_sums('freight') == budgets.Sums(5 * 16_000, 0)
+    assert index.get_sums('spare') == budgets.Sums(2 * 16_000, 0)
+    stale = builders.build_stage(
+        'freight-0', 1, 1, now, states.HostState.SERVING
+    )
+    failure = machine.apply_command(stale, state).unwrap_err()
+    assert failure.kind is errors.ErrorKind.STALE_EPOCH
