Test every step of a wave against faults, alone and in pairs

Waves had no tests. A simulated fleet drives the planner through its events; budgets and ownership are checked after every command with plain sums. A scope that pauses again now waits twice as long before it resumes: a bad image took a round of hosts down every ten minutes.

--- a/orioleshore/fleet/failures.py
+++ b/orioleshore/fleet/failures.py
@@ -16,6 +16,9 @@
 # A paused scope resumes after this time without a failure, in seconds.
 # It is as long as the window, so that one failure cannot pause it again.
 QUIET_S = 600.0
+# Each further pause of a scope doubles this time, up to a limit: a bad
+# image would otherwise take a round of hosts down every ten minutes.
+QUIET_LIMIT_S = 14_400.0
 
 
 class FailureLog:
@@ -25,6 +28,7 @@
         self._started = now
         self._scopes: dict[str, collections.OrderedDict[str, float]] = {}
         self._last: dict[str, float] = {}
+        self._quiet: dict[str, float] = {}
 
     def note(
         self,
@@ -59,7 +63,12 @@
     def is_quiet(self, scope: str, now: float) -> bool:
         """Return whether a paused scope may resume."""
         last = self._last.get(scope, self._started)
-        return now - last >= QUIET_S
+        return now - last >= self._quiet.get(scope, QUIET_S)
+
+    def note_resume(self, scope: str) -> None:
+        """Ask for a longer quiet time after the next pause of a scope."""
+        quiet = self._quiet.get(scope, QUIET_S)
+        self._quiet[scope] = min(2 * quiet, QUIET_LIMIT_S)
 
     def _count(self, scope: str, host: ids.HostId, now: float) -> int:
         failures = self._scopes.setdefault(scope, collections.OrderedDict())
--- a/orioleshore/fleet/waves.py
+++ b/orioleshore/fleet/waves.py
@@ -851,6 +851,7 @@
     now: float,
 ) -> list[events.Action]:
     planner._pausing.discard((command.wave, command.scope))
+    planner._failures.note_resume(command.scope)
     planner._dirty.update(dict.fromkeys(planner._pool_waves))
     return []
 
--- a/orioleshore/tests/builders.py
+++ b/orioleshore/tests/builders.py
@@ -198,3 +198,12 @@
         permission=ids.PermissionId(''),
         epoch=ids.Epoch(epoch),
     )
+
+
+def build_wave_state(hosts: int = 12, **fields) -> records.State:
+    """Return a state in which a wave named "kernel" begins."""
+    wave = documents.Wave(
+        ids.WaveId('kernel'), (ids.PoolId('freight'),), ids.ImageId('k2')
+    )
+    document = build_document(hosts, waves=(wave,), **fields)
+    return build_state(document)
--- /dev/null
+++ b/orioleshore/tests/test_fleet_waves_faults.py
@@ -0,0 +1,257 @@
+"""Every step of a wave against every fault, alone and in pairs.
+
+Budgets and ownership are checked after every command by RuleCheck, which
+raises at the first breach.
+"""
+
+import functools
+import itertools
+
+import pytest
+
+from fakes import fleet as fakes_fleet
+from orioleshore.fleet import events
+from orioleshore.fleet import view
+from orioleshore.model import ids
+from orioleshore.model import states
+from orioleshore.state import records
+from orioleshore.tests import builders
+from orioleshore.tests import support
+
+TIMINGS = view.Timings(
+    drain_s=60.0, reboot_s=120.0, proving_s=20.0, proving_limit_s=120.0
+)
+LIMIT_S = 20_000.0
+FIRST = ids.HostId('freight-0')
+# In the rack of the first host.
+SECOND = ids.HostId('freight-3')
+
+
+def build_fleet(hosts: int = 12, **behaviour) -> fakes_fleet.SimulatedFleet:
+    defaults = {'drain_s': 10.0, 'reboot_s': 30.0, 'heartbeat_s': 20.0}
+    return fakes_fleet.SimulatedFleet(
+        builders.build_wave_state(hosts),
+        builders.NOW,
+        support.SEED,
+        fakes_fleet.Behaviour(**{**defaults, **behaviour}),
+        TIMINGS,
+        fakes_fleet.RuleCheck(),
+        tick_s=2.0,
+    )
+
+
+def fail_for(fleet, duration: float, *hosts: ids.HostId) -> None:
+    for host in hosts:
+        fleet.fail(host)
+        fleet.at(duration, functools.partial(fleet.repair, host))
+
+
+def change_leader(fleet) -> None:
+    fleet.elect()
+
+
+def fail_host(fleet) -> None:
+    fail_for(fleet, 100.0, FIRST)
+
+
+def fail_second_host(fleet) -> None:
+    fail_for(fleet, 100.0, SECOND)
+
+
+def fail_rack(fleet) -> None:
+    fail_for(fleet, 300.0, *(f'freight-{n}' for n in (0, 3, 6, 9)))
+
+
+def fail_zone_and_more(fleet) -> None:
+    fail_for(fleet, 300.0, *(f'freight-{n}' for n in (1, 4, 5, 7, 8, 10)))
+
+
+def silence_platform(fleet) -> None:
+    fleet.behaviour.silent = True
+    fleet.at(150.0, lambda: setattr(fleet.behaviour, 'silent', False))
+
+
+def lose_answers(fleet) -> None:
+    fleet.behaviour.lost_answers = 0.7
+
+
+def repeat_and_delay_reports(fleet) -> None:
+    fleet.behaviour.repeated_reports = 0.5
+    fleet.behaviour.late_reports = 0.5
+
+
+def relapse_once(fleet) -> None:
+    fleet.behaviour.relapses = {FIRST: 1, SECOND: 1}
+
+
+FAULTS = (
+    change_leader,
+    fail_host,
+    fail_second_host,
+    fail_rack,
+    fail_zone_and_more,
+    silence_platform,
+    lose_answers,
+    repeat_and_delay_reports,
+    relapse_once,
+)
+STEPS = (
+    states.HostState.DRAINING,
+    states.HostState.REBOOTING,
+    states.HostState.PROVING,
+    states.HostState.SERVING,
+)
+
+
+def run_to_step(fleet, step: states.HostState) -> None:
+    """Run until the first host has reached a step of its maintenance."""
+
+    def is_reached() -> bool:
+        progress = fleet.state.waves['kernel'].hosts[FIRST]
+        is_begun = progress.state is not states.WaveHostState.WAITING
+        return is_begun and fleet.state.hosts[FIRST].state is step
+
+    assert fleet.run_until(is_reached, LIMIT_S)
+
+
+def finish(fleet) -> None:
+    """Run to the end of the wave, and check that nothing is left."""
+    done = functools.partial(fleet.is_finished, 'kernel')
+    assert fleet.run_until(done, LIMIT_S), fleet.state.waves['kernel']
+    fleet.run(300.0)
+    outcomes = fleet.state.waves['kernel'].hosts
+    for host, record in fleet.state.hosts.items():
+        outcome = outcomes[host]
+        if outcome.state is states.WaveHostState.DONE:
+            assert record.state is states.HostState.SERVING
+            assert fleet.reboots[host] >= 1
+        else:
+            assert outcome.reason
+        assert fleet.reboots[host] <= 3
+    assert not fleet.state.permissions
+    assert fleet.stale_calls == 0
+
+
+@pytest.mark.parametrize('step', STEPS, ids=lambda step: step.value)
+@pytest.mark.parametrize('fault', FAULTS, ids=lambda fault: fault.__name__)
+def test_a_fault_at_a_step(fault, step):
+    """Guards against a step from which a fault leaves no way out."""
+    fleet = build_fleet()
+    fleet.start()
+    run_to_step(fleet, step)
+    fault(fleet)
+    finish(fleet)
+
+
+@pytest.mark.parametrize(
+    'pair',
+    list(itertools.combinations_with_replacement(FAULTS, 2)),
+    ids=lambda pair: '+'.join(fault.__name__ for fault in pair),
+)
+def test_two_faults_together_and_a_new_leader(pair):
+    """Guards against faults that are survived only one at a time."""
+    fleet = build_fleet(repeated_reports=0.2, late_reports=0.2)
+    fleet.start()
+    run_to_step(fleet, states.HostState.REBOOTING)
+    for fault in pair:
+        fault(fleet)
+        fleet.run(7.0)
+    fleet.elect()
+    finish(fleet)
+
+
+def test_a_leader_change_after_every_command_reboots_each_host_once():
+    """Guards against a step that a new leader does a second time."""
+    fleet = build_fleet(6)
+    fleet.start()
+    done = functools.partial(fleet.is_finished, 'kernel')
+    for number in itertools.count():
+        if done():
+            break
+        assert number < 500
+        seen = records.encode_state(fleet.state)
+        # A host is proved by one leader, so it leads at least that long.
+        fleet.run_until(
+            lambda old=seen: records.encode_state(fleet.state) != old, 45.0
+        )
+        fleet.elect()
+    assert set(fleet.reboots.values()) == {1}
+    assert len(fleet.reboots) == 6
+
+
+@pytest.mark.parametrize('fault', ('stuck', 'lost'))
+def test_a_host_that_never_gets_on_is_set_aside(fault):
+    """Guards against a wave that waits for one host for ever."""
+    fleet = build_fleet(**{fault: {FIRST}})
+    fleet.start()
+    finish(fleet)
+    outcome = fleet.state.waves['kernel'].hosts[FIRST]
+    assert outcome.state is states.WaveHostState.SET_ASIDE
+    assert outcome.attempts == 3
+    assert 'did not' in outcome.reason
+    serving = fleet.state.hosts[FIRST].state is states.HostState.SERVING
+    assert serving == (fault == 'stuck')
+    others = set(fleet.state.waves['kernel'].hosts) - {FIRST}
+    assert all(fleet.reboots[host] == 1 for host in others)
+
+
+def test_a_bad_image_pauses_the_wave():
+    """Guards against a wave that takes an image that breaks hosts on."""
+    fleet = build_fleet(30, lost={f'freight-{n}' for n in range(30)})
+    fleet.start()
+    fleet.run(600.0)
+    wave = fleet.state.waves['kernel']
+    assert 'image/k2' in wave.paused
+    # One round is under way when the third host fails.
+    assert len(fleet.reboots) <= 0.34 * 30
+
+
+def test_failures_beyond_the_budget_stop_planned_work():
+    """Guards against planned losses on top of failures."""
+    fleet = build_fleet()
+    fleet.start()
+    run_to_step(fleet, states.HostState.DRAINING)
+    failed = [f'freight-{n}' for n in (1, 2, 4, 5, 7)]
+    for host in failed:
+        fleet.fail(ids.HostId(host))
+    fleet.run(30.0)
+    out = {
+        host
+        for host, record in fleet.state.hosts.items()
+        if record.state is not states.HostState.SERVING
+    }
+    assert out == set(failed)
+    assert fleet.reported[FIRST] is events.ReportedState.UP
+    assert not fleet.state.permissions
+
+
+def test_a_silent_host_counts_as_down_until_it_has_proved_itself():
+    """Guards against capacity that is counted but gone."""
+    fleet = build_fleet(6)
+    fleet.start()
+    assert fleet.run_until(lambda: fleet.is_finished('kernel'), LIMIT_S)
+    state = fleet.reported.pop(FIRST)
+    fleet.run(TIMINGS.silent_s + 30.0)
+    record = fleet.state.hosts[FIRST]
+    assert record.state is states.HostState.DOWN
+    assert 'no report' in record.reason
+    fleet.reported[FIRST] = state
+
+    def is_proving() -> bool:
+        return fleet.state.hosts[FIRST].state is states.HostState.PROVING
+
+    assert fleet.run_until(is_proving, 25.0)
+    fleet.run(TIMINGS.proving_s - 1.0)
+    assert is_proving()
+    fleet.run(10.0)
+    assert fleet.state.hosts[FIRST].state is states.HostState.SERVING
+
+
+def test_a_decision_is_explained_once():
+    """Guards against a record for each tick."""
+    fleet = build_fleet(30)
+    fleet.start()
+    finish(fleet)
+    per_host = [r for _, r in fleet.explained if r.subject_kind == 'host']
+    assert len(per_host) == 2 * 30
+    assert len(fleet.explained) < 100
