--- a/orioleshore/fleet/planner.py
+++ b/orioleshore/fleet/planner.py
@@ -10,6 +10,7 @@
 
 from orioleshore.fleet import capacity
 from orioleshore.fleet import events
+from orioleshore.fleet import moves
 from orioleshore.fleet import view
 from orioleshore.fleet import waves
 from orioleshore.model import ids
@@ -101,7 +102,13 @@
 
 def get_parts() -> dict[str, Part]:
     """Return the parts in the order in which they see each event."""
-    return {'waves': waves.WavePlanner(), 'hosts': capacity.HostWatch()}
+    # The watch of hosts comes last, because it leaves alone the hosts
+    # that other parts have claimed.
+    return {
+        'waves': waves.WavePlanner(),
+        'moves': moves.MovePlanner(),
+        'hosts': capacity.HostWatch(),
+    }
 
 
 @functools.singledispatch
--- a/orioleshore/fleet/waves.py
+++ b/orioleshore/fleet/waves.py
@@ -393,7 +393,9 @@
                 self._dirty[pool] = None
                 break
             host = queue.pop()
-            verdict = self._judge(wave, pool, host, fleet, now)
+            if self._requeue_moved(wave, pool, host, fleet):
+                continue
+            verdict = self._judge(wave, host, fleet, now)
             if verdict is not None:
                 actions += verdict
                 if self._is_waiting(wave, host, fleet):
@@ -415,6 +417,20 @@
             started += 1
         return actions
 
+    def _requeue_moved(
+        self,
+        wave: ids.WaveId,
+        pool: ids.PoolId,
+        host: ids.HostId,
+        fleet: view.Fleet,
+    ) -> bool:
+        record = fleet.state.hosts.get(host)
+        if record is None or record.pool == pool:
+            return False
+        if self._is_waiting(wave, host, fleet):
+            self._queue(wave, host, fleet)
+        return True
+
     def _has_room(
         self, pool: ids.PoolId, host: ids.HostId, room: int, fleet: view.Fleet
     ) -> bool:
@@ -436,7 +452,6 @@
     def _judge(
         self,
         wave: ids.WaveId,
-        pool: ids.PoolId,
         host: ids.HostId,
         fleet: view.Fleet,
         now: float,
@@ -456,7 +471,7 @@
             report is not None and report.state is not events.ReportedState.UP
         ):
             return []
-        if fleet.index.is_down(host) or record.pool != pool:
+        if fleet.index.is_down(host):
             return []
         paused = fleet.state.waves[wave].paused
         if paused and any(
