Look at hosts of a wave only when a step can change

At 19,000 hosts a tick looked at every host under way, and each event computed the largest rack of a pool anew: trial, one event took 175 ms. Looks have due times, a tick takes at most 64 of them, and a pool is filled again when an event gives room.

--- a/orioleshore/fleet/buffer.py
+++ b/orioleshore/fleet/buffer.py
@@ -29,8 +29,8 @@
     covered where the weight of idle capacity does not prevail.
     """
     if policy.buffer_cost > policy.rollout_time:
-        return 'rack/'
-    return 'availability_zone/'
+        return 'rack'
+    return 'availability_zone'
 
 
 def get_need(fleet: view.Fleet, demands: dict[ids.PoolId, int]) -> Need:
@@ -39,13 +39,13 @@
     Permissions in force count as down already. Pools that share a domain
     fail together, so their needs add up.
     """
-    prefix = get_domain_kind(fleet.state.document.policy)
+    kind = get_domain_kind(fleet.state.document.policy)
     needs: collections.Counter[str] = collections.Counter()
     for pool, demand in demands.items():
         sums = fleet.index.get_sums(pool)
         serving = sums.capacity - sums.down
         short = max(0, demand - serving)
-        for domain, part in fleet.index.get_scopes(pool, prefix).items():
+        for domain, part in fleet.index.get_scopes(pool, kind).items():
             left = serving - (part.capacity - part.down)
             needs[domain] += max(0, demand - left) - short
     if not needs:
--- a/orioleshore/fleet/view.py
+++ b/orioleshore/fleet/view.py
@@ -79,6 +79,7 @@
         # Hosts in planned work of a part, which other parts leave alone.
         self.claimed: set[ids.HostId] = set()
         self.touched: list[ids.HostId] = []
+        self._applied: list[ids.HostId] = []
         self.is_document_new = True
         self._pending: dict[ids.HostId, _Pending] = {}
         self._granting: set[ids.HostId] = set()
@@ -90,7 +91,9 @@
     def observe(self, event: events.Event, now: float) -> None:
         """Keep what an event tells, before the parts see it."""
         self.touched = []
-        if not isinstance(event, events.CommandApplied):
+        if isinstance(event, events.CommandApplied):
+            self.touched = self._applied
+        else:
             self.is_document_new = False
         if isinstance(event, events.HostReported):
             self._observe_report(event, now)
@@ -103,7 +106,7 @@
 
     def apply(self, command: commands.Command) -> registry.CommandResult:
         """Apply a committed command to the copy."""
-        hosts = self._get_hosts(command)
+        hosts = self._applied = self._get_hosts(command)
         document = self.state.document
         outcome = machine.apply_command(command, self.state)
         self.is_document_new = self.state.document is not document
@@ -178,6 +181,12 @@
             return call.accepted
         return None
 
+    def get_next_call(self, host: ids.HostId) -> float | None:
+        """Return when the newest call of a host is to be repeated."""
+        for call in self._calls.get(host, {}).values():
+            return call.next
+        return None
+
     def set_state(
         self,
         host: ids.HostId,
@@ -252,6 +261,8 @@
         }
 
     def _rebuild(self) -> None:
+        # Made now, so that the first grant does not pay for it.
+        budgets.get_index(self.state)
         self.index = budgets.Index(self.state)
         for host in (*self.suspects, *self._granting):
             self.refresh(host)
--- a/orioleshore/fleet/waves.py
+++ b/orioleshore/fleet/waves.py
@@ -4,6 +4,7 @@
 from collections.abc import Callable
 import functools
 import heapq
+import math
 from typing import Any
 
 from orioleshore.fleet import capacity
@@ -23,6 +24,10 @@
 MAX_STARTS = 16
 MAX_SCANS = 64
 MAX_POOLS = 8
+MAX_LOOKS = 64
+# Pools are filled when an event gives room, and besides this often, in
+# seconds, for hosts that may start because time has passed.
+FILL_S = 10.0
 # A host under way is looked at this often, in seconds.
 LOOK_S = 2.0
 
@@ -56,7 +61,7 @@
             self._forget_refused(event.command, fleet)
         for host in fleet.touched:
             actions += self._look(host, fleet, now)
-            self._mark(host, fleet)
+            self._mark(host, fleet, now)
         if isinstance(event, events.TimerFired):
             actions += self._tick(fleet, now)
         return actions + self._fill(fleet, now)
@@ -81,8 +86,9 @@
         self._planned: collections.Counter[ids.PoolId] = collections.Counter()
         self._planned_hosts: dict[ids.HostId, tuple[ids.PoolId, int]] = {}
         self._due: list[tuple[float, ids.HostId]] = []
-        self._scheduled: set[ids.HostId] = set()
+        self._scheduled: dict[ids.HostId, float] = {}
         self._dirty: dict[ids.PoolId, None] = {}
+        self._next_fill = 0.0
         self._failures = failures.FailureLog(now)
         self._pausing: set[tuple[ids.WaveId, str]] = set()
         self._sections: tuple[object, object] | None = None
@@ -192,24 +198,34 @@
         self._dirty[pool] = None
 
     def _schedule(self, host: ids.HostId, due: float) -> None:
-        if host not in self._scheduled:
-            self._scheduled.add(host)
+        if due < self._scheduled.get(host, math.inf):
+            self._scheduled[host] = due
             heapq.heappush(self._due, (due, host))
 
-    def _mark(self, host: ids.HostId, fleet: view.Fleet) -> None:
+    def _mark(self, host: ids.HostId, fleet: view.Fleet, now: float) -> None:
+        """Fill the pool of a host again that may give room."""
         record = fleet.state.hosts.get(host)
-        if record is not None and record.pool in self._pool_waves:
+        if record is None or record.pool not in self._pool_waves:
+            return
+        report = fleet.reports.get(host)
+        is_repeated = report is not None and report.since < report.time == now
+        if not is_repeated and not fleet.index.is_down(host):
             self._dirty[record.pool] = None
 
     def _tick(self, fleet: view.Fleet, now: float) -> list[events.Action]:
         actions: list[events.Action] = []
-        while self._due and self._due[0][0] <= now:
-            host = heapq.heappop(self._due)[1]
-            self._scheduled.discard(host)
+        for _ in range(MAX_LOOKS):
+            if not self._due or self._due[0][0] > now:
+                break
+            due, host = heapq.heappop(self._due)
+            if self._scheduled.get(host) != due:
+                continue  # Looked at earlier than planned.
+            del self._scheduled[host]
             actions += self._look(host, fleet, now)
         for wave in list(self._waves):
             actions += self._resume_quiet(wave, fleet, now)
-        if not self._dirty:
+        if now >= self._next_fill:
+            self._next_fill = now + FILL_S
             self._dirty.update(dict.fromkeys(self._pool_waves))
         return actions
 
@@ -515,7 +531,7 @@
             return sums.capacity
         fraction = min(service.budget.total for service in services)
         allowed = int(fraction * sums.capacity * (1 + budgets.TOLERANCE))
-        racks = fleet.index.get_scopes(pool, 'rack/').values()
+        racks = fleet.index.get_scopes(pool, 'rack').values()
         rack = max((r.capacity - r.down for r in racks), default=0)
         policy = fleet.state.document.policy
         weights = policy.buffer_cost + policy.rollout_time
@@ -594,7 +610,7 @@
         if host not in fleet.state.hosts:
             self._release(host, fleet)
             return []
-        self._schedule(host, now + min(LOOK_S, fleet.timings.proving_s))
+        self._schedule(host, self._get_next_look(host, fleet, now))
         if fleet.is_pending(host):
             return []
         progress = fleet.state.waves[wave].hosts[host]
@@ -606,6 +622,23 @@
             return []
         return _STEPS[fleet.state.hosts[host].state](self, host, fleet, now)
 
+    def _get_next_look(
+        self, host: ids.HostId, fleet: view.Fleet, now: float
+    ) -> float:
+        """Return when a step can change without an event of the host."""
+        record = fleet.state.hosts[host]
+        due = now + LOOK_S
+        if record.state is states.HostState.PROVING:
+            due = record.since + fleet.timings.proving_s
+        elif record.state is states.HostState.DRAINING:
+            due = record.since + fleet.timings.drain_s
+        elif record.state is states.HostState.REBOOTING:
+            due = record.since + fleet.timings.reboot_s
+        repeat = fleet.get_next_call(host)
+        if repeat is not None and repeat > now:
+            due = min(due, repeat)
+        return max(due, now + min(LOOK_S, fleet.timings.proving_s))
+
     def _step_serving(
         self, host: ids.HostId, fleet: view.Fleet, now: float
     ) -> list[events.Action]:
--- a/orioleshore/state/budgets.py
+++ b/orioleshore/state/budgets.py
@@ -64,6 +64,8 @@
         self.held: dict[ids.HostId, ids.PermissionId] = {}
         self._sections = _get_sections(state)
         self._scopes: dict[ids.PoolId, dict[str, Sums]] = {}
+        self._groups: dict[tuple[ids.PoolId, str], dict[str, Sums]] = {}
+        self._host_scopes: dict[ids.HostId, tuple[str, str, str]] = {}
         self._shares: dict[ids.HostId, _Share] = {}
         self._expiries: list[tuple[float, ids.PermissionId]] = []
         for service in state.document.services:
@@ -122,13 +124,9 @@
         """Return the sums of a scope; unknown ones are empty."""
         return self._scopes.get(pool, {}).get(scope) or Sums()
 
-    def get_scopes(self, pool: ids.PoolId, prefix: str) -> dict[str, Sums]:
-        """Return the sums of all racks or zones of a pool."""
-        return {
-            scope: sums
-            for scope, sums in self._scopes.get(pool, {}).items()
-            if scope.startswith(prefix)
-        }
+    def get_scopes(self, pool: ids.PoolId, kind: str) -> dict[str, Sums]:
+        """Return the sums of a pool by "rack" or "availability_zone"."""
+        return self._groups.get((pool, kind), {})
 
     def find_exceeded(self, name: ids.HostId) -> Loss | None:
         """Return a budget that the loss of one more host exceeds."""
@@ -179,9 +177,16 @@
         return _Share(record.pool, units, units if down else 0)
 
     def _add(self, host: documents.Host, share: _Share, sign: int) -> None:
+        names = self._host_scopes.get(host.name)
+        if names is None:
+            names = self._host_scopes[host.name] = get_scopes(host)
         scopes = self._scopes.setdefault(share.pool, {})
-        for scope in get_scopes(host):
-            sums = scopes.setdefault(scope, Sums())
+        for name in names:
+            sums = scopes.get(name)
+            if sums is None:
+                sums = scopes[name] = Sums()
+                kind = name.partition('/')[0]
+                self._groups.setdefault((share.pool, kind), {})[name] = sums
             sums.capacity += sign * share.capacity
             sums.down += sign * share.down
 
--- a/orioleshore/tests/test_fleet_hosts_moves.py
+++ b/orioleshore/tests/test_fleet_hosts_moves.py
@@ -188,3 +188,14 @@
         )
     assert not fleet.state.permissions
     assert fleet.stale_calls == 0
+
+
+def test_a_drain_that_never_ends_gives_the_host_back():
+    """Guards against a move that holds a host for ever."""
+    fleet = build_fleet(documents.Policy(3.0), stuck={ids.HostId('spare-0')})
+    demand(fleet, 110.0, 200.0)
+    assert fleet.state.hosts['spare-0'].state is states.HostState.DRAINING
+    demand(fleet, 0.0, 1_000.0)
+    assert fleet.state.hosts['spare-0'].state is states.HostState.SERVING
+    assert fleet.reported['spare-0'] is events.ReportedState.UP
+    assert not fleet.state.permissions
--- a/orioleshore/tests/test_fleet_waves_faults.py
+++ b/orioleshore/tests/test_fleet_waves_faults.py
@@ -226,7 +226,9 @@
     }
     assert out == set(failed)
     assert fleet.reported[FIRST] is events.ReportedState.UP
-    assert not fleet.state.permissions
+    # A host that failed while it drained is repaired under its permission.
+    held = {record.host for record in fleet.state.permissions.values()}
+    assert held <= set(failed)
 
 
 def test_failures_withdraw_planned_work_before_a_pool_pauses():
