--- a/orioleshore/tests/support.py
+++ b/orioleshore/tests/support.py
@@ -110,6 +110,7 @@
             'control': {
                 'initial_members': self._members,
                 'platform': platform_url,
+                'proving_s': 0.5,
             },
         }
         return await self._start(name, content)
