--- a/scripts/demo.py
+++ b/scripts/demo.py
@@ -15,7 +15,7 @@
 from scripts import fleet
 
 EXAMPLE = fleet.ROOT / 'examples' / 'document-association.yaml'
-STEP_TIMEOUT_S = 30.0
+STEP_TIMEOUT_S = 60.0
 POLL_S = 0.1
 HEADERS = {'Authorization': f'Bearer {fleet.TOKEN}'}
 
