--- a/fakes/platform.py
+++ b/fakes/platform.py
@@ -4,12 +4,16 @@
 import asyncio
 import collections
 import signal
+import time
 
 from aiohttp import web
 
+from fakes import tasks
+
 EPOCH_HEADER = 'Orioleshore-Epoch'
 HOST_EPOCH_HEADER = 'Orioleshore-Host-Epoch'
 CALL_HEADER = 'Orioleshore-Call'
+RAN_HEADER = 'Orioleshore-Ran'
 
 
 class FakePlatform:
@@ -27,13 +31,11 @@
     ) -> None:
         self.drain_s = drain_s
         self.reboot_s = reboot_s
-        self.run_s = run_s
         self.url = ''
         self.states: dict[str, str] = {}
         self.reboots: collections.Counter[str] = collections.Counter()
-        self.starts: collections.Counter[str] = collections.Counter()
+        self.tasks = tasks.FakeTasks(tasks.Work(run_s=run_s))
         self.refused = 0
-        self.failing_workers: set[str] = set()
         self._port = port
         self._epoch = 0
         self._host_epochs: dict[str, int] = {}
@@ -110,45 +112,35 @@
         return web.json_response({'accepted': True})
 
     async def _start_task(self, request: web.Request) -> web.Response:
+        return await self._act(request, 'start_task')
+
+    async def _act_on_task(self, request: web.Request) -> web.Response:
+        action = request.match_info['action']
+        return await self._act(request, f'{action}_task')
+
+    async def _act(self, request: web.Request, kind: str) -> web.Response:
         if self._is_stale(request):
             self.refused += 1
             return web.json_response({'error': 'stale epoch'}, status=409)
-        if self._is_repeated(request):
-            return web.json_response({'repeated': True})
         body = await request.json()
-        host = request.match_info['host']
-        self.starts[body['job']] += 1
-        result = 'failed' if host in self.failing_workers else 'succeeded'
-        self._after(
-            self.run_s,
-            self._report_task,
+        answer = self.tasks.call(
+            request.headers[CALL_HEADER],
+            kind,
+            int(request.headers[EPOCH_HEADER]),
+            request.match_info['host'],
             body['job'],
             body['attempt'],
-            host,
-            result,
+            body,
+            time.time(),
+        )
+        headers = {RAN_HEADER: answer.ran} if answer.ran else {}
+        return web.json_response(
+            {'error': answer.error}, status=answer.status, headers=headers
         )
-        return web.json_response({'accepted': True})
-
-    async def _act_on_task(self, request: web.Request) -> web.Response:
-        job, _, attempt = request.match_info['task'].rpartition('.')
-        action = request.match_info['action']
-        if action in ('stop', 'checkpoint'):
-            result = {'stop': 'stopped', 'checkpoint': 'checkpointed'}
-            self._report_task(
-                job, int(attempt), request.match_info['host'], result[action]
-            )
-        return web.json_response({'accepted': True})
 
-    def _report_task(
-        self, job: str, attempt: int, host: str, result: str | None
-    ) -> None:
-        task = {
-            'job': job,
-            'attempt': attempt,
-            'worker': host,
-            'result': result,
-        }
-        self._reports.append({'host': host, 'task': task})
+    def _collect_tasks(self) -> None:
+        for task in self.tasks.advance(time.time()):
+            self._reports.append({'host': task['worker'], 'task': task})
 
     def _after(self, delay_s: float, function, *arguments) -> None:
         async def wait() -> None:
@@ -160,6 +152,7 @@
         work.add_done_callback(self._work.discard)
 
     async def _get_reports(self, request: web.Request) -> web.Response:
+        self._collect_tasks()
         after = int(request.query.get('after', '0'))
         return web.json_response(
             {'reports': self._reports[after:], 'next': len(self._reports)}
@@ -170,7 +163,7 @@
             {
                 'hosts': self.states,
                 'reboots': self.reboots,
-                'starts': self.starts,
+                'starts': self.tasks.starts,
             }
         )
 
--- /dev/null
+++ b/orioleshore/fleet/blame.py
@@ -0,0 +1,141 @@
+"""Tells workers that fail everything from jobs that fail everywhere."""
+
+import msgspec
+
+from orioleshore.model import ids
+
+# Different jobs that a worker fails in a row before it gets no more work,
+# and different workers on which a job fails before it is quarantined.
+WORKER_FAILURES = 3
+JOB_FAILURES = 3
+# Time without work of a failing worker; it doubles with every new failure.
+SUSPENSION_S = 300.0
+MAX_SUSPENSION_S = 3_600.0
+
+
+class SuspendWorker(msgspec.Struct, frozen=True):
+    """A worker fails whatever it is given."""
+
+    worker: ids.HostId
+    jobs: tuple[ids.JobId, ...]
+    suspended_s: float
+
+
+class ReinstateWorker(msgspec.Struct, frozen=True):
+    """A worker on probation finished a job."""
+
+    worker: ids.HostId
+
+
+class BlameJob(msgspec.Struct, frozen=True):
+    """A job fails on workers that run other work."""
+
+    job: ids.JobId
+    workers: tuple[ids.HostId, ...]
+
+
+Verdict = SuspendWorker | ReinstateWorker | BlameJob
+
+
+class _Health(msgspec.Struct):
+    failed: dict[ids.JobId, None] = {}
+    # Jobs that succeeded lately; one is evidence against any other job.
+    succeeded: dict[ids.JobId, None] = {}
+    suspensions: int = 0
+    suspended: bool = False
+
+
+class Blame:
+    """Failures by job and by worker."""
+
+    def __init__(self) -> None:
+        self._failed_on: dict[ids.JobId, dict[ids.HostId, None]] = {}
+        self._health: dict[ids.HostId, _Health] = {}
+
+    def get_failed_workers(self, job: ids.JobId) -> frozenset[ids.HostId]:
+        """Return the workers on which a job failed."""
+        return frozenset(self._failed_on.get(job, ()))
+
+    def is_suspended(self, worker: ids.HostId) -> bool:
+        """Return whether a worker gets no work, or is on probation."""
+        health = self._health.get(worker)
+        return health is not None and health.suspended
+
+    def note_success(
+        self, job: ids.JobId, worker: ids.HostId
+    ) -> list[Verdict]:
+        """Take a success; it may show that other jobs are at fault."""
+        health = self._health.setdefault(worker, _Health())
+        suspects = list(health.failed)
+        health.failed.clear()
+        health.succeeded.pop(job, None)
+        health.succeeded[job] = None
+        while len(health.succeeded) > 2:
+            del health.succeeded[next(iter(health.succeeded))]
+        self._failed_on.pop(job, None)
+        verdicts: list[Verdict] = []
+        if health.suspended:
+            health.suspended = False
+            health.suspensions = 0
+            verdicts.append(ReinstateWorker(worker))
+        for suspect in suspects:
+            verdicts += self._judge_job(suspect)
+        return verdicts
+
+    def note_failure(
+        self, job: ids.JobId, worker: ids.HostId
+    ) -> list[Verdict]:
+        """Take a failure of a job on a worker."""
+        health = self._health.setdefault(worker, _Health())
+        failed_on = self._failed_on.setdefault(job, {})
+        failed_on[worker] = None
+        # Once a job failed on two other workers, it is the one in doubt.
+        if len(failed_on) < JOB_FAILURES:
+            health.failed[job] = None
+        if health.suspended or len(health.failed) >= WORKER_FAILURES:
+            return [self._suspend(worker, health)]
+        return self._judge_job(job)
+
+    def forget_job(self, job: ids.JobId) -> None:
+        """Drop what is known about a job."""
+        for worker in self._failed_on.pop(job, ()):
+            health = self._health.get(worker)
+            if health is not None:
+                health.failed.pop(job, None)
+
+    def clear_worker(self, worker: ids.HostId) -> None:
+        """Drop what is known about a worker, for instance after repair."""
+        self._health.pop(worker, None)
+        for failed_on in self._failed_on.values():
+            failed_on.pop(worker, None)
+
+    def _suspend(self, worker: ids.HostId, health: _Health) -> SuspendWorker:
+        jobs = tuple(health.failed)
+        # The worker is at fault, so its failures do not count for jobs.
+        for job in jobs:
+            self._failed_on.get(job, {}).pop(worker, None)
+        suspended_s = min(
+            MAX_SUSPENSION_S, SUSPENSION_S * 2**health.suspensions
+        )
+        health.failed.clear()
+        health.succeeded.clear()
+        health.suspended = True
+        health.suspensions += 1
+        return SuspendWorker(worker, jobs, suspended_s)
+
+    def _judge_job(self, job: ids.JobId) -> list[Verdict]:
+        proven = tuple(
+            worker
+            for worker in self._failed_on.get(job, ())
+            if self._runs_other_work(worker, job)
+        )
+        if len(proven) < JOB_FAILURES:
+            return []
+        self.forget_job(job)
+        return [BlameJob(job, proven)]
+
+    def _runs_other_work(self, worker: ids.HostId, job: ids.JobId) -> bool:
+        health = self._health.get(worker)
+        if health is None or health.suspended:
+            return False
+        return any(other != job for other in health.succeeded)
--- a/orioleshore/fleet/events.py
+++ b/orioleshore/fleet/events.py
@@ -31,6 +31,7 @@
     CHECKPOINT_TASK = 'checkpoint_task'
     THROTTLE_TASK = 'throttle_task'
     STOP_TASK = 'stop_task'
+    RENEW_TASK = 'renew_task'
 
 
 # Events.
@@ -93,11 +94,15 @@
 
 
 class PlatformAnswered(msgspec.Struct, frozen=True):
-    """The platform accepted or refused a call, or did not answer."""
+    """The platform accepted or refused a call, or did not answer.
+
+    ``ran`` tells whether the call took effect when it was not accepted.
+    """
 
     call: ids.CallId
     accepted: bool
     reason: str = ''
+    ran: states.Ran = states.Ran.UNKNOWN
 
 
 class TimerFired(msgspec.Struct, frozen=True):
--- /dev/null
+++ b/orioleshore/fleet/placement.py
@@ -0,0 +1,158 @@
+"""Order of the waiting jobs of a pool, and tasks that give way to them."""
+
+import heapq
+import itertools
+import math
+
+import msgspec
+
+from orioleshore.fleet import quotas
+from orioleshore.fleet import tasks
+from orioleshore.fleet import workers
+from orioleshore.model import documents
+from orioleshore.model import ids
+
+_Entry = tuple[float, int, ids.JobId]
+
+
+class _Item(msgspec.Struct, frozen=True):
+    """A waiting job; ``order`` grows with the time of acceptance."""
+
+    job: documents.Job
+    order: int
+    core_s: float
+
+
+class JobQueue:
+    """Waiting jobs of one pool.
+
+    Urgent jobs come first, then those with deadlines, the earliest first,
+    then the others, from the team with the smallest dominant share.
+    """
+
+    def __init__(self) -> None:
+        self._items: dict[ids.JobId, _Item] = {}
+        self._urgent: list[_Entry] = []
+        self._deadlines: list[_Entry] = []
+        self._teams: dict[ids.TeamId, list[_Entry]] = {}
+        self._parked: dict[ids.TeamId, dict[ids.JobId, None]] = {}
+        self._order = itertools.count()
+        self._committed_core_s = 0.0
+
+    def __len__(self) -> int:
+        return len(self._items)
+
+    def __contains__(self, name: ids.JobId) -> bool:
+        return name in self._items
+
+    @property
+    def committed_core_s(self) -> float:
+        """Return the waiting work that is urgent or has a deadline."""
+        return self._committed_core_s
+
+    def push(self, job: documents.Job, core_s: float) -> None:
+        """Add a job, whose work is estimated in core seconds."""
+        if job.name in self._items:
+            return
+        item = _Item(job, next(self._order), core_s)
+        self._items[job.name] = item
+        if _is_committed(job):
+            self._committed_core_s += core_s
+        self._enter(item)
+
+    def remove(self, name: ids.JobId) -> None:
+        """Drop a job; its entry in a heap is passed over later."""
+        item = self._items.pop(name, None)
+        if item is None:
+            return
+        if _is_committed(item.job):
+            self._committed_core_s -= item.core_s
+        self._parked.get(item.job.team, {}).pop(name, None)
+
+    def pop(self, ledger: quotas.Ledger) -> documents.Job | None:
+        """Return the next job; it stays in the queue but has no turn.
+
+        ``put_back``, ``park`` or ``remove`` follows.
+        """
+        for heap in (self._urgent, self._deadlines):
+            item = self._pop_heap(heap)
+            if item is not None:
+                return item.job
+        while self._teams:
+            team = min(self._teams, key=ledger.get_share)
+            item = self._pop_heap(self._teams[team])
+            if not self._teams[team]:
+                del self._teams[team]
+            if item is not None:
+                return item.job
+        return None
+
+    def put_back(self, name: ids.JobId) -> None:
+        """Give a job its turn again, in its old place."""
+        item = self._items.get(name)
+        if item is not None:
+            self._enter(item)
+
+    def park(self, name: ids.JobId) -> None:
+        """Hold a job until ``unpark`` is called for its team."""
+        item = self._items[name]
+        self._parked.setdefault(item.job.team, {})[name] = None
+
+    def unpark(self, team: ids.TeamId) -> bool:
+        """Give the held jobs of a team their turn; tell if there are any."""
+        parked = self._parked.pop(team, {})
+        for name in parked:
+            self._enter(self._items[name])
+        return bool(parked)
+
+    def _enter(self, item: _Item) -> None:
+        job = item.job
+        deadline = math.inf if job.deadline is None else job.deadline
+        entry = (deadline, item.order, job.name)
+        if job.urgent:
+            heapq.heappush(self._urgent, entry)
+        elif job.deadline is not None:
+            heapq.heappush(self._deadlines, entry)
+        else:
+            heapq.heappush(self._teams.setdefault(job.team, []), entry)
+
+    def _pop_heap(self, heap: list[_Entry]) -> _Item | None:
+        while heap:
+            _, order, name = heapq.heappop(heap)
+            item = self._items.get(name)
+            if item is not None and item.order == order:
+                return item
+        return None
+
+
+def _is_committed(job: documents.Job) -> bool:
+    return job.urgent or job.deadline is not None
+
+
+def select_victims(
+    candidates: list[tasks.Task], missing: workers.Size, now: float
+) -> list[tasks.Task]:
+    """Return the cheapest tasks whose end makes the missing room.
+
+    Idempotent tasks come first: they may be stopped when they do not
+    reach a checkpoint in time.
+    """
+    ordered = sorted(
+        candidates,
+        key=lambda task: (not task.idempotent, *get_stop_cost(task, now)),
+    )
+    victims: list[tasks.Task] = []
+    freed = workers.Size()
+    for task in ordered:
+        if missing.fits(freed):
+            break
+        victims.append(task)
+        freed = freed.plus(task.size)
+    return victims if missing.fits(freed) else []
+
+
+def get_stop_cost(
+    task: tasks.Task, now: float
+) -> tuple[bool, float, ids.JobId]:
+    """Return a key that orders tasks by the work that a stop wastes."""
+    return (task.urgent, task.size.cores * (now - task.started), task.job)
--- a/orioleshore/fleet/planner.py
+++ b/orioleshore/fleet/planner.py
@@ -4,6 +4,7 @@
 from typing import Any
 
 from orioleshore.fleet import events
+from orioleshore.fleet import jobs
 from orioleshore.model import ids
 from orioleshore.model import states
 from orioleshore.state import budgets
@@ -25,6 +26,7 @@
         self._reported: dict[ids.HostId, events.ReportedState] = {}
         self._called_at: dict[ids.CallId, float] = {}
         self._pending: dict[str, float] = {}
+        self._jobs = jobs.JobPlanner()
 
     @property
     def leads(self) -> bool:
@@ -34,7 +36,10 @@
         self, event: events.Event, now: ids.WallTime
     ) -> list[events.Action]:
         """Return the actions that follow; ``now`` is a wall time in s."""
-        return _handle(event, self, now)
+        actions = _handle(event, self, now)
+        return actions + self._jobs.handle(
+            event, self._state, self._epoch, now
+        )
 
     def get_dump(self) -> dict[str, Any]:
         """Return what the planner holds besides the replicated state."""
@@ -45,6 +50,7 @@
                 host: state.value
                 for host, state in sorted(self._reported.items())
             },
+            'jobs': self._jobs.get_dump(),
         }
 
     def _gain(
--- /dev/null
+++ b/orioleshore/fleet/quotas.py
@@ -0,0 +1,55 @@
+"""What teams use of their quotas."""
+
+from collections.abc import Iterable
+
+from orioleshore.fleet import workers
+from orioleshore.model import documents
+from orioleshore.model import ids
+
+
+class Ledger:
+    """Reserved sizes by team, against the quotas of the document."""
+
+    def __init__(self) -> None:
+        self._quotas: dict[ids.TeamId, workers.Size] = {}
+        self._used: dict[ids.TeamId, workers.Size] = {}
+
+    def set_quotas(self, teams: Iterable[documents.Team]) -> None:
+        """Replace all quotas."""
+        self._quotas = {
+            team.name: workers.Size(team.cores, team.memory_gb)
+            for team in teams
+        }
+
+    def charge(self, team: ids.TeamId, size: workers.Size) -> None:
+        """Add a reserved size to what a team uses."""
+        self._used[team] = self.get_used(team).plus(size)
+
+    def refund(self, team: ids.TeamId, size: workers.Size) -> None:
+        """Take a reserved size off what a team uses."""
+        self._used[team] = self.get_used(team).minus(size)
+
+    def get_used(self, team: ids.TeamId) -> workers.Size:
+        """Return the sum of the reserved sizes of a team."""
+        return self._used.get(team, workers.Size())
+
+    def get_quota(self, team: ids.TeamId) -> workers.Size:
+        """Return the quota of a team, empty when it has none."""
+        return self._quotas.get(team, workers.Size())
+
+    def is_exceeded_by(self, team: ids.TeamId, size: workers.Size) -> bool:
+        """Return whether one more task goes beyond the quota."""
+        quota = self.get_quota(team)
+        wanted = self.get_used(team).plus(size)
+        return (
+            wanted.cores > quota.cores + workers.TOLERANCE
+            or wanted.memory_gb > quota.memory_gb + workers.TOLERANCE
+        )
+
+    def get_share(self, team: ids.TeamId) -> float:
+        """Return the dominant share of a team, relative to its quota."""
+        quota = self.get_quota(team)
+        used = self.get_used(team)
+        if quota.cores <= 0 or quota.memory_gb <= 0:
+            return 1.0
+        return max(used.cores / quota.cores, used.memory_gb / quota.memory_gb)
--- /dev/null
+++ b/orioleshore/fleet/tasks.py
@@ -0,0 +1,95 @@
+"""Attempts that run, and the calls that start, extend and end them."""
+
+import math
+from typing import Any
+
+import msgspec
+
+from orioleshore.fleet import events
+from orioleshore.fleet import workers
+from orioleshore.model import ids
+
+# A lease covers the expected run time with a margin, so that most tasks
+# end before it has to be renewed.
+LEASE_RUN_TIMES = 1.5
+MIN_LEASE_S = 60.0
+MAX_LEASE_S = 600.0
+# Part of a lease that is left when it is renewed.
+RENEW_BEFORE_END = 0.25
+
+
+class Task(msgspec.Struct):
+    """One attempt of a job that may run; times are wall times in seconds.
+
+    ``resumed`` tells that it continues from a checkpoint.
+    """
+
+    job: ids.JobId
+    attempt: ids.Attempt
+    worker: ids.HostId
+    pool: ids.PoolId
+    team: ids.TeamId
+    job_class: ids.JobClass
+    size: workers.Size
+    started: float
+    lease_until: float
+    idempotent: bool
+    urgent: bool
+    run_time_s: float
+    resumed: bool = False
+    confirmed: bool = False
+    heard: float = 0.0
+    renew_at: float = 0.0
+    peak_cores: float = 0.0
+    peak_memory_gb: float = 0.0
+    cores_used: float = 0.0
+    # The strongest request to leave, None while the task may go on.
+    leaving: events.CallKind | None = None
+    calls: dict[ids.CallId, None] = {}
+
+    @property
+    def expected_end(self) -> float:
+        return self.started + self.run_time_s
+
+
+def get_lease_s(run_time_s: float) -> float:
+    """Return the length of a lease for an expected run time."""
+    return min(MAX_LEASE_S, max(MIN_LEASE_S, LEASE_RUN_TIMES * run_time_s))
+
+
+def get_renewed_lease_s(run_time_s: float) -> float:
+    """Return the length of a renewed lease.
+
+    Whole minutes let many attempts share one command.
+    """
+    return math.ceil(get_lease_s(run_time_s) / MIN_LEASE_S) * MIN_LEASE_S
+
+
+def get_renewal_time(task: Task, now: float) -> float:
+    """Return when the lease of a task is to be renewed."""
+    left = task.lease_until - now
+    return task.lease_until - RENEW_BEFORE_END * left
+
+
+def build_call(
+    kind: events.CallKind,
+    task: Task,
+    epoch: ids.Epoch,
+    host_epoch: ids.Epoch,
+    parameters: dict[str, Any],
+    number: int = 0,
+) -> events.CallPlatform:
+    """Return a call about a task; ``number`` tells equal calls apart."""
+    call = f'{kind.value}/{task.job}/{task.attempt}'
+    if number:
+        call = f'{call}/{number}'
+    return events.CallPlatform(
+        ids.CallId(call),
+        kind,
+        task.worker,
+        epoch,
+        host_epoch,
+        task.job,
+        task.attempt,
+        parameters,
+    )
--- /dev/null
+++ b/orioleshore/fleet/workers.py
@@ -0,0 +1,310 @@
+"""Workers by the room that they have for tasks."""
+
+import itertools
+import math
+
+import msgspec
+
+from orioleshore.model import ids
+from orioleshore.model import states
+
+# Workers looked at in one cell before the next cell is tried.
+CELL_SCAN_LIMIT = 32
+# Rounding errors of sums of sizes.
+TOLERANCE = 1e-6
+
+_Cell = tuple[int, int, int]
+
+
+class Size(msgspec.Struct, frozen=True):
+    """Processors, memory and accelerators of a task or a worker."""
+
+    cores: float = 0.0
+    memory_gb: float = 0.0
+    accelerators: int = 0
+
+    def fits(self, room: 'Size') -> bool:
+        """Return whether there is room for this size."""
+        return (
+            self.cores <= room.cores + TOLERANCE
+            and self.memory_gb <= room.memory_gb + TOLERANCE
+            and self.accelerators <= room.accelerators
+        )
+
+    def plus(self, other: 'Size') -> 'Size':
+        """Return the sum of two sizes."""
+        return Size(
+            self.cores + other.cores,
+            self.memory_gb + other.memory_gb,
+            self.accelerators + other.accelerators,
+        )
+
+    def minus(self, other: 'Size') -> 'Size':
+        """Return the difference of two sizes, which may be negative."""
+        return Size(
+            self.cores - other.cores,
+            self.memory_gb - other.memory_gb,
+            self.accelerators - other.accelerators,
+        )
+
+
+class RoomIndex:
+    """Finds a worker with enough room without walking all of them.
+
+    Workers with similar room share a cell, so a search looks at some
+    hundred cells instead of every worker.
+    """
+
+    def __init__(self) -> None:
+        self._rooms: dict[ids.HostId, Size] = {}
+        self._cells: dict[_Cell, dict[ids.HostId, None]] = {}
+
+    def set(self, worker: ids.HostId, room: Size) -> None:
+        """Record the room of a worker."""
+        if self._rooms.get(worker) == room:
+            return
+        self.remove(worker)
+        self._rooms[worker] = room
+        self._cells.setdefault(_get_cell(room), {})[worker] = None
+
+    def remove(self, worker: ids.HostId) -> None:
+        """Forget a worker."""
+        room = self._rooms.pop(worker, None)
+        if room is None:
+            return
+        cell = _get_cell(room)
+        del self._cells[cell][worker]
+        if not self._cells[cell]:
+            del self._cells[cell]
+
+    def find(
+        self, size: Size, avoided: frozenset[ids.HostId] = frozenset()
+    ) -> ids.HostId | None:
+        """Return a worker of the tightest cell that has room."""
+        need = _get_cell(size)
+        cells = sorted(
+            cell
+            for cell in self._cells
+            if cell[0] >= need[0] and cell[1] >= need[1] and cell[2] >= need[2]
+        )
+        # The second pass looks at whole cells, so the search is exact.
+        for limit in (CELL_SCAN_LIMIT, None):
+            for cell in cells:
+                members = itertools.islice(self._cells[cell], limit)
+                for worker in members:
+                    if worker not in avoided and size.fits(
+                        self._rooms[worker]
+                    ):
+                        return worker
+        return None
+
+
+def _get_cell(room: Size) -> _Cell:
+    return (
+        max(0, room.accelerators),
+        _get_level(room.cores),
+        _get_level(room.memory_gb),
+    )
+
+
+def _get_level(value: float) -> int:
+    # The tolerance keeps a worker that fits exactly out of a lower cell.
+    return int(2 * math.log2(1 + max(0.0, value + 2 * TOLERANCE)))
+
+
+class Reservation(msgspec.Struct, frozen=True):
+    """Room that a task holds; a preemptible one gives way to urgent work."""
+
+    size: Size
+    preemptible: bool
+
+
+class Worker(msgspec.Struct):
+    """A host with what its tasks reserve."""
+
+    name: ids.HostId
+    pool: ids.PoolId
+    total: Size
+    epoch: ids.Epoch
+    state: states.HostState | None
+    used: Size = Size()
+    reclaimable: Size = Size()
+    tasks: dict[ids.JobId, Reservation] = {}
+    suspended: bool = False
+    # False while the platform reports it as not up, or it does not answer.
+    reachable: bool = True
+    # A worker on probation runs one task at a time.
+    probation: bool = False
+
+    @property
+    def is_open(self) -> bool:
+        """Return whether the worker takes new tasks."""
+        if self.state is not states.HostState.SERVING:
+            return False
+        if self.suspended or not self.reachable:
+            return False
+        return not (self.probation and self.tasks)
+
+    @property
+    def room(self) -> Size:
+        return self.total.minus(self.used)
+
+
+class _PoolIndex:
+    """The workers of one pool by free, reclaimable and total room."""
+
+    def __init__(self) -> None:
+        self.free = RoomIndex()
+        self.reclaimable = RoomIndex()
+        self.totals = RoomIndex()
+        self.capacity = Size()
+
+
+class WorkerTable:
+    """All workers; every change of a worker costs the same."""
+
+    def __init__(self) -> None:
+        self._workers: dict[ids.HostId, Worker] = {}
+        self._pools: dict[ids.PoolId, _PoolIndex] = {}
+        self._probation: set[ids.HostId] = set()
+
+    def get(self, name: ids.HostId) -> Worker | None:
+        """Return a worker, None when it is not known."""
+        return self._workers.get(name)
+
+    def get_capacity(self, pool: ids.PoolId) -> Size:
+        """Return the total size of the workers of a pool."""
+        index = self._pools.get(pool)
+        return Size() if index is None else index.capacity
+
+    def follow(
+        self,
+        name: ids.HostId,
+        pool: ids.PoolId,
+        total: Size,
+        epoch: ids.Epoch,
+        state: states.HostState | None,
+    ) -> Worker:
+        """Record owner, size and state of a host; None: it is removed."""
+        worker = self._workers.get(name)
+        if worker is None:
+            worker = Worker(name, pool, total, epoch, state)
+            self._workers[name] = worker
+        else:
+            self._unlist(worker)
+        worker.pool = pool
+        worker.total = total
+        worker.epoch = epoch
+        worker.state = state
+        if state is None and not worker.tasks:
+            del self._workers[name]
+            return worker
+        if state is not None:
+            index = self._pools.setdefault(pool, _PoolIndex())
+            index.totals.set(name, total)
+            index.capacity = index.capacity.plus(total)
+        self._list(worker)
+        return worker
+
+    def reserve(
+        self,
+        name: ids.HostId,
+        job: ids.JobId,
+        size: Size,
+        preemptible: bool,
+    ) -> None:
+        """Hold room for a task; room may become negative."""
+        worker = self._workers[name]
+        self.release(name, job)
+        worker.tasks[job] = Reservation(size, preemptible)
+        worker.used = worker.used.plus(size)
+        if preemptible:
+            worker.reclaimable = worker.reclaimable.plus(size)
+        self._list(worker)
+
+    def release(self, name: ids.HostId, job: ids.JobId) -> None:
+        """Give back the room of a task."""
+        worker = self._workers.get(name)
+        held = worker.tasks.pop(job, None) if worker is not None else None
+        if held is None:
+            return
+        worker.used = worker.used.minus(held.size)
+        if held.preemptible:
+            worker.reclaimable = worker.reclaimable.minus(held.size)
+        self._list(worker)
+        if worker.state is None and not worker.tasks:
+            del self._workers[name]
+
+    def set_health(
+        self, name: ids.HostId, suspended: bool, probation: bool
+    ) -> None:
+        """Close a worker for new tasks, or open it again."""
+        worker = self._workers.get(name)
+        self._probation.discard(name)
+        if worker is None:
+            return
+        worker.suspended = suspended
+        worker.probation = probation
+        if probation:
+            self._probation.add(name)
+        self._list(worker)
+
+    def set_reachable(self, name: ids.HostId, reachable: bool) -> bool:
+        """Record whether a worker answers; return whether that is new."""
+        worker = self._workers.get(name)
+        if worker is None or worker.reachable is reachable:
+            return False
+        worker.reachable = reachable
+        self._list(worker)
+        return True
+
+    def find_free(
+        self,
+        pool: ids.PoolId,
+        size: Size,
+        avoided: frozenset[ids.HostId],
+        proven: bool = False,
+    ) -> ids.HostId | None:
+        """Return a worker with room; ``proven``: none on probation."""
+        index = self._pools.get(pool)
+        if index is None:
+            return None
+        return index.free.find(size, self._widen(avoided, proven))
+
+    def find_reclaimable(
+        self, pool: ids.PoolId, size: Size, avoided: frozenset[ids.HostId]
+    ) -> ids.HostId | None:
+        """Return a worker that has room once preemptible tasks leave."""
+        index = self._pools.get(pool)
+        if index is None:
+            return None
+        return index.reclaimable.find(size, self._widen(avoided, True))
+
+    def is_possible(self, pool: ids.PoolId, size: Size) -> bool:
+        """Return whether any worker of a pool is large enough."""
+        index = self._pools.get(pool)
+        return index is not None and index.totals.find(size) is not None
+
+    def _widen(
+        self, avoided: frozenset[ids.HostId], proven: bool
+    ) -> frozenset[ids.HostId]:
+        return avoided | self._probation if proven else avoided
+
+    def _list(self, worker: Worker) -> None:
+        index = self._pools.setdefault(worker.pool, _PoolIndex())
+        if not worker.is_open:
+            index.free.remove(worker.name)
+            index.reclaimable.remove(worker.name)
+            return
+        index.free.set(worker.name, worker.room)
+        index.reclaimable.set(
+            worker.name, worker.room.plus(worker.reclaimable)
+        )
+
+    def _unlist(self, worker: Worker) -> None:
+        index = self._pools.setdefault(worker.pool, _PoolIndex())
+        index.free.remove(worker.name)
+        index.reclaimable.remove(worker.name)
+        index.totals.remove(worker.name)
+        if worker.state is not None:
+            index.capacity = index.capacity.minus(worker.total)
--- a/orioleshore/frontends/platform.py
+++ b/orioleshore/frontends/platform.py
@@ -10,6 +10,7 @@
 
 from orioleshore.fleet import events
 from orioleshore.model import ids
+from orioleshore.model import states
 from orioleshore.tasks import mailbox
 from orioleshore.tasks import task
 from orioleshore.telemetry import logs
@@ -27,6 +28,7 @@
 EPOCH_HEADER = 'Orioleshore-Epoch'
 HOST_EPOCH_HEADER = 'Orioleshore-Host-Epoch'
 CALL_HEADER = 'Orioleshore-Call'
+RAN_HEADER = 'Orioleshore-Ran'
 
 _PATHS = {
     events.CallKind.DRAIN_HOST: '/v1/hosts/{host}/drain',
@@ -38,6 +40,7 @@
     ),
     events.CallKind.THROTTLE_TASK: '/v1/workers/{host}/tasks/{task}/throttle',
     events.CallKind.STOP_TASK: '/v1/workers/{host}/tasks/{task}/stop',
+    events.CallKind.RENEW_TASK: '/v1/workers/{host}/tasks/{task}/renew',
 }
 
 
@@ -141,10 +144,11 @@
             ) as response:
                 text = await response.text()
                 accepted = response.status < 300
+                ran = _get_ran(response.headers.get(RAN_HEADER))
         except (aiohttp.ClientError, TimeoutError) as error:
             return events.PlatformAnswered(action.call, False, str(error))
         return events.PlatformAnswered(
-            action.call, accepted, '' if accepted else text[:200]
+            action.call, accepted, '' if accepted else text[:200], ran
         )
 
     async def _poll(self) -> None:
@@ -182,6 +186,11 @@
                 )
 
 
+def _get_ran(header: str | None) -> states.Ran:
+    # Only an explicit "no" proves that a call had no effect.
+    return states.Ran.NO if header == 'no' else states.Ran.UNKNOWN
+
+
 @functools.singledispatch
 def _take(message: Any, platform: PlatformTask) -> None:
     raise TypeError(f'unknown message {type(message).__name__}')
--- a/orioleshore/model/states.py
+++ b/orioleshore/model/states.py
@@ -107,6 +107,8 @@
     CHECKPOINTED = 'checkpointed'
     STOPPED = 'stopped'
     LOST = 'lost'
+    # The platform states that the task never started.
+    NOT_STARTED = 'not_started'
 
 
 class ClaimState(enum.Enum):
--- a/orioleshore/state/commands.py
+++ b/orioleshore/state/commands.py
@@ -137,7 +137,10 @@
 
 
 class PlaceTask(_Command, frozen=True, kw_only=True):
-    """Start the next attempt of a job on a worker, under a lease."""
+    """Start the next attempt of a job on a worker, under a lease.
+
+    ``cores``, ``memory_gb`` and ``accelerators`` are reserved for it.
+    """
 
     time: ids.WallTime
     job: ids.JobId
@@ -145,25 +148,45 @@
     worker: ids.HostId
     epoch: ids.Epoch
     lease_until: ids.WallTime
+    cores: float = 0.0
+    memory_gb: float = 0.0
+    accelerators: int = 0
 
 
-class RenewLease(_Command, frozen=True, kw_only=True):
-    """Extend the lease of a running attempt."""
+class LeaseHolder(msgspec.Struct, frozen=True, array_like=True):
+    """A running attempt of a job."""
 
-    time: ids.WallTime
     job: ids.JobId
     attempt: ids.Attempt
+
+
+class RenewLeases(_Command, frozen=True, kw_only=True):
+    """Extend the leases of running attempts, all to the same time.
+
+    One command for many attempts keeps the log small. Attempts that do
+    not run any more are passed over.
+    """
+
+    time: ids.WallTime
+    epoch: ids.Epoch
+    holders: tuple[LeaseHolder, ...]
     lease_until: ids.WallTime
 
 
 class RecordTaskResult(_Command, frozen=True, kw_only=True):
-    """Record how an attempt of a job ended."""
+    """Record how an attempt of a job ended.
+
+    ``reported`` is false when the leader concludes the loss of an attempt
+    from the end of its lease.
+    """
 
     time: ids.WallTime
     job: ids.JobId
     attempt: ids.Attempt
     result: states.TaskResult
     reason: str = ''
+    epoch: ids.Epoch = ids.Epoch(0)
+    reported: bool = False
 
 
 class QuarantineJob(_Command, frozen=True, kw_only=True):
@@ -188,7 +211,7 @@
     | PauseWave
     | ResumeWave
     | PlaceTask
-    | RenewLease
+    | RenewLeases
     | RecordTaskResult
     | QuarantineJob
 )
--- a/orioleshore/state/document_commands.py
+++ b/orioleshore/state/document_commands.py
@@ -1,6 +1,5 @@
 """Changes of the document."""
 
-import msgspec
 from result import Err
 from result import Ok
 from result import Result
@@ -11,6 +10,7 @@
 from orioleshore.model import ids
 from orioleshore.model import states
 from orioleshore.state import commands
+from orioleshore.state import job_commands
 from orioleshore.state import operations
 from orioleshore.state import records
 from orioleshore.state import registry
@@ -109,7 +109,7 @@
         )
     )
     del state.deltas[:-DELTA_LIMIT]
-    _follow_document(state)
+    _follow_document(state, command.edits)
     return Ok(state.version)
 
 
@@ -122,11 +122,13 @@
     ]
 
 
-def _follow_document(state: records.State) -> None:
+def _follow_document(
+    state: records.State, edits: tuple[changes.Edit, ...]
+) -> None:
     """Create records for new items, and drop those of removed ones."""
     _follow_hosts(state)
     _follow_waves(state)
-    _follow_jobs(state)
+    job_commands.follow_jobs(state, edits)
 
 
 def _follow_hosts(state: records.State) -> None:
@@ -167,20 +169,3 @@
         for host in state.document.hosts
         if state.hosts[host.name].pool in wave.pools
     }
-
-
-def _follow_jobs(state: records.State) -> None:
-    named = {job.name for job in state.document.jobs}
-    for name in [name for name in state.jobs if name not in named]:
-        record = state.jobs[name]
-        if record.state is states.JobState.RUNNING:
-            state.jobs[name] = msgspec.structs.replace(
-                record, state=states.JobState.CANCELLED, since=state.time
-            )
-        else:
-            del state.jobs[name]
-    for name in named:
-        if name not in state.jobs:
-            state.jobs[name] = records.JobRecord(
-                states.JobState.WAITING, state.time
-            )
--- a/orioleshore/state/job_commands.py
+++ b/orioleshore/state/job_commands.py
@@ -1,9 +1,11 @@
-"""Attempts of jobs."""
+"""Attempts of jobs, and the jobs that a document names."""
 
 import msgspec
 from result import Err
 from result import Ok
 
+from orioleshore.model import changes
+from orioleshore.model import documents
 from orioleshore.model import errors
 from orioleshore.model import ids
 from orioleshore.model import states
@@ -11,6 +13,48 @@
 from orioleshore.state import records
 from orioleshore.state import registry
 
+# Attempts kept for each job; older ones are dropped.
+MAX_ATTEMPTS_KEPT = 8
+# Time after the end of a lease until its attempt counts as lost. It covers
+# the difference between the clocks of the leader and of a worker.
+LEASE_GRACE_S = 15.0
+
+# States of a job in which its newest attempt may still run.
+_ATTEMPT_STATES = frozenset(
+    {states.JobState.RUNNING, states.JobState.CANCELLED}
+)
+# States in which the result of a lost attempt may still arrive.
+_LATE_STATES = frozenset({states.JobState.UNKNOWN, states.JobState.WAITING})
+
+
+def get_next_attempt(record: records.JobRecord) -> ids.Attempt:
+    """Return the number of the attempt that may be placed next."""
+    return ids.Attempt(record.placed + 1)
+
+
+def get_running_attempt(
+    record: records.JobRecord | None,
+) -> records.AttemptRecord | None:
+    """Return the attempt that may still run, None when there is none."""
+    if record is None or record.state not in _ATTEMPT_STATES:
+        return None
+    if not record.attempts or record.attempts[-1].result is not None:
+        return None
+    return record.attempts[-1]
+
+
+def is_late_result(
+    record: records.JobRecord | None, attempt: ids.Attempt
+) -> bool:
+    """Return whether an attempt counts as lost and none came after it."""
+    return (
+        record is not None
+        and record.state in _LATE_STATES
+        and bool(record.attempts)
+        and record.attempts[-1].number == attempt
+        and record.attempts[-1].result is states.TaskResult.LOST
+    )
+
 
 @registry.apply.register
 def _(
@@ -24,49 +68,59 @@
             errors.ErrorKind.NOT_FOUND, f'no job is named {command.job!r}'
         )
     if record.state is not states.JobState.WAITING:
-        return registry.refuse(
-            errors.ErrorKind.ILLEGAL_TRANSITION,
-            f'job {command.job!r} is {record.state.value}, not waiting',
-        )
+        return _refuse(f'job {command.job!r} is {record.state.value}')
     if command.attempt != get_next_attempt(record):
-        return registry.refuse(
-            errors.ErrorKind.ILLEGAL_TRANSITION,
-            f'job {command.job!r}: attempt {command.attempt} is not next',
+        return _refuse(
+            f'job {command.job!r}: attempt {command.attempt} is not next'
         )
-    if command.worker not in state.hosts:
+    host = state.hosts.get(command.worker)
+    if host is None:
         return registry.refuse_host(command.worker)
+    if host.state is not states.HostState.SERVING or host.pool != record.pool:
+        return _refuse(
+            f'worker {command.worker!r} is {host.state.value} in pool '
+            f'{host.pool!r}, job {command.job!r} belongs to {record.pool!r}'
+        )
     attempt = records.AttemptRecord(
-        command.worker, command.epoch, state.time, command.lease_until
+        worker=command.worker,
+        epoch=command.epoch,
+        started=state.time,
+        lease_until=command.lease_until,
+        number=command.attempt,
+        cores=command.cores,
+        memory_gb=command.memory_gb,
+        accelerators=command.accelerators,
     )
+    kept = record.attempts[-(MAX_ATTEMPTS_KEPT - 1) :]
     state.epoch = command.epoch
     state.jobs[command.job] = msgspec.structs.replace(
         record,
         state=states.JobState.RUNNING,
         since=state.time,
-        attempts=(*record.attempts, attempt),
+        attempts=(*kept, attempt),
+        placed=command.attempt,
     )
     return Ok(None)
 
 
-def get_next_attempt(record: records.JobRecord) -> ids.Attempt:
-    """Return the number of the attempt that may be placed next."""
-    return ids.Attempt(len(record.attempts) + 1)
-
-
 @registry.apply.register
 def _(
-    command: commands.RenewLease, state: records.State
+    command: commands.RenewLeases, state: records.State
 ) -> registry.CommandResult:
-    record = state.jobs.get(command.job)
-    if not _is_current_attempt(record, command.attempt):
-        return _refuse_attempt(command.job, command.attempt)
-    last = record.attempts[-1]
-    renewed = msgspec.structs.replace(
-        last, lease_until=max(last.lease_until, command.lease_until)
-    )
-    state.jobs[command.job] = msgspec.structs.replace(
-        record, attempts=(*record.attempts[:-1], renewed)
-    )
+    if command.epoch < state.epoch:
+        return registry.refuse_epoch(command.epoch, state.epoch)
+    state.epoch = command.epoch
+    for holder in command.holders:
+        record = state.jobs.get(holder.job)
+        last = get_running_attempt(record)
+        if last is None or last.number != holder.attempt:
+            continue
+        renewed = msgspec.structs.replace(
+            last, lease_until=max(last.lease_until, command.lease_until)
+        )
+        state.jobs[holder.job] = msgspec.structs.replace(
+            record, attempts=(*record.attempts[:-1], renewed)
+        )
     return Ok(None)
 
 
@@ -75,48 +129,77 @@
     command: commands.RecordTaskResult, state: records.State
 ) -> registry.CommandResult:
     record = state.jobs.get(command.job)
-    if not _is_current_attempt(record, command.attempt):
-        return _refuse_attempt(command.job, command.attempt)
+    last = get_running_attempt(record)
+    if last is None or last.number != command.attempt:
+        if not is_late_result(record, command.attempt):
+            return _refuse(
+                f'attempt {command.attempt} of job {command.job!r} '
+                'is not running'
+            )
+        last = record.attempts[-1]
+    refusal = _check_loss(command, last, state)
+    if refusal is not None:
+        return refusal
     ended = msgspec.structs.replace(
-        record.attempts[-1], result=command.result, reason=command.reason
+        last, result=command.result, reason=command.reason, ended=state.time
     )
+    if record.state is states.JobState.CANCELLED and not record.readmitted:
+        _drop(command.job, state)
+        return Ok(None)
+    checkpoint = record.checkpoint
+    if command.result is states.TaskResult.CHECKPOINTED:
+        checkpoint = command.attempt
+    if record.state is states.JobState.CANCELLED:
+        following, checkpoint = states.JobState.WAITING, ids.Attempt(0)
+    else:
+        following = get_state_after(command.result, record.idempotent)
     state.jobs[command.job] = msgspec.structs.replace(
         record,
-        state=_get_state_after(command, record, state),
+        state=following,
         since=state.time,
         reason=command.reason,
         attempts=(*record.attempts[:-1], ended),
+        checkpoint=checkpoint,
+        readmitted=False,
     )
     return Ok(None)
 
 
-def _get_state_after(
+def _check_loss(
     command: commands.RecordTaskResult,
-    record: records.JobRecord,
+    last: records.AttemptRecord,
     state: records.State,
-) -> states.JobState:
-    if record.state is states.JobState.CANCELLED:
-        return states.JobState.CANCELLED
-    if command.result is states.TaskResult.SUCCEEDED:
-        return states.JobState.DONE
-    idempotent = any(
-        job.idempotent
-        for job in state.document.jobs
-        if job.name == command.job
-    )
-    if command.result is states.TaskResult.LOST and not idempotent:
-        return states.JobState.UNKNOWN
-    return states.JobState.WAITING
+) -> Err[errors.Failure] | None:
+    if command.result is not states.TaskResult.LOST or command.reported:
+        return None
+    if command.epoch < state.epoch:
+        return registry.refuse_epoch(command.epoch, state.epoch)
+    if state.time < last.lease_until + LEASE_GRACE_S:
+        return _refuse(
+            f'the lease of attempt {command.attempt} of job '
+            f'{command.job!r} has not ended'
+        )
+    return None
 
 
-def _is_current_attempt(
-    record: records.JobRecord | None, attempt: ids.Attempt
-) -> bool:
-    return (
-        record is not None
-        and len(record.attempts) == attempt
-        and record.attempts[-1].result is None
-    )
+def get_state_after(
+    result: states.TaskResult, idempotent: bool
+) -> states.JobState:
+    """Return the state of a job whose attempt ended.
+
+    A job that is not idempotent waits again only when its attempt did not
+    start or left a checkpoint.
+    """
+    if result is states.TaskResult.SUCCEEDED:
+        return states.JobState.DONE
+    if idempotent or result in (
+        states.TaskResult.CHECKPOINTED,
+        states.TaskResult.NOT_STARTED,
+    ):
+        return states.JobState.WAITING
+    if result is states.TaskResult.FAILED:
+        return states.JobState.QUARANTINED
+    return states.JobState.UNKNOWN
 
 
 @registry.apply.register
@@ -125,10 +208,7 @@
 ) -> registry.CommandResult:
     record = state.jobs.get(command.job)
     if record is None or record.state is not states.JobState.WAITING:
-        return registry.refuse(
-            errors.ErrorKind.ILLEGAL_TRANSITION,
-            f'job {command.job!r} is not waiting',
-        )
+        return _refuse(f'job {command.job!r} is not waiting')
     state.jobs[command.job] = msgspec.structs.replace(
         record,
         state=states.JobState.QUARANTINED,
@@ -138,10 +218,79 @@
     return Ok(None)
 
 
-def _refuse_attempt(
-    job: ids.JobId, attempt: ids.Attempt
-) -> Err[errors.Failure]:
-    return registry.refuse(
-        errors.ErrorKind.ILLEGAL_TRANSITION,
-        f'attempt {attempt} of job {job!r} is not running',
+def follow_jobs(state: records.State, edits: tuple[changes.Edit, ...]) -> None:
+    """Create records for new jobs, and cancel those that were removed."""
+    edited = {
+        edit.name for edit in edits if edit.section is changes.Section.JOBS
+    }
+    if not edited:
+        return
+    named = {
+        job.name: job for job in state.document.jobs if job.name in edited
+    }
+    for name in sorted(edited):
+        if name not in named:
+            _cancel(ids.JobId(name), state)
+        else:
+            _follow_job(named[ids.JobId(name)], state)
+
+
+def _cancel(name: ids.JobId, state: records.State) -> None:
+    record = state.jobs.get(name)
+    if record is None:
+        return
+    if get_running_attempt(record) is None:
+        _drop(name, state)
+        return
+    state.jobs[name] = msgspec.structs.replace(
+        record,
+        state=states.JobState.CANCELLED,
+        since=state.time,
+        readmitted=False,
     )
+
+
+def _drop(name: ids.JobId, state: records.State) -> None:
+    record = state.jobs.pop(name)
+    state.attempt_floor = max(state.attempt_floor, record.placed)
+
+
+def _follow_job(job: documents.Job, state: records.State) -> None:
+    record = state.jobs.get(job.name)
+    if record is None:
+        state.jobs[job.name] = records.JobRecord(
+            states.JobState.WAITING,
+            state.time,
+            pool=job.pool,
+            idempotent=job.idempotent,
+            placed=state.attempt_floor,
+        )
+        return
+    changed = {'pool': job.pool, 'idempotent': job.idempotent}
+    if record.state is states.JobState.CANCELLED:
+        changed['readmitted'] = True
+    if _is_released_by_edit(record):
+        changed |= {
+            'state': states.JobState.WAITING,
+            'since': state.time,
+            'reason': '',
+            'attempts': (),
+        }
+    state.jobs[job.name] = msgspec.structs.replace(record, **changed)
+
+
+def _is_released_by_edit(record: records.JobRecord) -> bool:
+    """Return whether editing a quarantined job lets it run again.
+
+    One that is not idempotent and was started stays where it is.
+    """
+    if record.state is not states.JobState.QUARANTINED:
+        return False
+    return record.idempotent or not any(
+        attempt.result is states.TaskResult.FAILED
+        for attempt in record.attempts
+    )
+
+
+def _refuse(message: str) -> Err[errors.Failure]:
+    return registry.refuse(errors.ErrorKind.ILLEGAL_TRANSITION, message)
--- a/orioleshore/state/records.py
+++ b/orioleshore/state/records.py
@@ -55,15 +55,32 @@
     lease_until: ids.WallTime
     result: states.TaskResult | None = None
     reason: str = ''
+    number: ids.Attempt = ids.Attempt(0)
+    ended: ids.WallTime = ids.WallTime(0.0)
+    # What is reserved for the attempt on its worker.
+    cores: float = 0.0
+    memory_gb: float = 0.0
+    accelerators: int = 0
 
 
 class JobRecord(msgspec.Struct, frozen=True):
-    """Progress of a job."""
+    """Progress of a job, with its newest attempts.
+
+    ``placed`` is the number of the newest attempt, ``checkpoint`` that of
+    the attempt whose checkpoint the next one continues from, 0 for none.
+    ``readmitted`` tells that the document names the job again while the
+    attempt of its cancelled predecessor still runs.
+    """
 
     state: states.JobState
     since: ids.WallTime
     attempts: tuple[AttemptRecord, ...] = ()
     reason: str = ''
+    pool: ids.PoolId = ids.PoolId('')
+    idempotent: bool = False
+    placed: ids.Attempt = ids.Attempt(0)
+    checkpoint: ids.Attempt = ids.Attempt(0)
+    readmitted: bool = False
 
 
 class ClaimRecord(msgspec.Struct, frozen=True):
@@ -113,6 +130,10 @@
     permissions: dict[ids.PermissionId, PermissionRecord] = {}
     waves: dict[ids.WaveId, WaveRecord] = {}
     jobs: dict[ids.JobId, JobRecord] = {}
+    # Highest attempt number of all jobs that were removed. A job that is
+    # added again under an old name counts on from here, so that no late
+    # report or repeated call of the old job fits the new one.
+    attempt_floor: ids.Attempt = ids.Attempt(0)
     claims: dict[ids.IdempotencyKey, ClaimRecord] = {}
     # Requests recorded as not run before their claim was committed.
     released: dict[ids.RequestId, ids.WallTime] = {}
--- a/orioleshore/tests/builders.py
+++ b/orioleshore/tests/builders.py
@@ -135,3 +135,22 @@
     return routing_events.RequestInfo(
         request=ids.RequestId(f'request-{number}'), **{**defaults, **fields}
     )
+
+
+def build_job(name: str = 'job-1', **fields) -> documents.Job:
+    """Return an idempotent job of 1 core and 10 s in pool freight."""
+    defaults = {
+        'pool': ids.PoolId('freight'),
+        'team': ids.TeamId('members'),
+        'job_class': ids.JobClass('quote'),
+        'run_time_s': 10.0,
+        'idempotent': True,
+    }
+    return documents.Job(name=ids.JobId(name), **{**defaults, **fields})
+
+
+def build_jobs(count: int, **fields) -> tuple[documents.Job, ...]:
+    """Return equal jobs, named job-1 and so on."""
+    return tuple(
+        build_job(f'job-{number}', **fields) for number in range(1, count + 1)
+    )
--- a/orioleshore/tests/support.py
+++ b/orioleshore/tests/support.py
@@ -1,9 +1,23 @@
 """Support of all tests: a seed, clocks, and waiting with a limit."""
 
 import asyncio
+import collections
 import random
 import time
 
+import msgspec
+
+from fakes import tasks as fake_tasks
+from orioleshore.fleet import events
+from orioleshore.fleet import jobs
+from orioleshore.model import documents
+from orioleshore.model import ids
+from orioleshore.model import states
+from orioleshore.state import commands
+from orioleshore.state import job_commands
+from orioleshore.state import machine
+from orioleshore.tests import builders
+
 SEED = 20_261_204
 WAIT_S = 10.0
 POLL_S = 0.01
@@ -26,3 +40,213 @@
 def run(coroutine) -> None:
     """Run a test coroutine with a limit on its time."""
     asyncio.run(asyncio.wait_for(coroutine, 60.0))
+
+
+class JobSession:
+    """Runs job decisions against the state machine and fake workers.
+
+    Every step of the way between them can be delayed, lost or repeated.
+    The invariants are checked after every event.
+    """
+
+    def __init__(self, document: documents.Document, **planner) -> None:
+        self.state = builders.build_state(document)
+        self.now = builders.NOW
+        self.epoch = ids.Epoch(1)
+        self.fake = fake_tasks.FakeTasks()
+        self.planner = jobs.JobPlanner(**planner)
+        self.proposals: collections.deque = collections.deque()
+        self.calls: collections.deque = collections.deque()
+        self.reports: list[events.TaskReported] = []
+        self.records: list[tuple[float, events.Record]] = []
+        # Kinds of calls whose answers do not arrive.
+        self.lost_answers: set[events.CallKind] = set()
+        self._changes = 1
+        self.feed(events.LeadershipGained(self.epoch, self.state))
+
+    def feed(self, event: events.Event) -> None:
+        """Give one event to the planner, and check what must hold."""
+        self._handle(event)
+        self.check()
+
+    def _handle(self, event: events.Event) -> None:
+        actions = self.planner.handle(
+            event, self.state, self.epoch, ids.WallTime(self.now)
+        )
+        for action in actions:
+            if isinstance(action, events.Propose):
+                self.proposals.append(action.command)
+            elif isinstance(action, events.CallPlatform):
+                self.calls.append(action)
+            else:
+                self.records.append((self.now - builders.NOW, action))
+
+    def apply(self, command: commands.Command) -> None:
+        """Commit a command, and tell the planner the outcome."""
+        command = msgspec.structs.replace(
+            command, time=max(command.time, self.now)
+        )
+        outcome = machine.apply_command(command, self.state)
+        if outcome.is_ok():
+            self.feed(events.CommandApplied(command))
+            return
+        reason = outcome.unwrap_err().message
+        self.feed(events.CommandRefused(command, reason))
+
+    def commit(self) -> None:
+        """Commit all proposals."""
+        for _ in range(len(self.proposals)):
+            self.apply(self.proposals.popleft())
+
+    def deliver(self) -> None:
+        """Carry out the calls of the platform."""
+        for _ in range(len(self.calls)):
+            call = self.calls.popleft()
+            if call.host in self.fake.cut_off:
+                continue
+            answer = self.fake.call(
+                call.call,
+                call.kind.value,
+                call.epoch,
+                call.host,
+                call.job,
+                call.attempt,
+                call.parameters,
+                self.now,
+            )
+            if call.kind in self.lost_answers:
+                continue
+            ran = states.Ran.NO if answer.ran else states.Ran.UNKNOWN
+            self.feed(
+                events.PlatformAnswered(
+                    call.call, answer.status < 300, answer.error, ran
+                )
+            )
+
+    def report(self) -> None:
+        """Deliver the reports of the fake workers."""
+        for report in self.fake.advance(self.now):
+            event = msgspec.convert(report, events.TaskReported)
+            self.reports.append(event)
+            self.feed(event)
+
+    def step(self, step_s: float = 0.5) -> None:
+        """Let time pass, then move everything that waits."""
+        self.now += step_s
+        self.feed(events.TimerFired())
+        self.commit()
+        self.deliver()
+        self.report()
+        self.commit()
+
+    def run(self, seconds: float) -> None:
+        """Let time pass in small steps."""
+        for _ in range(int(seconds / 0.5)):
+            self.step()
+
+    def change(self, **fields) -> None:
+        """Change the document."""
+        self._changes += 1
+        document = msgspec.structs.replace(self.state.document, **fields)
+        self.apply(
+            builders.build_change(
+                document,
+                self.state.document,
+                self.state.version,
+                self._changes,
+                self.now,
+            )
+        )
+
+    def add_jobs(self, *added: documents.Job) -> None:
+        """Add jobs to the document."""
+        self.change(jobs=(*self.state.document.jobs, *added))
+
+    def remove_jobs(self, *names: str) -> None:
+        """Remove jobs from the document."""
+        kept = tuple(
+            job for job in self.state.document.jobs if job.name not in names
+        )
+        self.change(jobs=kept)
+
+    def set_host_state(self, host: str, state: states.HostState) -> None:
+        """Change the state of a host, with a permission for a drain."""
+        epoch = self.state.hosts[ids.HostId(host)].epoch
+        if state is states.HostState.DRAINING:
+            self.apply(
+                commands.GrantPermission(
+                    time=ids.WallTime(self.now),
+                    permission=ids.PermissionId(f'test/{host}'),
+                    host=ids.HostId(host),
+                    host_epoch=epoch,
+                    purpose=states.Purpose.MAINTENANCE,
+                    epoch=self.epoch,
+                    until=ids.WallTime(self.now + 900.0),
+                )
+            )
+        self.apply(
+            commands.SetHostState(
+                time=ids.WallTime(self.now),
+                host=ids.HostId(host),
+                host_epoch=epoch,
+                state=state,
+            )
+        )
+
+    def change_leader(self) -> None:
+        """Replace the planner; proposals and calls under way remain."""
+        self.epoch = ids.Epoch(self.epoch + 1)
+        self.planner = jobs.JobPlanner()
+        self.feed(events.LeadershipGained(self.epoch, self.state))
+
+    def get_state(self, job: str) -> states.JobState:
+        """Return the state of a job."""
+        return self.state.jobs[ids.JobId(job)].state
+
+    def get_decisions(self, subject: str) -> list[str]:
+        """Return the decisions recorded about a subject."""
+        return [
+            record.decision
+            for _, record in self.records
+            if record.subject == subject
+        ]
+
+    def check(self) -> None:
+        """Check the invariants of jobs."""
+        for job in self.state.document.jobs:
+            record = self.state.jobs[job.name]
+            assert len(record.attempts) <= job_commands.MAX_ATTEMPTS_KEPT
+            assert len(self.fake.get_live_runs(job.name)) <= 1, job.name
+            if not job.idempotent:
+                assert self.fake.starts[job.name] <= 1, job.name
+            if record.state is states.JobState.WAITING:
+                assert self._is_pending(job), f'{job.name} is forgotten'
+        self._check_reservations()
+
+    def _is_pending(self, job: documents.Job) -> bool:
+        planner = self.planner
+        queue = planner._queues.get(job.pool, ())
+        return any(
+            job.name in place
+            for place in (
+                queue,
+                planner._delayed,
+                planner._placing,
+                planner._claims,
+            )
+        )
+
+    def _check_reservations(self) -> None:
+        planner = self.planner
+        held = collections.Counter(planner._tasks.keys())
+        held.update(planner._placing.keys())
+        assert all(count == 1 for count in held.values()), held
+        held.update(planner._claims.keys())
+        for worker in planner._table._workers.values():
+            cores = sum(r.size.cores for r in worker.tasks.values())
+            assert abs(cores - worker.used.cores) < 1e-6
+            assert set(worker.tasks) <= set(held), worker
+        used = sum(size.cores for size in planner._ledger._used.values())
+        charged = [t.size.cores for t in planner._tasks.values()]
+        charged += [p.size.cores for p in planner._placing.values()]
+        assert abs(used - sum(charged)) < 1e-6
