--- a/orioleshore/fleet/blame.py
+++ b/orioleshore/fleet/blame.py
@@ -22,7 +22,7 @@
 
 
 class ReinstateWorker(msgspec.Struct, frozen=True):
-    """A worker on probation finished a job."""
+    """A worker finished a job, or the jobs that it failed are at fault."""
 
     worker: ids.HostId
 
@@ -43,6 +43,9 @@
     succeeded: dict[ids.JobId, None] = {}
     suspensions: int = 0
     suspended: bool = False
+    probation: bool = False
+    # Jobs whose failures led to the suspension.
+    accusers: dict[ids.JobId, None] = {}
 
 
 class Blame:
@@ -51,6 +54,7 @@
     def __init__(self) -> None:
         self._failed_on: dict[ids.JobId, dict[ids.HostId, None]] = {}
         self._health: dict[ids.HostId, _Health] = {}
+        self._suspended: dict[ids.HostId, None] = {}
 
     def get_failed_workers(self, job: ids.JobId) -> frozenset[ids.HostId]:
         """Return the workers on which a job failed."""
@@ -75,9 +79,7 @@
         self._failed_on.pop(job, None)
         verdicts: list[Verdict] = []
         if health.suspended:
-            health.suspended = False
-            health.suspensions = 0
-            verdicts.append(ReinstateWorker(worker))
+            verdicts.append(self._reinstate(worker, health))
         for suspect in suspects:
             verdicts += self._judge_job(suspect)
         return verdicts
@@ -87,6 +89,10 @@
     ) -> list[Verdict]:
         """Take a failure of a job on a worker."""
         health = self._health.setdefault(worker, _Health())
+        if health.suspended and not health.probation:
+            # Placed before the suspension; it says nothing about the job.
+            health.accusers[job] = None
+            return []
         failed_on = self._failed_on.setdefault(job, {})
         failed_on[worker] = None
         # Once a job failed on two other workers, it is the one in doubt.
@@ -96,6 +102,10 @@
             return [self._suspend(worker, health)]
         return self._judge_job(job)
 
+    def begin_probation(self, worker: ids.HostId) -> None:
+        """Let the next task of a suspended worker decide about it."""
+        self._health[worker].probation = True
+
     def forget_job(self, job: ids.JobId) -> None:
         """Drop what is known about a job."""
         for worker in self._failed_on.pop(job, ()):
@@ -106,6 +116,7 @@
     def clear_worker(self, worker: ids.HostId) -> None:
         """Drop what is known about a worker, for instance after repair."""
         self._health.pop(worker, None)
+        self._suspended.pop(worker, None)
         for failed_on in self._failed_on.values():
             failed_on.pop(worker, None)
 
@@ -117,12 +128,37 @@
         suspended_s = min(
             MAX_SUSPENSION_S, SUSPENSION_S * 2**health.suspensions
         )
+        health.accusers |= health.failed
         health.failed.clear()
         health.succeeded.clear()
         health.suspended = True
+        health.probation = False
         health.suspensions += 1
+        self._suspended[worker] = None
         return SuspendWorker(worker, jobs, suspended_s)
 
+    def _reinstate(
+        self, worker: ids.HostId, health: _Health
+    ) -> ReinstateWorker:
+        health.suspended = False
+        health.probation = False
+        health.suspensions = 0
+        health.accusers.clear()
+        self._suspended.pop(worker, None)
+        return ReinstateWorker(worker)
+
+    def _acquit_workers(self, job: ids.JobId) -> list[Verdict]:
+        """Reinstate workers suspended mostly because of a job at fault."""
+        verdicts: list[Verdict] = []
+        for worker in list(self._suspended):
+            health = self._health[worker]
+            if job not in health.accusers:
+                continue
+            del health.accusers[job]
+            if len(health.accusers) < WORKER_FAILURES:
+                verdicts.append(self._reinstate(worker, health))
+        return verdicts
+
     def _judge_job(self, job: ids.JobId) -> list[Verdict]:
         proven = tuple(
             worker
@@ -132,7 +168,7 @@
         if len(proven) < JOB_FAILURES:
             return []
         self.forget_job(job)
-        return [BlameJob(job, proven)]
+        return [BlameJob(job, proven), *self._acquit_workers(job)]
 
     def _runs_other_work(self, worker: ids.HostId, job: ids.JobId) -> bool:
         health = self._health.get(worker)
--- a/orioleshore/fleet/jobs.py
+++ b/orioleshore/fleet/jobs.py
@@ -52,6 +52,8 @@
 # whole preemption is given up after the second time.
 CHECKPOINT_LIMIT_S = 2.0
 PREEMPTION_LIMIT_S = 6.0
+# Delay after a failed or refused attempt; it doubles with each failure.
+RETRY_DELAY_S = 2.0
 MAX_RETRY_DELAY_S = 60.0
 
 _LEAVING_ORDER = {
@@ -684,14 +686,23 @@
         queue = self._queues.setdefault(job.pool, placement.JobQueue())
         if name in queue or name in self._delayed:
             return
-        failures = len(self._blame.get_failed_workers(name))
-        if failures:
+        delay_s = self._get_retry_delay(name)
+        if delay_s:
             self._delayed.add(name)
-            delay_s = min(MAX_RETRY_DELAY_S, 2.0**failures)
             self._agenda.add(now + delay_s, agenda.Duty.END_DELAY, name)
             return
         self._enter_queue(queue, job, now)
 
+    def _get_retry_delay(self, name: ids.JobId) -> float:
+        failures = len(self._blame.get_failed_workers(name))
+        attempts = self._state.jobs[name].attempts
+        refused = states.TaskResult.NOT_STARTED
+        if attempts and attempts[-1].result is refused:
+            failures += 1
+        if not failures:
+            return 0.0
+        return min(MAX_RETRY_DELAY_S, RETRY_DELAY_S * 2.0 ** (failures - 1))
+
     def _enter_queue(
         self,
         queue: placement.JobQueue,
@@ -785,8 +796,12 @@
             self._say_quota(job, size)
             return True
         if not job.urgent and any(known.fits(size) for known in too_large):
+            self._say_no_room(job, size)
             return False
         avoided = self._blame.get_failed_workers(job.name)
+        if avoided and not self._table.is_possible(job.pool, size, avoided):
+            # It failed on every worker that is large enough.
+            avoided = frozenset()
         worker = self._table.find_free(
             job.pool, size, avoided, proven=not job.idempotent
         )
@@ -799,6 +814,10 @@
             return True
         if not avoided:
             too_large.append(size)
+        self._say_no_room(job, size)
+        return False
+
+    def _say_no_room(self, job: documents.Job, size: workers.Size) -> None:
         self._say_job(
             job.name,
             'waits for room',
@@ -806,7 +825,6 @@
             'no serving worker of the pool has enough room',
             'more workers in the pool, or the end of running tasks',
         )
-        return False
 
     def _refuse_size(
         self,
@@ -1057,6 +1075,7 @@
         worker = self._table.get(name)
         if worker is None:
             return
+        self._blame.begin_probation(name)
         self._table.set_health(name, suspended=False, probation=True)
         self._say(
             'host',
@@ -1324,7 +1343,7 @@
         verdict.worker,
         'takes work again',
         {},
-        'a job succeeded on probation',
+        'a job succeeded on it, or the jobs that it failed are at fault',
     )
 
 
--- a/orioleshore/fleet/pressure.py
+++ b/orioleshore/fleet/pressure.py
@@ -60,7 +60,9 @@
         level = self._levels.setdefault(worker.name, _Level())
         if level.steps and now - level.since < STEP_S:
             return None
-        level.steps += 1
+        # Throttling frees processors only, so memory needs the next step.
+        throttles = usage.memory_gb <= worker.total.memory_gb
+        level.steps = max(level.steps + 1, 1 if throttles else 2)
         level.since = now
         return _CHOICES[min(level.steps, len(_CHOICES)) - 1](
             worker, running, now
--- a/orioleshore/fleet/workers.py
+++ b/orioleshore/fleet/workers.py
@@ -280,10 +280,17 @@
             return None
         return index.reclaimable.find(size, self._widen(avoided, True))
 
-    def is_possible(self, pool: ids.PoolId, size: Size) -> bool:
-        """Return whether any worker of a pool is large enough."""
+    def is_possible(
+        self,
+        pool: ids.PoolId,
+        size: Size,
+        avoided: frozenset[ids.HostId] = frozenset(),
+    ) -> bool:
+        """Return whether any other worker of a pool is large enough."""
         index = self._pools.get(pool)
-        return index is not None and index.totals.find(size) is not None
+        if index is None:
+            return False
+        return index.totals.find(size, avoided) is not None
 
     def _widen(
         self, avoided: frozenset[ids.HostId], proven: bool
