--- a/orioleshore/fleet/agenda.py
+++ b/orioleshore/fleet/agenda.py
@@ -20,6 +20,7 @@
     REPEAT_RESULT = 'repeat_result'
     END_PROPOSAL = 'end_proposal'
     END_PREEMPTION = 'end_preemption'
+    END_CHECKPOINT = 'end_checkpoint'
     END_DELAY = 'end_delay'
     CHECK_DEADLINE = 'check_deadline'
     CHECK_DRAIN = 'check_drain'
--- a/orioleshore/fleet/blame.py
+++ b/orioleshore/fleet/blame.py
@@ -38,7 +38,8 @@
 
 
 class _Health(msgspec.Struct):
-    failed: dict[ids.JobId, None] = {}
+    # Jobs failed since the last success; true where the worker is suspect.
+    failed: dict[ids.JobId, bool] = {}
     # Jobs that succeeded lately; one is evidence against any other job.
     succeeded: dict[ids.JobId, None] = {}
     suspensions: int = 0
@@ -96,9 +97,9 @@
         failed_on = self._failed_on.setdefault(job, {})
         failed_on[worker] = None
         # Once a job failed on two other workers, it is the one in doubt.
-        if len(failed_on) < JOB_FAILURES:
-            health.failed[job] = None
-        if health.suspended or len(health.failed) >= WORKER_FAILURES:
+        health.failed[job] = len(failed_on) < JOB_FAILURES
+        strikes = sum(health.failed.values())
+        if health.suspended or strikes >= WORKER_FAILURES:
             return [self._suspend(worker, health)]
         return self._judge_job(job)
 
@@ -128,7 +129,7 @@
         suspended_s = min(
             MAX_SUSPENSION_S, SUSPENSION_S * 2**health.suspensions
         )
-        health.accusers |= health.failed
+        health.accusers |= dict.fromkeys(jobs)
         health.failed.clear()
         health.succeeded.clear()
         health.suspended = True
--- a/orioleshore/fleet/jobs.py
+++ b/orioleshore/fleet/jobs.py
@@ -77,8 +77,6 @@
 
     worker: ids.HostId
     size: workers.Size
-    since: float
-    victims: tuple[ids.JobId, ...]
 
 
 class JobPlanner:
@@ -101,6 +99,7 @@
         self._agenda = agenda.Agenda()
         self._queues: dict[ids.PoolId, placement.JobQueue] = {}
         self._tasks: dict[ids.JobId, tasks.Task] = {}
+        self._team_tasks: dict[ids.TeamId, dict[ids.JobId, None]] = {}
         self._placing: dict[ids.JobId, _Placing] = {}
         self._claims: dict[ids.JobId, _Claim] = {}
         self._claimed: dict[ids.HostId, dict[ids.JobId, None]] = {}
@@ -326,6 +325,7 @@
         if self._table.get(task.worker) is not None:
             self._table.reserve(task.worker, name, task.size, not task.urgent)
         self._ledger.charge(task.team, task.size)
+        self._team_tasks.setdefault(task.team, {})[name] = None
         self._await_renewal(task, now)
         self._await_lease_end(task)
         call = self._build_call(
@@ -382,6 +382,7 @@
         now: float,
     ) -> None:
         del self._tasks[task.job]
+        del self._team_tasks[task.team][task.job]
         self._results.pop(task.job, None)
         for call in task.calls:
             self._calls.pop(call, None)
@@ -501,8 +502,11 @@
     def _hear(self, task: tasks.Task, now: float) -> None:
         task.heard = now
         if self._table.set_reachable(task.worker, True):
-            self._said.pop(('host', task.worker), None)
-            self._place(task.pool, now)
+            self._reopen(task.worker, now)
+
+    def _reopen(self, worker: ids.HostId, now: float) -> None:
+        self._said.pop(('host', worker), None)
+        self._place(self._table.get(worker).pool, now)
 
     def _confirm(self, task: tasks.Task, now: float) -> None:
         task.confirmed = True
@@ -517,6 +521,8 @@
     # Results.
 
     def _take_report(self, event: events.TaskReported, now: float) -> None:
+        if self._table.set_reachable(event.worker, True):
+            self._reopen(event.worker, now)
         task = self._tasks.get(event.job)
         if task is None or task.attempt != event.attempt:
             self._take_late_report(event, now)
@@ -538,6 +544,12 @@
             return
         if event.job in self._placing:
             return
+        self._say_job(
+            event.job,
+            f'attempt {event.attempt} has a late result: {event.result.value}',
+            {'worker': event.worker},
+            'a reported result replaces the conclusion from its lease',
+        )
         self._propose_result(event, now)
 
     def _propose_result(self, event: events.TaskReported, now: float) -> None:
@@ -791,9 +803,14 @@
         size = self._learner.get_size(job)
         if not self._table.is_possible(job.pool, size):
             return self._refuse_size(queue, job, size, now)
-        if self._ledger.is_exceeded_by(job.team, size):
+        # Quota that tasks gave back for an urgent job is kept for it.
+        if self._ledger.is_exceeded_by(job.team, size) or (
+            queue.holds_urgent(job.team) and not job.urgent
+        ):
             queue.park(job.name)
             self._say_quota(job, size)
+            if job.urgent:
+                self._reclaim_quota(job, size, now)
             return True
         if not job.urgent and any(known.fits(size) for known in too_large):
             self._say_no_room(job, size)
@@ -954,22 +971,13 @@
         )
         if not victims:
             return False
-        self._claims[job.name] = _Claim(
-            name, size, now, tuple(victim.job for victim in victims)
-        )
+        self._claims[job.name] = _Claim(name, size)
         self._claimed.setdefault(name, {})[job.name] = None
         self._table.reserve(name, job.name, size, False)
         self._agenda.add(
-            now + CHECKPOINT_LIMIT_S, agenda.Duty.END_PREEMPTION, job.name
+            now + PREEMPTION_LIMIT_S, agenda.Duty.END_PREEMPTION, job.name
         )
-        for victim in victims:
-            self._ask(victim, events.CallKind.CHECKPOINT_TASK, now)
-            self._say_job(
-                victim.job,
-                f'attempt {victim.attempt} gives way',
-                {'to': job.name, 'worker': name},
-                'urgent work starts at once; the cheapest tasks leave',
-            )
+        self._evict(victims, job, now)
         self._say_job(
             job.name,
             f'waits for room on {name}',
@@ -978,6 +986,50 @@
         )
         return True
 
+    def _evict(
+        self, victims: list[tasks.Task], job: documents.Job, now: float
+    ) -> None:
+        for victim in victims:
+            self._ask(victim, events.CallKind.CHECKPOINT_TASK, now)
+            self._agenda.add(
+                now + CHECKPOINT_LIMIT_S,
+                agenda.Duty.END_CHECKPOINT,
+                victim.job,
+                victim.attempt,
+            )
+            self._say_job(
+                victim.job,
+                f'attempt {victim.attempt} gives way',
+                {'to': job.name, 'worker': victim.worker},
+                'urgent work starts at once; the cheapest tasks leave',
+            )
+
+    def _end_checkpoint(self, entry: agenda.Entry, now: float) -> None:
+        """Stop a task that has not reached a checkpoint, if it may be."""
+        task = self._tasks.get(ids.JobId(entry.subject))
+        if task is None or task.attempt != entry.attempt:
+            return
+        if task.idempotent:
+            self._ask(task, events.CallKind.STOP_TASK, now)
+
+    def _reclaim_quota(
+        self, job: documents.Job, size: workers.Size, now: float
+    ) -> None:
+        """Let other tasks of the team give way to its urgent job."""
+        candidates = [
+            self._tasks[name]
+            for name in self._team_tasks.get(job.team, ())
+            if not self._tasks[name].urgent
+        ]
+        leaving = workers.Size()
+        for task in candidates:
+            if task.leaving is not None:
+                leaving = leaving.plus(task.size)
+        missing = self._ledger.get_excess(job.team, size).minus(leaving)
+        staying = [task for task in candidates if task.leaving is None]
+        victims = placement.select_victims(staying, missing, now)
+        self._evict(victims, job, now)
+
     def _drop_claim(self, name: ids.JobId) -> None:
         claim = self._claims.pop(name, None)
         if claim is None:
@@ -1007,17 +1059,6 @@
         claim = self._claims.get(name)
         if claim is None:
             return
-        if now - claim.since < PREEMPTION_LIMIT_S:
-            for victim in claim.victims:
-                task = self._tasks.get(victim)
-                if task is not None and task.idempotent:
-                    self._ask(task, events.CallKind.STOP_TASK, now)
-            self._agenda.add(
-                claim.since + PREEMPTION_LIMIT_S,
-                agenda.Duty.END_PREEMPTION,
-                name,
-            )
-            return
         self._drop_claim(name)
         known = self._unyielding.get(name, frozenset())
         self._unyielding[name] = known | {claim.worker}
@@ -1059,8 +1100,7 @@
         if worker is None:
             return
         if changed and up:
-            self._said.pop(('host', event.host), None)
-            self._place(worker.pool, now)
+            self._reopen(event.host, now)
         running = [
             self._tasks[name] for name in worker.tasks if name in self._tasks
         ]
@@ -1261,6 +1301,9 @@
     agenda.Duty.END_PREEMPTION: lambda planner, entry, now, repeats: (
         planner._end_preemption(entry.subject, now)
     ),
+    agenda.Duty.END_CHECKPOINT: lambda planner, entry, now, repeats: (
+        planner._end_checkpoint(entry, now)
+    ),
     agenda.Duty.END_DELAY: _end_delay,
     agenda.Duty.CHECK_DEADLINE: _check_deadline,
     agenda.Duty.CHECK_DRAIN: _check_drain,
--- a/orioleshore/fleet/placement.py
+++ b/orioleshore/fleet/placement.py
@@ -36,6 +36,7 @@
         self._deadlines: list[_Entry] = []
         self._teams: dict[ids.TeamId, list[_Entry]] = {}
         self._parked: dict[ids.TeamId, dict[ids.JobId, None]] = {}
+        self._parked_urgent: dict[ids.TeamId, dict[ids.JobId, None]] = {}
         self._order = itertools.count()
         self._committed_core_s = 0.0
 
@@ -68,6 +69,7 @@
         if _is_committed(item.job):
             self._committed_core_s -= item.core_s
         self._parked.get(item.job.team, {}).pop(name, None)
+        self._parked_urgent.get(item.job.team, {}).pop(name, None)
 
     def pop(self, ledger: quotas.Ledger) -> documents.Job | None:
         """Return the next job; it stays in the queue but has no turn.
@@ -97,10 +99,17 @@
         """Hold a job until ``unpark`` is called for its team."""
         item = self._items[name]
         self._parked.setdefault(item.job.team, {})[name] = None
+        if item.job.urgent:
+            self._parked_urgent.setdefault(item.job.team, {})[name] = None
+
+    def holds_urgent(self, team: ids.TeamId) -> bool:
+        """Return whether an urgent job of a team waits for its quota."""
+        return bool(self._parked_urgent.get(team))
 
     def unpark(self, team: ids.TeamId) -> bool:
         """Give the held jobs of a team their turn; tell if there are any."""
         parked = self._parked.pop(team, {})
+        self._parked_urgent.pop(team, None)
         for name in parked:
             self._enter(self._items[name])
         return bool(parked)
--- a/orioleshore/fleet/quotas.py
+++ b/orioleshore/fleet/quotas.py
@@ -39,11 +39,14 @@
 
     def is_exceeded_by(self, team: ids.TeamId, size: workers.Size) -> bool:
         """Return whether one more task goes beyond the quota."""
+        return not self.get_excess(team, size).fits(workers.Size())
+
+    def get_excess(self, team: ids.TeamId, size: workers.Size) -> workers.Size:
+        """Return what one more task goes beyond the quota."""
         quota = self.get_quota(team)
         wanted = self.get_used(team).plus(size)
-        return (
-            wanted.cores > quota.cores + workers.TOLERANCE
-            or wanted.memory_gb > quota.memory_gb + workers.TOLERANCE
+        return workers.Size(
+            wanted.cores - quota.cores, wanted.memory_gb - quota.memory_gb
         )
 
     def get_share(self, team: ids.TeamId) -> float:
--- /dev/null
+++ b/orioleshore/tests/test_jobs_blame.py
@@ -0,0 +1,48 @@
+"""Verdicts on workers and jobs, from sequences of results."""
+
+import pytest
+
+from orioleshore.fleet import blame
+
+SUSPENDED = blame.SuspendWorker('w3', ('a', 'b', 'c'), blame.SUSPENSION_S)
+
+
+def judge(results):
+    """Return all verdicts; a result is "+job@worker" or "-job@worker"."""
+    judged = blame.Blame()
+    verdicts = []
+    for result in results.split():
+        job, worker = result[1:].split('@')
+        succeeded = result[0] == '+'
+        note = judged.note_success if succeeded else judged.note_failure
+        verdicts += note(job, worker)
+    return verdicts
+
+
+@pytest.mark.parametrize(
+    ('results', 'expected'),
+    [
+        # A worker without any success proves nothing against a job.
+        ('-a@w1 -a@w2 -a@w3', []),
+        (
+            '-a@w1 -a@w2 -a@w3 +x@w1 +x@w2 +x@w3',
+            [blame.BlameJob('a', ('w1', 'w2', 'w3'))],
+        ),
+        ('-a@w3 -b@w3 -c@w3', [SUSPENDED]),
+        ('-a@w3 -b@w3 +x@w3 -c@w3', []),
+        ('-a@w3 -a@w3 -a@w3 -b@w3', []),
+        # The suspended worker does not count against the job.
+        ('+x@w1 +x@w2 -a@w1 -a@w3 -b@w3 -c@w3 -a@w2', [SUSPENDED]),
+        (
+            '+x@w1 +x@w2 +x@w4 -a@w1 -a@w3 -b@w3 -c@w3 -a@w2 -a@w4',
+            [SUSPENDED, blame.BlameJob('a', ('w1', 'w2', 'w4'))]
+            + [blame.ReinstateWorker('w3')],
+        ),
+        # A job that failed on two other workers is in doubt itself.
+        ('-a@w1 -a@w2 -a@w3 -b@w3 -c@w3', []),
+        # Results of tasks placed before the suspension change nothing.
+        ('-a@w3 -b@w3 -c@w3 -d@w3 -e@w3', [SUSPENDED]),
+    ],
+)
+def test_verdicts(results, expected):
+    assert judge(results) == expected
--- a/orioleshore/tests/test_jobs_policy.py
+++ b/orioleshore/tests/test_jobs_policy.py
@@ -232,6 +232,17 @@
     assert get_states(session) == {states.JobState.DONE}
 
 
+def test_urgent_job_replaces_work_of_its_team_at_the_quota():
+    teams = (documents.Team(ids.TeamId('members'), 4.0, 100.0),)
+    session = build_session(hosts=1, teams=teams)
+    session.add_jobs(*build_long_jobs(session, 6))
+    session.run(2.0)
+    session.add_jobs(builders.build_job('urgent', urgent=True, cores=2.0))
+    session.run(3.5)
+    assert session.fake.starts['urgent'] == 1
+    assert session.fake.calls['checkpoint_task'] == 2
+
+
 def test_preemption_stops_no_job_that_is_not_idempotent():
     session = build_session(hosts=1)
     session.add_jobs(*build_long_jobs(session, 16, idempotent=False))
@@ -248,22 +259,21 @@
     session.add_jobs(*build_long_jobs(session, 16))
     session.commit()
     late = builders.NOW + 30.0
+    large = {'cores': 16.0, 'job_class': 'large'}
     session.add_jobs(
-        builders.build_job('plain'),
-        builders.build_job('second', deadline=late + 600.0),
-        builders.build_job('first', deadline=late),
+        builders.build_job('plain', **large),
+        builders.build_job('second', deadline=late + 600.0, **large),
+        builders.build_job('first', deadline=late, **large),
     )
     session.run(21.0)
     assert session.get_decisions('first').count('will miss its deadline') == 1
     assert 'will miss its deadline' not in session.get_decisions('second')
-    session.run(100.0)
-    order = [report.job for report in session.reports if report.result]
-    order = [job for job in order if not job.startswith('long')]
-    placed = {
-        name: session.state.jobs[name].attempts[0].started
+    session.run(200.0)
+    placed = [
+        session.state.jobs[name].attempts[0].started
         for name in ('first', 'second', 'plain')
-    }
-    assert placed['first'] <= placed['second'] <= placed['plain']
+    ]
+    assert placed == sorted(set(placed))
 
 
 def test_refusals_are_recorded_once():
--- /dev/null
+++ b/orioleshore/tests/test_jobs_properties.py
@@ -0,0 +1,159 @@
+"""Random sequences of events over jobs.
+
+Guards against combinations that no table names. The invariants are
+checked after every event by ``JobSession``.
+"""
+
+import hypothesis
+from hypothesis import strategies
+
+from fakes import tasks as fake_tasks
+from orioleshore.fleet import events
+from orioleshore.model import states
+from orioleshore.tests import builders
+from orioleshore.tests import support
+
+HOSTS = 4
+
+
+def add_job(session, number):
+    name = f'job-{number}-{len(session.reports)}-{session.state.version}'
+    job = builders.build_job(
+        name,
+        cores=(1.0, 4.0, 9.0)[number % 3],
+        idempotent=number % 2 == 0,
+        urgent=number % 5 == 0,
+        job_class=f'class-{number % 3}',
+        deadline=session.now + 40.0 if number % 7 == 0 else None,
+    )
+    session.fake.works[name] = fake_tasks.Work(number % 50 + 1.0, number % 6)
+    session.add_jobs(job)
+
+
+def remove_job(session, number):
+    jobs = session.state.document.jobs
+    if jobs:
+        session.remove_jobs(jobs[number % len(jobs)].name)
+
+
+def edit_job(session, number):
+    jobs = session.state.document.jobs
+    if jobs:
+        name = jobs[number % len(jobs)].name
+        edited = builders.build_job(name, cores=number % 20 + 0.5)
+        session.change(
+            jobs=tuple(edited if job.name == name else job for job in jobs)
+        )
+
+
+def get_host(number):
+    return f'freight-{number % HOSTS}'
+
+
+def cut_off(session, number):
+    session.fake.cut_off ^= {get_host(number)}
+
+
+def fail(session, number):
+    session.fake.failing_workers ^= {get_host(number)}
+
+
+def drain(session, number):
+    host = get_host(number)
+    if session.state.hosts[host].state is states.HostState.SERVING:
+        session.set_host_state(host, states.HostState.DRAINING)
+
+
+def serve(session, number):
+    host = get_host(number)
+    if session.state.hosts[host].state is states.HostState.DRAINING:
+        session.set_host_state(host, states.HostState.SERVING)
+
+
+def change_leader(session, number):
+    session.change_leader()
+
+
+def lose_calls(session, number):
+    session.calls.clear()
+
+
+def lose_proposals(session, number):
+    session.proposals.clear()
+
+
+def lose_answers(session, number):
+    session.lost_answers ^= set(events.CallKind)
+
+
+def repeat_reports(session, number):
+    for report in session.reports[-number - 1 :]:
+        session.feed(report)
+
+
+def report_usage(session, number):
+    session.feed(
+        events.HostReported(
+            get_host(number), events.ReportedState.UP, number % 24, 1.0
+        )
+    )
+
+
+def step(session, number):
+    session.step(number % 20 + 0.5)
+
+
+OPERATIONS = (
+    add_job,
+    add_job,
+    add_job,
+    remove_job,
+    edit_job,
+    cut_off,
+    fail,
+    drain,
+    serve,
+    change_leader,
+    lose_calls,
+    lose_proposals,
+    lose_answers,
+    repeat_reports,
+    report_usage,
+    step,
+    step,
+    step,
+)
+
+
+@hypothesis.settings(
+    max_examples=120, derandomize=True, deadline=None, database=None
+)
+@hypothesis.given(
+    strategies.lists(
+        strategies.tuples(
+            strategies.sampled_from(OPERATIONS), strategies.integers(0, 99)
+        ),
+        min_size=8,
+        max_size=40,
+    )
+)
+def test_no_job_is_lost_or_started_twice(operations):
+    session = support.JobSession(builders.build_document(HOSTS))
+    for operation, number in operations:
+        operation(session, number)
+    session.fake.cut_off.clear()
+    session.fake.failing_workers.clear()
+    session.lost_answers.clear()
+    for number in range(HOSTS):
+        serve(session, number)
+        session.feed(
+            events.HostReported(get_host(number), events.ReportedState.UP)
+        )
+    for _ in range(100):
+        session.step(10.0)
+    for job in session.state.document.jobs:
+        state = session.get_state(job.name)
+        assert state is not states.JobState.WAITING, job
+        assert state is not states.JobState.RUNNING, job
+        if job.idempotent and job.cores <= 16.0:
+            assert state is states.JobState.DONE, job
