Bound placements after one event, and add the benchmark of jobs

Cause: one change of the document that names jobs of all pools placed up to 200 jobs for each pool at once, which would hold up heartbeats of the leader's process.

Change: at most 400 placements follow one event; the rest waits for the next tick. bench/jobs.py measures placement times, waits of urgent jobs, double starts and utilisation.

--- /dev/null
+++ b/bench/jobs.py
@@ -0,0 +1,319 @@
+"""Measure decisions about jobs: placement time, urgent work, utilisation.
+
+Times of placement are of the planner alone and of the state machine;
+the other figures come from a simulation with fake workers, whose time
+does not depend on the machine.
+"""
+
+import argparse
+import collections
+import math
+import pathlib
+import random
+import statistics
+import time
+
+import msgspec
+import yaml
+
+from fakes import tasks as fake_tasks
+from orioleshore.fleet import events
+from orioleshore.fleet import jobs
+from orioleshore.fleet import learning
+from orioleshore.model import documents
+from orioleshore.model import ids
+from orioleshore.model import states
+from orioleshore.tests import builders
+from orioleshore.tests import support
+
+ROOT = pathlib.Path(__file__).resolve().parent.parent
+EXAMPLES = ('document-association.yaml', 'document-sakdina.yaml')
+SIZES = (12, 120, 1_200, 19_000)
+URGENT_JOBS = 50
+# Sizes are declared three times too large in the simulations.
+DECLARED_FACTOR = 3.0
+
+
+class Simulation(support.JobSession):
+    """A session without the checks of the tests, which walk everything."""
+
+    def __init__(self, document: documents.Document, enabled: bool) -> None:
+        self._enabled = enabled
+        super().__init__(document)
+
+    def build_planner(self) -> jobs.JobPlanner:
+        """Return a planner that has learned nothing yet."""
+        return jobs.JobPlanner(learning.Learner(self._enabled))
+
+    def check(self) -> None:
+        """Leave the invariants to the tests."""
+
+
+def build_session(
+    document: documents.Document, enabled: bool = True
+) -> Simulation:
+    """Return a session, with or without learned sizes."""
+    session = Simulation(document, enabled)
+    session.fake.default = fake_tasks.Work(600.0)
+    return session
+
+
+def fill(session: Simulation, prefix: str, count: int, **fields) -> None:
+    """Add equal jobs, and let the planner place as many as fit."""
+    session.add_jobs(
+        *(
+            builders.build_job(f'{prefix}-{number}', **fields)
+            for number in range(count)
+        )
+    )
+    for _ in range(4 + 2 * count // jobs.MAX_PLACEMENTS):
+        session.feed(events.TimerFired())
+        session.commit()
+        session.deliver()
+        session.now += 0.001
+
+
+def measure_placement(workers: int, full: bool, seed: int) -> dict:
+    """Return times of single urgent placements, in milliseconds."""
+    team = documents.Team(ids.TeamId('members'), 1e9, 1e9)
+    session = build_session(
+        builders.build_document(hosts=workers, teams=(team,))
+    )
+    count = 2 * workers if full else int(1.9 * workers)
+    fill(session, 'task', count, cores=8.0, run_time_s=400.0)
+    numbers = random.Random(seed)
+    decided, applied = [], []
+    for number in range(URGENT_JOBS):
+        job = builders.build_job(
+            f'urgent-{number}',
+            urgent=True,
+            cores=float(numbers.randint(1, 8)),
+        )
+        document = msgspec.structs.replace(
+            session.state.document,
+            jobs=(*session.state.document.jobs, job),
+        )
+        change = builders.build_change(
+            document,
+            session.state.document,
+            session.state.version,
+            1_000 + number,
+            session.now,
+        )
+        started = time.perf_counter()
+        jobs_machine_apply(change, session)
+        middle = time.perf_counter()
+        session.feed(events.CommandApplied(change))
+        ended = time.perf_counter()
+        applied.append(1e3 * (middle - started))
+        decided.append(1e3 * (ended - middle))
+        session.commit()
+        session.deliver()
+        session.report()
+        session.commit()
+    started = time.perf_counter()
+    session.now += 0.5
+    session.feed(events.TimerFired())
+    return {
+        'workers': workers,
+        'pool': 'full' if full else '95 % full',
+        'running': len(session.planner._tasks),
+        'decide_median_ms': statistics.median(decided),
+        'decide_max_ms': max(decided),
+        'apply_median_ms': statistics.median(applied),
+        'tick_ms': 1e3 * (time.perf_counter() - started),
+    }
+
+
+def jobs_machine_apply(change, session: Simulation) -> None:
+    """Apply a change of the document without telling the planner."""
+    support.machine.apply_command(change, session.state).unwrap()
+
+
+def print_placement(sizes: list[int], seed: int) -> None:
+    """Print the times of placement, and their slopes."""
+    for full in (False, True):
+        rows = [measure_placement(size, full, seed) for size in sizes]
+        for row in rows:
+            print('placement', _format(row), flush=True)
+        if len(rows) < 2:
+            continue
+        first, last = rows[0], rows[-1]
+        slope = math.log(
+            last['decide_median_ms'] / first['decide_median_ms']
+        ) / math.log(last['workers'] / first['workers'])
+        print(f'placement pool={last["pool"]} slope exponent={slope:.2f}')
+
+
+def read_example(name: str) -> documents.Document:
+    """Return an example document."""
+    content = yaml.safe_load((ROOT / 'examples' / name).read_text('utf-8'))
+    return msgspec.convert(content, documents.Document)
+
+
+def build_large(workers: int, teams: int, pools: int) -> documents.Document:
+    """Return a document of the target size, without services."""
+    names = [f'pool-{number}' for number in range(pools)]
+    share = workers // pools
+    hosts: list[documents.Host] = []
+    for position, pool in enumerate(names):
+        count = share + (position < workers % pools)
+        hosts += builders.build_hosts(count, pool)
+    return documents.Document(
+        pools=tuple(documents.Pool(ids.PoolId(name)) for name in names),
+        hosts=tuple(hosts),
+        teams=tuple(
+            documents.Team(ids.TeamId(f'team-{number}'), 1e5, 1e6)
+            for number in range(teams)
+        ),
+    )
+
+
+def build_stream(
+    document: documents.Document,
+    session: Simulation,
+    seed: int,
+    per_worker: int,
+    run_s: float,
+) -> tuple[documents.Job, ...]:
+    """Return jobs for all pools, with true sizes known to the fake."""
+    numbers = random.Random(seed)
+    by_pool = collections.Counter(host.pool for host in document.hosts)
+    cores = document.hosts[0].cores
+    added = []
+    for pool, count in by_pool.items():
+        for number in range(count * per_worker):
+            true = cores / 4 * numbers.uniform(0.8, 1.0)
+            name = f'{pool}-job-{number}'
+            session.fake.works[name] = fake_tasks.Work(
+                run_s * numbers.uniform(0.8, 1.2), true, 4.0
+            )
+            added.append(
+                builders.build_job(
+                    name,
+                    pool=pool,
+                    team=document.teams[number % len(document.teams)].name,
+                    job_class=f'class-{number % 5}',
+                    cores=DECLARED_FACTOR * cores / 4,
+                    memory_gb=8.0,
+                    run_time_s=run_s,
+                    idempotent=number % 2 == 0,
+                )
+            )
+    return tuple(added)
+
+
+def simulate(
+    label: str,
+    document: documents.Document,
+    enabled: bool,
+    seed: int,
+    step_s: float,
+    steps: int,
+    faults: bool,
+) -> None:
+    """Print utilisation, waits of urgent jobs and double starts."""
+    session = build_session(document, enabled)
+    stream = build_stream(document, session, seed, 16, 30.0)
+    once = {job.name for job in stream if not job.idempotent}
+    session.add_jobs(*stream)
+    numbers = random.Random(seed + 1)
+    total = sum(host.cores for host in document.hosts)
+    used: list[float] = []
+    asked: dict[str, float] = {}
+    started: dict[str, float] = {}
+    began = time.perf_counter()
+    for step in range(steps):
+        if step % 10 == 5:
+            name = f'urgent-{step}'
+            pool = numbers.choice(document.pools).name
+            session.fake.works[name] = fake_tasks.Work(5.0)
+            asked[name] = session.now
+            session.add_jobs(
+                builders.build_job(
+                    name,
+                    pool=pool,
+                    team=document.teams[0].name,
+                    job_class='urgent',
+                    urgent=True,
+                )
+            )
+        if faults and step % 40 == 20:
+            session.fake.cut_off ^= {numbers.choice(document.hosts).name}
+        if faults and step % 60 == 30:
+            session.change_leader()
+        session.step(step_s)
+        for name in asked:
+            if name not in started and session.fake.starts[name]:
+                started[name] = session.now
+        used.append(sum(run.work.cores for run in session.fake.runs.values()))
+    waits = [started[name] - asked[name] for name in started]
+    half = used[len(used) // 2 :]
+    row = {
+        'document': label,
+        'learned_sizes': enabled,
+        'faults': faults,
+        'workers': len(document.hosts),
+        'utilisation': sum(half) / len(half) / total,
+        'done': _count(session, states.JobState.DONE),
+        'urgent_started': f'{len(started)}/{len(asked)}',
+        'urgent_wait_max_s': max(waits, default=0.0),
+        'double_starts': sum(session.fake.starts[name] > 1 for name in once),
+        'unknown': _count(session, states.JobState.UNKNOWN),
+        'wall_s': time.perf_counter() - began,
+    }
+    print('simulation', _format(row), flush=True)
+
+
+def _count(session: Simulation, state: states.JobState) -> int:
+    return sum(job.state is state for job in session.state.jobs.values())
+
+
+def _format(row: dict) -> str:
+    return ' '.join(
+        f'{name}={value:.3g}'
+        if isinstance(value, float)
+        else f'{name}={value}'
+        for name, value in row.items()
+    )
+
+
+def main() -> None:
+    """Print one line for each measurement."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument('--seed', type=int, default=support.SEED)
+    parser.add_argument('--sizes', type=int, nargs='+', default=SIZES)
+    parser.add_argument('--large-workers', type=int, default=19_000)
+    parser.add_argument('--teams', type=int, default=150)
+    parser.add_argument('--pools', type=int, default=175)
+    parser.add_argument(
+        '--part',
+        choices=('placement', 'examples', 'large', 'all'),
+        default='all',
+    )
+    arguments = parser.parse_args()
+    if arguments.part in ('placement', 'all'):
+        print_placement(list(arguments.sizes), arguments.seed)
+    if arguments.part in ('examples', 'all'):
+        for name in EXAMPLES:
+            for enabled in (False, True):
+                for faults in (False, True):
+                    simulate(
+                        name,
+                        read_example(name),
+                        enabled,
+                        arguments.seed,
+                        0.5,
+                        400,
+                        faults,
+                    )
+    if arguments.part in ('large', 'all'):
+        large = build_large(
+            arguments.large_workers, arguments.teams, arguments.pools
+        )
+        for enabled in (False, True):
+            simulate('large', large, enabled, arguments.seed, 0.5, 150, False)
+
+
+if __name__ == '__main__':
+    main()
--- a/orioleshore/fleet/jobs.py
+++ b/orioleshore/fleet/jobs.py
@@ -43,8 +43,10 @@
 RENEW_RETRY_S = 5.0
 # Attempts in one command, about 12 KB.
 MAX_RENEWALS = 500
-# Placements, and jobs without room that are passed over, in one pass.
-MAX_PLACEMENTS = 200
+# Placements after one event, about 0.1 s of work; the rest waits for the
+# next tick, so that heartbeats of the same process are not held up.
+MAX_PLACEMENTS = 400
+# Jobs of a pool without room that are passed over in one pass.
 MAX_PASSED_OVER = 32
 # Tasks that end within this time finish on a worker that drains.
 DRAIN_FINISH_S = 30.0
@@ -106,6 +108,8 @@
         # Workers on which preemption for an urgent job did not succeed.
         self._unyielding: dict[ids.JobId, frozenset[ids.HostId]] = {}
         self._delayed: set[ids.JobId] = set()
+        self._postponed: set[ids.PoolId] = set()
+        self._placements_left = MAX_PLACEMENTS
         self._results: dict[ids.JobId, commands.RecordTaskResult] = {}
         self._calls: dict[ids.CallId, events.CallPlatform] = {}
         self._renewals: list[commands.LeaseHolder] = []
@@ -129,6 +133,7 @@
             return []
         self._state = state
         self._epoch = epoch
+        self._placements_left = MAX_PLACEMENTS
         _handle(event, self, now)
         actions, self._actions = self._actions, []
         return actions
@@ -767,7 +772,7 @@
     def _unpark(self, team: ids.TeamId, now: float) -> None:
         for pool, queue in self._queues.items():
             if queue.unpark(team):
-                self._agenda.add(now, agenda.Duty.PLACE, pool)
+                self._place_later(pool, now)
 
     # Placement.
 
@@ -778,19 +783,24 @@
             return
         passed_over: list[documents.Job] = []
         too_large: list[workers.Size] = []
-        placed = 0
-        while placed < MAX_PLACEMENTS and len(passed_over) < MAX_PASSED_OVER:
+        while self._placements_left and len(passed_over) < MAX_PASSED_OVER:
             job = queue.pop(self._ledger)
             if job is None:
                 break
             if self._place_job(queue, job, too_large, now):
-                placed += 1
+                self._placements_left -= 1
             elif job.name in queue:
                 passed_over.append(job)
         for job in passed_over:
             queue.put_back(job.name)
-        if placed == MAX_PLACEMENTS:
-            self._agenda.add(now, agenda.Duty.PLACE, pool)
+        if not self._placements_left:
+            self._place_later(pool, now)
+
+    def _place_later(self, pool: ids.PoolId, now: float) -> None:
+        if pool in self._postponed:
+            return
+        self._postponed.add(pool)
+        self._agenda.add(now, agenda.Duty.PLACE, pool)
 
     def _place_job(
         self,
@@ -945,7 +955,7 @@
         self._undo_placing(name)
         self._follow_job(name, now)
         if name in self._jobs:
-            self._agenda.add(now, agenda.Duty.PLACE, self._jobs[name].pool)
+            self._place_later(self._jobs[name].pool, now)
 
     # Preemption.
 
@@ -1051,7 +1061,7 @@
                 job.team, claim.size
             ):
                 self._queue(name, now)
-                self._agenda.add(now, agenda.Duty.PLACE, job.pool)
+                self._place_later(job.pool, now)
                 continue
             self._propose_placement(job, worker_name, claim.size, now)
 
@@ -1282,6 +1292,13 @@
         planner._check_drain(worker, now)
 
 
+def _place_postponed(
+    planner: JobPlanner, entry: agenda.Entry, now: float, repeats: int
+) -> None:
+    planner._postponed.discard(entry.subject)
+    planner._place(entry.subject, now)
+
+
 _DUTIES = {
     agenda.Duty.REPEAT_CALL: lambda planner, entry, now, repeats: (
         planner._repeat_call(entry.subject, now, repeats)
@@ -1310,9 +1327,7 @@
     agenda.Duty.TRY_WORKER: lambda planner, entry, now, repeats: (
         planner._try_worker(entry.subject, now)
     ),
-    agenda.Duty.PLACE: lambda planner, entry, now, repeats: planner._place(
-        entry.subject, now
-    ),
+    agenda.Duty.PLACE: _place_postponed,
 }
 
 
--- a/orioleshore/tests/support.py
+++ b/orioleshore/tests/support.py
@@ -49,12 +49,12 @@
     The invariants are checked after every event.
     """
 
-    def __init__(self, document: documents.Document, **planner) -> None:
+    def __init__(self, document: documents.Document) -> None:
         self.state = builders.build_state(document)
         self.now = builders.NOW
         self.epoch = ids.Epoch(1)
         self.fake = fake_tasks.FakeTasks()
-        self.planner = jobs.JobPlanner(**planner)
+        self.planner = self.build_planner()
         self.proposals: collections.deque = collections.deque()
         self.calls: collections.deque = collections.deque()
         self.reports: list[events.TaskReported] = []
@@ -64,6 +64,10 @@
         self._changes = 1
         self.feed(events.LeadershipGained(self.epoch, self.state))
 
+    def build_planner(self) -> jobs.JobPlanner:
+        """Return the planner of a new leader."""
+        return jobs.JobPlanner()
+
     def feed(self, event: events.Event) -> None:
         """Give one event to the planner, and check what must hold."""
         self._handle(event)
@@ -196,7 +200,7 @@
     def change_leader(self) -> None:
         """Replace the planner; proposals and calls under way remain."""
         self.epoch = ids.Epoch(self.epoch + 1)
-        self.planner = jobs.JobPlanner()
+        self.planner = self.build_planner()
         self.feed(events.LeadershipGained(self.epoch, self.state))
 
     def get_state(self, job: str) -> states.JobState:
