--- /dev/null
+++ b/orioleshore/fleet/calls.py
@@ -0,0 +1,72 @@
+"""Calls to the platform that are repeated until they are answered."""
+
+from orioleshore.fleet import agenda
+from orioleshore.fleet import events
+from orioleshore.fleet import tasks
+from orioleshore.model import ids
+
+REPEAT_S = 2.0
+# Calls repeated in one tick; the others wait for the next one.
+MAX_REPEATS = 256
+
+
+class Calls:
+    """Open calls; the platform answers a repeated call without acting."""
+
+    def __init__(self, duties: agenda.Agenda) -> None:
+        self._agenda = duties
+        self._open: dict[ids.CallId, events.CallPlatform] = {}
+        self._repeats_left = MAX_REPEATS
+
+    def __len__(self) -> int:
+        return len(self._open)
+
+    def get(self, call: ids.CallId) -> events.CallPlatform | None:
+        """Return an open call, None when it is answered or dropped."""
+        return self._open.get(call)
+
+    def start_tick(self) -> None:
+        """Allow the next calls to be repeated."""
+        self._repeats_left = MAX_REPEATS
+
+    def open(
+        self,
+        call: events.CallPlatform,
+        task: tasks.Task,
+        due: float,
+    ) -> bool:
+        """Keep a call and repeat it from ``due`` on; tell if it is new."""
+        if call.call in self._open:
+            return False
+        self._open[call.call] = call
+        task.calls[call.call] = None
+        self._agenda.add(due, agenda.Duty.REPEAT_CALL, call.call, task.attempt)
+        return True
+
+    def repeat(
+        self, name: ids.CallId, now: float
+    ) -> events.CallPlatform | None:
+        """Return a call to make again, None when it must wait."""
+        call = self._open[name]
+        allowed = self._repeats_left > 0
+        self._repeats_left -= allowed
+        self._agenda.add(
+            now + REPEAT_S if allowed else now,
+            agenda.Duty.REPEAT_CALL,
+            name,
+            call.attempt,
+        )
+        return call if allowed else None
+
+    def close(self, call: ids.CallId) -> None:
+        """Drop a call that is answered or has no purpose any more."""
+        self._open.pop(call, None)
+
+    def close_start(self, task: tasks.Task) -> None:
+        """Drop the call that starts a task."""
+        self.close(tasks.get_start_call(task))
+
+    def close_all(self, task: tasks.Task) -> None:
+        """Drop the calls about a task that has ended."""
+        for call in task.calls:
+            self.close(call)
--- a/orioleshore/fleet/jobs.py
+++ b/orioleshore/fleet/jobs.py
@@ -12,7 +12,9 @@
 
 from orioleshore.fleet import agenda
 from orioleshore.fleet import blame
+from orioleshore.fleet import calls
 from orioleshore.fleet import events
+from orioleshore.fleet import journal
 from orioleshore.fleet import learning
 from orioleshore.fleet import placement
 from orioleshore.fleet import pressure
@@ -27,9 +29,6 @@
 from orioleshore.state import job_commands
 from orioleshore.state import records
 
-CALL_REPEAT_S = 2.0
-# Calls repeated in one tick; the others wait for the next one.
-MAX_REPEATS = 256
 # A proposal without an outcome is given up after this time.
 PROPOSAL_LIMIT_S = 10.0
 RESULT_REPEAT_S = 5.0
@@ -111,9 +110,9 @@
         self._postponed: set[ids.PoolId] = set()
         self._placements_left = MAX_PLACEMENTS
         self._results: dict[ids.JobId, commands.RecordTaskResult] = {}
-        self._calls: dict[ids.CallId, events.CallPlatform] = {}
+        self._calls = calls.Calls(self._agenda)
         self._renewals: list[commands.LeaseHolder] = []
-        self._said: dict[tuple[str, str], str] = {}
+        self._journal = journal.Journal()
         self._actions: list[events.Action] = []
 
     def handle(
@@ -136,7 +135,7 @@
         self._placements_left = MAX_PLACEMENTS
         _handle(event, self, now)
         actions, self._actions = self._actions, []
-        return actions
+        return actions + self._journal.take()
 
     def get_dump(self) -> dict[str, Any]:
         """Return what the planner holds besides the replicated state."""
@@ -234,7 +233,7 @@
         return {job.pool for job in (before, after) if job is not None}
 
     def _forget(self, name: ids.JobId, now: float) -> None:
-        self._say_job(
+        self._journal.record_job(
             name,
             'cancelled',
             {'running': name in self._tasks},
@@ -243,7 +242,7 @@
         self._drop_claim(name)
         self._blame.forget_job(name)
         self._unyielding.pop(name, None)
-        self._said.pop(('job', name), None)
+        self._journal.forget('job', name)
 
     def _follow_host(self, name: ids.HostId, now: float) -> None:
         record = self._state.hosts.get(name)
@@ -298,18 +297,7 @@
         if record.state is states.JobState.CANCELLED:
             self._ask(self._tasks[name], events.CallKind.STOP_TASK, now)
         if record.state in _HELD_STATES:
-            self._say_held(name, record)
-
-    def _say_held(self, name: ids.JobId, record: records.JobRecord) -> None:
-        self._say_job(
-            name,
-            record.state.value,
-            {'reason': record.reason, 'attempts': record.placed},
-            'a job that is not idempotent starts at most once'
-            if record.state is states.JobState.UNKNOWN
-            else 'the job cannot succeed as it is',
-            'remove the job from the document, or name it anew to run it',
-        )
+            self._journal.record_held(name, record)
 
     # Tasks.
 
@@ -348,11 +336,7 @@
         if fresh:
             self._send(call, task, now)
             return
-        self._calls[call.call] = call
-        task.calls[call.call] = None
-        self._agenda.add(
-            now + CONFIRM_S, agenda.Duty.REPEAT_CALL, call.call, task.attempt
-        )
+        self._calls.open(call, task, now + CONFIRM_S)
 
     def _build_task(
         self,
@@ -389,8 +373,7 @@
         del self._tasks[task.job]
         del self._team_tasks[task.team][task.job]
         self._results.pop(task.job, None)
-        for call in task.calls:
-            self._calls.pop(call, None)
+        self._calls.close_all(task)
         self._table.release(task.worker, task.job)
         self._ledger.refund(task.team, task.size)
         self._learner.note_usage(
@@ -402,7 +385,7 @@
         if result is states.TaskResult.LOST:
             self._table.set_reachable(task.worker, False)
         self._judge(task.job, task.worker, result, now)
-        self._say_job(
+        self._journal.record_job(
             task.job,
             f'attempt {task.attempt} ended: '
             + ('removed' if result is None else result.value),
@@ -410,7 +393,7 @@
             'as reported or after the end of the lease',
         )
         if task.job not in self._jobs:
-            self._said.pop(('job', task.job), None)
+            self._journal.forget('job', task.job)
         self._unpark(task.team, now)
         self._serve_claims(task.worker, now)
 
@@ -447,17 +430,8 @@
     def _send(
         self, call: events.CallPlatform, task: tasks.Task, now: float
     ) -> None:
-        if call.call in self._calls:
-            return
-        self._calls[call.call] = call
-        task.calls[call.call] = None
-        self._actions.append(call)
-        self._agenda.add(
-            now + CALL_REPEAT_S,
-            agenda.Duty.REPEAT_CALL,
-            call.call,
-            task.attempt,
-        )
+        if self._calls.open(call, task, now + calls.REPEAT_S):
+            self._actions.append(call)
 
     def _ask(
         self, task: tasks.Task, kind: events.CallKind, now: float
@@ -466,36 +440,27 @@
         if _LEAVING_ORDER[kind] <= _LEAVING_ORDER[task.leaving]:
             return
         task.leaving = kind
-        # A task that leaves must not be started again by a repeated call.
-        start = ids.CallId(
-            f'{events.CallKind.START_TASK.value}/{task.job}/{task.attempt}'
-        )
+        # A task that leaves must not be started by a repeated call.
         if kind is events.CallKind.STOP_TASK:
-            self._calls.pop(start, None)
+            self._calls.close_start(task)
         if self._table.get(task.worker) is not None:
             self._table.reserve(task.worker, task.job, task.size, False)
         self._send(self._build_call(kind, task, {}), task, now)
 
-    def _repeat_call(self, name: str, now: float, count: int) -> None:
-        call = self._calls.get(ids.CallId(name))
+    def _repeat_call(self, name: ids.CallId, now: float) -> None:
+        call = self._calls.get(name)
         if call is None:
             return
-        task = self._tasks[call.job]
-        delay_s = CALL_REPEAT_S
-        if count < MAX_REPEATS:
+        if self._calls.repeat(name, now) is not None:
             self._actions.append(call)
-        else:
-            delay_s = 0.0
-        self._agenda.add(
-            now + delay_s, agenda.Duty.REPEAT_CALL, name, task.attempt
-        )
+        task = self._tasks[call.job]
         silent = now - max(task.started, task.heard) >= START_LIMIT_S
         if call.kind is events.CallKind.START_TASK and silent:
             self._close_worker(task.worker)
 
     def _close_worker(self, worker: ids.HostId) -> None:
         if self._table.set_reachable(worker, False):
-            self._say(
+            self._journal.record(
                 'host',
                 worker,
                 'gets no new tasks',
@@ -510,17 +475,12 @@
             self._reopen(task.worker, now)
 
     def _reopen(self, worker: ids.HostId, now: float) -> None:
-        self._said.pop(('host', worker), None)
+        self._journal.forget('host', worker)
         self._place(self._table.get(worker).pool, now)
 
     def _confirm(self, task: tasks.Task, now: float) -> None:
         task.confirmed = True
-        self._calls.pop(
-            ids.CallId(
-                f'{events.CallKind.START_TASK.value}/{task.job}/{task.attempt}'
-            ),
-            None,
-        )
+        self._calls.close_start(task)
         self._hear(task, now)
 
     # Results.
@@ -549,7 +509,7 @@
             return
         if event.job in self._placing:
             return
-        self._say_job(
+        self._journal.record_job(
             event.job,
             f'attempt {event.attempt} has a late result: {event.result.value}',
             {'worker': event.worker},
@@ -732,7 +692,7 @@
                 1.0, self._table.get_capacity(job.pool).cores
             )
             if now + ahead_s + run_time_s > job.deadline:
-                self._say_deadline(job, ahead_s, run_time_s)
+                self._journal.record_deadline_miss(job, ahead_s, run_time_s)
             else:
                 self._agenda.add(
                     job.deadline - run_time_s,
@@ -741,33 +701,12 @@
                 )
         queue.push(job, self._learner.get_size(job).cores * run_time_s)
 
-    def _say_deadline(
-        self, job: documents.Job, ahead_s: float, run_time_s: float
-    ) -> None:
-        if ('deadline', job.name) in self._said:
-            return
-        self._said['deadline', job.name] = 'will miss its deadline'
-        self._actions.append(
-            events.Record(
-                'job',
-                job.name,
-                'will miss its deadline',
-                {
-                    'deadline': job.deadline,
-                    'run_time_s': round(run_time_s, 1),
-                    'ahead_s': round(ahead_s, 1),
-                },
-                'the wait and the expected run time end after the deadline',
-                'more workers in the pool, or a later deadline',
-            )
-        )
-
     def _unqueue(self, job: documents.Job) -> None:
         queue = self._queues.get(job.pool)
         if queue is not None:
             queue.remove(job.name)
         self._delayed.discard(job.name)
-        self._said.pop(('deadline', job.name), None)
+        self._journal.forget('deadline', job.name)
 
     def _unpark(self, team: ids.TeamId, now: float) -> None:
         for pool, queue in self._queues.items():
@@ -818,12 +757,14 @@
             queue.holds_urgent(job.team) and not job.urgent
         ):
             queue.park(job.name)
-            self._say_quota(job, size)
+            self._journal.record_quota(
+                job, size, self._ledger.get_quota(job.team)
+            )
             if job.urgent:
                 self._reclaim_quota(job, size, now)
             return True
         if not job.urgent and any(known.fits(size) for known in too_large):
-            self._say_no_room(job, size)
+            self._journal.record_no_room(job, size)
             return False
         avoided = self._blame.get_failed_workers(job.name)
         if avoided and not self._table.is_possible(job.pool, size, avoided):
@@ -841,18 +782,9 @@
             return True
         if not avoided:
             too_large.append(size)
-        self._say_no_room(job, size)
+        self._journal.record_no_room(job, size)
         return False
 
-    def _say_no_room(self, job: documents.Job, size: workers.Size) -> None:
-        self._say_job(
-            job.name,
-            'waits for room',
-            {'cores': round(size.cores, 2), 'pool': job.pool},
-            'no serving worker of the pool has enough room',
-            'more workers in the pool, or the end of running tasks',
-        )
-
     def _refuse_size(
         self,
         queue: placement.JobQueue,
@@ -880,21 +812,6 @@
         self._delayed.add(name)
         self._agenda.add(now + PROPOSAL_LIMIT_S, agenda.Duty.END_DELAY, name)
 
-    def _say_quota(self, job: documents.Job, size: workers.Size) -> None:
-        quota = self._ledger.get_quota(job.team)
-        self._say_job(
-            job.name,
-            'waits for the quota of its team',
-            {
-                'team': job.team,
-                'cores': round(size.cores, 2),
-                'quota_cores': quota.cores,
-                'quota_memory_gb': quota.memory_gb,
-            },
-            'the tasks of a team stay within its quota',
-            'a larger quota, or the end of tasks of the team',
-        )
-
     def _propose_placement(
         self,
         job: documents.Job,
@@ -928,7 +845,7 @@
                 )
             )
         )
-        self._say_job(
+        self._journal.record_job(
             job.name,
             f'attempt {attempt} placed on {worker}',
             {
@@ -988,7 +905,7 @@
             now + PREEMPTION_LIMIT_S, agenda.Duty.END_PREEMPTION, job.name
         )
         self._evict(victims, job, now)
-        self._say_job(
+        self._journal.record_job(
             job.name,
             f'waits for room on {name}',
             {'tasks_leaving': len(victims)},
@@ -1007,7 +924,7 @@
                 victim.job,
                 victim.attempt,
             )
-            self._say_job(
+            self._journal.record_job(
                 victim.job,
                 f'attempt {victim.attempt} gives way',
                 {'to': job.name, 'worker': victim.worker},
@@ -1090,7 +1007,7 @@
                 waits = True
                 continue
             self._ask(task, events.CallKind.CHECKPOINT_TASK, now)
-            self._say_job(
+            self._journal.record_job(
                 name,
                 f'attempt {task.attempt} is checkpointed',
                 {'worker': worker.name},
@@ -1127,7 +1044,7 @@
             return
         self._blame.begin_probation(name)
         self._table.set_health(name, suspended=False, probation=True)
-        self._say(
+        self._journal.record(
             'host',
             name,
             'gets one task on probation',
@@ -1137,35 +1054,6 @@
         )
         self._place(worker.pool, now)
 
-    # Explanations.
-
-    def _say_job(
-        self,
-        name: ids.JobId,
-        decision: str,
-        facts: dict[str, Any],
-        rule: str,
-        remedy: str = '',
-    ) -> None:
-        self._say('job', name, decision, facts, rule, remedy)
-
-    def _say(
-        self,
-        kind: str,
-        subject: str,
-        decision: str,
-        facts: dict[str, Any],
-        rule: str,
-        remedy: str = '',
-    ) -> None:
-        """Record a decision, unless it is the newest of its subject."""
-        if self._said.get((kind, subject)) == decision:
-            return
-        self._said[kind, subject] = decision
-        self._actions.append(
-            events.Record(kind, subject, decision, facts, rule, remedy)
-        )
-
 
 _HELD_STATES = frozenset(
     {states.JobState.UNKNOWN, states.JobState.QUARANTINED}
@@ -1233,7 +1121,7 @@
     task = planner._tasks[call.job]
     starts = call.kind is events.CallKind.START_TASK
     if event.accepted:
-        planner._calls.pop(event.call)
+        planner._calls.close(event.call)
         if starts:
             planner._confirm(task, now)
         return
@@ -1252,16 +1140,13 @@
 
 @_handle.register
 def _(event: events.TimerFired, planner: JobPlanner, now: float) -> None:
-    repeats = 0
+    planner._calls.start_tick()
     for entry in planner._agenda.take_due(now):
-        repeats += entry.duty is agenda.Duty.REPEAT_CALL
-        _DUTIES[entry.duty](planner, entry, now, repeats)
+        _DUTIES[entry.duty](planner, entry, now)
     planner._flush_renewals(now)
 
 
-def _end_delay(
-    planner: JobPlanner, entry: agenda.Entry, now: float, repeats: int
-) -> None:
+def _end_delay(planner: JobPlanner, entry: agenda.Entry, now: float) -> None:
     name = ids.JobId(entry.subject)
     job = planner._jobs.get(name)
     if name not in planner._delayed or job is None:
@@ -1276,56 +1161,56 @@
 
 
 def _check_deadline(
-    planner: JobPlanner, entry: agenda.Entry, now: float, repeats: int
+    planner: JobPlanner, entry: agenda.Entry, now: float
 ) -> None:
     job = planner._jobs.get(ids.JobId(entry.subject))
     queue = None if job is None else planner._queues.get(job.pool)
     if queue is not None and job.name in queue:
-        planner._say_deadline(job, 0.0, planner._learner.get_run_time(job))
+        planner._journal.record_deadline_miss(
+            job, 0.0, planner._learner.get_run_time(job)
+        )
 
 
-def _check_drain(
-    planner: JobPlanner, entry: agenda.Entry, now: float, repeats: int
-) -> None:
+def _check_drain(planner: JobPlanner, entry: agenda.Entry, now: float) -> None:
     worker = planner._table.get(ids.HostId(entry.subject))
     if worker is not None:
         planner._check_drain(worker, now)
 
 
 def _place_postponed(
-    planner: JobPlanner, entry: agenda.Entry, now: float, repeats: int
+    planner: JobPlanner, entry: agenda.Entry, now: float
 ) -> None:
     planner._postponed.discard(entry.subject)
     planner._place(entry.subject, now)
 
 
 _DUTIES = {
-    agenda.Duty.REPEAT_CALL: lambda planner, entry, now, repeats: (
-        planner._repeat_call(entry.subject, now, repeats)
+    agenda.Duty.REPEAT_CALL: lambda planner, entry, now: planner._repeat_call(
+        entry.subject, now
     ),
-    agenda.Duty.RENEW_LEASE: lambda planner, entry, now, repeats: (
-        planner._renew_lease(entry, now)
+    agenda.Duty.RENEW_LEASE: lambda planner, entry, now: planner._renew_lease(
+        entry, now
     ),
-    agenda.Duty.END_LEASE: lambda planner, entry, now, repeats: (
-        planner._end_lease(entry, now)
+    agenda.Duty.END_LEASE: lambda planner, entry, now: planner._end_lease(
+        entry, now
     ),
-    agenda.Duty.REPEAT_RESULT: lambda planner, entry, now, repeats: (
+    agenda.Duty.REPEAT_RESULT: lambda planner, entry, now: (
         planner._repeat_result(entry, now)
     ),
-    agenda.Duty.END_PROPOSAL: lambda planner, entry, now, repeats: (
+    agenda.Duty.END_PROPOSAL: lambda planner, entry, now: (
         planner._give_up_placing(entry.subject, entry.attempt, now)
     ),
-    agenda.Duty.END_PREEMPTION: lambda planner, entry, now, repeats: (
+    agenda.Duty.END_PREEMPTION: lambda planner, entry, now: (
         planner._end_preemption(entry.subject, now)
     ),
-    agenda.Duty.END_CHECKPOINT: lambda planner, entry, now, repeats: (
+    agenda.Duty.END_CHECKPOINT: lambda planner, entry, now: (
         planner._end_checkpoint(entry, now)
     ),
     agenda.Duty.END_DELAY: _end_delay,
     agenda.Duty.CHECK_DEADLINE: _check_deadline,
     agenda.Duty.CHECK_DRAIN: _check_drain,
-    agenda.Duty.TRY_WORKER: lambda planner, entry, now, repeats: (
-        planner._try_worker(entry.subject, now)
+    agenda.Duty.TRY_WORKER: lambda planner, entry, now: planner._try_worker(
+        entry.subject, now
     ),
     agenda.Duty.PLACE: _place_postponed,
 }
@@ -1383,7 +1268,7 @@
     planner._agenda.add(
         now + verdict.suspended_s, agenda.Duty.TRY_WORKER, verdict.worker
     )
-    planner._say(
+    planner._journal.record(
         'host',
         verdict.worker,
         'gets no more work',
@@ -1396,7 +1281,7 @@
 @_follow_verdict.register
 def _(verdict: blame.ReinstateWorker, planner: JobPlanner, now: float) -> None:
     planner._table.set_health(verdict.worker, suspended=False, probation=False)
-    planner._say(
+    planner._journal.record(
         'host',
         verdict.worker,
         'takes work again',
@@ -1440,7 +1325,7 @@
         int(now),
     )
     planner._send(call, step.task, now)
-    planner._say_job(
+    planner._journal.record_job(
         step.task.job,
         f'attempt {step.task.attempt} is limited to {step.cores:g} cores',
         {'worker': step.task.worker},
@@ -1451,7 +1336,7 @@
 @_follow_step.register
 def _(step: pressure.Evict, planner: JobPlanner, now: float) -> None:
     planner._ask(step.task, step.kind, now)
-    planner._say_job(
+    planner._journal.record_job(
         step.task.job,
         f'attempt {step.task.attempt}: {step.kind.value}',
         {'worker': step.task.worker},
@@ -1461,7 +1346,7 @@
 
 @_follow_step.register
 def _(step: pressure.KeepAll, planner: JobPlanner, now: float) -> None:
-    planner._say(
+    planner._journal.record(
         'host',
         step.worker,
         'keeps its tasks although it is overfull',
--- /dev/null
+++ b/orioleshore/fleet/journal.py
@@ -0,0 +1,117 @@
+"""Explanations of decisions about jobs, each recorded once."""
+
+from typing import Any
+
+from orioleshore.fleet import events
+from orioleshore.fleet import workers
+from orioleshore.model import documents
+from orioleshore.model import ids
+from orioleshore.model import states
+from orioleshore.state import records
+
+
+class Journal:
+    """Passes over a decision that is the newest of its subject already."""
+
+    def __init__(self) -> None:
+        self._newest: dict[tuple[str, str], str] = {}
+        self._records: list[events.Action] = []
+
+    def take(self) -> list[events.Action]:
+        """Return what was recorded since the last call."""
+        taken, self._records = self._records, []
+        return taken
+
+    def forget(self, kind: str, subject: str) -> None:
+        """Let the next decision about a subject be recorded again."""
+        self._newest.pop((kind, subject), None)
+
+    def record(
+        self,
+        kind: str,
+        subject: str,
+        decision: str,
+        facts: dict[str, Any],
+        rule: str,
+        remedy: str = '',
+    ) -> None:
+        """Record a decision, unless it is the newest of its subject."""
+        if self._newest.get((kind, subject)) == decision:
+            return
+        self._newest[kind, subject] = decision
+        self._records.append(
+            events.Record(kind, subject, decision, facts, rule, remedy)
+        )
+
+    def record_job(
+        self,
+        name: ids.JobId,
+        decision: str,
+        facts: dict[str, Any],
+        rule: str,
+        remedy: str = '',
+    ) -> None:
+        """Record a decision about a job."""
+        self.record('job', name, decision, facts, rule, remedy)
+
+    def record_held(self, name: ids.JobId, job: records.JobRecord) -> None:
+        """Record that a job stays unknown or quarantined."""
+        self.record_job(
+            name,
+            job.state.value,
+            {'reason': job.reason, 'attempts': job.placed},
+            'a job that is not idempotent starts at most once'
+            if job.state is states.JobState.UNKNOWN
+            else 'the job cannot succeed as it is',
+            'remove the job from the document, or name it anew to run it',
+        )
+
+    def record_no_room(self, job: documents.Job, size: workers.Size) -> None:
+        """Record that no worker has room for a job now."""
+        self.record_job(
+            job.name,
+            'waits for room',
+            {'cores': round(size.cores, 2), 'pool': job.pool},
+            'no serving worker of the pool has enough room',
+            'more workers in the pool, or the end of running tasks',
+        )
+
+    def record_quota(
+        self, job: documents.Job, size: workers.Size, quota: workers.Size
+    ) -> None:
+        """Record that a job waits because of the quota of its team."""
+        self.record_job(
+            job.name,
+            'waits for the quota of its team',
+            {
+                'team': job.team,
+                'cores': round(size.cores, 2),
+                'quota_cores': quota.cores,
+                'quota_memory_gb': quota.memory_gb,
+            },
+            'the tasks of a team stay within its quota',
+            'a larger quota, or the end of tasks of the team',
+        )
+
+    def record_deadline_miss(
+        self, job: documents.Job, ahead_s: float, run_time_s: float
+    ) -> None:
+        """Record once in the life of a job that it will end too late."""
+        key = ('deadline', job.name)
+        if key in self._newest:
+            return
+        self._newest[key] = job.name
+        self._records.append(
+            events.Record(
+                'job',
+                job.name,
+                'will miss its deadline',
+                {
+                    'deadline': job.deadline,
+                    'run_time_s': round(run_time_s, 1),
+                    'ahead_s': round(ahead_s, 1),
+                },
+                'the wait and the expected run time end after the deadline',
+                'more workers in the pool, or a later deadline',
+            )
+        )
--- a/orioleshore/fleet/tasks.py
+++ b/orioleshore/fleet/tasks.py
@@ -80,11 +80,11 @@
     number: int = 0,
 ) -> events.CallPlatform:
     """Return a call about a task; ``number`` tells equal calls apart."""
-    call = f'{kind.value}/{task.job}/{task.attempt}'
+    call = _get_call(kind, task)
     if number:
-        call = f'{call}/{number}'
+        call = ids.CallId(f'{call}/{number}')
     return events.CallPlatform(
-        ids.CallId(call),
+        call,
         kind,
         task.worker,
         epoch,
@@ -93,3 +93,12 @@
         task.attempt,
         parameters,
     )
+
+
+def get_start_call(task: Task) -> ids.CallId:
+    """Return the id of the call that starts a task."""
+    return _get_call(events.CallKind.START_TASK, task)
+
+
+def _get_call(kind: events.CallKind, task: Task) -> ids.CallId:
+    return ids.CallId(f'{kind.value}/{task.job}/{task.attempt}')
