--- a/orioleshore/fleet/planner.py
+++ b/orioleshore/fleet/planner.py
@@ -10,6 +10,7 @@
 
 from orioleshore.fleet import capacity
 from orioleshore.fleet import events
+from orioleshore.fleet import jobs
 from orioleshore.fleet import moves
 from orioleshore.fleet import view
 from orioleshore.fleet import waves
@@ -31,6 +32,28 @@
         """Return the soft state for people."""
 
 
+class JobPart:
+    """Places jobs on workers, as a part of the planner."""
+
+    def __init__(self) -> None:
+        self._jobs = jobs.JobPlanner()
+
+    def start(self, fleet: view.Fleet, now: float) -> list[events.Action]:
+        """Begin to lead with the tasks that the records show."""
+        gained = events.LeadershipGained(fleet.epoch, fleet.state)
+        return self._jobs.handle(gained, fleet.state, fleet.epoch, now)
+
+    def handle(
+        self, event: events.Event, fleet: view.Fleet, now: float
+    ) -> list[events.Action]:
+        """Return the actions that follow from an event."""
+        return self._jobs.handle(event, fleet.state, fleet.epoch, now)
+
+    def get_dump(self) -> dict[str, Any]:
+        """Return the soft state for people."""
+        return self._jobs.get_dump()
+
+
 class Planner:
     """Works on a copy of the replicated state."""
 
@@ -102,12 +125,12 @@
 
 def get_parts() -> dict[str, Part]:
     """Return the parts in the order in which they see each event."""
-    # The watch of hosts comes last, because it leaves alone the hosts
-    # that other parts have claimed.
+    # The watch of hosts comes after the parts whose claims it respects.
     return {
         'waves': waves.WavePlanner(),
         'moves': moves.MovePlanner(),
         'hosts': capacity.HostWatch(),
+        'jobs': JobPart(),
     }
 
 
--- a/orioleshore/state/document_commands.py
+++ b/orioleshore/state/document_commands.py
@@ -1,6 +1,5 @@
 """Changes of the document."""
 
-import msgspec
 from result import Err
 from result import Ok
 from result import Result
@@ -12,6 +11,7 @@
 from orioleshore.model import states
 from orioleshore.state import commands
 from orioleshore.state import host_safety
+from orioleshore.state import job_commands
 from orioleshore.state import operations
 from orioleshore.state import records
 from orioleshore.state import registry
@@ -119,7 +119,7 @@
         )
     )
     del state.deltas[:-DELTA_LIMIT]
-    _follow_document(state, old)
+    _follow_document(state, old, command.edits)
     return Ok(state.version)
 
 
@@ -132,12 +132,16 @@
     ]
 
 
-def _follow_document(state: records.State, old: documents.Document) -> None:
+def _follow_document(
+    state: records.State,
+    old: documents.Document,
+    edits: tuple[changes.Edit, ...],
+) -> None:
     """Create records for new items, and drop those of removed ones."""
     if state.document.hosts is not old.hosts:
         _follow_hosts(state)
     _follow_waves(state)
-    _follow_jobs(state)
+    job_commands.follow_jobs(state, edits)
 
 
 def _follow_hosts(state: records.State) -> None:
@@ -181,20 +185,3 @@
         for host in state.document.hosts
         if state.hosts[host.name].pool in wave.pools
     }
-
-
-def _follow_jobs(state: records.State) -> None:
-    named = {job.name for job in state.document.jobs}
-    for name in [name for name in state.jobs if name not in named]:
-        record = state.jobs[name]
-        if record.state is states.JobState.RUNNING:
-            state.jobs[name] = msgspec.structs.replace(
-                record, state=states.JobState.CANCELLED, since=state.time
-            )
-        else:
-            del state.jobs[name]
-    for name in named:
-        if name not in state.jobs:
-            state.jobs[name] = records.JobRecord(
-                states.JobState.WAITING, state.time
-            )
