Compress large commands and answers, and add a benchmark of the log

Cause: a document of about 5,500 hosts exceeds a frame of 1 MiB as one command (19,000 hosts: 3.6 MB measured), and so does the document as an answer. The transport raised ValueError and the process stopped; a proposal just below the limit would have stopped each leader in turn.

--- /dev/null
+++ b/bench/group.py
@@ -0,0 +1,166 @@
+"""A group of control members in one process, with real files and sockets."""
+
+import asyncio
+import pathlib
+import random
+import time
+
+import msgspec
+
+from orioleshore import settings
+from orioleshore.consensus import client
+from orioleshore.consensus import member
+from orioleshore.consensus import storage
+from orioleshore.model import ids
+from orioleshore.protocol import messages
+from orioleshore.protocol import transport
+from orioleshore.timers import clock
+from orioleshore.timers import service
+
+POLL_S = 0.002
+
+
+class Seat:
+    """One member with its own transport and data folder."""
+
+    def __init__(self, name: str, folder: pathlib.Path) -> None:
+        self.name = ids.NodeId(name)
+        self.folder = folder
+        self.address = '127.0.0.1:0'
+        # Timers are told apart by the names of mailboxes, which are equal.
+        self.timers = service.TimerService(clock.SystemClock())
+        self.transport: transport.Transport | None = None
+        self.member: member.MemberTask | None = None
+
+    @property
+    def status(self) -> dict:
+        return self.member.get_status() if self.member else {}
+
+    @property
+    def leads(self) -> bool:
+        return self.status.get('role') == 'leader'
+
+
+class Group:
+    """Starts, stops and asks members; all share one event loop."""
+
+    def __init__(
+        self,
+        folder: pathlib.Path,
+        seed: int,
+        size: int = 3,
+        snapshot_entries: int = 1_000,
+    ) -> None:
+        self._random = random.Random(seed)
+        self._snapshot_entries = snapshot_entries
+        self.timers = service.TimerService(clock.SystemClock())
+        self.seats = [
+            Seat(f'control-{number}', folder / f'control-{number}')
+            for number in range(1, size + 1)
+        ]
+        self._caller = transport.Transport(
+            ids.NodeId('bench'), '127.0.0.1:0', ids.Incarnation(1)
+        )
+        self.client: client.ControlClient | None = None
+
+    async def start(self) -> None:
+        """Start all members, and wait for a leader."""
+        await self.timers.start()
+        for seat in self.seats:
+            await self._start_transport(seat)
+        for seat in self.seats:
+            await self._start_member(seat)
+        await self._caller.start()
+        self.client = client.ControlClient(
+            tuple(seat.address for seat in self.seats),
+            self._caller.mailbox,
+            self.timers,
+        )
+        self._caller.register(
+            self.client.mailbox, messages.ProposeReply, messages.QueryReply
+        )
+        await self.client.start()
+        await self.wait_for(lambda: self.leader is not None)
+
+    async def stop(self) -> None:
+        """Stop everything."""
+        await self.client.stop()
+        await self._caller.stop()
+        for seat in self.seats:
+            await self.stop_seat(seat)
+        await self.timers.stop()
+
+    @property
+    def leader(self) -> Seat | None:
+        for seat in self.seats:
+            if seat.leads:
+                return seat
+        return None
+
+    async def stop_seat(self, seat: Seat) -> None:
+        """Stop one member without a farewell."""
+        if seat.member is None:
+            return
+        await seat.member.stop()
+        await seat.transport.stop()
+        await seat.timers.stop()
+        seat.member = None
+
+    async def start_seat(self, seat: Seat) -> None:
+        """Start a stopped member on its folder and its address."""
+        await self._start_transport(seat)
+        await self._start_member(seat)
+
+    async def wait_for(self, check, limit_s: float = 60.0) -> float:
+        """Return after how many seconds a check is true."""
+        start = time.monotonic()
+        while not check():
+            if time.monotonic() - start > limit_s:
+                raise TimeoutError(f'not reached within {limit_s:g} s')
+            await asyncio.sleep(POLL_S)
+        return time.monotonic() - start
+
+    async def call(self, request) -> float:
+        """Commit a command; return its latency in seconds."""
+        start = time.monotonic()
+        outcome = await client.call(self.client.mailbox, request, 10.0)
+        outcome.unwrap()
+        return time.monotonic() - start
+
+    async def _start_transport(self, seat: Seat) -> None:
+        await seat.timers.start()
+        seat.transport = transport.Transport(
+            seat.name, seat.address, ids.Incarnation(1)
+        )
+        await seat.transport.start()
+        seat.address = seat.transport.address
+
+    async def _start_member(self, seat: Seat) -> None:
+        seat.member = member.MemberTask(
+            self._build_settings(seat),
+            seat.address,
+            seat.transport.mailbox,
+            seat.timers,
+            storage.Storage(str(seat.folder)),
+            random.Random(self._random.random()),
+        )
+        seat.transport.register(
+            seat.member.mailbox, *member.RAFT_MESSAGES, *member.CALL_MESSAGES
+        )
+        seat.member.load().unwrap()
+        await seat.member.start()
+
+    def _build_settings(self, seat: Seat) -> settings.Settings:
+        given = {
+            'node': seat.name,
+            'availability_zone': 'az1',
+            'roles': ['control'],
+            'data_folder': str(seat.folder),
+            'addresses': {'inner': seat.address},
+            'control': {
+                'initial_members': {s.name: s.address for s in self.seats},
+                'snapshot_entries': self._snapshot_entries,
+            },
+        }
+        merged = settings.merge_defaults(given, settings.DEFAULT_SETTINGS)
+        return msgspec.convert(merged, settings.Settings)
--- a/orioleshore/consensus/client.py
+++ b/orioleshore/consensus/client.py
@@ -9,6 +9,7 @@
 from result import Ok
 from result import Result
 
+from orioleshore.consensus import packing
 from orioleshore.consensus import requests
 from orioleshore.model import errors
 from orioleshore.model import ids
@@ -27,8 +28,9 @@
 MAILBOX_CAPACITY = 4_096
 TICK = ids.TimerId('control-client-tick')
 TICK_S = 0.05
-# A member that does not answer within this time is passed over.
-TRY_TIMEOUT_S = 1.0
+# A member that does not answer within this time is passed over; one that
+# follows names the leader at once.
+TRY_TIMEOUT_S = 0.5
 
 _NOT_ACCEPTED = frozenset(
     {errors.ErrorKind.NOT_LEADER.value, errors.ErrorKind.NO_QUORUM.value}
@@ -51,10 +53,12 @@
 
 class _Pending(msgspec.Struct):
     call: Call
+    message: messages.Propose | messages.Query
     deadline: float
     sent_at: float = -1.0e9
     retry_at: float = 0.0
     was_sent: bool = False
+    address: str = ''
 
 
 class ControlClient(task.Task):
@@ -97,27 +101,37 @@
         return self._timers.clock.get_monotonic()
 
     def _start(self, call: Call) -> None:
+        message = _pack(call.request)
+        if message.is_err():
+            call.answer.resolve(message)
+            return
         correlation = self._next_correlation
         self._next_correlation += 1
-        pending = _Pending(call, self._now() + call.timeout_s)
+        pending = _Pending(
+            call, message.unwrap(), self._now() + call.timeout_s
+        )
         self._pending[correlation] = pending
         self._send(correlation, pending)
 
     def _send(self, correlation: int, pending: _Pending) -> None:
-        address = self._leader or self._get_next_address()
+        address = self._leader or self._get_next_address(pending.address)
         if not address:
             return
+        pending.address = address
         pending.sent_at = self._now()
         pending.retry_at = pending.sent_at + TRY_TIMEOUT_S
         pending.was_sent = True
-        message = _pack(pending.call.request)
-        self._sender.put(transport.SendTo(address, message, correlation))
+        self._sender.put(
+            transport.SendTo(address, pending.message, correlation)
+        )
 
-    def _get_next_address(self) -> str:
-        if not self._addresses:
-            return ''
-        self._position = (self._position + 1) % len(self._addresses)
-        return self._addresses[self._position]
+    def _get_next_address(self, silent: str) -> str:
+        """Return the next member, passing over one that did not answer."""
+        others = [a for a in self._addresses if a != silent]
+        if not others:
+            return silent
+        self._position = (self._position + 1) % len(others)
+        return others[self._position]
 
     def _take_answer(
         self, received: messages.Received, answer: Result
@@ -166,10 +180,12 @@
         pending.call.answer.resolve(Err(failure))
 
 
-def _pack(request: Any) -> messages.Propose | messages.Query:
+def _pack(
+    request: Any,
+) -> Result[messages.Propose | messages.Query, errors.Failure]:
     if requests.is_request(request):
-        return messages.Propose(requests.encode(request))
-    return messages.Query(type(request).__name__, queries.encode(request))
+        return requests.encode(request).map(messages.Propose)
+    return Ok(messages.Query(type(request).__name__, queries.encode(request)))
 
 
 @functools.singledispatch
@@ -223,7 +239,7 @@
     client: ControlClient,
     received: messages.Received,
 ) -> None:
-    answer: Result = Ok(message.answer)
+    answer: Result = Ok(packing.unpack(message.answer))
     if message.error_kind:
         answer = Err(
             errors.Failure(
--- a/orioleshore/consensus/member.py
+++ b/orioleshore/consensus/member.py
@@ -13,6 +13,7 @@
 
 from orioleshore import settings
 from orioleshore.consensus import events
+from orioleshore.consensus import packing
 from orioleshore.consensus import raft
 from orioleshore.consensus import requests
 from orioleshore.consensus import storage
@@ -388,6 +389,7 @@
         self, outcome: Result[bytes, errors.Failure]
     ) -> messages.QueryReply:
         leader = self._get_leader_address()
+        outcome = outcome.and_then(packing.pack)
         if outcome.is_err():
             failure = outcome.unwrap_err()
             return messages.QueryReply(
@@ -452,7 +454,7 @@
     def _apply_entry(self, entry: messages.Entry) -> None:
         outcome: Result[Any, errors.Failure] = Ok(None)
         if entry.kind == events.EntryKind.COMMAND:
-            command = commands.decode(entry.data)
+            command = requests.decode(entry.data)
             version = self._state.version
             outcome = machine.apply_command(command, self._state)
             self._publish(command, version)
@@ -663,7 +665,7 @@
 ) -> list[events.Action]:
     try:
         request = requests.decode(message.command)
-    except msgspec.MsgspecError as error:
+    except ValueError as error:
         failure = _fail(errors.ErrorKind.PROTOCOL_ERROR, str(error))
         member._send_reply(received.header, answers.pack_reply(failure))
         return []
--- a/orioleshore/consensus/requests.py
+++ b/orioleshore/consensus/requests.py
@@ -3,8 +3,11 @@
 from typing import Any
 
 import msgspec
+from result import Result
 
 from orioleshore.consensus import events
+from orioleshore.consensus import packing
+from orioleshore.model import errors
 from orioleshore.model import ids
 from orioleshore.state import commands
 
@@ -51,15 +54,20 @@
     return isinstance(value, Request)
 
 
-def encode(request: Request) -> bytes:
-    """Return a request as it travels."""
-    return _ENCODER.encode(request)
+def encode(request: Request) -> Result[bytes, errors.Failure]:
+    """Return a request as it travels and as the log stores it.
+
+    Fails with ``REQUEST_TOO_LARGE``.
+    """
+    return packing.pack(_ENCODER.encode(request))
 
 
 def decode(data: bytes) -> Request:
-    """Return the request; raises msgspec.MsgspecError when unknown.
+    """Return the request; raises ValueError when it is not a known one.
 
     The leader decodes before it appends: an entry that no member can
     decode would stop all of them.
     """
-    return _DECODER.decode(data)
+    if len(data) > packing.MAX_PACKED_BYTES:
+        raise ValueError(f'a request of {len(data)} bytes is too large')
+    return _DECODER.decode(packing.unpack(data))
--- a/orioleshore/tests/test_consensus_rules.py
+++ b/orioleshore/tests/test_consensus_rules.py
@@ -1,11 +1,17 @@
 """Single rules of the replicated log that schedules reach rarely."""
 
+import pytest
+
 from orioleshore.consensus import core
 from orioleshore.consensus import events
+from orioleshore.consensus import packing
 from orioleshore.consensus import raft
+from orioleshore.consensus import requests
+from orioleshore.model import errors
 from orioleshore.model import states
 from orioleshore.protocol import messages
 from orioleshore.tests import builders
+from orioleshore.tests import support
 
 
 def receive(member: raft.Raft, sender: str, message, now: float):
@@ -124,3 +130,21 @@
     receive(member, 'm1', messages.PreVoteReply(1, True, 'm1-0', False), 110)
     receive(member, 'm1', messages.VoteReply(2, True, 'm1-0', False), 111.0)
     assert member.role is states.RaftRole.CANDIDATE
+
+
+def test_document_of_target_size_fits_in_a_frame():
+    """Guards against a process that stops at a command beyond a frame."""
+    document = builders.build_document(hosts=19_000)
+    change = builders.build_change(document)
+    packed = requests.encode(change).unwrap()
+    assert len(packed) < packing.MAX_PACKED_BYTES
+    assert requests.decode(packed) == change
+
+
+def test_value_beyond_a_frame_is_refused():
+    """Guards against a log entry that no follower can receive."""
+    noise = support.get_random().randbytes(packing.MAX_PACKED_BYTES + 1)
+    failure = packing.pack(noise).unwrap_err()
+    assert failure.kind is errors.ErrorKind.REQUEST_TOO_LARGE
+    with pytest.raises(ValueError, match='too large'):
+        requests.decode(noise)
