Describe membership, and measure it in several processes

Change: bench.membership runs 25 members in a process. A message stops to look for rumours once it is full, the live peers and the highest version are kept instead of searched, a rumour is repeated 6 ceil(log10(n + 2)) times instead of 3 ceil(log2(n + 2)).

--- a/bench/membership.py
+++ b/bench/membership.py
@@ -1,11 +1,14 @@
 """Bytes and processor time that membership costs each process.
 
-Runs real membership tasks and transports over loopback in one process.
+Runs real membership tasks and transports over loopback, in groups of
+members for each operating system process.
 """
 
 import argparse
 import asyncio
 import logging
+import multiprocessing
+from multiprocessing import connection
 import random
 import statistics
 import time
@@ -27,6 +30,8 @@
 PERIOD_S = 1.0
 PROBE_TIMEOUT_S = 0.3
 SEEDS = 3
+# Members in one operating system process; 200 would overload it.
+GROUP = 25
 MAX_BYTES_PER_S = 15_000
 MAX_CORE_FRACTION = 0.012
 
@@ -38,6 +43,14 @@
     core_fraction: float
 
 
+class Plan(msgspec.Struct, frozen=True):
+    """Times of a measurement, in seconds, and the number of windows."""
+
+    settle_s: float
+    window_s: float
+    windows: int
+
+
 class Member:
     """One process of the simulated fleet."""
 
@@ -99,28 +112,77 @@
 
 
 async def measure(
-    count: int, settle_s: float, window_s: float, windows: int
+    first: int, count: int, plan: Plan, pipe: connection.Connection
 ) -> list[Cost]:
-    """Return the cost of a member in each window."""
+    """Return the cost of a member in each window.
+
+    The first group of members sends its seeds to the parent, the others
+    receive them.
+    """
     timers = service.TimerService(clock.SystemClock())
     await timers.start()
-    members = [Member(number, timers) for number in range(count)]
+    members = [Member(first + number, timers) for number in range(count)]
     for member in members:
         await member.listen()
-    seeds = tuple(member.address for member in members[:SEEDS])
+    if first == 0:
+        pipe.send(tuple(member.address for member in members[:SEEDS]))
+    seeds = await asyncio.to_thread(pipe.recv)
     for member in members:
         await member.join(seeds)
         await asyncio.sleep(PERIOD_S / count)
-    await asyncio.sleep(settle_s)
-    costs = []
-    for _ in range(windows):
-        costs.append(await _measure_window(members, window_s))
+    await asyncio.sleep(plan.settle_s)
+    costs = [
+        await _measure_window(members, plan.window_s)
+        for _ in range(plan.windows)
+    ]
+    # All groups run on until the last one has measured.
+    pipe.send(costs)
+    await asyncio.to_thread(pipe.recv)
     for member in members:
         await member.stop()
     await timers.stop()
     return costs
 
 
+def run_group(
+    first: int, count: int, plan: Plan, pipe: connection.Connection
+) -> None:
+    """Run some members in a process of their own."""
+    logging.disable(logging.WARNING)
+    with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
+        runner.run(measure(first, count, plan, pipe))
+
+
+def run_groups(count: int, plan: Plan) -> list[Cost]:
+    """Return the mean cost of a member in each window."""
+    context = multiprocessing.get_context('spawn')
+    groups = []
+    for first in range(0, count, GROUP):
+        pipe, other = context.Pipe()
+        size = min(GROUP, count - first)
+        process = context.Process(
+            target=run_group, args=(first, size, plan, other)
+        )
+        process.start()
+        groups.append((size, process, pipe))
+    seeds = groups[0][2].recv()
+    for _, _, pipe in groups:
+        pipe.send(seeds)
+    results = [(size, pipe.recv()) for size, _, pipe in groups]
+    for _, process, pipe in groups:
+        pipe.send(None)
+        process.join()
+    return [
+        Cost(
+            sum(size * costs[i].bytes_per_s for size, costs in results)
+            / count,
+            sum(size * costs[i].core_fraction for size, costs in results)
+            / count,
+        )
+        for i in range(plan.windows)
+    ]
+
+
 async def _measure_window(members: list[Member], window_s: float) -> Cost:
     moved = sum(member.bytes_moved for member in members)
     began, used = time.monotonic(), time.process_time()
@@ -139,19 +201,13 @@
     parser.add_argument('--window', type=float, default=5.0)
     parser.add_argument('--windows', type=int, default=5)
     arguments = parser.parse_args()
-    logging.disable(logging.WARNING)
     counts = [int(count) for count in arguments.counts.split(',')]
     medians = []
     for count in counts:
-        with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
-            costs = runner.run(
-                measure(
-                    count,
-                    arguments.settle,
-                    arguments.window,
-                    arguments.windows,
-                )
-            )
+        costs = run_groups(
+            count,
+            Plan(arguments.settle, arguments.window, arguments.windows),
+        )
         medians.append(_print_costs(count, costs))
     if len(counts) > 1:
         _print_slope(counts, medians)
--- a/orioleshore/membership/detector.py
+++ b/orioleshore/membership/detector.py
@@ -277,7 +277,6 @@
         self._own = msgspec.structs.replace(
             self._own, incarnation=ids.Incarnation(news.incarnation + 1)
         )
-        self._rumours.add(self._own.node)
 
     def _believe(self, news: announcements.Peer) -> list[events.Action]:
         merged = self._table.merge(news)
@@ -303,10 +302,8 @@
         return [events.PeerStateChanged(changed, peer.state)]
 
     def _set_version(self, version: ids.Version) -> None:
-        highest = max(self._own.version, self._table.get_highest_version())
+        # Every message of this process carries its own version.
         self._own = msgspec.structs.replace(self._own, version=version)
-        if version > highest:
-            self._rumours.add(self._own.node)
 
     def _leave(self) -> list[events.Action]:
         self._own = msgspec.structs.replace(
@@ -327,10 +324,15 @@
         return events.SendProbe(address, sequence, self._take_rumours(node))
 
     def _take_rumours(self, receiver: ids.NodeId | None) -> events.Peers:
-        live = list(self._table.get_live().values())
-        fillers = self._random.sample(live, min(FILLERS, len(live)))
-        peers = {**self._table.peers, self._own.node: self._own}
-        return self._rumours.take(self._get_first(receiver), peers, fillers)
+        fillers = self._get_fillers()
+        first = self._get_first(receiver)
+        return self._rumours.take(first, self._table.peers, fillers)
+
+    def _get_fillers(self) -> list[announcements.Peer]:
+        live = self._table.get_live()
+        if len(live) <= FILLERS:
+            return list(live.values())
+        return self._random.sample(list(live.values()), FILLERS)
 
     def _get_first(
         self, receiver: ids.NodeId | None
--- a/orioleshore/membership/rumours.py
+++ b/orioleshore/membership/rumours.py
@@ -8,9 +8,9 @@
 from orioleshore.model import ids
 
 MAX_PIGGYBACK_BYTES = 1_200
-# Each process repeats a rumour this often, times the logarithm of the
-# number of processes, which reaches all of them with high probability.
-REPETITION_FACTOR = 3
+# Each process repeats a rumour this often, times the decimal logarithm of
+# the number of processes, which reaches all of them with high probability.
+REPETITION_FACTOR = 6
 
 
 class RumourQueue:
@@ -49,7 +49,9 @@
             peer = peers.get(node)
             if peer is None:
                 del self._sent[node]
-            elif batch.add(peer):
+            elif not batch.add(peer):
+                break
+            else:
                 self._count(node, limit)
         for peer in fillers:
             batch.add(peer)
@@ -101,4 +103,4 @@
 
 def get_repetitions(count: int) -> int:
     """Return how often a process repeats a rumour among ``count`` peers."""
-    return REPETITION_FACTOR * math.ceil(math.log2(count + 2))
+    return REPETITION_FACTOR * math.ceil(math.log10(count + 2))
--- a/orioleshore/membership/table.py
+++ b/orioleshore/membership/table.py
@@ -26,6 +26,8 @@
     def __init__(self) -> None:
         self._peers: dict[ids.NodeId, announcements.Peer] = {}
         self._since: dict[ids.NodeId, int] = {}
+        self._live: dict[ids.NodeId, announcements.Peer] = {}
+        self._highest_version = 0
 
     @property
     def peers(self) -> dict[ids.NodeId, announcements.Peer]:
@@ -37,7 +39,7 @@
 
     def get_live(self) -> dict[ids.NodeId, announcements.Peer]:
         """Return the peers that are alive or suspected."""
-        return self._select(LIVE)
+        return self._live
 
     def get_suspects(self) -> dict[ids.NodeId, announcements.Peer]:
         """Return the peers that are suspected."""
@@ -48,8 +50,8 @@
         return self._select(frozenset({states.PeerState.DEAD}))
 
     def get_highest_version(self) -> int:
-        """Return the highest configuration version of any peer."""
-        return max((peer.version for peer in self._peers.values()), default=0)
+        """Return the highest configuration version that any peer had."""
+        return self._highest_version
 
     def get_age(self, node: ids.NodeId, period: int) -> int:
         """Return for how many periods the state of a peer lasts."""
@@ -66,6 +68,11 @@
         if before is None or _get_order(before) != _get_order(peer):
             self._since[peer.node] = period
         self._peers[peer.node] = peer
+        self._highest_version = max(self._highest_version, peer.version)
+        if peer.state in LIVE:
+            self._live[peer.node] = peer
+        else:
+            self._live.pop(peer.node, None)
 
     def merge(self, news: announcements.Peer) -> announcements.Peer | None:
         """Return what to believe after news, None when it is not newer."""
