--- a/scripts/demo.py
+++ b/scripts/demo.py
@@ -29,6 +29,11 @@
     print(text, flush=True)
 
 
+def generate_key() -> str:
+    """Return a new key that carries its time of issue."""
+    return f'{int(time.time())}-{uuid.uuid4().hex}'
+
+
 async def wait_until(what: str, check) -> None:
     """Wait until an asynchronous check returns a true value."""
     deadline = time.monotonic() + STEP_TIMEOUT_S
@@ -74,14 +79,14 @@
             self._fleet.start_upstream(f'freight-{zone}', 'freight', zone)
         await wait_until('an upstream', self._is_served)
         for name, url in self._fleet.callers.items():
-            content = await self._quote(url, uuid.uuid4().hex)
+            content = await self._quote(url, generate_key())
             say(f'3. {name}: freight quote by {content["upstream"]}')
         await self._repeat_quote()
 
     async def _repeat_quote(self) -> None:
-        token = uuid.uuid4().hex
+        key = generate_key()
         answers = [
-            await self._quote(url, token)
+            await self._quote(url, key)
             for url in (*self._fleet.callers.values(),)
         ]
         if any(answer != answers[0] for answer in answers):
@@ -114,7 +119,7 @@
         if status['version'] != self._version:
             raise DemoError(f'version {status["version"]} after the kill')
         await self._quote(
-            next(iter(self._fleet.callers.values())), uuid.uuid4().hex
+            next(iter(self._fleet.callers.values())), generate_key()
         )
         say(
             f'7. {status["group"]["leader"]} leads, version '
@@ -124,7 +129,7 @@
     async def _apply(self) -> None:
         body = {
             'base_version': self._version,
-            'operation_id': f'{int(time.time())}-{uuid.uuid4().hex}',
+            'operation_id': generate_key(),
             'document': self._document,
         }
         url = next(iter(self._fleet.operators.values()))
@@ -169,11 +174,11 @@
         status = await self._get_status()
         return status['waves']['kernel']['state'] == 'finished'
 
-    async def _quote(self, url: str, token: str) -> dict:
+    async def _quote(self, url: str, key: str) -> dict:
         async with self._session.post(
             f'{url}/freight/quote',
             data='kit 7, 12 kg',
-            headers={'Idempotency-Key': f'{int(time.time())}-{token}'},
+            headers={'Idempotency-Key': key},
         ) as response:
             text = await response.text()
             if response.status != 200:
