Count all answers that no upstream gave, by error kind

Cause: only refusals of routing were counted, not those of the callers' front end itself, and two shapes of the routing dump were read.

Change: the callers' front end owns the counter and reports it by a message; only the closed list of error kinds becomes a label.

--- a/orioleshore/frontends/callers.py
+++ b/orioleshore/frontends/callers.py
@@ -1,6 +1,7 @@
 """HTTP front end of the callers."""
 
 import asyncio
+import collections
 import functools
 import hashlib
 import logging
@@ -9,6 +10,7 @@
 
 import aiohttp
 from aiohttp import web
+import msgspec
 from result import Err
 from result import Ok
 from result import Result
@@ -28,6 +30,7 @@
 from orioleshore.state import operations
 from orioleshore.state import subscriber
 from orioleshore.tasks import mailbox
+from orioleshore.tasks import reply
 from orioleshore.tasks import task
 from orioleshore.telemetry import logs
 from orioleshore.timers import clock
@@ -60,6 +63,15 @@
 )
 
 
+_ERROR_KINDS = frozenset(kind.value for kind in errors.ErrorKind)
+
+
+class GetCallersFigures(msgspec.Struct, frozen=True):
+    """Asks for the numbers that monitoring follows."""
+
+    answer: reply.Reply
+
+
 class CallersFrontend(task.Task):
     """Owns the callers' connections and those to the upstreams."""
 
@@ -74,6 +86,7 @@
         self._limits = limits
         self._routing = routing
         self._clock = source
+        self._refusals: collections.Counter[str] = collections.Counter()
         self._table: table.RouteTable | None = None
         self._client = upstream_client.UpstreamClient(
             limits.answer_buffer_bytes
@@ -100,7 +113,19 @@
         """Take a newer configuration."""
         _take(message, self)
 
+    def get_figures(self) -> dict[str, Any]:
+        """Return how many requests were not answered by an upstream."""
+        return {'refusals': dict(sorted(self._refusals.items()))}
+
     async def _serve(self, request: web.BaseRequest) -> web.StreamResponse:
+        response = await self._answer(request)
+        error = response.headers.get(frontend_web.ERROR_HEADER)
+        # An upstream may send the header with a value of its own.
+        if error in _ERROR_KINDS:
+            self._refusals[error] += 1
+        return response
+
+    async def _answer(self, request: web.BaseRequest) -> web.StreamResponse:
         if self._table is None:
             return _refuse(
                 errors.ErrorKind.NOT_READY,
@@ -350,6 +375,11 @@
     raise TypeError(f'unknown message {type(message).__name__}')
 
 
+@_take.register
+def _(message: GetCallersFigures, frontend: CallersFrontend) -> None:
+    message.answer.resolve(Ok(frontend.get_figures()))
+
+
 @_take.register
 def _(
     message: subscriber.ConfigurationChanged, frontend: CallersFrontend
--- a/orioleshore/roles/entry.py
+++ b/orioleshore/roles/entry.py
@@ -76,6 +76,11 @@
             dispatcher.GetRoutingDump,
             readers.read_routing,
         )
+        collector.add_task(
+            self._callers.mailbox,
+            callers.GetCallersFigures,
+            readers.read_callers,
+        )
 
     @property
     def tasks(self) -> list[task.Task]:
--- a/orioleshore/routing/dispatcher.py
+++ b/orioleshore/routing/dispatcher.py
@@ -1,7 +1,6 @@
 """Task that runs the routing decisions of an entry host."""
 
 import asyncio
-import collections
 from collections.abc import Callable
 import functools
 import logging
@@ -122,9 +121,6 @@
         self._unrecorded: list[commands.RecordOutcome] = []
         self._is_marking_due = False
         self._waiting_outcomes: set[asyncio.Task] = set()
-        self._refusals: collections.Counter[errors.ErrorKind] = (
-            collections.Counter()
-        )
 
     async def open(self) -> None:
         """Subscribe to the tick, and mark the claims of earlier runs."""
@@ -151,8 +147,6 @@
             exchange.put(message)
 
     def _finish(self, request: ids.RequestId, message: Any) -> None:
-        if isinstance(message, events.Refuse):
-            self._refusals[message.failure.kind] += 1
         self._tell(request, message)
         self._exchanges.pop(request, None)
         self._answers.pop(request, None)
@@ -271,9 +265,6 @@
             'router': self._router.get_dump(
                 self._timers.clock.get_monotonic()
             ),
-            'refusals': {
-                kind.value: count for kind, count in self._refusals.items()
-            },
         }
 
 
--- a/orioleshore/telemetry/metrics.py
+++ b/orioleshore/telemetry/metrics.py
@@ -50,7 +50,7 @@
 gauge   routing_held_requests | Requests that are not answered yet
 gauge   routing_in_flight_requests | Requests at upstreams
 gauge   routing_upstreams service | Known upstreams of a service
-counter routing_refused_requests_total error | Requests refused by routing
+counter refused_requests_total error | Requests without an upstream answer
 gauge   consensus_role role | 1 for the role of this member, 0 for others
 gauge   consensus_term | Term of this member
 gauge   consensus_commit_index | Highest committed index
--- a/orioleshore/telemetry/readers.py
+++ b/orioleshore/telemetry/readers.py
@@ -50,24 +50,20 @@
     """Write queues, requests in flight and refusals of an entry host."""
     sheet.set('routing_held_requests', status['held'])
     sheet.set('routing_in_flight_requests', status['in_flight'])
-    for service, count in _get_queue_lengths(status['router']).items():
-        sheet.set('routing_queued_requests', count, service=service)
+    for name, service in status['router']['services'].items():
+        sheet.set('routing_queued_requests', service['queued'], service=name)
     upstreams = collections.Counter(
         upstream['service']
         for upstream in status['router']['upstreams'].values()
     )
     for service, count in upstreams.items():
         sheet.set('routing_upstreams', count, service=service)
-    for error, count in status['refusals'].items():
-        sheet.set('routing_refused_requests_total', count, error=error)
 
 
-def _get_queue_lengths(router: dict[str, Any]) -> dict[str, int]:
-    if 'queues' in router:
-        return router['queues']
-    return {
-        name: service['queued'] for name, service in router['services'].items()
-    }
+def read_callers(status: dict[str, Any], sheet: metrics.Sheet) -> None:
+    """Write the answers that no upstream gave, by error kind."""
+    for error, count in status['refusals'].items():
+        sheet.set('refused_requests_total', count, error=error)
 
 
 def read_member(status: dict[str, Any], sheet: metrics.Sheet) -> None:
