Skip rumours whose incarnation cannot be refuted

Cause: an incarnation near the end of 64 bits made the refuting process fail to encode its own.

Change: such rumours are skipped as unreadable. The text of the metric for the time of syncs says that it includes the writes.

Result: the tests of membership and metrics pass.

--- a/orioleshore/membership/packing.py
+++ b/orioleshore/membership/packing.py
@@ -11,6 +11,8 @@
 PEER_RUMOUR = 1
 # Headers of the five fields of a rumour, and its end, in thrift's encoding.
 RUMOUR_OVERHEAD_BYTES = 38
+# A process refutes with a higher incarnation, which must fit into 64 bits.
+MAX_INCARNATION = 2**62
 
 
 class _Details(msgspec.Struct, frozen=True, array_like=True):
@@ -70,6 +72,8 @@
 
 
 def _unpack_peer(rumour: messages.Rumour) -> announcements.Peer:
+    if not 0 <= rumour.incarnation <= MAX_INCARNATION:
+        raise ValueError(f'incarnation {rumour.incarnation} is out of range')
     details = msgspec.msgpack.decode(rumour.data, type=_Details)
     return announcements.Peer(
         ids.NodeId(rumour.subject),
--- a/orioleshore/telemetry/metrics.py
+++ b/orioleshore/telemetry/metrics.py
@@ -57,7 +57,7 @@
 gauge   consensus_applied_index | Highest applied index
 gauge   consensus_pending_calls | Calls that wait for their commit
 counter consensus_syncs_total | Syncs of files
-counter consensus_sync_seconds_total | Time spent in syncs of files
+counter consensus_sync_seconds_total | Time spent on writes with their syncs
 gauge   fleet_hosts state | Hosts by state, at the leader
 gauge   fleet_budget_left_cores service scope | Cores that may still go down
 gauge   fleet_wave_hosts wave state | Hosts of unfinished waves by progress
--- a/orioleshore/tests/test_membership_detector.py
+++ b/orioleshore/tests/test_membership_detector.py
@@ -233,10 +233,11 @@
 
 
 def test_unreadable_rumours_are_skipped():
-    """Guards against a newer process that adds a state or a kind."""
+    """Guards against newer states and kinds, and endless incarnations."""
     good = packing.pack_peer(builders.build_peer())
     newer = messages.Rumour(1, 'node-2', 1, 'resting', good.data)
     other = messages.Rumour(9, 'node-3', 1, 'alive', b'')
     broken = messages.Rumour(1, 'node-4', 1, 'alive', b'\xff')
-    peers = packing.unpack_peers((newer, other, broken, good))
+    far = messages.Rumour(1, 'node-1', 2**63 - 1, 'dead', good.data)
+    peers = packing.unpack_peers((newer, other, broken, far, good))
     assert peers == (builders.build_peer(),)
