Report two running processes of one name

Cause: two processes of the same name refuted each other without a trace.

Change: a live process of the own name at another address is logged, at most once in 60 periods.

Result: a test of the decision part; the tests of membership pass.

--- a/orioleshore/membership/detector.py
+++ b/orioleshore/membership/detector.py
@@ -23,6 +23,8 @@
 LEAVE_FANOUT = 10
 # A longer gap between two periods means that this process was paused.
 PAUSE_PERIODS = 2.0
+# Periods between two reports of another process with the same name.
+CONFLICT_PERIODS = 60
 # Requests of others that wait for an answer.
 MAX_RELAYS = 1_024
 
@@ -67,6 +69,7 @@
         self._period = 0
         self._period_began: float | None = None
         self._isolated = False
+        self._next_conflict = 0
 
     @property
     def own(self) -> announcements.Peer:
@@ -260,23 +263,30 @@
         actions: list[events.Action] = []
         for news in peers:
             if news.node == self._own.node:
-                self._refute(news)
+                actions += self._refute(news)
             else:
                 actions += self._believe(news)
         return actions
 
-    def _refute(self, news: announcements.Peer) -> None:
+    def _refute(self, news: announcements.Peer) -> list[events.Action]:
         """Outlive wrong news about this process, also of an earlier run."""
         if self._own.state is states.PeerState.LEFT:
-            return
+            return []
         if news.incarnation < self._own.incarnation:
-            return
+            return []
         alive = news.state is states.PeerState.ALIVE
         if alive and news.incarnation == self._own.incarnation:
-            return
+            return []
         self._own = msgspec.structs.replace(
             self._own, incarnation=ids.Incarnation(news.incarnation + 1)
         )
+        # An earlier run of this process has a lower incarnation.
+        if not alive or news.address == self._own.address:
+            return []
+        if self._period < self._next_conflict:
+            return []
+        self._next_conflict = self._period + CONFLICT_PERIODS
+        return [events.NameConflictFound(news.address)]
 
     def _believe(self, news: announcements.Peer) -> list[events.Action]:
         merged = self._table.merge(news)
--- a/orioleshore/membership/events.py
+++ b/orioleshore/membership/events.py
@@ -124,6 +124,12 @@
     direct: bool
 
 
+class NameConflictFound(msgspec.Struct, frozen=True):
+    """Another running process at an address has the name of this one."""
+
+    address: str
+
+
 Action = (
     SendProbe
     | SendAck
@@ -132,6 +138,7 @@
     | PeerStateChanged
     | IsolationChanged
     | PathChanged
+    | NameConflictFound
 )
 
 
--- a/orioleshore/membership/gossip.py
+++ b/orioleshore/membership/gossip.py
@@ -269,6 +269,17 @@
     )
 
 
+@_perform.register
+def _(action: events.NameConflictFound, gossip: Gossip) -> None:
+    LOG.error(
+        logs.format_event(
+            'node_name_used_twice',
+            node=gossip._detector.own.node,
+            address=action.address,
+        )
+    )
+
+
 def _count_peers(decisions: detector.Detector) -> dict[str, Any]:
     counts = collections.Counter(
         peer.state for peer in decisions.peers.values()
--- a/orioleshore/tests/test_membership_detector.py
+++ b/orioleshore/tests/test_membership_detector.py
@@ -232,6 +232,19 @@
     assert sends == 60 * rumours.get_repetitions(60)
 
 
+def test_second_process_of_one_name_is_reported():
+    """Guards against two processes that refute each other unnoticed."""
+    detector = builders.build_detector('node-1', 5)
+    other = builders.build_peer('node-1', address='other', incarnation=6)
+    event = events.ProbeReceived('node-2', 'node-2', 1, (other,))
+    found = events.NameConflictFound('other')
+    assert found in detector.handle(event, 1_000.0)
+    assert detector.own.incarnation == 7
+    earlier = builders.build_peer('node-1', address='other', incarnation=4)
+    event = events.ProbeReceived('node-2', 'node-2', 2, (earlier,))
+    assert found not in detector.handle(event, 1_000.0)
+
+
 def test_unreadable_rumours_are_skipped():
     """Guards against newer states and kinds, and endless incarnations."""
     good = packing.pack_peer(builders.build_peer())
