--- a/orioleshore/tests/test_requests_claims.py
+++ b/orioleshore/tests/test_requests_claims.py
@@ -16,7 +16,6 @@
 from orioleshore.state import claim_keeper
 from orioleshore.state import machine
 from orioleshore.tests import builders
-from orioleshore.tests import entry_fleet
 from orioleshore.tests import support
 
 Behaviour = fake_upstream.Behaviour
@@ -26,7 +25,7 @@
     limits = documents.Limits(attempt_timeout_s=2.0, default_deadline_s=3.0)
     service = builders.build_service(limits=limits)
     document = builders.build_document(services=(service,))
-    return entry_fleet.run_entry(document, hosts, **settings)
+    return support.run_entry(document, hosts, **settings)
 
 
 def get_only_claim(fleet):
@@ -44,7 +43,7 @@
                 fake.delay_s = 0.1
             answers = await asyncio.gather(
                 *(
-                    entry_fleet.send(session, fleet.hosts[number % 2])
+                    support.send(session, fleet.hosts[number % 2])
                     for number in range(12)
                 )
             )
@@ -61,10 +60,10 @@
     async def check():
         async with run_entry() as (fleet, session):
             fake = await fleet.add_upstream()
-            key = entry_fleet.get_key(fleet.hosts[0])
-            first = await entry_fleet.send(session, fleet.hosts[0], key=key)
-            copy = await entry_fleet.send(session, fleet.hosts[1], key=key)
-            other = await entry_fleet.send(
+            key = support.get_key(fleet.hosts[0])
+            first = await support.send(session, fleet.hosts[0], key=key)
+            copy = await support.send(session, fleet.hosts[1], key=key)
+            other = await support.send(
                 session, fleet.hosts[1], key=key, data=b'other'
             )
             assert first[2] == copy[2]
@@ -81,15 +80,13 @@
         async with run_entry(body_timeout_s=0.1) as (fleet, session):
             fake = await fleet.add_upstream()
             fake.behaviour = Behaviour.HANG
-            key = entry_fleet.get_key(fleet.hosts[0])
+            key = support.get_key(fleet.hosts[0])
             lost = fleet.hosts[0]
-            first = asyncio.create_task(
-                entry_fleet.send(session, lost, key=key)
-            )
+            first = asyncio.create_task(support.send(session, lost, key=key))
             await support.wait_until(lambda: fake.running, 'the run')
             await fleet.kill_host(lost)
             copy = asyncio.create_task(
-                entry_fleet.send(session, fleet.hosts[0], key=key)
+                support.send(session, fleet.hosts[0], key=key)
             )
             await asyncio.sleep(0.1)
             await tell_death(fleet, lost)
@@ -137,8 +134,8 @@
         async with run_entry(1) as (fleet, session):
             fake = await fleet.add_upstream()
             host = fleet.hosts[0]
-            key = entry_fleet.get_key(host, age_s=age_s)
-            _, headers, _ = await entry_fleet.send(session, host, key=key)
+            key = support.get_key(host, age_s=age_s)
+            _, headers, _ = await support.send(session, host, key=key)
             assert headers['Orioleshore-Error'] == error
             assert headers['Orioleshore-Ran'] == ran
             assert not fake.runs
@@ -153,10 +150,8 @@
         async with run_entry(1) as (fleet, session):
             fake = await fleet.add_upstream()
             fake.body = b'x' * 70_000
-            first = await entry_fleet.send(session, fleet.hosts[0])
-            status, headers, _ = await entry_fleet.send(
-                session, fleet.hosts[0]
-            )
+            first = await support.send(session, fleet.hosts[0])
+            status, headers, _ = await support.send(session, fleet.hosts[0])
             assert first[2] == fake.body
             assert (status, headers['Orioleshore-Ran']) == (410, 'yes')
             assert sum(fake.runs.values()) == 1
@@ -171,8 +166,8 @@
         async with run_entry() as (fleet, session):
             fake = await fleet.add_upstream()
             fleet.control.is_cut_off = True
-            key = entry_fleet.get_key(fleet.hosts[0])
-            _, headers, _ = await entry_fleet.send(
+            key = support.get_key(fleet.hosts[0])
+            _, headers, _ = await support.send(
                 session, fleet.hosts[0], key=key
             )
             assert headers['Orioleshore-Error'] == 'claim_unavailable'
@@ -181,9 +176,7 @@
             assert not fake.runs
             fleet.control.late.reverse()
             fleet.control.catch_up()
-            status, _, _ = await entry_fleet.send(
-                session, fleet.hosts[1], key=key
-            )
+            status, _, _ = await support.send(session, fleet.hosts[1], key=key)
             assert (status, sum(fake.runs.values())) == (200, 1)
 
     support.run(check())
@@ -196,15 +189,15 @@
         async with run_entry() as (fleet, session):
             fake = await fleet.add_upstream()
             fake.delay_s = 0.3
-            key = entry_fleet.get_key(fleet.hosts[0])
+            key = support.get_key(fleet.hosts[0])
             with pytest.raises(TimeoutError):
-                await entry_fleet.send(
+                await support.send(
                     session,
                     fleet.hosts[0],
                     key=key,
                     timeout=aiohttp.ClientTimeout(total=0.1),
                 )
-            status, _, body = await entry_fleet.send(
+            status, _, body = await support.send(
                 session, fleet.hosts[1], key=key
             )
             assert (status, sum(fake.runs.values())) == (200, 1)
@@ -219,7 +212,7 @@
         async with run_entry(1) as (fleet, session):
             host = fleet.hosts[0]
             with pytest.raises(TimeoutError):
-                await entry_fleet.send(
+                await support.send(
                     session,
                     host,
                     timeout=aiohttp.ClientTimeout(total=0.1),
