--- a/orioleshore/membership/detector.py
+++ b/orioleshore/membership/detector.py
@@ -23,6 +23,8 @@
 LEAVE_FANOUT = 10
 # A longer gap between two periods means that this process was paused.
 PAUSE_PERIODS = 2.0
+# Periods between two reports of another process with the same name.
+CONFLICT_PERIODS = 60
 # Requests of others that wait for an answer.
 MAX_RELAYS = 1_024
 
@@ -67,6 +69,7 @@
         self._period = 0
         self._period_began: float | None = None
         self._isolated = False
+        self._next_conflict = 0
 
     @property
     def own(self) -> announcements.Peer:
@@ -260,24 +263,30 @@
         actions: list[events.Action] = []
         for news in peers:
             if news.node == self._own.node:
-                self._refute(news)
+                actions += self._refute(news)
             else:
                 actions += self._believe(news)
         return actions
 
-    def _refute(self, news: announcements.Peer) -> None:
+    def _refute(self, news: announcements.Peer) -> list[events.Action]:
         """Outlive wrong news about this process, also of an earlier run."""
         if self._own.state is states.PeerState.LEFT:
-            return
+            return []
         if news.incarnation < self._own.incarnation:
-            return
+            return []
         alive = news.state is states.PeerState.ALIVE
         if alive and news.incarnation == self._own.incarnation:
-            return
+            return []
         self._own = msgspec.structs.replace(
             self._own, incarnation=ids.Incarnation(news.incarnation + 1)
         )
-        self._rumours.add(self._own.node)
+        # An earlier run of this process has a lower incarnation.
+        if not alive or news.address == self._own.address:
+            return []
+        if self._period < self._next_conflict:
+            return []
+        self._next_conflict = self._period + CONFLICT_PERIODS
+        return [events.NameConflictFound(news.address)]
 
     def _believe(self, news: announcements.Peer) -> list[events.Action]:
         merged = self._table.merge(news)
@@ -303,10 +312,8 @@
         return [events.PeerStateChanged(changed, peer.state)]
 
     def _set_version(self, version: ids.Version) -> None:
-        highest = max(self._own.version, self._table.get_highest_version())
+        # Every message of this process carries its own version.
         self._own = msgspec.structs.replace(self._own, version=version)
-        if version > highest:
-            self._rumours.add(self._own.node)
 
     def _leave(self) -> list[events.Action]:
         self._own = msgspec.structs.replace(
@@ -327,10 +334,15 @@
         return events.SendProbe(address, sequence, self._take_rumours(node))
 
     def _take_rumours(self, receiver: ids.NodeId | None) -> events.Peers:
-        live = list(self._table.get_live().values())
-        fillers = self._random.sample(live, min(FILLERS, len(live)))
-        peers = {**self._table.peers, self._own.node: self._own}
-        return self._rumours.take(self._get_first(receiver), peers, fillers)
+        fillers = self._get_fillers()
+        first = self._get_first(receiver)
+        return self._rumours.take(first, self._table.peers, fillers)
+
+    def _get_fillers(self) -> list[announcements.Peer]:
+        live = self._table.get_live()
+        if len(live) <= FILLERS:
+            return list(live.values())
+        return self._random.sample(list(live.values()), FILLERS)
 
     def _get_first(
         self, receiver: ids.NodeId | None
--- a/orioleshore/telemetry/metrics.py
+++ b/orioleshore/telemetry/metrics.py
@@ -50,14 +50,14 @@
 gauge   routing_held_requests | Requests that are not answered yet
 gauge   routing_in_flight_requests | Requests at upstreams
 gauge   routing_upstreams service | Known upstreams of a service
-counter routing_refused_requests_total error | Requests refused by routing
+counter refused_requests_total error | Requests without an upstream answer
 gauge   consensus_role role | 1 for the role of this member, 0 for others
 gauge   consensus_term | Term of this member
 gauge   consensus_commit_index | Highest committed index
 gauge   consensus_applied_index | Highest applied index
 gauge   consensus_pending_calls | Calls that wait for their commit
 counter consensus_syncs_total | Syncs of files
-counter consensus_sync_seconds_total | Time spent in syncs of files
+counter consensus_sync_seconds_total | Time spent on writes with their syncs
 gauge   fleet_hosts state | Hosts by state, at the leader
 gauge   fleet_budget_left_cores service scope | Cores that may still go down
 gauge   fleet_wave_hosts wave state | Hosts of unfinished waves by progress
