Bound recorded answers, and prove the bound on kept connections

Change: recorded answers take at most 16 MiB together, the oldest are given up first, and their claims stay. Without either bound, its test fails.

--- a/orioleshore/state/claim_commands.py
+++ b/orioleshore/state/claim_commands.py
@@ -4,6 +4,7 @@
 from result import Ok
 
 from orioleshore.model import errors
+from orioleshore.model import ids
 from orioleshore.model import states
 from orioleshore.state import commands
 from orioleshore.state import records
@@ -11,6 +12,9 @@
 
 # Claims are remembered for this time after their key was issued.
 CLAIM_RETENTION_S = 86_400.0
+# Bound of all recorded answers together. The oldest are given up first;
+# their claims stay, so that their requests do not run again.
+MAX_KEPT_BYTES = 16_777_216
 
 _FINAL_STATES = frozenset(
     {states.ClaimState.ANSWERED, states.ClaimState.NOT_RUN}
@@ -70,6 +74,7 @@
         if state.claims[key].issued > horizon:
             break
         del state.claims[key]
+        _forget_answer(key, state)
     while state.released:
         request = next(iter(state.released))
         if state.released[request] > horizon:
@@ -97,9 +102,30 @@
         body=command.body,
         kept=command.kept,
     )
+    if command.kept:
+        _keep_answer(command.key, state)
     return Ok(None)
 
 
+def _keep_answer(key: ids.IdempotencyKey, state: records.State) -> None:
+    record = state.claims[key]
+    size = len(record.body)
+    size += sum(len(name) + len(value) for name, value in record.headers)
+    _forget_answer(key, state)
+    state.kept_answers[key] = size
+    state.kept_bytes += size
+    while state.kept_bytes > MAX_KEPT_BYTES:
+        oldest = next(iter(state.kept_answers))
+        _forget_answer(oldest, state)
+        state.claims[oldest] = msgspec.structs.replace(
+            state.claims[oldest], headers=(), body=b'', kept=False
+        )
+
+
+def _forget_answer(key: ids.IdempotencyKey, state: records.State) -> None:
+    state.kept_bytes -= state.kept_answers.pop(key, 0)
+
+
 @registry.apply.register
 def _(
     command: commands.MarkClaimsUnknown, state: records.State
--- a/orioleshore/state/records.py
+++ b/orioleshore/state/records.py
@@ -114,6 +114,9 @@
     waves: dict[ids.WaveId, WaveRecord] = {}
     jobs: dict[ids.JobId, JobRecord] = {}
     claims: dict[ids.IdempotencyKey, ClaimRecord] = {}
+    # Sizes of the recorded answers, oldest first, and their sum.
+    kept_answers: dict[ids.IdempotencyKey, int] = {}
+    kept_bytes: int = 0
     # Requests recorded as not run before their claim was committed.
     released: dict[ids.RequestId, ids.WallTime] = {}
 
--- a/orioleshore/tests/test_requests_claims.py
+++ b/orioleshore/tests/test_requests_claims.py
@@ -13,6 +13,7 @@
 from orioleshore.model import errors
 from orioleshore.model import ids
 from orioleshore.model import states
+from orioleshore.state import claim_commands
 from orioleshore.state import claim_keeper
 from orioleshore.state import machine
 from orioleshore.tests import builders
@@ -250,6 +251,29 @@
     assert record.body == b'answer'
 
 
+def test_recorded_answers_are_bounded():
+    """Guards against answers of a day that fill the memory of control."""
+    state = builders.build_state()
+    size = 60_000
+    count = claim_commands.MAX_KEPT_BYTES // size + 10
+    for number in range(count):
+        names = {
+            'key': ids.IdempotencyKey(f'key-{number}'),
+            'request': ids.RequestId(f'request-{number}'),
+        }
+        machine.apply_command(builders.build_claim(**names), state).unwrap()
+        outcome = builders.build_outcome(body=b'x' * size, **names)
+        machine.apply_command(outcome, state).unwrap()
+    bodies = [len(record.body) for record in state.claims.values()]
+    assert sum(bodies) == state.kept_bytes <= claim_commands.MAX_KEPT_BYTES
+    assert len(state.claims) == count
+    copy = builders.build_claim(
+        key=ids.IdempotencyKey('key-0'), request=ids.RequestId('copy')
+    )
+    answer = machine.apply_command(copy, state).unwrap()
+    assert (answer.granted, answer.record.kept) == (False, False)
+
+
 def records_with_claim():
     state = builders.build_state()
     answer = machine.apply_command(builders.build_claim(), state).unwrap()
--- a/orioleshore/tests/test_routing_slots.py
+++ b/orioleshore/tests/test_routing_slots.py
@@ -1,5 +1,7 @@
 """Sharing of slots between entry hosts, in virtual time."""
 
+import collections
+
 from fakes import simulation
 from orioleshore.routing import events as routing_events
 from orioleshore.routing import slots
@@ -121,6 +123,22 @@
     host.is_dead = True
 
 
+def test_kept_connections_stay_within_the_announced_ones():
+    """Guards against ten hosts that keep more than an upstream allows."""
+    fleet = build_fleet()
+    kept = collections.Counter()
+
+    def connect(host, action):
+        kept[action.upstream] += action.may_keep
+
+    fleet.connect = connect
+    # Nothing ends, so one host has all slots of every upstream in use.
+    send_many(fleet, 'entry-0', 480, 1)
+    fleet.run(0.5)
+    share = (64 - SLOTS) // len(fleet.hosts)
+    assert set(kept.values()) == {share}
+
+
 def test_nothing_is_sent_without_a_lease():
     """Guards against a host that is cut off and goes on alone."""
     fleet = build_fleet(hosts=2)
