Split upstreams and slots off the router, and end a drain that cannot finish

Change: routing/supply.py joins the upstream table with both sides of the sharing of slots; a drain ends when the routing task has failed.

--- a/bench/slot_policies.py
+++ b/bench/slot_policies.py
@@ -80,7 +80,7 @@
     """Tells the feedback policy about refusals."""
 
     def handle(self, host: simulation.SimulatedHost, event) -> None:
-        holder = host.router._holder
+        holder = host.router._supply._holder
         if isinstance(event, events.AttemptEnded) and isinstance(
             holder, Feedback
         ):
@@ -109,7 +109,7 @@
     for number in range(HOSTS):
         host = fleet.add_host(f'entry-{number}')
         if POLICIES[policy] is not None:
-            host.router._holder = POLICIES[policy](number)
+            host.router._supply._holder = POLICIES[policy](number)
     for number in range(UPSTREAMS):
         address = ids.UpstreamId(f'127.0.1.{number}:80')
         announced = announcements.Upstream(
--- a/orioleshore/roles/entry.py
+++ b/orioleshore/roles/entry.py
@@ -25,6 +25,8 @@
 
 # How often a stopping entry host looks whether all requests are finished.
 FINISH_POLL_S = 0.05
+# A routing task that failed does not answer.
+DUMP_TIMEOUT_S = 1.0
 # Outcomes that the control members do not take by then stay open; their
 # claims become unknown when this entry host is gone.
 RECORD_LIMIT_S = 10.0
@@ -96,16 +98,26 @@
         await asyncio.sleep(self._config.entry.drain_notice_s)
         await self._dispatcher.mailbox.put_wait(dispatcher.Stop())
         record_until = time.monotonic() + RECORD_LIMIT_S
-        while True:
-            answer: reply.Reply = reply.Reply()
-            await self._dispatcher.mailbox.put_wait(
-                dispatcher.GetRoutingDump(answer)
-            )
-            content = (await answer.wait()).unwrap()
-            if _is_finished(content, time.monotonic() >= record_until):
-                break
+        while not self._dispatcher.failed.is_set():
+            content = await self._get_routing_dump()
+            is_late = time.monotonic() >= record_until
+            if content is not None and _is_finished(content, is_late):
+                LOG.info(logs.format_event('drained'))
+                return
             await asyncio.sleep(FINISH_POLL_S)
-        LOG.info(logs.format_event('drained'))
+        LOG.error(logs.format_event('drain_given_up', task='routing'))
+
+    async def _get_routing_dump(self) -> dict[str, Any] | None:
+        """Return the state of routing, None when it does not answer."""
+        answer: reply.Reply = reply.Reply()
+        message = dispatcher.GetRoutingDump(answer)
+        if self._dispatcher.mailbox.put(message).is_err():
+            return None
+        try:
+            outcome = await asyncio.wait_for(answer.wait(), DUMP_TIMEOUT_S)
+        except TimeoutError:
+            return None
+        return outcome.unwrap()
 
 
 def _is_finished(content: dict[str, Any], is_late: bool) -> bool:
--- a/orioleshore/routing/health.py
+++ b/orioleshore/routing/health.py
@@ -46,6 +46,14 @@
         record = self._records.get(upstream)
         return record is not None and now < record.ejected_until
 
+    def get_ejected(self, now: float) -> list[ids.UpstreamId]:
+        """Return the upstreams that get no new attempts for now."""
+        return sorted(
+            upstream
+            for upstream in self._records
+            if self.is_ejected(upstream, now)
+        )
+
     def note(self, ended: events.AttemptEnded, known: int, now: float) -> bool:
         """Judge an attempt at one of ``known`` upstreams of the service.
 
--- a/orioleshore/routing/router.py
+++ b/orioleshore/routing/router.py
@@ -17,8 +17,7 @@
 from orioleshore.routing import queues
 from orioleshore.routing import refusals
 from orioleshore.routing import retries
-from orioleshore.routing import slots
-from orioleshore.routing import upstreams
+from orioleshore.routing import supply
 
 # After a stop is requested, queued work may still start for this time.
 STOP_GRACE_S = 2.0
@@ -53,13 +52,10 @@
         self._random = randomness
         self._services: dict[ids.ServiceId, documents.Service] = {}
         self._version = ids.Version(0)
-        self._upstreams = upstreams.UpstreamTable()
-        self._owner = slots.SlotOwner()
-        self._holder = slots.SlotHolder()
+        self._supply = supply.Supply(randomness)
         self._requests: dict[ids.RequestId, _Request] = {}
         self._lines: dict[ids.ServiceId, _Line] = {}
         self._in_flight = 0
-        self._entry_hosts = 1
         self._refuse_from: float | None = None
 
     @property
@@ -88,25 +84,11 @@
                     'queued': len(line.queue),
                     'retrying': len(line.retrying),
                     'retry_budget': line.budget.tokens,
+                    'ejected': line.health.get_ejected(now),
                 }
                 for name, line in sorted(self._lines.items())
             },
-            'upstreams': {
-                upstream.address: {
-                    'service': upstream.service,
-                    'state': upstream.state.value,
-                    'incarnation': upstream.incarnation,
-                    'serving': self._upstreams.is_serving(
-                        upstream.address, now
-                    ),
-                    'ejected': self._get_line(
-                        upstream.service
-                    ).health.is_ejected(upstream.address, now),
-                }
-                for upstream in self._upstreams.get_all()
-            },
-            'slots_held': self._holder.get_dump(),
-            'slots_owned': self._owner.get_dump(now),
+            **self._supply.get_dump(now),
         }
 
     def _get_line(self, service: ids.ServiceId) -> _Line:
@@ -220,32 +202,22 @@
         line = self._get_line(service)
         if not line.queue and not line.retrying:
             return []
-        usable = self._get_usable(service, line, now)
+        usable = self._supply.get_usable(service, line.health, now)
         actions = self._start_retries(line, usable, now)
         while line.queue:
-            upstream = self._choose_upstream(usable, now)
+            upstream = self._supply.choose(usable, now)
             if upstream is None:
                 break
             held = self._requests[line.queue.pop(now)]
             line.budget.earn()
             actions.append(self._start(held, upstream, now))
-        self._random.shuffle(usable)
-        actions += self._holder.want(usable, len(line.queue), now)
+        actions += self._supply.want(usable, len(line.queue), now)
         for held in line.retrying:
             if now >= held.retry_at:
-                others = _get_others(usable, held.failed_at)
-                actions += self._holder.want(others, 1, now)
+                others = supply.get_others(usable, held.failed_at)
+                actions += self._supply.want(others, 1, now)
         return actions
 
-    def _get_usable(
-        self, service: ids.ServiceId, line: _Line, now: float
-    ) -> list[announcements.Upstream]:
-        return [
-            upstream
-            for upstream in self._upstreams.get_serving(service, now)
-            if not line.health.is_ejected(upstream.address, now)
-        ]
-
     def _start_retries(
         self,
         line: _Line,
@@ -254,40 +226,13 @@
     ) -> list[events.Action]:
         actions: list[events.Action] = []
         for held in [item for item in line.retrying if now >= item.retry_at]:
-            others = _get_others(usable, held.failed_at)
-            upstream = self._choose_upstream(others, now)
+            others = supply.get_others(usable, held.failed_at)
+            upstream = self._supply.choose(others, now)
             if upstream is not None:
                 line.retrying.remove(held)
                 actions.append(self._start(held, upstream, now))
         return actions
 
-    def _choose_upstream(
-        self, usable: list[announcements.Upstream], now: float
-    ) -> announcements.Upstream | None:
-        """Return one with a free slot, and the fewest slots in use.
-
-        Speed has no say, because one that fails is often the fastest.
-        """
-        free = [
-            upstream
-            for upstream in usable
-            if self._holder.get_free(upstream.address, now)
-        ]
-        if not free:
-            return None
-        loads = [
-            self._holder.get_in_flight(upstream.address) / upstream.slots
-            for upstream in free
-        ]
-        least = min(loads)
-        return self._random.choice(
-            [
-                upstream
-                for upstream, load in zip(free, loads, strict=True)
-                if load == least
-            ]
-        )
-
     def _start(
         self,
         held: _Request,
@@ -298,32 +243,19 @@
         held.upstream = upstream
         held.retry_at = None
         self._in_flight += 1
-        self._holder.take(upstream.address, now)
+        self._supply.holder.take(upstream.address, now)
         service = self._services.get(held.info.service)
         limits = service.limits if service else documents.Limits()
+        # What disturbed a first attempt may concern all kept connections.
+        may_keep = held.info.key is None and held.attempts == 1
         return events.StartAttempt(
             held.info.request,
             ids.Attempt(held.attempts),
             upstream.address,
             min(limits.attempt_timeout_s, held.info.deadline - now),
-            self._may_keep(held, upstream),
+            may_keep and self._supply.may_keep(upstream),
         )
 
-    def _may_keep(
-        self, held: _Request, upstream: announcements.Upstream
-    ) -> bool:
-        """Return whether a kept connection fits the upstream's bound.
-
-        All slots may be in use on single-use connections at once; the rest
-        of the connections is shared evenly. A retry gets a new connection,
-        because what disturbed the first attempt may concern all kept ones.
-        """
-        if held.info.key is not None or held.attempts > 1:
-            return False
-        spare = upstream.connections - upstream.slots
-        in_flight = self._holder.get_in_flight(upstream.address)
-        return in_flight <= spare // max(1, self._entry_hosts)
-
     def _end_attempt(
         self, event: events.AttemptEnded, now: float
     ) -> list[events.Action]:
@@ -331,9 +263,9 @@
         if held is None or held.upstream is None:
             return []
         self._in_flight -= 1
-        actions = self._holder.release(event.upstream, now)
+        actions = self._supply.holder.release(event.upstream, now)
         line = self._get_line(held.info.service)
-        known = self._upstreams.get_serving(held.info.service, now)
+        known = self._supply.table.get_serving(held.info.service, now)
         line.health.note(event, len(known), now)
         if self._retry(held, event, line, now):
             return actions + self._dispatch(held.info.service, now)
@@ -398,17 +330,12 @@
         actions: list[events.Action] = []
         for held in list(self._requests.values()):
             actions += self._check_request(held, now)
-        for address in self._upstreams.remove_expired(now):
-            self._owner.remove(address)
-            self._holder.remove(address)
+        for address in self._supply.remove_expired(now):
             for line in self._lines.values():
                 line.health.forget(address)
         for service in self._lines:
             actions += self._dispatch(service, now)
-        actions += self._holder.check(self._get_needs(now), now)
-        for address in self._owner.get_owned():
-            actions += self._grant_waiting(address, now)
-        return actions
+        return actions + self._supply.check(self._get_needs(now), now)
 
     def _check_request(
         self, held: _Request, now: float
@@ -427,7 +354,7 @@
     def _get_late_kind(self, held: _Request, now: float) -> errors.ErrorKind:
         if held.claim.stage is claims.ClaimStage.REQUESTED:
             return errors.ErrorKind.CLAIM_UNAVAILABLE
-        if not self._upstreams.get_serving(held.info.service, now):
+        if not self._supply.table.get_serving(held.info.service, now):
             return errors.ErrorKind.NO_UPSTREAM
         return errors.ErrorKind.QUEUE_TIMEOUT
 
@@ -438,9 +365,9 @@
             queued = len(line.queue)
             if not queued:
                 continue
-            usable = self._get_usable(service, line, now)
+            usable = self._supply.get_usable(service, line.health, now)
             for upstream in usable:
-                in_flight = self._holder.get_in_flight(upstream.address)
+                in_flight = self._supply.holder.get_in_flight(upstream.address)
                 part = -(-queued // len(usable))
                 needs[upstream.address] = min(
                     part, max(0, upstream.slots - in_flight)
@@ -449,39 +376,19 @@
 
     # Slots, upstreams and configuration.
 
-    def _grant_waiting(
-        self, address: ids.UpstreamId, now: float
-    ) -> list[events.Action]:
-        upstream = self._upstreams.get(address)
-        return [] if upstream is None else self._owner.grant(upstream, now)
-
-    def _request_slots(
-        self, event: events.SlotsRequested, now: float
-    ) -> list[events.Action]:
-        upstream = self._upstreams.get(event.upstream)
-        if not self._upstreams.is_serving(event.upstream, now):
-            upstream = None
-        return self._owner.request(event, upstream, now)
-
     def _take_slots(
         self, event: events.SlotsGranted, now: float
     ) -> list[events.Action]:
-        actions = self._holder.grant(event, now)
-        upstream = self._upstreams.get(event.upstream)
+        actions = self._supply.holder.grant(event, now)
+        upstream = self._supply.table.get(event.upstream)
         if upstream is None:
             return actions
         return actions + self._dispatch(upstream.service, now)
 
-    def _take_back_slots(
-        self, event: events.SlotsReturned, now: float
-    ) -> list[events.Action]:
-        self._owner.take_back(event)
-        return self._grant_waiting(event.upstream, now)
-
     def _hear_upstream(
         self, event: events.UpstreamAnnounced, now: float
     ) -> list[events.Action]:
-        if not self._upstreams.hear(event.upstream, now):
+        if not self._supply.table.hear(event.upstream, now):
             return []
         actions: list[events.Action] = []
         if event.is_direct:
@@ -495,34 +402,12 @@
         self._services = {service.name: service for service in event.services}
         return []
 
-    def _change_peers(
-        self, event: events.PeersChanged, now: float
-    ) -> list[events.Action]:
-        nodes = tuple(sorted({peer.node for peer in event.entry_hosts}))
-        self._entry_hosts = len(nodes)
-        self._owner.set_nodes(event.own, nodes, now)
-        return self._holder.set_nodes(event.own, nodes, now)
-
     def _stop(self, now: float) -> list[events.Action]:
         if self._refuse_from is None:
             self._refuse_from = now + STOP_GRACE_S
         return []
 
 
-def _get_others(
-    usable: list[announcements.Upstream],
-    failed: announcements.Upstream,
-) -> list[announcements.Upstream]:
-    """Return those away from a failed attempt, as far as there are any."""
-    others = [item for item in usable if item.address != failed.address]
-    elsewhere = [
-        item
-        for item in others
-        if item.availability_zone != failed.availability_zone
-    ]
-    return elsewhere or others or usable
-
-
 def _conclude(
     held: _Request, outcome: events.AttemptOutcome
 ) -> list[events.Action]:
@@ -614,14 +499,14 @@
 def _(
     event: events.PeersChanged, router: Router, now: float
 ) -> list[events.Action]:
-    return router._change_peers(event, now)
+    return router._supply.change_peers(event, now)
 
 
 @_handle.register
 def _(
     event: events.SlotsRequested, router: Router, now: float
 ) -> list[events.Action]:
-    return router._request_slots(event, now)
+    return router._supply.request_slots(event, now)
 
 
 @_handle.register
@@ -635,7 +520,7 @@
 def _(
     event: events.SlotsReturned, router: Router, now: float
 ) -> list[events.Action]:
-    return router._take_back_slots(event, now)
+    return router._supply.take_back_slots(event, now)
 
 
 @_handle.register
