--- a/orioleshore/state/records.py
+++ b/orioleshore/state/records.py
@@ -144,6 +144,9 @@
     # report or repeated call of the old job fits the new one.
     attempt_floor: ids.Attempt = ids.Attempt(0)
     claims: dict[ids.IdempotencyKey, ClaimRecord] = {}
+    # Sizes of the recorded answers, oldest first, and their sum.
+    kept_answers: dict[ids.IdempotencyKey, int] = {}
+    kept_bytes: int = 0
     # Requests recorded as not run before their claim was committed.
     released: dict[ids.RequestId, ids.WallTime] = {}
     # Newest epoch of a removed host. A host that is added later starts
