--- a/orioleshore/fleet/waves.py
+++ b/orioleshore/fleet/waves.py
@@ -22,8 +22,8 @@
 MAX_ATTEMPTS = 3
 # Bounds on the work of one event, which shares its loop with others.
 MAX_STARTS = 16
-MAX_SCANS = 64
-MAX_POOLS = 8
+MAX_SCANS = 32
+MAX_POOLS = 4
 MAX_LOOKS = 64
 # Pools are filled when an event gives room, and besides this often, in
 # seconds, for hosts that may start because time has passed.
@@ -401,6 +401,7 @@
         now: float,
     ) -> list[events.Action]:
         queue = self._queues[wave, pool]
+        exceeded = fleet.index.find_exceeded_in(pool)
         room = self._get_room(pool, fleet)
         actions: list[events.Action] = []
         started = 0
@@ -424,7 +425,7 @@
             loss = fleet.index.find_exceeded(host)
             if loss is not None:
                 actions += self._explain_budget(pool, loss, fleet)
-                if loss.scope == 'total':
+                if loss.scope == 'total' or exceeded is not None:
                     queue.add_first(fleet.index.hosts[host])
                     break
                 queue.add(fleet.index.hosts[host])
--- a/orioleshore/state/budgets.py
+++ b/orioleshore/state/budgets.py
@@ -74,7 +74,9 @@
         for permission, record in state.permissions.items():
             self.hold(permission, record)
         for host, record in state.hosts.items():
-            self.update(host, record)
+            self._put(host, self._get_share(host, record, False))
+        for pool, scopes in self._scopes.items():
+            self._note_over(pool, scopes)
 
     def is_of(self, state: records.State) -> bool:
         """Return whether hosts and services are those of the state."""
@@ -103,18 +105,15 @@
         extra_down: bool = False,
     ) -> None:
         """Count a host as its record says, or as down."""
-        host = self.hosts.get(name)
-        share = None
-        if host is not None and record is not None:
-            share = self._get_share(host, record, extra_down)
         old = self._shares.pop(name, None)
         if old is not None:
-            self._add(host, old, -1)
+            self._add(name, old, -1)
             self.members[old.pool].discard(name)
+            self._note_over(old.pool, self._host_scopes[name])
+        share = self._get_share(name, record, extra_down)
+        self._put(name, share)
         if share is not None:
-            self._shares[name] = share
-            self._add(host, share, 1)
-            self.members.setdefault(share.pool, set()).add(name)
+            self._note_over(share.pool, self._host_scopes[name])
 
     def is_down(self, name: ids.HostId) -> bool:
         """Return whether a host counts as down."""
@@ -171,22 +170,32 @@
                     return loss
         return None
 
+    def _put(self, name: ids.HostId, share: _Share | None) -> None:
+        if share is None:
+            return
+        self._shares[name] = share
+        self._add(name, share, 1)
+        self.members.setdefault(share.pool, set()).add(name)
+
     def _get_share(
         self,
-        host: documents.Host,
-        record: records.HostRecord,
+        name: ids.HostId,
+        record: records.HostRecord | None,
         extra_down: bool,
-    ) -> _Share:
+    ) -> _Share | None:
+        host = self.hosts.get(name)
+        if host is None or record is None:
+            return None
         if record.arriving:
             return _Share(record.pool, 0, 0)
         units = round(get_capacity(host) * UNITS_PER_CORE)
-        down = extra_down or is_down(record) or host.name in self.held
+        down = extra_down or is_down(record) or name in self.held
         return _Share(record.pool, units, units if down else 0)
 
-    def _add(self, host: documents.Host, share: _Share, sign: int) -> None:
-        names = self._host_scopes.get(host.name)
+    def _add(self, host: ids.HostId, share: _Share, sign: int) -> None:
+        names = self._host_scopes.get(host)
         if names is None:
-            names = self._host_scopes[host.name] = get_scopes(host)
+            names = self._host_scopes[host] = get_scopes(self.hosts[host])
         scopes = self._scopes.setdefault(share.pool, {})
         for name in names:
             sums = scopes.get(name)
@@ -196,7 +205,6 @@
                 self._groups.setdefault((share.pool, kind), {})[name] = sums
             sums.capacity += sign * share.capacity
             sums.down += sign * share.down
-        self._note_over(share.pool, names)
 
     def _note_over(self, pool: ids.PoolId, scopes: Iterable[str]) -> None:
         over = self._over.setdefault(pool, set())
