--- a/orioleshore/fleet/waves.py
+++ b/orioleshore/fleet/waves.py
@@ -1,16 +1,15 @@
 """Maintenance waves: which host is taken down when."""
 
 import collections
-from collections.abc import Callable
 import functools
 import heapq
 import math
 from typing import Any
 
-from orioleshore.fleet import capacity
 from orioleshore.fleet import events
 from orioleshore.fleet import failures
 from orioleshore.fleet import queues
+from orioleshore.fleet import steps
 from orioleshore.fleet import view
 from orioleshore.model import documents
 from orioleshore.model import ids
@@ -18,8 +17,6 @@
 from orioleshore.state import budgets
 from orioleshore.state import commands
 
-# Times that a host is drained or rebooted before it is set aside.
-MAX_ATTEMPTS = 3
 # Bounds on the work of one event, which shares its loop with others.
 MAX_STARTS = 16
 MAX_SCANS = 32
@@ -28,12 +25,6 @@
 # Pools are filled when an event gives room, and besides this often, in
 # seconds, for hosts that may start because time has passed.
 FILL_S = 10.0
-# A host under way is looked at this often, in seconds.
-LOOK_S = 2.0
-
-_GONE = (events.ReportedState.DOWN, events.ReportedState.REBOOTING)
-_DRAINED = (events.ReportedState.DRAINING, events.ReportedState.DRAINED)
-_RETURNABLE = (states.HostState.DRAINING, states.HostState.DRAINED)
 
 
 class WavePlanner:
@@ -325,7 +316,9 @@
         actions: list[events.Action] = []
         for host, wave in list(self._active.items()):
             if scope in self._get_scopes(wave, host, fleet):
-                actions += self._withdraw(host, fleet, now, f'{scope} paused')
+                actions += steps.withdraw(
+                    self._active[host], host, fleet, now, f'{scope} paused'
+                )
         return actions
 
     def _withdraw_beyond_budget(
@@ -346,28 +339,15 @@
         )
         for host in list(self._active):
             if self._planned_hosts[host][0] == pool:
-                actions += self._withdraw(
-                    host, fleet, now, 'failures exceed the budget'
+                actions += steps.withdraw(
+                    self._active[host],
+                    host,
+                    fleet,
+                    now,
+                    'failures exceed the budget',
                 )
         return actions
 
-    def _withdraw(
-        self, host: ids.HostId, fleet: view.Fleet, now: float, reason: str
-    ) -> list[events.Action]:
-        """Give a host back that is not rebooted yet."""
-        record = fleet.state.hosts[host]
-        if record.state not in _RETURNABLE:
-            return []
-        return self._finish(
-            host,
-            fleet,
-            now,
-            states.WaveHostState.WAITING,
-            reason,
-            [fleet.set_state(host, states.HostState.SERVING, now, reason)],
-            withdrawn=True,
-        )
-
     def _get_scopes(
         self, wave: ids.WaveId, host: ids.HostId, fleet: view.Fleet
     ) -> tuple[str, str, str]:
@@ -510,7 +490,8 @@
         if not is_set_aside and now - since < fleet.timings.down_s:
             return []
         self._activate(host, wave, fleet, now)
-        return self._finish(
+        return steps.finish(
+            wave,
             host,
             fleet,
             now,
@@ -555,7 +536,7 @@
                 host,
                 now,
                 fleet.grant(host, states.Purpose.MAINTENANCE, now),
-                _start_host(wave, host, fleet, now),
+                steps.get_start(wave, host, fleet, now),
                 fleet.set_state(host, states.HostState.DRAINING, now, wave),
             ),
             *fleet.explain(
@@ -611,7 +592,7 @@
         if host not in fleet.state.hosts:
             self._release(host, fleet)
             return []
-        self._schedule(host, self._get_next_look(host, fleet, now))
+        self._schedule(host, steps.get_next_look(host, fleet, now))
         if fleet.is_pending(host):
             return []
         progress = fleet.state.waves[wave].hosts[host]
@@ -621,231 +602,7 @@
             if progress.state is states.WaveHostState.WAITING:
                 self._queue(wave, host, fleet)
             return []
-        return _STEPS[fleet.state.hosts[host].state](self, host, fleet, now)
-
-    def _get_next_look(
-        self, host: ids.HostId, fleet: view.Fleet, now: float
-    ) -> float:
-        """Return when a step can change without an event of the host."""
-        record = fleet.state.hosts[host]
-        due = now + LOOK_S
-        if record.state is states.HostState.PROVING:
-            due = record.since + fleet.timings.proving_s
-        elif record.state is states.HostState.DRAINING:
-            due = record.since + fleet.timings.drain_s
-        elif record.state is states.HostState.REBOOTING:
-            due = record.since + fleet.timings.reboot_s
-        repeat = fleet.get_next_call(host)
-        if repeat is not None and repeat > now:
-            due = min(due, repeat)
-        return max(due, now + min(LOOK_S, fleet.timings.proving_s))
-
-    def _step_serving(
-        self, host: ids.HostId, fleet: view.Fleet, now: float
-    ) -> list[events.Action]:
-        if host in budgets.get_index(fleet.state).held:
-            drain = fleet.set_state(host, states.HostState.DRAINING, now)
-            return fleet.propose(host, now, drain)
-        return self._finish(
-            host,
-            fleet,
-            now,
-            states.WaveHostState.WAITING,
-            'permission ended',
-            [],
-            withdrawn=True,
-        )
-
-    def _step_draining(
-        self, host: ids.HostId, fleet: view.Fleet, now: float
-    ) -> list[events.Action]:
-        report = fleet.reports.get(host)
-        record = fleet.state.hosts[host]
-        is_new = report is not None and report.time >= record.since
-        if is_new and report.state is events.ReportedState.DRAINED:
-            return fleet.propose(
-                host,
-                now,
-                fleet.set_state(host, states.HostState.DRAINED, now),
-                fleet.set_state(host, states.HostState.REBOOTING, now),
-            )
-        if is_new and report.state in _GONE:
-            return self._fail(host, fleet, now, 'failed while it drained')
-        if now - record.since < fleet.timings.drain_s:
-            return fleet.call(events.CallKind.DRAIN_HOST, host, now)
-        reason = f'drain did not end in {fleet.timings.drain_s:g} s'
-        outcome = states.WaveHostState.WAITING
-        if self._get_attempts(host, fleet) >= MAX_ATTEMPTS:
-            outcome = states.WaveHostState.SET_ASIDE
-        serve = fleet.set_state(host, states.HostState.SERVING, now, reason)
-        return self._finish(host, fleet, now, outcome, reason, [serve])
-
-    def _step_drained(
-        self, host: ids.HostId, fleet: view.Fleet, now: float
-    ) -> list[events.Action]:
-        reboot = fleet.set_state(host, states.HostState.REBOOTING, now)
-        return fleet.propose(host, now, reboot)
-
-    def _step_rebooting(
-        self, host: ids.HostId, fleet: view.Fleet, now: float
-    ) -> list[events.Action]:
-        if _is_rebooted(host, fleet, now):
-            prove = fleet.set_state(host, states.HostState.PROVING, now)
-            return fleet.propose(host, now, prove)
-        record = fleet.state.hosts[host]
-        if now - record.since < fleet.timings.reboot_s:
-            return fleet.call(events.CallKind.REBOOT_HOST, host, now)
-        return self._fail(
-            host,
-            fleet,
-            now,
-            f'did not come back in {fleet.timings.reboot_s:g} s',
-        )
-
-    def _step_proving(
-        self, host: ids.HostId, fleet: view.Fleet, now: float
-    ) -> list[events.Action]:
-        record = fleet.state.hosts[host]
-        report = fleet.reports.get(host)
-        if capacity.is_proven(host, fleet, now):
-            serve = fleet.set_state(host, states.HostState.SERVING, now)
-            return self._finish(
-                host, fleet, now, states.WaveHostState.DONE, '', [serve]
-            )
-        is_new = report is not None and report.time >= record.since
-        if is_new and report.state in _GONE:
-            return self._fail(host, fleet, now, 'failed after its reboot')
-        if now - record.since >= fleet.timings.proving_limit_s:
-            return self._fail(host, fleet, now, 'was not proved in time')
-        if is_new and report.state in _DRAINED:
-            return fleet.call(events.CallKind.RETURN_HOST, host, now)
-        return []
-
-    def _step_down(
-        self, host: ids.HostId, fleet: view.Fleet, now: float
-    ) -> list[events.Action]:
-        record = fleet.state.hosts[host]
-        if self._get_attempts(host, fleet) < MAX_ATTEMPTS:
-            wave = self._active[host]
-            return fleet.propose(
-                host,
-                now,
-                _start_host(wave, host, fleet, now),
-                fleet.set_state(host, states.HostState.REBOOTING, now),
-            )
-        aside = fleet.set_state(
-            host, states.HostState.SET_ASIDE, now, record.reason
-        )
-        return self._finish(
-            host,
-            fleet,
-            now,
-            states.WaveHostState.SET_ASIDE,
-            record.reason,
-            [aside],
-        )
-
-    def _step_set_aside(
-        self, host: ids.HostId, fleet: view.Fleet, now: float
-    ) -> list[events.Action]:
-        return self._finish(
-            host,
-            fleet,
-            now,
-            states.WaveHostState.SET_ASIDE,
-            fleet.state.hosts[host].reason,
-            [],
-        )
-
-    def _fail(
-        self, host: ids.HostId, fleet: view.Fleet, now: float, reason: str
-    ) -> list[events.Action]:
-        down = fleet.set_state(host, states.HostState.DOWN, now, reason)
-        return [
-            *fleet.propose(host, now, down),
-            *fleet.explain(
-                events.Record(
-                    'host',
-                    host,
-                    'count as down',
-                    {
-                        'wave': self._active[host],
-                        'attempt': self._get_attempts(host, fleet),
-                        'reason': reason,
-                    },
-                    f'a step has a time limit and {MAX_ATTEMPTS} attempts',
-                    'repair of the host',
-                )
-            ),
-        ]
-
-    def _finish(
-        self,
-        host: ids.HostId,
-        fleet: view.Fleet,
-        now: float,
-        outcome: states.WaveHostState,
-        reason: str,
-        changes: list[commands.SetHostState],
-        withdrawn: bool = False,
-    ) -> list[events.Action]:
-        finish = commands.FinishWaveHost(
-            time=ids.WallTime(now),
-            wave=self._active[host],
-            host=host,
-            outcome=outcome,
-            reason=reason,
-            withdrawn=withdrawn,
-            epoch=fleet.epoch,
-        )
-        # The outcome comes first: a leader that sees only a part of these
-        # commands must not reboot the host again.
-        actions = fleet.propose(
-            host, now, finish, *changes, *fleet.end_permission(host, now)
-        )
-        if not actions:
-            return []
-        record = events.Record(
-            'host',
-            host,
-            f'{outcome.value} in wave',
-            {'wave': self._active[host], 'reason': reason},
-            _RULES[outcome],
-            _REMEDIES[outcome],
-        )
-        return actions + fleet.explain(record)
-
-    def _get_attempts(self, host: ids.HostId, fleet: view.Fleet) -> int:
-        return fleet.state.waves[self._active[host]].hosts[host].attempts
-
-
-_RULES = {
-    states.WaveHostState.DONE: 'rebooted and up for the proving time',
-    states.WaveHostState.WAITING: 'a host that is not rebooted is given back',
-    states.WaveHostState.SET_ASIDE: (
-        f'a host has {MAX_ATTEMPTS} attempts, then the wave goes on without it'
-    ),
-}
-
-_REMEDIES = {
-    states.WaveHostState.DONE: '',
-    states.WaveHostState.WAITING: 'it is tried again when the cause has ended',
-    states.WaveHostState.SET_ASIDE: 'repair the host, then start a new wave',
-}
-
-_Step = Callable[
-    [WavePlanner, ids.HostId, view.Fleet, float], list[events.Action]
-]
-
-_STEPS: dict[states.HostState, _Step] = {
-    states.HostState.SERVING: WavePlanner._step_serving,
-    states.HostState.DRAINING: WavePlanner._step_draining,
-    states.HostState.DRAINED: WavePlanner._step_drained,
-    states.HostState.REBOOTING: WavePlanner._step_rebooting,
-    states.HostState.PROVING: WavePlanner._step_proving,
-    states.HostState.DOWN: WavePlanner._step_down,
-    states.HostState.SET_ASIDE: WavePlanner._step_set_aside,
-}
+        return steps.advance(wave, host, fleet, now)
 
 
 @functools.singledispatch
@@ -918,30 +675,6 @@
     return planner._note_failure(command, fleet, now)
 
 
-def _start_host(
-    wave: ids.WaveId, host: ids.HostId, fleet: view.Fleet, now: float
-) -> commands.StartWaveHost:
-    return commands.StartWaveHost(
-        time=ids.WallTime(now), wave=wave, host=host, epoch=fleet.epoch
-    )
-
-
-def _is_rebooted(host: ids.HostId, fleet: view.Fleet, now: float) -> bool:
-    report = fleet.reports.get(host)
-    if report is None or report.state is not events.ReportedState.UP:
-        return False
-    since = fleet.state.hosts[host].since
-    if report.time < since:
-        return False
-    if report.out >= since:
-        return True
-    # A report of the time before the reboot may arrive late.
-    accepted = fleet.get_accepted(host)
-    if accepted is None or accepted < since:
-        return False
-    return now - accepted >= fleet.timings.reboot_unseen_s
-
-
 def _get_units(host: ids.HostId, fleet: view.Fleet) -> int:
     capacity_cores = budgets.get_capacity(fleet.index.hosts[host])
     return round(capacity_cores * budgets.UNITS_PER_CORE)
