Give hosts their whole step time after a leader change

A test with 200 s without a leader rebooted hosts twice: the new leader counted that time against the step before it had heard of the host. Time limits now count from the gain of the lead. A wave that is removed between the record of a reboot and its call left the host drained at the platform and recorded as down; the watch of hosts now asks to return it.

--- a/orioleshore/fleet/capacity.py
+++ b/orioleshore/fleet/capacity.py
@@ -6,6 +6,7 @@
 
 from orioleshore.fleet import events
 from orioleshore.fleet import view
+from orioleshore.model import documents
 from orioleshore.model import ids
 from orioleshore.model import states
 
@@ -24,6 +25,8 @@
         self._silent_at: list[tuple[float, ids.HostId]] = []
         self._watched: set[ids.HostId] = set()
         self._scheduled: set[ids.HostId] = set()
+        self._hosts: tuple[documents.Host, ...] = ()
+        self._waves: tuple[documents.Wave, ...] = ()
 
     def start(self, fleet: view.Fleet, now: float) -> list[events.Action]:
         """Look at every host that does not serve."""
@@ -47,7 +50,7 @@
             actions += self._look_at_due(fleet, now)
             actions += self._find_silent(fleet, now)
         if fleet.is_document_new:
-            self._schedule_added(fleet, now)
+            self._schedule_unclaimed(fleet, now)
         for host in fleet.touched:
             actions += self._look(host, fleet, now)
         return actions
@@ -76,9 +79,17 @@
         self._watched.add(host)
         heapq.heappush(self._silent_at, (now + fleet.timings.suspect_s, host))
 
-    def _schedule_added(self, fleet: view.Fleet, now: float) -> None:
+    def _schedule_unclaimed(self, fleet: view.Fleet, now: float) -> None:
+        """Look at added hosts, and at those of a wave that was removed."""
+        hosts = fleet.state.document.hosts
+        waves = fleet.state.document.waves
+        if self._hosts is hosts and self._waves is waves:
+            return
+        self._hosts = hosts
+        self._waves = waves
         for host, record in fleet.state.hosts.items():
-            if record.arriving:
+            is_serving = record.state is states.HostState.SERVING
+            if not is_serving and host not in fleet.claimed:
                 self._schedule(host, now)
 
     def _schedule(self, host: ids.HostId, due: float) -> None:
@@ -187,10 +198,12 @@
     def _look_at_rebooting(
         self, host: ids.HostId, fleet: view.Fleet, now: float
     ) -> list[events.Action]:
-        record = fleet.state.hosts[host]
         if fleet.reports[host].state is events.ReportedState.UP:
             return self._prove(host, fleet, now)
-        if now - record.since < fleet.timings.reboot_s:
+        if fleet.reports[host].state in _DRAINED:
+            # The planned work ended before the platform was asked.
+            return fleet.call(events.CallKind.RETURN_HOST, host, now)
+        if fleet.get_step_time(host, now) < fleet.timings.reboot_s:
             return []
         return self._fail(host, fleet, now, 'did not come back from reboot')
 
@@ -225,6 +238,8 @@
     ) -> list[events.Action]:
         report = fleet.reports[host]
         record = fleet.state.hosts[host]
+        if report.state in _DRAINED:
+            return fleet.call(events.CallKind.RETURN_HOST, host, now)
         is_back = report.state is events.ReportedState.UP
         if not is_back or report.time < record.since:
             return []
--- a/orioleshore/fleet/moves.py
+++ b/orioleshore/fleet/moves.py
@@ -355,7 +355,7 @@
                 self._get_move(host, pool, fleet, now),
             )
         is_gone = is_new and report.state in _GONE
-        if is_gone or now - record.since >= fleet.timings.drain_s:
+        if is_gone or fleet.get_step_time(host, now) >= fleet.timings.drain_s:
             # The watch of hosts withdraws or fails a host without claim.
             return self._release(host, fleet)
         return fleet.call(events.CallKind.DRAIN_HOST, host, now)
--- a/orioleshore/fleet/steps.py
+++ b/orioleshore/fleet/steps.py
@@ -124,7 +124,7 @@
         )
     if is_new and report.state in _GONE:
         return _fail(wave, host, fleet, now, 'failed while it drained')
-    if now - record.since < fleet.timings.drain_s:
+    if fleet.get_step_time(host, now) < fleet.timings.drain_s:
         return fleet.call(events.CallKind.DRAIN_HOST, host, now)
     reason = f'drain did not end in {fleet.timings.drain_s:g} s'
     outcome = states.WaveHostState.WAITING
@@ -147,8 +147,7 @@
     if _is_rebooted(host, fleet, now):
         prove = fleet.set_state(host, states.HostState.PROVING, now)
         return fleet.propose(host, now, prove)
-    record = fleet.state.hosts[host]
-    if now - record.since < fleet.timings.reboot_s:
+    if fleet.get_step_time(host, now) < fleet.timings.reboot_s:
         return fleet.call(events.CallKind.REBOOT_HOST, host, now)
     return _fail(
         wave,
@@ -172,7 +171,7 @@
     is_new = report is not None and report.time >= record.since
     if is_new and report.state in _GONE:
         return _fail(wave, host, fleet, now, 'failed after its reboot')
-    if now - record.since >= fleet.timings.proving_limit_s:
+    if fleet.get_step_time(host, now) >= fleet.timings.proving_limit_s:
         return _fail(wave, host, fleet, now, 'was not proved in time')
     if is_new and report.state in _DRAINED:
         return fleet.call(events.CallKind.RETURN_HOST, host, now)
--- a/orioleshore/fleet/view.py
+++ b/orioleshore/fleet/view.py
@@ -1,5 +1,6 @@
 """What the parts of the planner share: state, reports, open proposals."""
 
+import functools
 import heapq
 from typing import Any
 
@@ -91,18 +92,9 @@
     def observe(self, event: events.Event, now: float) -> None:
         """Keep what an event tells, before the parts see it."""
         self.touched = []
-        if isinstance(event, events.CommandApplied):
-            self.touched = self._applied
-        else:
+        if not isinstance(event, events.CommandApplied):
             self.is_document_new = False
-        if isinstance(event, events.HostReported):
-            self._observe_report(event, now)
-        elif isinstance(event, events.CommandRefused):
-            self._settle(event.command)
-        elif isinstance(event, events.PlatformAnswered):
-            self._observe_answer(event, now)
-        elif isinstance(event, events.TimerFired):
-            self._expire(now)
+        _observe(event, self, now)
 
     def apply(self, command: commands.Command) -> registry.CommandResult:
         """Apply a committed command to the copy."""
@@ -175,6 +167,14 @@
             events.CallPlatform(name, kind, host, self.epoch, record.epoch)
         ]
 
+    def get_step_time(self, host: ids.HostId, now: float) -> float:
+        """Return for how long a host is in its stage, in seconds.
+
+        Time without a leader does not count: the new one has not heard
+        of the host yet, and would repeat a step that has ended.
+        """
+        return now - max(self.state.hosts[host].since, self.gained)
+
     def get_accepted(self, host: ids.HostId) -> float | None:
         """Return when the platform accepted the newest call of a host."""
         for call in self._calls.get(host, {}).values():
@@ -334,3 +334,33 @@
             return [] if ended is None else [ended.host]
         host = getattr(command, 'host', None)
         return [] if host is None else [host]
+
+
+@functools.singledispatch
+def _observe(event: events.Event, fleet: Fleet, now: float) -> None:
+    """Events without a rule of their own leave the view as it is."""
+
+
+@_observe.register
+def _(event: events.CommandApplied, fleet: Fleet, now: float) -> None:
+    fleet.touched = fleet._applied
+
+
+@_observe.register
+def _(event: events.CommandRefused, fleet: Fleet, now: float) -> None:
+    fleet._settle(event.command)
+
+
+@_observe.register
+def _(event: events.HostReported, fleet: Fleet, now: float) -> None:
+    fleet._observe_report(event, now)
+
+
+@_observe.register
+def _(event: events.PlatformAnswered, fleet: Fleet, now: float) -> None:
+    fleet._observe_answer(event, now)
+
+
+@_observe.register
+def _(event: events.TimerFired, fleet: Fleet, now: float) -> None:
+    fleet._expire(now)
--- a/orioleshore/tests/test_fleet_waves_faults.py
+++ b/orioleshore/tests/test_fleet_waves_faults.py
@@ -7,11 +7,13 @@
 import functools
 import itertools
 
+import msgspec
 import pytest
 
 from fakes import fleet as fakes_fleet
 from orioleshore.fleet import events
 from orioleshore.fleet import view
+from orioleshore.model import documents
 from orioleshore.model import ids
 from orioleshore.model import states
 from orioleshore.state import records
@@ -307,3 +309,38 @@
     per_host = [r for _, r in fleet.explained if r.subject_kind == 'host']
     assert len(per_host) == 2 * 30
     assert len(fleet.explained) < 100
+
+
+@pytest.mark.parametrize('step', STEPS[:3], ids=lambda step: step.value)
+def test_a_removed_wave_leaves_no_host_behind(step):
+    """Guards against hosts that stay out when nobody plans them."""
+    fleet = build_fleet()
+    fleet.start()
+    run_to_step(fleet, step)
+    old = fleet.state.document
+    new = msgspec.structs.replace(old, waves=())
+    fleet.commit(builders.build_change(new, old, 1, 2, fleet.now))
+    fleet.run(300.0)
+    for record in fleet.state.hosts.values():
+        assert record.state is states.HostState.SERVING
+    assert not fleet.state.permissions
+
+
+def test_a_leader_restarts_after_hundreds_of_changes():
+    """Guards against a leader that counts on events it has not seen."""
+    fleet = build_fleet()
+    fleet.start()
+    run_to_step(fleet, states.HostState.REBOOTING)
+    fleet.leader = None
+    for number in range(300):
+        old = fleet.state.document
+        team = documents.Team(ids.TeamId(f'team-{number}'), 1.0, 1.0)
+        new = msgspec.structs.replace(old, teams=(*old.teams, team))
+        change = builders.build_change(
+            new, old, fleet.state.version, number + 2, fleet.now
+        )
+        fleet.commit(change)
+    fleet.run(200.0)
+    fleet.elect()
+    finish(fleet)
+    assert set(fleet.reboots.values()) == {1}
