End a permission only when its own end has passed

A permission that was ended and granted again under the same id was ended at the first end by members that had run all the time, and kept by members that had restarted: their states would have differed. The property test now applies each command to a restarted copy as well; the new test failed before the change.

--- a/orioleshore/state/host_commands.py
+++ b/orioleshore/state/host_commands.py
@@ -144,7 +144,10 @@
 
 def _forget_permissions(state: records.State) -> None:
     for permission in budgets.get_index(state).pop_expired(state.time):
-        _end_permission(state, permission)
+        record = state.permissions.get(permission)
+        # An id that was granted again has a later end.
+        if record is not None and record.until <= state.time:
+            _end_permission(state, permission)
 
 
 def _end_permission(
