--- a/orioleshore/state/budgets.py
+++ b/orioleshore/state/budgets.py
@@ -65,6 +65,7 @@
         self._sections = _get_sections(state)
         self._scopes: dict[ids.PoolId, dict[str, Sums]] = {}
         self._groups: dict[tuple[ids.PoolId, str], dict[str, Sums]] = {}
+        self._over: dict[ids.PoolId, set[str]] = {}
         self._host_scopes: dict[ids.HostId, tuple[str, str, str]] = {}
         self._shares: dict[ids.HostId, _Share] = {}
         self._expiries: list[tuple[float, ids.PermissionId]] = []
@@ -73,7 +74,9 @@
         for permission, record in state.permissions.items():
             self.hold(permission, record)
         for host, record in state.hosts.items():
-            self.update(host, record)
+            self._put(host, self._get_share(host, record, False))
+        for pool, scopes in self._scopes.items():
+            self._note_over(pool, scopes)
 
     def is_of(self, state: records.State) -> bool:
         """Return whether hosts and services are those of the state."""
@@ -102,18 +105,15 @@
         extra_down: bool = False,
     ) -> None:
         """Count a host as its record says, or as down."""
-        host = self.hosts.get(name)
-        share = None
-        if host is not None and record is not None:
-            share = self._get_share(host, record, extra_down)
         old = self._shares.pop(name, None)
         if old is not None:
-            self._add(host, old, -1)
+            self._add(name, old, -1)
             self.members[old.pool].discard(name)
+            self._note_over(old.pool, self._host_scopes[name])
+        share = self._get_share(name, record, extra_down)
+        self._put(name, share)
         if share is not None:
-            self._shares[name] = share
-            self._add(host, share, 1)
-            self.members.setdefault(share.pool, set()).add(name)
+            self._note_over(share.pool, self._host_scopes[name])
 
     def is_down(self, name: ids.HostId) -> bool:
         """Return whether a host counts as down."""
@@ -129,18 +129,24 @@
         return self._groups.get((pool, kind), {})
 
     def find_exceeded(self, name: ids.HostId) -> Loss | None:
-        """Return a budget that the loss of one more host exceeds."""
+        """Return a budget that is exceeded with the loss of one more host.
+
+        A scope that failures have exceeded already counts too, even when
+        the host is not part of it: then nothing planned starts.
+        """
         share = self._shares.get(name)
         if share is None:
             return None
         extra = share.capacity - share.down
-        return self._find_exceeded(
-            share.pool, get_scopes(self.hosts[name]), extra
-        )
+        loss = self._find_exceeded(share.pool, self._host_scopes[name], extra)
+        return loss or self.find_exceeded_in(share.pool)
 
     def find_exceeded_in(self, pool: ids.PoolId) -> Loss | None:
         """Return a budget that the present loss of a pool exceeds."""
-        return self._find_exceeded(pool, self._scopes.get(pool, {}), 0)
+        over = self._over.get(pool)
+        if not over:
+            return None
+        return self._find_exceeded(pool, sorted(over), 0)
 
     def get_losses(self, pool: ids.PoolId) -> list[Loss]:
         """Return the loss of each service in every scope with losses."""
@@ -164,22 +170,32 @@
                     return loss
         return None
 
+    def _put(self, name: ids.HostId, share: _Share | None) -> None:
+        if share is None:
+            return
+        self._shares[name] = share
+        self._add(name, share, 1)
+        self.members.setdefault(share.pool, set()).add(name)
+
     def _get_share(
         self,
-        host: documents.Host,
-        record: records.HostRecord,
+        name: ids.HostId,
+        record: records.HostRecord | None,
         extra_down: bool,
-    ) -> _Share:
+    ) -> _Share | None:
+        host = self.hosts.get(name)
+        if host is None or record is None:
+            return None
         if record.arriving:
             return _Share(record.pool, 0, 0)
         units = round(get_capacity(host) * UNITS_PER_CORE)
-        down = extra_down or is_down(record) or host.name in self.held
+        down = extra_down or is_down(record) or name in self.held
         return _Share(record.pool, units, units if down else 0)
 
-    def _add(self, host: documents.Host, share: _Share, sign: int) -> None:
-        names = self._host_scopes.get(host.name)
+    def _add(self, host: ids.HostId, share: _Share, sign: int) -> None:
+        names = self._host_scopes.get(host)
         if names is None:
-            names = self._host_scopes[host.name] = get_scopes(host)
+            names = self._host_scopes[host] = get_scopes(self.hosts[host])
         scopes = self._scopes.setdefault(share.pool, {})
         for name in names:
             sums = scopes.get(name)
@@ -190,6 +206,14 @@
             sums.capacity += sign * share.capacity
             sums.down += sign * share.down
 
+    def _note_over(self, pool: ids.PoolId, scopes: Iterable[str]) -> None:
+        over = self._over.setdefault(pool, set())
+        for scope in scopes:
+            if self._find_exceeded(pool, (scope,), 0) is None:
+                over.discard(scope)
+            else:
+                over.add(scope)
+
 
 def get_index(state: records.State) -> Index:
     """Return the sums of a state, made anew when its hosts changed."""
