--- a/bench/jobs.py
+++ b/bench/jobs.py
@@ -23,6 +23,7 @@
 from orioleshore.model import documents
 from orioleshore.model import ids
 from orioleshore.model import states
+from orioleshore.state import commands
 from orioleshore.state import machine
 from orioleshore.tests import builders
 from orioleshore.tests import support
@@ -283,6 +284,45 @@
     )
 
 
+def print_renewals(workers: int) -> None:
+    """Print what renewals add to the log, for 4 tasks on each worker."""
+    attempts = 4 * workers
+    holders = tuple(
+        commands.LeaseHolder(ids.JobId(f'team-12-job-{number}'), 1)
+        for number in range(jobs.MAX_RENEWALS)
+    )
+    single, batch = (
+        len(commands.encode(_build_renewal(part)))
+        for part in (holders[:1], holders)
+    )
+    each = batch / len(holders)
+    for lease_s in (60.0, 600.0):
+        # A lease is renewed once three quarters of it have passed.
+        renewals = attempts / (0.75 * lease_s)
+        row = {
+            'workers': workers,
+            'lease_s': lease_s,
+            'renewals_per_s': renewals,
+            'single_bytes_per_s': renewals * single,
+            'batch_commands_per_s': renewals / len(holders),
+            'batch_bytes_per_s': renewals * each,
+            # One in ten attempts outlives 1.5 times the learned quantile.
+            'outliving_bytes_per_s': 0.1 * renewals * each,
+        }
+        print('renewal', _format(row))
+
+
+def _build_renewal(
+    holders: tuple[commands.LeaseHolder, ...],
+) -> commands.RenewLeases:
+    return commands.RenewLeases(
+        time=builders.NOW,
+        epoch=ids.Epoch(1),
+        holders=holders,
+        lease_until=ids.WallTime(builders.NOW + 60.0),
+    )
+
+
 def main() -> None:
     """Print one line for each measurement."""
     parser = argparse.ArgumentParser(description=__doc__)
@@ -293,12 +333,14 @@
     parser.add_argument('--pools', type=int, default=175)
     parser.add_argument(
         '--part',
-        choices=('placement', 'examples', 'large', 'all'),
+        choices=('placement', 'renewals', 'examples', 'large', 'all'),
         default='all',
     )
     arguments = parser.parse_args()
     if arguments.part in ('placement', 'all'):
         print_placement(list(arguments.sizes), arguments.seed)
+    if arguments.part in ('renewals', 'all'):
+        print_renewals(arguments.large_workers)
     if arguments.part in ('examples', 'all'):
         for name in EXAMPLES:
             for enabled in (False, True):
--- a/orioleshore/tests/test_jobs_policy.py
+++ b/orioleshore/tests/test_jobs_policy.py
@@ -255,13 +255,17 @@
 
 
 def test_deadlines_come_in_order_and_a_miss_is_said_early():
-    session = build_session(hosts=1)
+    teams = tuple(
+        documents.Team(ids.TeamId(name), 100.0, 100.0)
+        for name in ('members', 'growers')
+    )
+    session = build_session(hosts=1, teams=teams)
     session.add_jobs(*build_long_jobs(session, 16))
     session.commit()
     late = builders.NOW + 30.0
     large = {'cores': 16.0, 'job_class': 'large'}
     session.add_jobs(
-        builders.build_job('plain', **large),
+        builders.build_job('plain', team='growers', **large),
         builders.build_job('second', deadline=late + 600.0, **large),
         builders.build_job('first', deadline=late, **large),
     )
