Read reports again after a change of leader

Cause: every control member polls the platform, and members that do not lead drop what they read.

Change: a new leader asks for the reports of the last 120 s again. The platform task keeps the positions of the last 300 s for this.

--- a/orioleshore/fleet/events.py
+++ b/orioleshore/fleet/events.py
@@ -162,4 +162,10 @@
     remedy: str = ''
 
 
-Action = Propose | CallPlatform | Record
+class ReplayReports(msgspec.Struct, frozen=True):
+    """Deliver the platform's reports of the last ``seconds`` again."""
+
+    seconds: float
+
+
+Action = Propose | CallPlatform | Record | ReplayReports
--- a/orioleshore/fleet/jobs.py
+++ b/orioleshore/fleet/jobs.py
@@ -35,6 +35,8 @@
 # Time in which reports confirm running tasks to a new leader, so that it
 # need not repeat all their start calls.
 CONFIRM_S = 10.0
+# Reports of this time are read again by a new leader; it covers an election.
+REPLAY_S = 120.0
 # A worker that leaves a start call unanswered this long gets no more work.
 START_LIMIT_S = 6.0
 # A task without any report for this time does not get its lease renewed.
@@ -171,6 +173,8 @@
         self._learn_from_attempts(now)
         for name in state.jobs:
             self._follow_job(name, now)
+        # Reports that came between two leaders were not acted on.
+        self._actions.append(events.ReplayReports(REPLAY_S))
         for pool in self._queues:
             self._place(pool, now)
 
--- a/orioleshore/fleet/manager.py
+++ b/orioleshore/fleet/manager.py
@@ -206,6 +206,12 @@
         manager._platform.put(action)
 
 
+@_perform.register
+def _(action: events.ReplayReports, manager: ManagerTask) -> None:
+    if manager._platform is not None:
+        manager._platform.put(action)
+
+
 @_perform.register
 def _(action: events.Record, manager: ManagerTask) -> None:
     manager._explanations.add(action, manager._timers.clock.get_wall())
--- a/orioleshore/frontends/platform.py
+++ b/orioleshore/frontends/platform.py
@@ -1,6 +1,7 @@
 """Task that calls the platform and collects its reports over HTTP."""
 
 import asyncio
+import collections
 import functools
 import logging
 from typing import Any
@@ -24,6 +25,8 @@
 CALL_TIMEOUT_S = 5.0
 # Calls under way at once; more wait in the mailbox.
 MAX_CALLS = 32
+# How far back reports can be delivered again.
+MAX_REPLAY_S = 300.0
 
 EPOCH_HEADER = 'Orioleshore-Epoch'
 HOST_EPOCH_HEADER = 'Orioleshore-Host-Epoch'
@@ -76,6 +79,11 @@
         self._session: aiohttp.ClientSession | None = None
         self._position = 0
         self._polling = False
+        # Positions with the time at which they were reached, oldest first.
+        self._reached: collections.deque[tuple[float, int]] = (
+            collections.deque()
+        )
+        self._rewound = False
         self._calls: set[asyncio.Task] = set()
         self._limit = asyncio.Semaphore(MAX_CALLS)
 
@@ -167,11 +175,30 @@
             LOG.warning(logs.format_event('platform_poll_failed', error=error))
         await self.mailbox.put_wait(_Polled(reports))
 
+    def _advance(self, position: int) -> None:
+        now = self._timers.clock.get_monotonic()
+        self._reached.append((now, self._position))
+        while self._reached[0][0] < now - MAX_REPLAY_S:
+            self._reached.popleft()
+        self._position = position
+
+    def _rewind(self, seconds: float) -> None:
+        start = self._timers.clock.get_monotonic() - seconds
+        recent = [
+            position for reached, position in self._reached if reached >= start
+        ]
+        if recent:
+            self._position = min(recent)
+            # A poll under way must not move the position forward again.
+            self._rewound = self._polling
+
     def _take_reports(self, reports: Reports | None) -> None:
         self._polling = False
+        rewound, self._rewound = self._rewound, False
         if reports is None:
             return
-        self._position = reports.next
+        if not rewound:
+            self._advance(reports.next)
         for report in reports.reports:
             if report.task is not None:
                 self._manager.put(report.task)
@@ -201,6 +228,11 @@
     platform._start(platform._call(message))
 
 
+@_take.register
+def _(message: events.ReplayReports, platform: PlatformTask) -> None:
+    platform._rewind(message.seconds)
+
+
 @_take.register
 def _(message: service.TimerFired, platform: PlatformTask) -> None:
     if not platform._polling:
--- a/orioleshore/tests/support.py
+++ b/orioleshore/tests/support.py
@@ -61,6 +61,7 @@
         self.records: list[tuple[float, events.Record]] = []
         # Kinds of calls whose answers do not arrive.
         self.lost_answers: set[events.CallKind] = set()
+        self._replays = False
         self._changes = 1
         self.feed(events.LeadershipGained(self.epoch, self.state))
 
@@ -82,6 +83,8 @@
                 self.proposals.append(action.command)
             elif isinstance(action, events.CallPlatform):
                 self.calls.append(action)
+            elif isinstance(action, events.ReplayReports):
+                self._replays = True
             else:
                 self.records.append((self.now - builders.NOW, action))
 
@@ -127,8 +130,19 @@
                 )
             )
 
+    def lose_reports(self) -> None:
+        """Take reports from the platform while no leader acts on them."""
+        self.reports += [
+            msgspec.convert(report, events.TaskReported)
+            for report in self.fake.advance(self.now)
+        ]
+
     def report(self) -> None:
         """Deliver the reports of the fake workers."""
+        replayed, self._replays = self._replays, False
+        if replayed:
+            for report in list(self.reports):
+                self.feed(report)
         for report in self.fake.advance(self.now):
             event = msgspec.convert(report, events.TaskReported)
             self.reports.append(event)
--- a/orioleshore/tests/test_jobs_faults.py
+++ b/orioleshore/tests/test_jobs_faults.py
@@ -98,6 +98,12 @@
     session.change_leader()
 
 
+def change_leader_and_miss_reports(session):
+    session.now += RUN_S
+    session.lose_reports()
+    session.change_leader()
+
+
 def repeat_reports(session):
     for report in list(session.reports):
         session.feed(report)
@@ -127,6 +133,7 @@
     lose_proposals,
     change_leader,
     change_leader_and_lose_proposals,
+    change_leader_and_miss_reports,
     repeat_reports,
     cancel,
     drain,
@@ -196,6 +203,7 @@
         (place, lose_calls, states.JobState.DONE),
         (run, lose_answers, states.JobState.DONE),
         (run, change_leader, states.JobState.DONE),
+        (run, change_leader_and_miss_reports, states.JobState.DONE),
         (run, repeat_reports, states.JobState.DONE),
         (run, drain, states.JobState.DONE),
         (run, cut_worker_off, states.JobState.UNKNOWN),
