Place jobs only after events that give room back

Cause: every applied placement ran another pass over the waiting jobs of its pool, and every job in it searched the index for a worker large enough.

Change: placements and quarantines start no pass; a pool remembers which sizes fit any of its workers until they change.

--- a/orioleshore/fleet/jobs.py
+++ b/orioleshore/fleet/jobs.py
@@ -1242,8 +1242,14 @@
 
 
 @_follow.register(commands.PlaceTask)
-@_follow.register(commands.RecordTaskResult)
 @_follow.register(commands.QuarantineJob)
+def _(command: Any, planner: JobPlanner, now: float) -> None:
+    # Neither gives room back, so no other job can be placed now.
+    planner._delayed.discard(command.job)
+    planner._follow_job(command.job, now)
+
+
+@_follow.register(commands.RecordTaskResult)
 def _(command: Any, planner: JobPlanner, now: float) -> None:
     task = planner._tasks.get(command.job)
     planner._delayed.discard(command.job)
--- a/orioleshore/fleet/workers.py
+++ b/orioleshore/fleet/workers.py
@@ -10,6 +10,8 @@
 
 # Workers looked at in one cell before the next cell is tried.
 CELL_SCAN_LIMIT = 32
+# Sizes for which a pool remembers whether any worker is large enough.
+MAX_KNOWN_SIZES = 256
 # Rounding errors of sums of sizes.
 TOLERANCE = 1e-6
 
@@ -158,6 +160,8 @@
         self.reclaimable = RoomIndex()
         self.totals = RoomIndex()
         self.capacity = Size()
+        # Whether a size fits any worker, until the workers change.
+        self.possible: dict[Size, bool] = {}
 
 
 class WorkerTable:
@@ -202,6 +206,7 @@
         if state is not None:
             index = self._pools.setdefault(pool, _PoolIndex())
             index.totals.set(name, total)
+            index.possible.clear()
             index.capacity = index.capacity.plus(total)
         self._list(worker)
         return worker
@@ -290,7 +295,13 @@
         index = self._pools.get(pool)
         if index is None:
             return False
-        return index.totals.find(size, avoided) is not None
+        if avoided:
+            return index.totals.find(size, avoided) is not None
+        if size not in index.possible:
+            if len(index.possible) >= MAX_KNOWN_SIZES:
+                index.possible.clear()
+            index.possible[size] = index.totals.find(size) is not None
+        return index.possible[size]
 
     def _widen(
         self, avoided: frozenset[ids.HostId], proven: bool
@@ -313,5 +324,6 @@
         index.free.remove(worker.name)
         index.reclaimable.remove(worker.name)
         index.totals.remove(worker.name)
+        index.possible.clear()
         if worker.state is not None:
             index.capacity = index.capacity.minus(worker.total)
