Return permissions whose planned work was refused, and ignore old host states

With no leader known, the control client sent each call to another member, so the start of a host overtook its permission and was refused; the permission then held its room for an hour. First tries now go to one member, and a permission without planned work is ended. The new test fails without the second change. Cause 2, found on review: a new leader reads old reports again, and an old "drained" could end a later drain; of old reports only the newest state of each host counts now.

--- a/fakes/fleet.py
+++ b/fakes/fleet.py
@@ -49,6 +49,8 @@
     silent: bool = False
     # Whether proposals that a leader has not committed end with its lead.
     lose_proposals: bool = False
+    # Proposals are committed up to this much later, in any order.
+    overtaking_s: float = 0.0
 
 
 class SimulatedFleet:
@@ -131,6 +133,10 @@
         if self._check is not None:
             self._check(command, self.state)
         self.deliver(events.CommandApplied(command))
+        if outcome.is_err():
+            # The leader also gets the answer to its proposal.
+            reason = outcome.unwrap_err().message
+            self.deliver(events.CommandRefused(command, reason))
 
     def run(self, duration: float) -> None:
         """Let time pass."""
@@ -155,16 +161,26 @@
     def _perform(self, action: events.Action) -> None:
         if isinstance(action, events.Propose):
             command, epoch = action.command, self.epoch
-            self.at(COMMIT_S, lambda: self._commit_for(epoch, command))
+            delay = self._random.random() * self.behaviour.overtaking_s
+            self.at(COMMIT_S + delay, lambda: self._commit_for(epoch, command))
         elif isinstance(action, events.CallPlatform):
             self.at(ANSWER_S, lambda: self._take_call(action))
-        else:
+        elif isinstance(action, events.Record):
             self.explained.append((self.now, action))
+        else:
+            self.at(ANSWER_S, self._replay)
 
     def _commit_for(self, epoch: ids.Epoch, command: commands.Command) -> None:
         if epoch == self.epoch or not self.behaviour.lose_proposals:
             self.commit(command)
 
+    def _replay(self) -> None:
+        """Report every host again, as a new leader asks."""
+        if self.behaviour.silent:
+            return
+        for host, state in list(self.reported.items()):
+            self.deliver(events.HostReported(host, state))
+
     def _tick(self) -> None:
         self.deliver(events.TimerFired())
         self.at(self._tick_s, self._tick)
--- a/orioleshore/consensus/client.py
+++ b/orioleshore/consensus/client.py
@@ -126,10 +126,16 @@
         )
 
     def _get_next_address(self, silent: str) -> str:
-        """Return the next member, passing over one that did not answer."""
+        """Return the member to try, passing over one that did not answer.
+
+        First tries go to one member, so that calls keep their order while
+        the leader is not known.
+        """
         others = [a for a in self._addresses if a != silent]
         if not others:
             return silent
+        if not silent:
+            return others[self._position % len(others)]
         self._position = (self._position + 1) % len(others)
         return others[self._position]
 
--- a/orioleshore/fleet/capacity.py
+++ b/orioleshore/fleet/capacity.py
@@ -159,6 +159,11 @@
     def _look_at_serving(
         self, host: ids.HostId, fleet: view.Fleet, now: float
     ) -> list[events.Action]:
+        if not fleet.is_pending(host):
+            # The start of the planned work was refused or got lost.
+            unused = fleet.end_permission(host, now)
+            if unused:
+                return fleet.propose(host, now, *unused)
         report = fleet.reports.get(host)
         if report is None:
             return []
--- a/orioleshore/frontends/platform.py
+++ b/orioleshore/frontends/platform.py
@@ -92,6 +92,8 @@
             collections.deque()
         )
         self._rewound = False
+        # Reports of before the last poll are read at the next one.
+        self._is_catching_up = True
         self._calls: set[asyncio.Task] = set()
         self._limit = asyncio.Semaphore(MAX_CALLS)
 
@@ -197,6 +199,7 @@
         ]
         if recent:
             self._position = min(recent)
+            self._is_catching_up = True
             # A poll under way must not move the position forward again.
             self._rewound = self._polling
 
@@ -205,20 +208,29 @@
         rewound, self._rewound = self._rewound, False
         if reports is None:
             return
+        newest_only = self._is_catching_up and not rewound
         if not rewound:
             self._advance(reports.next)
+            self._is_catching_up = False
+        # An old "drained" would end a later drain of the same host.
+        newest = {
+            report.host: report for report in reports.reports if report.state
+        }
         for report in reports.reports:
             if report.task is not None:
                 self._manager.put(report.task)
-            if report.state is not None:
-                self._manager.put(
-                    events.HostReported(
-                        report.host,
-                        report.state,
-                        report.cores_used,
-                        report.memory_used_gb,
-                    )
+            if report.state is None:
+                continue
+            if newest_only and newest[report.host] is not report:
+                continue
+            self._manager.put(
+                events.HostReported(
+                    report.host,
+                    report.state,
+                    report.cores_used,
+                    report.memory_used_gb,
                 )
+            )
 
 
 def _get_ran(header: str | None) -> states.Ran:
--- a/orioleshore/tests/test_fleet_waves_faults.py
+++ b/orioleshore/tests/test_fleet_waves_faults.py
@@ -187,6 +187,16 @@
     assert len(fleet.reboots) == 6
 
 
+def test_overtaking_proposals_leave_no_permission_behind():
+    """Guards against room held by a permission whose work was refused."""
+    fleet = build_fleet(12, overtaking_s=1.0)
+    fleet.start()
+    done = functools.partial(fleet.is_finished, 'kernel')
+    # A permission that is left behind ends only after an hour.
+    assert fleet.run_until(done, 3_000.0)
+    assert set(fleet.reboots.values()) == {1}
+
+
 @pytest.mark.parametrize('fault', ('stuck', 'lost'))
 def test_a_host_that_never_gets_on_is_set_aside(fault):
     """Guards against a wave that waits for one host for ever."""
--- /dev/null
+++ b/orioleshore/tests/test_platform.py
@@ -0,0 +1,46 @@
+"""Reports of the platform, read by the task that polls it."""
+
+from orioleshore.fleet import events
+from orioleshore.frontends import platform
+from orioleshore.model import ids
+from orioleshore.tasks import mailbox
+from orioleshore.tests import support
+from orioleshore.timers import clock
+from orioleshore.timers import service
+
+HOST = ids.HostId('freight-1')
+DRAINED = events.ReportedState.DRAINED
+UP = events.ReportedState.UP
+
+
+async def take(messages) -> list[events.ReportedState]:
+    """Return the states that the manager hears of."""
+    manager = mailbox.Mailbox('fleet', 16)
+    timers = service.TimerService(clock.ManualClock())
+    task = platform.PlatformTask('http://127.0.0.1:9', timers)
+    task.set_manager(manager)
+    for message in messages:
+        await task.handle(message)
+    heard = []
+    while len(manager):
+        heard.append((await manager.get()).state)
+    return heard
+
+
+def build_poll(*states: events.ReportedState, end: int):
+    reports = tuple(platform.Report(HOST, state) for state in states)
+    return platform._Polled(platform.Reports(reports, end))
+
+
+def test_only_the_newest_state_of_a_host_is_taken_from_old_reports():
+    """Guards against an old "drained" that ends a drain under way."""
+
+    async def go():
+        old = build_poll(DRAINED, UP, end=2)
+        new = build_poll(DRAINED, UP, end=4)
+        assert await take([old]) == [UP]
+        assert await take([old, new]) == [UP, DRAINED, UP]
+        replay = events.ReplayReports(60.0)
+        assert await take([old, new, replay, new]) == [UP, DRAINED, UP, UP]
+
+    support.run(go())
