Move on from a worker that does not answer a preemption

Change: a checkpoint call without an answer after 1.5 s closes the worker and frees the urgent jobs that wait for its room.

--- a/orioleshore/fleet/calls.py
+++ b/orioleshore/fleet/calls.py
@@ -66,6 +66,10 @@
         """Drop the call that starts a task."""
         self.close(tasks.get_start_call(task))
 
+    def is_answered(self, task: tasks.Task, kind: events.CallKind) -> bool:
+        """Return whether a call of a kind about a task is not open."""
+        return tasks.get_call(kind, task) not in self._open
+
     def close_all(self, task: tasks.Task) -> None:
         """Drop the calls about a task that has ended."""
         for call in task.calls:
--- a/orioleshore/fleet/jobs.py
+++ b/orioleshore/fleet/jobs.py
@@ -53,7 +53,7 @@
 DRAIN_FINISH_S = 30.0
 # Preempted tasks that may be stopped have this long for a checkpoint; the
 # whole preemption is given up after the second time.
-CHECKPOINT_LIMIT_S = 2.0
+CHECKPOINT_LIMIT_S = 1.5
 PREEMPTION_LIMIT_S = 6.0
 # Delay after a failed or refused attempt; it doubles with each failure.
 RETRY_DELAY_S = 2.0
@@ -940,6 +940,12 @@
         task = self._tasks.get(ids.JobId(entry.subject))
         if task is None or task.attempt != entry.attempt:
             return
+        if not self._calls.is_answered(task, events.CallKind.CHECKPOINT_TASK):
+            # The worker does not answer, so urgent work tries another one.
+            self._close_worker(task.worker)
+            for name in list(self._claimed.get(task.worker, ())):
+                self._end_preemption(name, now)
+            return
         if task.idempotent:
             self._ask(task, events.CallKind.STOP_TASK, now)
 
--- a/orioleshore/fleet/tasks.py
+++ b/orioleshore/fleet/tasks.py
@@ -80,7 +80,7 @@
     number: int = 0,
 ) -> events.CallPlatform:
     """Return a call about a task; ``number`` tells equal calls apart."""
-    call = _get_call(kind, task)
+    call = get_call(kind, task)
     if number:
         call = ids.CallId(f'{call}/{number}')
     return events.CallPlatform(
@@ -97,8 +97,9 @@
 
 def get_start_call(task: Task) -> ids.CallId:
     """Return the id of the call that starts a task."""
-    return _get_call(events.CallKind.START_TASK, task)
+    return get_call(events.CallKind.START_TASK, task)
 
 
-def _get_call(kind: events.CallKind, task: Task) -> ids.CallId:
+def get_call(kind: events.CallKind, task: Task) -> ids.CallId:
+    """Return the id of the first call of a kind about a task."""
     return ids.CallId(f'{kind.value}/{task.job}/{task.attempt}')
--- a/orioleshore/tests/test_jobs_policy.py
+++ b/orioleshore/tests/test_jobs_policy.py
@@ -232,6 +232,22 @@
     assert get_states(session) == {states.JobState.DONE}
 
 
+def test_urgent_job_gives_up_a_worker_that_does_not_answer():
+    session = build_session(hosts=2)
+    session.add_jobs(*build_long_jobs(session, 32))
+    session.run(5.0)
+    session.fake.cut_off.add('freight-0')
+    session.add_jobs(
+        *(
+            builders.build_job(f'urgent-{number}', urgent=True, cores=4.0)
+            for number in range(2)
+        )
+    )
+    session.run(4.0)
+    assert session.fake.starts['urgent-0'] == 1
+    assert session.fake.starts['urgent-1'] == 1
+
+
 def test_urgent_job_replaces_work_of_its_team_at_the_quota():
     teams = (documents.Team(ids.TeamId('members'), 4.0, 100.0),)
     session = build_session(hosts=1, teams=teams)
