Give each development fleet a loopback address of its own

Six demos at once failed once: the kernel gave a reserved port to an outgoing connection before the process that it was reserved for listened (address already in use). Outgoing connections use 127.0.0.1, so addresses in 127.64.0.0/10 cannot meet them.

--- a/bench/routing.py
+++ b/bench/routing.py
@@ -275,14 +275,14 @@
     ) as session:
         steps = demo.Demo(running, session)
         await steps.apply_document()
-        (port,) = fleet.reserve_ports(1)
-        arguments = ['--service', 'freight', '--port', str(port)]
+        (address,) = fleet.reserve_addresses(1)
+        arguments = ['--service', 'freight', '--address', address]
         arguments += ['--slots', str(UPSTREAM_SLOTS)]
         for url in running.upstreams.values():
             arguments += ['--announce', url]
         running._start('upstream', '-m', 'fakes.upstream', *arguments)
         await demo.wait_until('an upstream', steps._is_served)
-        direct = f'http://127.0.0.1:{port}/freight/quote'
+        direct = f'http://{address}/freight/quote'
         await measure_load(running, session, direct)
         await measure_claims(running, session)
         await measure_memory(running, session)
--- a/fakes/platform.py
+++ b/fakes/platform.py
@@ -29,7 +29,7 @@
         drain_s: float = 0.2,
         reboot_s: float = 0.2,
         run_s: float = 0.5,
-        port: int = 0,
+        address: str = '127.0.0.1:0',
     ) -> None:
         self.drain_s = drain_s
         self.reboot_s = reboot_s
@@ -38,7 +38,7 @@
         self.reboots: collections.Counter[str] = collections.Counter()
         self.tasks = tasks.FakeTasks(tasks.Work(run_s=run_s))
         self.refused = 0
-        self._port = port
+        self._address = address
         self._epoch = 0
         self._host_epochs: dict[str, int] = {}
         self._answered: set[str] = set()
@@ -60,8 +60,9 @@
             app, access_log=None, shutdown_timeout=0.1
         )
         await self._runner.setup()
-        await web.TCPSite(self._runner, '127.0.0.1', self._port).start()
-        self.url = f'http://127.0.0.1:{self._runner.addresses[0][1]}'
+        host, _, port = self._address.rpartition(':')
+        await web.TCPSite(self._runner, host, int(port)).start()
+        self.url = f'http://{host}:{self._runner.addresses[0][1]}'
         self._after(HEARTBEAT_S, self._repeat_states)
 
     async def stop(self) -> None:
@@ -177,7 +178,7 @@
 
 
 async def _main(arguments: argparse.Namespace) -> None:
-    platform = FakePlatform(port=arguments.port)
+    platform = FakePlatform(address=arguments.address)
     await platform.start()
     print(f'platform {platform.url}', flush=True)
     stopped = asyncio.Event()
@@ -191,7 +192,7 @@
 def main() -> None:
     """Run the fake platform until it is stopped."""
     parser = argparse.ArgumentParser(description=__doc__)
-    parser.add_argument('--port', type=int, default=0)
+    parser.add_argument('--address', default='127.0.0.1:0')
     asyncio.run(_main(parser.parse_args()))
 
 
--- a/fakes/upstream.py
+++ b/fakes/upstream.py
@@ -55,7 +55,7 @@
         announce_urls: list[str],
         availability_zone: str = 'az1',
         slots: int = 8,
-        port: int = 0,
+        listen: str = '127.0.0.1:0',
     ) -> None:
         self.service = service
         self.availability_zone = availability_zone
@@ -69,7 +69,7 @@
         self.refused = 0
         self.incarnation = time.time_ns() // 1_000_000
         self.address = ''
-        self._port = port
+        self._listen = listen
         self._announce_urls = announce_urls
         self._session: aiohttp.ClientSession | None = None
         self._runner: web.AppRunner | None = None
@@ -83,12 +83,10 @@
             app, access_log=None, shutdown_timeout=0.1
         )
         await self._runner.setup()
-        site = web.TCPSite(
-            self._runner, '127.0.0.1', self._port, backlog=1_024
-        )
+        host, _, port = self._listen.rpartition(':')
+        site = web.TCPSite(self._runner, host, int(port), backlog=1_024)
         await site.start()
-        port = self._runner.addresses[0][1]
-        self.address = f'127.0.0.1:{port}'
+        self.address = f'{host}:{self._runner.addresses[0][1]}'
         self._session = aiohttp.ClientSession(
             timeout=aiohttp.ClientTimeout(total=5.0)
         )
@@ -228,7 +226,7 @@
         arguments.announce,
         arguments.availability_zone,
         arguments.slots,
-        arguments.port,
+        arguments.address,
     )
     upstream.delay_s = arguments.delay_s
     await upstream.start()
@@ -248,7 +246,7 @@
     parser.add_argument('--service', required=True)
     parser.add_argument('--announce', action='append', required=True)
     parser.add_argument('--availability-zone', default='az1')
-    parser.add_argument('--port', type=int, default=0)
+    parser.add_argument('--address', default='127.0.0.1:0')
     parser.add_argument('--slots', type=int, default=8)
     parser.add_argument('--delay-s', type=float, default=0.0)
     asyncio.run(_main(parser.parse_args()))
--- a/orioleshore/tests/support.py
+++ b/orioleshore/tests/support.py
@@ -5,7 +5,6 @@
 import os
 import pathlib
 import random
-import socket
 import subprocess
 import time
 
@@ -15,6 +14,7 @@
 from fakes import entry_hosts
 from orioleshore import settings
 from orioleshore.roles import process
+from scripts import fleet
 
 SEED = 20_261_204
 WAIT_S = 10.0
@@ -61,17 +61,6 @@
     assert text == path.read_text('utf-8')
 
 
-def reserve_addresses(count: int) -> list[str]:
-    """Return loopback addresses whose ports the kernel says are free."""
-    sockets = [socket.socket() for _ in range(count)]
-    for item in sockets:
-        item.bind(('127.0.0.1', 0))
-    addresses = [f'127.0.0.1:{item.getsockname()[1]}' for item in sockets]
-    for item in sockets:
-        item.close()
-    return addresses
-
-
 class Cluster:
     """Processes of one system in the event loop of a test."""
 
@@ -88,7 +77,7 @@
         """Start control members and entry hosts."""
         names = [f'control-{number + 1}' for number in range(control)]
         self._members = dict(
-            zip(names, reserve_addresses(control), strict=True)
+            zip(names, fleet.reserve_addresses(control), strict=True)
         )
         for name in names:
             await self.start_control(name, platform_url)
--- a/orioleshore/tests/test_consensus_processes.py
+++ b/orioleshore/tests/test_consensus_processes.py
@@ -219,7 +219,7 @@
     """Guards against a new member that cannot join a running group."""
     running.wait_until_whole()
     fleet_ = running.fleet
-    inner, operators = (f'127.0.0.1:{p}' for p in fleet.reserve_ports(2))
+    inner, operators = fleet.reserve_addresses(2)
     settings = yaml.safe_load(
         (fleet_.folder / 'control-1.yaml').read_text('utf-8')
     )
--- a/orioleshore/tests/test_requests_stop.py
+++ b/orioleshore/tests/test_requests_stop.py
@@ -56,12 +56,9 @@
     """One entry process with a kept configuration, and its addresses."""
 
     def __init__(self, folder) -> None:
-        ports = fleet_script.reserve_ports(4)
+        addresses = fleet_script.reserve_addresses(4)
         names = ('inner', 'callers', 'upstreams', 'health')
-        self.urls = {
-            name: f'127.0.0.1:{port}'
-            for name, port in zip(names, ports, strict=True)
-        }
+        self.urls = dict(zip(names, addresses, strict=True))
         content = {
             'node': 'entry-1',
             'availability_zone': 'az1',
--- a/scripts/fleet.py
+++ b/scripts/fleet.py
@@ -1,5 +1,6 @@
 """Starts the processes of a small fleet on loopback, for development."""
 
+import os
 import pathlib
 import signal
 import socket
@@ -15,15 +16,26 @@
 STOP_TIMEOUT_S = 20.0
 
 
-def reserve_ports(count: int) -> list[int]:
-    """Return ports that the kernel says are free."""
+def get_loopback() -> str:
+    """Return a loopback address that belongs to this process alone.
+
+    On 127.0.0.1 the kernel may give a reserved port to an outgoing
+    connection before the process that it was reserved for listens.
+    """
+    number = os.getpid()
+    return f'127.{number >> 16 & 63 | 64}.{number >> 8 & 255}.{number & 255}'
+
+
+def reserve_addresses(count: int) -> list[str]:
+    """Return addresses whose ports the kernel says are free."""
+    host = get_loopback()
     sockets = [socket.socket() for _ in range(count)]
     for item in sockets:
-        item.bind(('127.0.0.1', 0))
-    ports = [item.getsockname()[1] for item in sockets]
+        item.bind((host, 0))
+    addresses = [f'{host}:{item.getsockname()[1]}' for item in sockets]
     for item in sockets:
         item.close()
-    return ports
+    return addresses
 
 
 class Fleet:
@@ -48,19 +60,19 @@
         """Write settings for all processes."""
         self.folder.mkdir(parents=True, exist_ok=True)
         self._token_file.write_text(TOKEN + '\n', 'utf-8')
-        ports = iter(reserve_ports(1 + 3 * control + 4 * entry))
-        self.platform_url = f'http://127.0.0.1:{next(ports)}'
+        addresses = iter(reserve_addresses(1 + 3 * control + 4 * entry))
+        self.platform_url = f'http://{next(addresses)}'
         names = [f'control-{n}' for n in range(1, control + 1)]
-        self._members = {name: f'127.0.0.1:{next(ports)}' for name in names}
+        self._members = {name: next(addresses) for name in names}
         for position, name in enumerate(names):
-            self._write_control(name, position, ports)
+            self._write_control(name, position, addresses)
         for position in range(entry):
-            self._write_entry(f'entry-{position + 1}', position, ports)
+            self._write_entry(f'entry-{position + 1}', position, addresses)
 
     def start_platform(self) -> None:
         """Start the fake platform."""
-        port = self.platform_url.rpartition(':')[2]
-        self._start('platform', '-m', 'fakes.platform', '--port', port)
+        address = self.platform_url.removeprefix('http://')
+        self._start('platform', '-m', 'fakes.platform', '--address', address)
 
     def start_node(self, name: str) -> None:
         """Start a process of the system."""
@@ -112,9 +124,9 @@
         )
         log.close()
 
-    def _write_control(self, name: str, position: int, ports) -> None:
-        operators = f'127.0.0.1:{next(ports)}'
-        health = f'127.0.0.1:{next(ports)}'
+    def _write_control(self, name: str, position: int, addresses) -> None:
+        operators = next(addresses)
+        health = next(addresses)
         self.operators[name] = f'http://{operators}'
         self.health[name] = f'http://{health}'
         self._write(
@@ -136,10 +148,8 @@
             },
         )
 
-    def _write_entry(self, name: str, position: int, ports) -> None:
-        callers, upstreams, health, inner = (
-            f'127.0.0.1:{next(ports)}' for _ in range(4)
-        )
+    def _write_entry(self, name: str, position: int, addresses) -> None:
+        callers, upstreams, health, inner = (next(addresses) for _ in range(4))
         self.callers[name] = f'http://{callers}'
         self.upstreams[name] = f'http://{upstreams}'
         self.health[name] = f'http://{health}'
