--- a/orioleshore/fleet/jobs.py
+++ b/orioleshore/fleet/jobs.py
@@ -87,6 +87,7 @@
 
     def __init__(self, learner: learning.Learner | None = None) -> None:
         self._learner = learner or learning.Learner()
+        self._replayed: ids.Epoch | None = None
         self._reset()
 
     def _reset(self) -> None:
@@ -174,7 +175,11 @@
         for name in state.jobs:
             self._follow_job(name, now)
         # Reports that came between two leaders were not acted on.
-        self._actions.append(events.ReplayReports(REPLAY_S))
+        # Once in an epoch: a manager that fell behind also gains again, and
+        # more reports would set it back further.
+        if self._replayed != epoch:
+            self._replayed = epoch
+            self._actions.append(events.ReplayReports(REPLAY_S))
         for pool in self._queues:
             self._place(pool, now)
 
