--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 BIN := $(VENV)/bin
 STAMP := $(VENV)/.installed
 
-.PHONY: test lint format unit demo dist generate
+.PHONY: test lint format unit demo dist check-dist generate
 
 $(STAMP): requirements.txt requirements-dev.txt constraints.txt
 	test -x $(BIN)/python || $(PYTHON) -m venv $(VENV)
@@ -22,7 +22,7 @@
 unit: $(STAMP)
 	$(BIN)/python scripts/run_tests.py
 
-test: lint unit
+test: lint unit check-dist
 
 demo: $(STAMP)
 	$(BIN)/python -m scripts.demo $(if $(ONCE),--once)
@@ -30,6 +30,9 @@
 dist: $(STAMP)
 	$(BIN)/python scripts/build_dist.py
 
+check-dist: dist
+	$(BIN)/python scripts/check_dist.py
+
 # Needs the thrift compiler 0.17; the generated code is committed.
 generate:
 	mkdir -p orioleshore/protocol/gen
