Wake idle processes up less often

An idle control member used 1.8 % of a core at the median and 2.4 % at the most, over the limit of 1.2 %. The control client ticked without calls, and each firing of the timer service built an asyncio.timeout.

--- a/orioleshore/consensus/client.py
+++ b/orioleshore/consensus/client.py
@@ -82,10 +82,8 @@
         self._timers = timers
         self._pending: dict[int, _Pending] = {}
         self._next_correlation = 1
-
-    async def open(self) -> None:
-        """Subscribe to the tick that finds late answers."""
-        self._timers.subscribe_every(self.mailbox, TICK, TICK_S)
+        # An idle client is not woken up.
+        self._is_ticking = False
 
     async def close(self) -> None:
         """Fail the calls that still wait."""
@@ -94,8 +92,11 @@
             self._give_up(pending)
 
     async def handle(self, message: Any) -> None:
-        """Handle a call, an answer or the tick."""
+        """Handle a call, an answer or the tick that finds late answers."""
         _take(message, self)
+        if self._pending and not self._is_ticking:
+            self._is_ticking = True
+            self._timers.subscribe_once(self.mailbox, TICK, TICK_S)
 
     def _now(self) -> float:
         return self._timers.clock.get_monotonic()
@@ -211,6 +212,7 @@
 
 @_take.register
 def _(message: service.TimerFired, client: ControlClient) -> None:
+    client._is_ticking = False
     client._check()
 
 
--- a/orioleshore/timers/service.py
+++ b/orioleshore/timers/service.py
@@ -15,6 +15,8 @@
 LOG = logging.getLogger(__name__)
 
 MAX_SUBSCRIPTIONS = 4_096
+# uvloop rounds delays to whole milliseconds and would wake up too early.
+ROUNDING_S = 0.001
 # Cancelled timers stay in the heap until they are due or outnumber the
 # active ones by this factor.
 COMPACT_FACTOR = 2
@@ -101,11 +103,19 @@
             self.fire_due()
             # Subscriptions made by now are part of the delay below.
             self._changed.clear()
-            try:
-                async with asyncio.timeout(self._get_delay()):
-                    await self._changed.wait()
-            except TimeoutError:
-                continue
+            wake_up = self._schedule_wake_up()
+            await self._changed.wait()
+            if wake_up is not None:
+                wake_up.cancel()
+
+    def _schedule_wake_up(self) -> asyncio.TimerHandle | None:
+        # A plain callback costs a third of asyncio.timeout at each firing.
+        delay_s = self._get_delay()
+        if delay_s is None:
+            return None
+        return asyncio.get_running_loop().call_later(
+            delay_s + ROUNDING_S, self._changed.set
+        )
 
     def _get_delay(self) -> float | None:
         if not self._heap:
