--- a/orioleshore/cli/output.py
+++ b/orioleshore/cli/output.py
@@ -5,6 +5,15 @@
 
 from orioleshore.model import errors
 
+# Why a process has an older version, by what membership believes of it.
+_LAG_REASONS = {
+    None: 'not known to membership',
+    'alive': 'alive, the update is on its way',
+    'suspect': 'does not answer probes',
+    'dead': 'dead or cut off',
+    'left': 'stopped',
+}
+
 
 def format_json(content: Any) -> str:
     """Return JSON with sorted keys."""
@@ -61,7 +70,8 @@
     for node, in_force in group.get('versions_in_force', {}).items():
         note = ''
         if in_force < version:
-            note = f', {version - in_force} behind'
+            reason = _LAG_REASONS[group.get('peer_states', {}).get(node)]
+            note = f', {version - in_force} behind: {reason}'
         lines.append(f'in force   {node}: version {in_force}{note}')
     return lines
 
--- a/orioleshore/consensus/member.py
+++ b/orioleshore/consensus/member.py
@@ -17,6 +17,7 @@
 from orioleshore.consensus import raft
 from orioleshore.consensus import requests
 from orioleshore.consensus import storage
+from orioleshore.membership import events as membership_events
 from orioleshore.model import changes
 from orioleshore.model import errors
 from orioleshore.model import ids
@@ -81,12 +82,6 @@
     answer: reply.Reply
 
 
-class ForgetSubscriber(msgspec.Struct, frozen=True):
-    """Tells that a process is gone."""
-
-    node: ids.NodeId
-
-
 class LeadershipGained(msgspec.Struct, frozen=True):
     """This member leads; ``image`` is the encoded state."""
 
@@ -150,6 +145,7 @@
         self._peer_addresses: dict[ids.NodeId, str] = {}
         self._leads = False
         self._manager_behind = False
+        self._peer_states: dict[ids.NodeId, states.PeerState] = {}
         self._failure: errors.Failure | None = None
 
     @property
@@ -557,8 +553,20 @@
                 for member in members
             },
             'versions_in_force': dict(sorted(self._feed.versions.items())),
+            'peer_states': {
+                node: state.value
+                for node, state in sorted(self._peer_states.items())
+            },
         }
 
+    def _follow_peers(self, change: membership_events.PeersChanged) -> None:
+        self._peer_states = {
+            node: peer.state for node, peer in change.peers.items()
+        }
+        for node, state in self._peer_states.items():
+            if state is states.PeerState.LEFT:
+                self._feed.handle(feed.NodeGone(node))
+
     def _change_role(self, action: events.RoleChanged) -> None:
         LOG.info(
             logs.format_event(
@@ -667,8 +675,10 @@
 
 
 @_take.register
-def _(message: ForgetSubscriber, member: MemberTask) -> list[events.Action]:
-    member._feed.handle(feed.NodeGone(message.node))
+def _(
+    message: membership_events.PeersChanged, member: MemberTask
+) -> list[events.Action]:
+    member._follow_peers(message)
     return []
 
 
--- a/orioleshore/roles/control.py
+++ b/orioleshore/roles/control.py
@@ -83,7 +83,7 @@
 
     @property
     def peer_listeners(self) -> tuple[mailbox.Mailbox, ...]:
-        return (self._claim_keeper.mailbox,)
+        return (self._claim_keeper.mailbox, self._member.mailbox)
 
     @property
     def addresses(self) -> dict[str, str]:
--- a/orioleshore/settings.py
+++ b/orioleshore/settings.py
@@ -34,8 +34,8 @@
     },
     'control': {
         'initial_members': {},
-        'tick_s': 0.05,
-        'heartbeat_s': 0.15,
+        'tick_s': 0.1,
+        'heartbeat_s': 0.2,
         'election_timeout_s': 0.9,
         'snapshot_entries': 1_000,
         'platform': None,
--- a/orioleshore/tests/test_cli.py
+++ b/orioleshore/tests/test_cli.py
@@ -76,6 +76,7 @@
             'term': 3,
             'members': {},
             'versions_in_force': {'entry-1': 7, 'entry-2': 5},
+            'peer_states': {'entry-1': 'alive', 'entry-2': 'dead'},
         },
         'hosts': {'serving': 6, 'down': 0},
         'jobs': {'waiting': 0},
@@ -83,5 +84,5 @@
         'waves': {},
     }
     text = output.format_status(status)
-    assert 'entry-2: version 5, 2 behind' in text
+    assert 'entry-2: version 5, 2 behind: dead or cut off' in text
     assert 'entry-1: version 7\n' in text
