--- a/orioleshore/frontends/submission.py
+++ b/orioleshore/frontends/submission.py
@@ -16,11 +16,23 @@
 from orioleshore.model import ids
 from orioleshore.state import commands
 
+# The loader in C is faster, where the library was built with it.
+_YAML_LOADER = getattr(yaml, 'CSafeLoader', yaml.SafeLoader)
+
 
 def parse_text(text: str) -> Result[Any, errors.Failure]:
     """Return the data of a YAML or JSON text."""
     try:
-        return Ok(yaml.safe_load(text))
+        # YAML includes JSON, but takes 1.8 s for 19,000 hosts, even with
+        # the loader in C; the JSON decoder takes 28 ms.
+        return Ok(msgspec.json.decode(text))
+    except msgspec.DecodeError:
+        return _parse_yaml(text)
+
+
+def _parse_yaml(text: str) -> Result[Any, errors.Failure]:
+    try:
+        return Ok(yaml.load(text, Loader=_YAML_LOADER))
     except yaml.YAMLError as error:
         return _fail('the text is neither YAML nor JSON', [str(error)])
 
--- a/orioleshore/model/checks.py
+++ b/orioleshore/model/checks.py
@@ -15,10 +15,11 @@
 
     Each line has the path of the field and what was expected there.
     """
-    problems = find_problems(value, wanted, '$')
-    if problems:
-        return Err(problems)
-    return Ok(msgspec.convert(value, wanted))
+    try:
+        return Ok(msgspec.convert(value, wanted))
+    except msgspec.ValidationError as error:
+        # The library stops at the first mistake.
+        return Err(find_problems(value, wanted, '$') or [str(error)])
 
 
 def find_problems(value: Any, wanted: Any, path: str) -> list[str]:
