--- /dev/null
+++ b/orioleshore/tests/test_design.py
@@ -0,0 +1,75 @@
+"""The design page against the code."""
+
+import pathlib
+import re
+import typing
+
+import pytest
+
+from orioleshore.consensus import events as consensus_events
+from orioleshore.fleet import events as fleet_events
+from orioleshore.membership import events as membership_events
+from orioleshore.routing import events as routing_events
+from orioleshore.state import commands
+
+ROOT = pathlib.Path(__file__).parent.parent.parent
+PAGE = (ROOT / 'docs' / 'design.md').read_text('utf-8')
+DECISION_MODULES = (
+    'consensus/raft.py',
+    'consensus/elections.py',
+    'consensus/replication.py',
+    'consensus/followers.py',
+    'membership/detector.py',
+    'routing/router.py',
+    'routing/slots.py',
+    'routing/queues.py',
+    'fleet/planner.py',
+    'fleet/waves.py',
+    'fleet/moves.py',
+    'fleet/jobs.py',
+    'state/machine.py',
+    'state/feed.py',
+)
+FORBIDDEN = re.compile(
+    r'^(?:import|from) (?:asyncio|aiohttp|aiomisc|thrift|time|socket)\b',
+    re.MULTILINE,
+)
+
+
+@pytest.mark.parametrize(
+    'listed',
+    [
+        consensus_events.Event,
+        consensus_events.Action,
+        membership_events.Event,
+        membership_events.Action,
+        routing_events.Event,
+        routing_events.Action,
+        fleet_events.Event,
+        fleet_events.Action,
+        commands.Command,
+    ],
+)
+def test_page_lists_every_event_action_and_command(listed):
+    """Guards against a contract that lags behind the code."""
+    for item in typing.get_args(listed):
+        assert re.search(rf'`{item.__name__}\b', PAGE), item.__name__
+
+
+def test_page_lists_every_module():
+    """Guards against modules that a reader does not find on the page."""
+    package = ROOT / 'orioleshore'
+    for path in package.glob('*/*.py'):
+        if path.parent.name == 'tests' or path.name == '__init__.py':
+            continue
+        row = re.search(
+            rf'^\| `orioleshore.{path.parent.name}` .*$', PAGE, re.M
+        )
+        assert f'`{path.stem}`' in row.group(0), path
+
+
+@pytest.mark.parametrize('name', DECISION_MODULES)
+def test_decisions_have_no_input_or_output(name):
+    """Guards against decisions that need a socket, a loop or a clock."""
+    text = (ROOT / 'orioleshore' / name).read_text('utf-8')
+    assert not FORBIDDEN.search(text)
