Split the planner of jobs by concern

The state that its parts share is job_core.JobCore; following the log, queueing, placing, preemption, tasks, calls, reports, leases and workers are modules of functions on it, without import cycles.

--- a/bench/jobs.py
+++ b/bench/jobs.py
@@ -119,7 +119,7 @@
     return {
         'workers': workers,
         'pool': 'full' if full else '95 % full',
-        'running': len(session.planner._tasks),
+        'running': len(session.planner._core.tasks),
         'decide_median_ms': statistics.median(decided),
         'decide_max_ms': max(decided),
         'apply_median_ms': statistics.median(applied),
--- /dev/null
+++ b/orioleshore/fleet/job_following.py
@@ -0,0 +1,251 @@
+"""Follows what the log accepted about jobs, workers and teams."""
+
+import functools
+from typing import Any
+
+import msgspec
+
+from orioleshore.fleet import agenda
+from orioleshore.fleet import events
+from orioleshore.fleet import job_calls
+from orioleshore.fleet import job_core
+from orioleshore.fleet import job_leases
+from orioleshore.fleet import job_placing
+from orioleshore.fleet import job_preemption
+from orioleshore.fleet import job_queueing
+from orioleshore.fleet import job_tasks
+from orioleshore.fleet import job_workers
+from orioleshore.fleet import workers
+from orioleshore.model import changes
+from orioleshore.model import documents
+from orioleshore.model import ids
+from orioleshore.model import states
+from orioleshore.state import commands
+from orioleshore.state import job_commands
+
+_HELD_STATES = frozenset(
+    {states.JobState.UNKNOWN, states.JobState.QUARANTINED}
+)
+
+
+def gain(core: job_core.JobCore, now: float) -> None:
+    state, epoch = core.state, core.epoch
+    core.reset()
+    core.state, core.epoch = state, epoch
+    core.version = state.version
+    core.jobs = {job.name: job for job in state.document.jobs}
+    core.hosts = {host.name: host for host in state.document.hosts}
+    core.ledger.set_quotas(state.document.teams)
+    for name in core.hosts:
+        follow_host(core, name, now)
+    learn_from_attempts(core, now)
+    for name in state.jobs:
+        follow_job(core, name, now)
+    # Reports that came between two leaders were not acted on.
+    # Once in an epoch: a manager that fell behind also gains again, and
+    # more reports would set it back further.
+    if core.replayed != epoch:
+        core.replayed = epoch
+        core.actions.append(events.ReplayReports(job_core.REPLAY_S))
+    for pool in core.queues:
+        job_placing.place(core, pool, now)
+
+
+def learn_from_attempts(core: job_core.JobCore, now: float) -> None:
+    ended = [
+        (attempt.ended, name, attempt)
+        for name, record in core.state.jobs.items()
+        for attempt in record.attempts
+        if attempt.result is not None
+    ]
+    for _, name, attempt in sorted(ended, key=lambda item: item[:2]):
+        job_tasks.judge(core, name, attempt.worker, attempt.result, now)
+
+
+def follow_document(core: job_core.JobCore, now: float) -> None:
+    state = core.state
+    if state.version == core.version:
+        return
+    missed = state.version - core.version
+    deltas = state.deltas[-missed:]
+    if len(deltas) < missed:
+        gain(core, now)
+        return
+    core.version = state.version
+    for delta in deltas:
+        follow_edits(core, delta.edits, now)
+
+
+def follow_edits(
+    core: job_core.JobCore, edits: tuple[changes.Edit, ...], now: float
+) -> None:
+    touched = {edit.section for edit in edits}
+    if changes.Section.TEAMS in touched:
+        core.ledger.set_quotas(core.state.document.teams)
+        for team in core.state.document.teams:
+            job_queueing.unpark(core, team.name, now)
+    for edit in edits:
+        if edit.section is changes.Section.HOSTS:
+            _take_edit(core.hosts, edit, documents.Host)
+            follow_host(core, ids.HostId(edit.name), now)
+    pools = set()
+    for edit in edits:
+        if edit.section is changes.Section.JOBS:
+            pools |= follow_job_edit(core, edit, now)
+    if changes.Section.HOSTS in touched:
+        pools |= set(core.queues)
+    for pool in sorted(pools):
+        job_placing.place(core, pool, now)
+
+
+def follow_job_edit(
+    core: job_core.JobCore, edit: changes.Edit, now: float
+) -> set[ids.PoolId]:
+    name = ids.JobId(edit.name)
+    before = core.jobs.get(name)
+    if before is not None:
+        job_queueing.dequeue(core, before)
+    _take_edit(core.jobs, edit, documents.Job)
+    if name not in core.jobs:
+        forget(core, name, now)
+    follow_job(core, name, now)
+    after = core.jobs.get(name)
+    return {job.pool for job in (before, after) if job is not None}
+
+
+def forget(core: job_core.JobCore, name: ids.JobId, now: float) -> None:
+    core.journal.record_job(
+        name,
+        'cancelled',
+        {'running': name in core.tasks},
+        'the document does not name the job any more',
+    )
+    job_preemption.drop_claim(core, name)
+    core.blame.forget_job(name)
+    core.unyielding.pop(name, None)
+    core.journal.forget('job', name)
+
+
+def follow_host(core: job_core.JobCore, name: ids.HostId, now: float) -> None:
+    record = core.state.hosts.get(name)
+    host = core.hosts.get(name)
+    before = core.table.get(name)
+    if record is None or host is None:
+        if before is not None:
+            core.table.follow(
+                name, before.pool, before.total, before.epoch, None
+            )
+        return
+    old_state = None if before is None else before.state
+    worker = core.table.follow(
+        name,
+        record.pool,
+        workers.Size(host.cores, host.memory_gb, host.accelerators),
+        record.epoch,
+        record.state,
+    )
+    if record.state is states.HostState.DRAINING:
+        core.agenda.add(now, agenda.Duty.CHECK_DRAIN, name)
+        job_workers.check_drain(core, worker, now)
+    if (
+        record.state is states.HostState.SERVING
+        and old_state is states.HostState.PROVING
+    ):
+        core.blame.clear_worker(name)
+        core.table.set_health(name, suspended=False, probation=False)
+
+
+def follow_job(core: job_core.JobCore, name: ids.JobId, now: float) -> None:
+    """Compare the record of a job with what is known, and catch up."""
+    record = core.state.jobs.get(name)
+    attempt = job_commands.get_running_attempt(record)
+    task = core.tasks.get(name)
+    if task is not None and (
+        attempt is None or attempt.number != task.attempt
+    ):
+        job_tasks.end_task(core, task, record, now)
+    if attempt is not None and name not in core.tasks:
+        job_tasks.begin_task(core, name, record, attempt, now)
+    placing = core.placing.get(name)
+    if placing is not None and (
+        record is None or record.placed >= placing.attempt
+    ):
+        job_queueing.undo_placing(core, name)
+    if record is None:
+        return
+    if record.state is states.JobState.WAITING:
+        job_queueing.enqueue(core, name, now)
+    elif name in core.jobs:
+        job_queueing.dequeue(core, core.jobs[name])
+    if record.state is states.JobState.CANCELLED:
+        job_calls.ask(core, core.tasks[name], events.CallKind.STOP_TASK, now)
+    if record.state in _HELD_STATES:
+        core.journal.record_held(name, record)
+
+
+def give_up_placing(
+    core: job_core.JobCore, name: ids.JobId, attempt: ids.Attempt, now: float
+) -> None:
+    placing = core.placing.get(name)
+    if placing is None or placing.attempt != attempt:
+        return
+    job_queueing.undo_placing(core, name)
+    follow_job(core, name, now)
+    if name in core.jobs:
+        job_queueing.place_later(core, core.jobs[name].pool, now)
+
+
+def _take_edit(items: dict, edit: changes.Edit, item_type: type) -> None:
+    if edit.value is None:
+        items.pop(edit.name, None)
+        return
+    items[edit.name] = msgspec.json.decode(edit.value, type=item_type)
+
+
+@functools.singledispatch
+def follow(command: Any, core: job_core.JobCore, now: float) -> None:
+    """Commands about other matters change nothing here."""
+
+
+@follow.register
+def _(
+    command: commands.ChangeDocument, core: job_core.JobCore, now: float
+) -> None:
+    follow_document(core, now)
+
+
+@follow.register(commands.SetHostState)
+@follow.register(commands.MoveHost)
+def _(command: Any, core: job_core.JobCore, now: float) -> None:
+    follow_host(core, command.host, now)
+    worker = core.table.get(command.host)
+    if worker is not None and worker.is_open:
+        job_placing.place(core, worker.pool, now)
+
+
+@follow.register(commands.PlaceTask)
+@follow.register(commands.QuarantineJob)
+def _(command: Any, core: job_core.JobCore, now: float) -> None:
+    # Neither gives room back, so no other job can be placed now.
+    core.delayed.discard(command.job)
+    follow_job(core, command.job, now)
+
+
+@follow.register(commands.RecordTaskResult)
+def _(command: Any, core: job_core.JobCore, now: float) -> None:
+    task = core.tasks.get(command.job)
+    core.delayed.discard(command.job)
+    follow_job(core, command.job, now)
+    job = core.jobs.get(command.job)
+    pools = {task.pool} if task is not None else set()
+    if job is not None:
+        pools.add(job.pool)
+    for pool in sorted(pools):
+        job_placing.place(core, pool, now)
+
+
+@follow.register
+def _(
+    command: commands.RenewLeases, core: job_core.JobCore, now: float
+) -> None:
+    job_leases.follow_renewal(core, command, now)
--- /dev/null
+++ b/orioleshore/fleet/job_leases.py
@@ -0,0 +1,118 @@
+"""Renewal and end of the leases of tasks."""
+
+from orioleshore.fleet import agenda
+from orioleshore.fleet import events
+from orioleshore.fleet import job_calls
+from orioleshore.fleet import job_core
+from orioleshore.fleet import job_reports
+from orioleshore.fleet import tasks
+from orioleshore.model import ids
+from orioleshore.model import states
+from orioleshore.state import commands
+from orioleshore.state import job_commands
+
+
+def renew_lease(
+    core: job_core.JobCore, entry: agenda.Entry, now: float
+) -> None:
+    task = core.tasks.get(ids.JobId(entry.subject))
+    if task is None or task.attempt != entry.attempt:
+        return
+    if now >= task.lease_until or now < task.renew_at:
+        return
+    if now - max(task.heard, task.started) > job_core.REPORT_SILENCE_S:
+        core.agenda.add(
+            now + job_core.RENEW_RETRY_S,
+            agenda.Duty.RENEW_LEASE,
+            task.job,
+            task.attempt,
+        )
+        return
+    core.renewals.append(commands.LeaseHolder(task.job, task.attempt))
+    core.agenda.add(
+        now + job_core.RENEW_RETRY_S,
+        agenda.Duty.RENEW_LEASE,
+        task.job,
+        task.attempt,
+    )
+
+
+def await_renewal(
+    core: job_core.JobCore, task: tasks.Task, now: float
+) -> None:
+    task.renew_at = tasks.get_renewal_time(task, now)
+    core.agenda.add(
+        task.renew_at, agenda.Duty.RENEW_LEASE, task.job, task.attempt
+    )
+
+
+def flush_renewals(core: job_core.JobCore, now: float) -> None:
+    groups: dict[float, list[commands.LeaseHolder]] = {}
+    for holder in core.renewals:
+        run_time_s = core.tasks[holder.job].run_time_s
+        groups.setdefault(tasks.get_renewed_lease_s(run_time_s), []).append(
+            holder
+        )
+    core.renewals = []
+    for lease_s, holders in groups.items():
+        for start in range(0, len(holders), job_core.MAX_RENEWALS):
+            command = commands.RenewLeases(
+                time=ids.WallTime(now),
+                epoch=core.epoch,
+                holders=tuple(holders[start : start + job_core.MAX_RENEWALS]),
+                lease_until=ids.WallTime(now + lease_s),
+            )
+            core.actions.append(events.Propose(command))
+
+
+def follow_renewal(
+    core: job_core.JobCore, command: commands.RenewLeases, now: float
+) -> None:
+    for holder in command.holders:
+        task = core.tasks.get(holder.job)
+        if task is None or task.attempt != holder.attempt:
+            continue
+        if command.lease_until <= task.lease_until:
+            continue
+        task.lease_until = command.lease_until
+        await_renewal(core, task, now)
+        call = job_calls.build_call(
+            core,
+            events.CallKind.RENEW_TASK,
+            task,
+            {'lease_until': task.lease_until},
+            int(task.lease_until),
+        )
+        job_calls.send(core, call, task, now)
+
+
+def await_lease_end(core: job_core.JobCore, task: tasks.Task) -> None:
+    core.agenda.add(
+        task.lease_until + job_commands.LEASE_GRACE_S,
+        agenda.Duty.END_LEASE,
+        task.job,
+        task.attempt,
+    )
+
+
+def end_lease(core: job_core.JobCore, entry: agenda.Entry, now: float) -> None:
+    task = core.tasks.get(ids.JobId(entry.subject))
+    if task is None or task.attempt != entry.attempt:
+        return
+    if now < task.lease_until + job_commands.LEASE_GRACE_S:
+        await_lease_end(core, task)
+        return
+    if task.job in core.results:
+        return
+    job_reports.propose_command(
+        core,
+        commands.RecordTaskResult(
+            time=ids.WallTime(now),
+            job=task.job,
+            attempt=task.attempt,
+            result=states.TaskResult.LOST,
+            reason=f'no result from {task.worker} within its lease',
+            epoch=core.epoch,
+        ),
+        now,
+    )
--- /dev/null
+++ b/orioleshore/fleet/job_preemption.py
@@ -0,0 +1,138 @@
+"""Room made for urgent jobs by tasks that leave."""
+
+from orioleshore.fleet import agenda
+from orioleshore.fleet import events
+from orioleshore.fleet import job_calls
+from orioleshore.fleet import job_core
+from orioleshore.fleet import job_placing
+from orioleshore.fleet import job_queueing
+from orioleshore.fleet import placement
+from orioleshore.fleet import tasks
+from orioleshore.fleet import workers
+from orioleshore.model import documents
+from orioleshore.model import ids
+
+
+def preempt(
+    core: job_core.JobCore,
+    job: documents.Job,
+    size: workers.Size,
+    avoided: frozenset[ids.HostId],
+    now: float,
+) -> bool:
+    avoided |= core.unyielding.get(job.name, frozenset())
+    name = core.table.find_reclaimable(job.pool, size, avoided)
+    if name is None:
+        return False
+    worker = core.table.get(name)
+    candidates = [
+        core.tasks[other]
+        for other, held in worker.tasks.items()
+        if held.preemptible
+    ]
+    victims = placement.select_victims(
+        candidates, size.minus(worker.room), now
+    )
+    if not victims:
+        return False
+    core.claims[job.name] = job_core.Claim(name, size)
+    core.claimed.setdefault(name, {})[job.name] = None
+    core.table.reserve(name, job.name, size, False)
+    core.agenda.add(
+        now + job_core.PREEMPTION_LIMIT_S, agenda.Duty.END_PREEMPTION, job.name
+    )
+    evict(core, victims, job, now)
+    core.journal.record_job(
+        job.name,
+        f'waits for room on {name}',
+        {'tasks_leaving': len(victims)},
+        'no free room, so other tasks are checkpointed',
+    )
+    return True
+
+
+def evict(
+    core: job_core.JobCore,
+    victims: list[tasks.Task],
+    job: documents.Job,
+    now: float,
+) -> None:
+    for victim in victims:
+        job_calls.ask(core, victim, events.CallKind.CHECKPOINT_TASK, now)
+        core.agenda.add(
+            now + job_core.CHECKPOINT_LIMIT_S,
+            agenda.Duty.END_CHECKPOINT,
+            victim.job,
+            victim.attempt,
+        )
+        core.journal.record_job(
+            victim.job,
+            f'attempt {victim.attempt} gives way',
+            {'to': job.name, 'worker': victim.worker},
+            'urgent work starts at once; the cheapest tasks leave',
+        )
+
+
+def end_checkpoint(
+    core: job_core.JobCore, entry: agenda.Entry, now: float
+) -> None:
+    """Stop a task that has not reached a checkpoint, if it may be."""
+    task = core.tasks.get(ids.JobId(entry.subject))
+    if task is None or task.attempt != entry.attempt:
+        return
+    if not core.calls.is_answered(task, events.CallKind.CHECKPOINT_TASK):
+        # The worker does not answer, so urgent work tries another one.
+        job_calls.close_worker(core, task.worker)
+        for name in list(core.claimed.get(task.worker, ())):
+            job_placing.end_preemption(core, name, now)
+        return
+    if task.idempotent:
+        job_calls.ask(core, task, events.CallKind.STOP_TASK, now)
+
+
+def reclaim_quota(
+    core: job_core.JobCore, job: documents.Job, size: workers.Size, now: float
+) -> None:
+    """Let other tasks of the team give way to its urgent job."""
+    candidates = [
+        core.tasks[name]
+        for name in core.team_tasks.get(job.team, ())
+        if not core.tasks[name].urgent
+    ]
+    leaving = workers.Size()
+    for task in candidates:
+        if task.leaving is not None:
+            leaving = leaving.plus(task.size)
+    missing = core.ledger.get_excess(job.team, size).minus(leaving)
+    staying = [task for task in candidates if task.leaving is None]
+    victims = placement.select_victims(staying, missing, now)
+    evict(core, victims, job, now)
+
+
+def drop_claim(core: job_core.JobCore, name: ids.JobId) -> None:
+    claim = core.claims.pop(name, None)
+    if claim is None:
+        return
+    core.claimed[claim.worker].pop(name)
+    if not core.claimed[claim.worker]:
+        del core.claimed[claim.worker]
+    core.table.release(claim.worker, name)
+
+
+def serve_claims(
+    core: job_core.JobCore, worker_name: ids.HostId, now: float
+) -> None:
+    for name in list(core.claimed.get(worker_name, ())):
+        worker = core.table.get(worker_name)
+        if not workers.Size().fits(worker.room):
+            return
+        claim = core.claims[name]
+        job = core.jobs[name]
+        drop_claim(core, name)
+        if not worker.is_open or core.ledger.is_exceeded_by(
+            job.team, claim.size
+        ):
+            job_queueing.enqueue(core, name, now)
+            job_queueing.place_later(core, job.pool, now)
+            continue
+        job_queueing.propose_placement(core, job, worker_name, claim.size, now)
--- /dev/null
+++ b/orioleshore/fleet/job_queueing.py
@@ -0,0 +1,169 @@
+"""Waiting jobs, and proposals to place them."""
+
+from orioleshore.fleet import agenda
+from orioleshore.fleet import events
+from orioleshore.fleet import job_core
+from orioleshore.fleet import placement
+from orioleshore.fleet import tasks
+from orioleshore.fleet import workers
+from orioleshore.model import documents
+from orioleshore.model import ids
+from orioleshore.model import states
+from orioleshore.state import commands
+from orioleshore.state import job_commands
+
+
+def enqueue(core: job_core.JobCore, name: ids.JobId, now: float) -> None:
+    job = core.jobs.get(name)
+    if job is None or name in core.placing or name in core.claims:
+        return
+    queue = core.queues.setdefault(job.pool, placement.JobQueue())
+    if name in queue or name in core.delayed:
+        return
+    delay_s = get_retry_delay(core, name)
+    if delay_s:
+        core.delayed.add(name)
+        core.agenda.add(now + delay_s, agenda.Duty.END_DELAY, name)
+        return
+    enter_queue(core, queue, job, now)
+
+
+def get_retry_delay(core: job_core.JobCore, name: ids.JobId) -> float:
+    failures = len(core.blame.get_failed_workers(name))
+    attempts = core.state.jobs[name].attempts
+    refused = states.TaskResult.NOT_STARTED
+    if attempts and attempts[-1].result is refused:
+        failures += 1
+    if not failures:
+        return 0.0
+    return min(
+        job_core.MAX_RETRY_DELAY_S,
+        job_core.RETRY_DELAY_S * 2.0 ** (failures - 1),
+    )
+
+
+def enter_queue(
+    core: job_core.JobCore,
+    queue: placement.JobQueue,
+    job: documents.Job,
+    now: float,
+) -> None:
+    run_time_s = core.learner.get_run_time(job)
+    if job.deadline is not None:
+        ahead_s = queue.committed_core_s / max(
+            1.0, core.table.get_capacity(job.pool).cores
+        )
+        if now + ahead_s + run_time_s > job.deadline:
+            core.journal.record_deadline_miss(job, ahead_s, run_time_s)
+        else:
+            core.agenda.add(
+                job.deadline - run_time_s,
+                agenda.Duty.CHECK_DEADLINE,
+                job.name,
+            )
+    queue.push(job, core.learner.get_size(job).cores * run_time_s)
+
+
+def dequeue(core: job_core.JobCore, job: documents.Job) -> None:
+    queue = core.queues.get(job.pool)
+    if queue is not None:
+        queue.remove(job.name)
+    core.delayed.discard(job.name)
+    core.journal.forget('deadline', job.name)
+
+
+def unpark(core: job_core.JobCore, team: ids.TeamId, now: float) -> None:
+    for pool, queue in core.queues.items():
+        if queue.unpark(team):
+            place_later(core, pool, now)
+
+
+def place_later(core: job_core.JobCore, pool: ids.PoolId, now: float) -> None:
+    if pool in core.postponed:
+        return
+    core.postponed.add(pool)
+    core.agenda.add(now, agenda.Duty.PLACE, pool)
+
+
+def retry_later(core: job_core.JobCore, name: ids.JobId, now: float) -> None:
+    """Look at a job again, in case the proposal has no outcome."""
+    core.delayed.add(name)
+    core.agenda.add(
+        now + job_core.PROPOSAL_LIMIT_S, agenda.Duty.END_DELAY, name
+    )
+
+
+def propose_placement(
+    core: job_core.JobCore,
+    job: documents.Job,
+    worker: ids.HostId,
+    size: workers.Size,
+    now: float,
+) -> None:
+    attempt = job_commands.get_next_attempt(core.state.jobs[job.name])
+    core.placing[job.name] = job_core.Placing(attempt, worker, job.team, size)
+    core.table.reserve(worker, job.name, size, False)
+    core.ledger.charge(job.team, size)
+    core.agenda.add(
+        now + job_core.PROPOSAL_LIMIT_S,
+        agenda.Duty.END_PROPOSAL,
+        job.name,
+        attempt,
+    )
+    lease_s = tasks.get_lease_s(core.learner.get_run_time(job))
+    core.actions.append(
+        events.Propose(
+            commands.PlaceTask(
+                time=ids.WallTime(now),
+                job=job.name,
+                attempt=attempt,
+                worker=worker,
+                epoch=core.epoch,
+                lease_until=ids.WallTime(now + lease_s),
+                cores=size.cores,
+                memory_gb=size.memory_gb,
+                accelerators=size.accelerators,
+            )
+        )
+    )
+    core.journal.record_job(
+        job.name,
+        f'attempt {attempt} placed on {worker}',
+        {
+            'cores': round(size.cores, 2),
+            'memory_gb': round(size.memory_gb, 2),
+            'share': round(core.ledger.get_share(job.team), 3),
+        },
+        'urgent work first, then deadlines, then the smallest share',
+    )
+
+
+def undo_placing(core: job_core.JobCore, name: ids.JobId) -> None:
+    placing = core.placing.pop(name, None)
+    if placing is None:
+        return
+    core.table.release(placing.worker, name)
+    core.ledger.refund(placing.team, placing.size)
+
+
+def refuse_size(
+    core: job_core.JobCore,
+    queue: placement.JobQueue,
+    job: documents.Job,
+    size: workers.Size,
+    now: float,
+) -> bool:
+    queue.remove(job.name)
+    reason = (
+        f'fits no worker of pool {job.pool}: {size.cores:g} cores, '
+        f'{size.memory_gb:g} GB, {size.accelerators} accelerators'
+    )
+    core.actions.append(
+        events.Propose(
+            commands.QuarantineJob(
+                time=ids.WallTime(now), job=job.name, reason=reason
+            )
+        )
+    )
+    retry_later(core, job.name, now)
+    return True
--- /dev/null
+++ b/orioleshore/fleet/job_reports.py
@@ -0,0 +1,95 @@
+"""Reports of the platform about tasks."""
+
+from orioleshore.fleet import agenda
+from orioleshore.fleet import events
+from orioleshore.fleet import job_calls
+from orioleshore.fleet import job_core
+from orioleshore.fleet import job_placing
+from orioleshore.model import ids
+from orioleshore.model import states
+from orioleshore.state import commands
+from orioleshore.state import job_commands
+
+
+def take_report(
+    core: job_core.JobCore, event: events.TaskReported, now: float
+) -> None:
+    if core.table.set_reachable(event.worker, True):
+        job_placing.reopen(core, event.worker, now)
+    task = core.tasks.get(event.job)
+    if task is None or task.attempt != event.attempt:
+        take_late_report(core, event, now)
+        return
+    job_calls.confirm(core, task, now)
+    task.cores_used = event.cores_used
+    task.peak_cores = max(task.peak_cores, event.cores_used)
+    task.peak_memory_gb = max(task.peak_memory_gb, event.memory_used_gb)
+    if event.result is not None:
+        propose_result(core, event, now)
+
+
+def take_late_report(
+    core: job_core.JobCore, event: events.TaskReported, now: float
+) -> None:
+    record = core.state.jobs.get(event.job)
+    if event.result is None or event.result is states.TaskResult.LOST:
+        return
+    if not job_commands.is_late_result(record, event.attempt):
+        return
+    if event.job in core.placing:
+        return
+    core.journal.record_job(
+        event.job,
+        f'attempt {event.attempt} has a late result: {event.result.value}',
+        {'worker': event.worker},
+        'a reported result replaces the conclusion from its lease',
+    )
+    propose_result(core, event, now)
+
+
+def propose_result(
+    core: job_core.JobCore, event: events.TaskReported, now: float
+) -> None:
+    proposed = core.results.get(event.job)
+    # A report goes before the conclusion that the attempt is lost.
+    if proposed is not None and proposed.reported:
+        return
+    command = commands.RecordTaskResult(
+        time=ids.WallTime(now),
+        job=event.job,
+        attempt=event.attempt,
+        result=event.result,
+        reason=event.reason,
+        epoch=core.epoch,
+        reported=True,
+    )
+    propose_command(core, command, now)
+
+
+def propose_command(
+    core: job_core.JobCore, command: commands.RecordTaskResult, now: float
+) -> None:
+    core.results[command.job] = command
+    core.actions.append(events.Propose(command))
+    core.agenda.add(
+        now + job_core.RESULT_REPEAT_S,
+        agenda.Duty.REPEAT_RESULT,
+        command.job,
+        command.attempt,
+    )
+
+
+def repeat_result(
+    core: job_core.JobCore, entry: agenda.Entry, now: float
+) -> None:
+    command = core.results.get(ids.JobId(entry.subject))
+    if command is None or command.attempt != entry.attempt:
+        return
+    del core.results[command.job]
+    task = core.tasks.get(command.job)
+    record = core.state.jobs.get(command.job)
+    if (
+        task is not None and task.attempt == command.attempt
+    ) or job_commands.is_late_result(record, command.attempt):
+        # State time does not go back, so the old time stays valid.
+        propose_command(core, command, now)
--- /dev/null
+++ b/orioleshore/fleet/job_tasks.py
@@ -0,0 +1,204 @@
+"""Attempts that may run: their begin, their end and its judgement."""
+
+import functools
+from typing import Any
+
+from orioleshore.fleet import agenda
+from orioleshore.fleet import blame
+from orioleshore.fleet import events
+from orioleshore.fleet import job_calls
+from orioleshore.fleet import job_core
+from orioleshore.fleet import job_leases
+from orioleshore.fleet import job_preemption
+from orioleshore.fleet import job_queueing
+from orioleshore.fleet import tasks
+from orioleshore.fleet import workers
+from orioleshore.model import ids
+from orioleshore.model import states
+from orioleshore.state import commands
+from orioleshore.state import records
+
+
+def begin_task(
+    core: job_core.JobCore,
+    name: ids.JobId,
+    record: records.JobRecord,
+    attempt: records.AttemptRecord,
+    now: float,
+) -> None:
+    placing = core.placing.get(name)
+    fresh = placing is not None and placing.attempt == attempt.number
+    job_queueing.undo_placing(core, name)
+    job_preemption.drop_claim(core, name)
+    task = build_task(core, name, record, attempt)
+    core.tasks[name] = task
+    # A host that left the document holds no room any more.
+    if core.table.get(task.worker) is not None:
+        core.table.reserve(task.worker, name, task.size, not task.urgent)
+    core.ledger.charge(task.team, task.size)
+    core.team_tasks.setdefault(task.team, {})[name] = None
+    job_leases.await_renewal(core, task, now)
+    job_leases.await_lease_end(core, task)
+    call = job_calls.build_call(
+        core,
+        events.CallKind.START_TASK,
+        task,
+        {
+            'cores': task.size.cores,
+            'memory_gb': task.size.memory_gb,
+            'accelerators': task.size.accelerators,
+            'job_class': task.job_class,
+            'lease_until': task.lease_until,
+            'checkpoint': record.checkpoint,
+        },
+    )
+    if fresh:
+        job_calls.send(core, call, task, now)
+        return
+    core.calls.open(call, task, now + job_core.CONFIRM_S)
+
+
+def build_task(
+    core: job_core.JobCore,
+    name: ids.JobId,
+    record: records.JobRecord,
+    attempt: records.AttemptRecord,
+) -> tasks.Task:
+    job = core.jobs.get(name)
+    run_time_s = 0.0 if job is None else core.learner.get_run_time(job)
+    return tasks.Task(
+        job=name,
+        attempt=attempt.number,
+        worker=attempt.worker,
+        pool=record.pool,
+        team=ids.TeamId('') if job is None else job.team,
+        job_class=ids.JobClass('') if job is None else job.job_class,
+        size=workers.Size(
+            attempt.cores, attempt.memory_gb, attempt.accelerators
+        ),
+        started=attempt.started,
+        lease_until=attempt.lease_until,
+        idempotent=record.idempotent,
+        urgent=job is not None and job.urgent,
+        run_time_s=run_time_s,
+        resumed=record.checkpoint > 0,
+    )
+
+
+def end_task(
+    core: job_core.JobCore,
+    task: tasks.Task,
+    record: records.JobRecord | None,
+    now: float,
+) -> None:
+    del core.tasks[task.job]
+    del core.team_tasks[task.team][task.job]
+    core.results.pop(task.job, None)
+    core.calls.close_all(task)
+    core.table.release(task.worker, task.job)
+    core.ledger.refund(task.team, task.size)
+    core.learner.note_usage(
+        task.job_class, task.peak_cores, task.peak_memory_gb
+    )
+    result = _get_result(record, task.attempt)
+    if result is states.TaskResult.SUCCEEDED and not task.resumed:
+        core.learner.note_run_time(task.job_class, now - task.started)
+    if result is states.TaskResult.LOST:
+        core.table.set_reachable(task.worker, False)
+    judge(core, task.job, task.worker, result, now)
+    core.journal.record_job(
+        task.job,
+        f'attempt {task.attempt} ended: '
+        + ('removed' if result is None else result.value),
+        {'worker': task.worker},
+        'as reported or after the end of the lease',
+    )
+    if task.job not in core.jobs:
+        core.journal.forget('job', task.job)
+    job_queueing.unpark(core, task.team, now)
+    job_preemption.serve_claims(core, task.worker, now)
+
+
+def judge(
+    core: job_core.JobCore,
+    job: ids.JobId,
+    worker: ids.HostId,
+    result: states.TaskResult | None,
+    now: float,
+) -> None:
+    verdicts: list[blame.Verdict] = []
+    if result is states.TaskResult.SUCCEEDED:
+        verdicts = core.blame.note_success(job, worker)
+    elif result is states.TaskResult.FAILED:
+        verdicts = core.blame.note_failure(job, worker)
+    for verdict in verdicts:
+        _follow_verdict(verdict, core, now)
+
+
+def _get_result(
+    record: records.JobRecord | None, number: ids.Attempt
+) -> states.TaskResult | None:
+    if record is None:
+        return None
+    for attempt in reversed(record.attempts):
+        if attempt.number == number:
+            return attempt.result
+    return None
+
+
+@functools.singledispatch
+def _follow_verdict(verdict: Any, core: job_core.JobCore, now: float) -> None:
+    raise TypeError(f'unknown verdict {type(verdict).__name__}')
+
+
+@_follow_verdict.register
+def _(
+    verdict: blame.SuspendWorker, core: job_core.JobCore, now: float
+) -> None:
+    core.table.set_health(verdict.worker, suspended=True, probation=False)
+    core.agenda.add(
+        now + verdict.suspended_s, agenda.Duty.TRY_WORKER, verdict.worker
+    )
+    core.journal.record(
+        'host',
+        verdict.worker,
+        'gets no more work',
+        {'jobs': list(verdict.jobs), 'suspended_s': verdict.suspended_s},
+        'it failed different jobs in a row',
+        'the end of the suspension, or maintenance of the host',
+    )
+
+
+@_follow_verdict.register
+def _(
+    verdict: blame.ReinstateWorker, core: job_core.JobCore, now: float
+) -> None:
+    core.table.set_health(verdict.worker, suspended=False, probation=False)
+    core.journal.record(
+        'host',
+        verdict.worker,
+        'takes work again',
+        {},
+        'a job succeeded on it, or the jobs that it failed are at fault',
+    )
+
+
+@_follow_verdict.register
+def _(verdict: blame.BlameJob, core: job_core.JobCore, now: float) -> None:
+    record = core.state.jobs.get(verdict.job)
+    if record is None or record.state is not states.JobState.WAITING:
+        return
+    job = core.jobs.get(verdict.job)
+    if job is not None:
+        job_queueing.dequeue(core, job)
+    core.actions.append(
+        events.Propose(
+            commands.QuarantineJob(
+                time=ids.WallTime(now),
+                job=verdict.job,
+                reason='failed on workers that run other work: '
+                + ', '.join(verdict.workers),
+            )
+        )
+    )
+    job_queueing.retry_later(core, verdict.job, now)
--- /dev/null
+++ b/orioleshore/fleet/job_workers.py
@@ -0,0 +1,123 @@
+"""Drain, usage and probation of workers."""
+
+import functools
+from typing import Any
+
+from orioleshore.fleet import agenda
+from orioleshore.fleet import events
+from orioleshore.fleet import job_calls
+from orioleshore.fleet import job_core
+from orioleshore.fleet import job_placing
+from orioleshore.fleet import pressure
+from orioleshore.fleet import workers
+from orioleshore.model import ids
+from orioleshore.model import states
+
+
+def check_drain(
+    core: job_core.JobCore, worker: workers.Worker, now: float
+) -> None:
+    """Checkpoint the tasks of a draining worker that would run long."""
+    if worker.state is not states.HostState.DRAINING:
+        return
+    waits = False
+    for name in list(worker.tasks):
+        task = core.tasks.get(name)
+        if task is None:
+            continue
+        if 0 < task.expected_end - now <= job_core.DRAIN_FINISH_S:
+            waits = True
+            continue
+        job_calls.ask(core, task, events.CallKind.CHECKPOINT_TASK, now)
+        core.journal.record_job(
+            name,
+            f'attempt {task.attempt} is checkpointed',
+            {'worker': worker.name},
+            'its worker drains and the task would run on for long',
+        )
+    if waits:
+        core.agenda.add(
+            now + job_core.DRAIN_FINISH_S, agenda.Duty.CHECK_DRAIN, worker.name
+        )
+
+
+def take_host_report(
+    core: job_core.JobCore, event: events.HostReported, now: float
+) -> None:
+    up = event.state is events.ReportedState.UP
+    changed = core.table.set_reachable(event.host, up)
+    worker = core.table.get(event.host)
+    if worker is None:
+        return
+    if changed and up:
+        job_placing.reopen(core, event.host, now)
+    running = [core.tasks[name] for name in worker.tasks if name in core.tasks]
+    usage = workers.Size(event.cores_used, event.memory_used_gb)
+    step = core.pressure.get_step(worker, usage, running, now)
+    if step is not None:
+        _follow_step(step, core, now)
+
+
+def try_worker(core: job_core.JobCore, name: ids.HostId, now: float) -> None:
+    if not core.blame.is_suspended(name):
+        return
+    worker = core.table.get(name)
+    if worker is None:
+        return
+    core.blame.begin_probation(name)
+    core.table.set_health(name, suspended=False, probation=True)
+    core.journal.record(
+        'host',
+        name,
+        'gets one task on probation',
+        {},
+        'the suspension has ended',
+        'one success reinstates the worker',
+    )
+    job_placing.place(core, worker.pool, now)
+
+
+@functools.singledispatch
+def _follow_step(step: Any, core: job_core.JobCore, now: float) -> None:
+    raise TypeError(f'unknown step {type(step).__name__}')
+
+
+@_follow_step.register
+def _(step: pressure.Throttle, core: job_core.JobCore, now: float) -> None:
+    call = job_calls.build_call(
+        core,
+        events.CallKind.THROTTLE_TASK,
+        step.task,
+        {'cores': step.cores},
+        int(now),
+    )
+    job_calls.send(core, call, step.task, now)
+    core.journal.record_job(
+        step.task.job,
+        f'attempt {step.task.attempt} is limited to {step.cores:g} cores',
+        {'worker': step.task.worker},
+        'its worker uses more than it has',
+    )
+
+
+@_follow_step.register
+def _(step: pressure.Evict, core: job_core.JobCore, now: float) -> None:
+    job_calls.ask(core, step.task, step.kind, now)
+    core.journal.record_job(
+        step.task.job,
+        f'attempt {step.task.attempt}: {step.kind.value}',
+        {'worker': step.task.worker},
+        'its worker uses more than it has; the cheapest task leaves',
+    )
+
+
+@_follow_step.register
+def _(step: pressure.KeepAll, core: job_core.JobCore, now: float) -> None:
+    core.journal.record(
+        'host',
+        step.worker,
+        'keeps its tasks although it is overfull',
+        {},
+        'none of its tasks may be stopped without harm',
+        'the end of a task',
+    )
--- a/orioleshore/tests/job_session.py
+++ b/orioleshore/tests/job_session.py
@@ -217,28 +217,28 @@
 
     def _is_pending(self, job: documents.Job) -> bool:
         planner = self.planner
-        queue = planner._queues.get(job.pool, ())
+        queue = planner._core.queues.get(job.pool, ())
         return any(
             job.name in place
             for place in (
                 queue,
-                planner._delayed,
-                planner._placing,
-                planner._claims,
+                planner._core.delayed,
+                planner._core.placing,
+                planner._core.claims,
             )
         )
 
     def _check_reservations(self) -> None:
         planner = self.planner
-        held = collections.Counter(planner._tasks.keys())
-        held.update(planner._placing.keys())
+        held = collections.Counter(planner._core.tasks.keys())
+        held.update(planner._core.placing.keys())
         assert all(count == 1 for count in held.values()), held
-        held.update(planner._claims.keys())
-        for worker in planner._table._workers.values():
+        held.update(planner._core.claims.keys())
+        for worker in planner._core.table._workers.values():
             cores = sum(r.size.cores for r in worker.tasks.values())
             assert abs(cores - worker.used.cores) < 1e-6
             assert set(worker.tasks) <= set(held), worker
-        used = sum(size.cores for size in planner._ledger._used.values())
-        charged = [t.size.cores for t in planner._tasks.values()]
-        charged += [p.size.cores for p in planner._placing.values()]
+        used = sum(size.cores for size in planner._core.ledger._used.values())
+        charged = [t.size.cores for t in planner._core.tasks.values()]
+        charged += [p.size.cores for p in planner._core.placing.values()]
         assert abs(used - sum(charged)) < 1e-6
--- a/orioleshore/tests/test_jobs_policy.py
+++ b/orioleshore/tests/test_jobs_policy.py
@@ -96,7 +96,7 @@
     suspended = {
         host
         for host in session.state.hosts
-        if session.planner._blame.is_suspended(host)
+        if session.planner._core.blame.is_suspended(host)
     }
     assert suspended == ({BAD} if bad_workers else set())
     reason = session.state.jobs['bad-0'].reason
@@ -200,7 +200,7 @@
         )
     )
     session.commit()
-    used = session.planner._ledger
+    used = session.planner._core.ledger
     assert used.get_used('small').cores == 4.0
     assert used.get_used('large').cores == 8.0
     # Shares within the room of one worker follow the quotas.
@@ -213,7 +213,7 @@
         )
     )
     session.commit()
-    used = session.planner._ledger
+    used = session.planner._core.ledger
     assert used.get_used('large').cores in (1.0, 2.0)
     assert used.get_used('rest').cores in (14.0, 15.0)
 
