--- a/bench/jobs.py
+++ b/bench/jobs.py
@@ -26,6 +26,7 @@
 from orioleshore.state import commands
 from orioleshore.state import machine
 from orioleshore.tests import builders
+from orioleshore.tests import job_session
 from orioleshore.tests import support
 
 ROOT = pathlib.Path(__file__).resolve().parent.parent
@@ -36,7 +37,7 @@
 DECLARED_FACTOR = 3.0
 
 
-class Simulation(support.JobSession):
+class Simulation(job_session.JobSession):
     """A session without the checks of the tests, which walk everything."""
 
     def __init__(self, document: documents.Document, enabled: bool) -> None:
--- a/orioleshore/frontends/health.py
+++ b/orioleshore/frontends/health.py
@@ -2,22 +2,17 @@
 
 from collections.abc import Awaitable
 from collections.abc import Callable
-from typing import Any
 
 from aiohttp import web
 
 from orioleshore.frontends import access
 from orioleshore.frontends import web as frontend_web
 from orioleshore.model import errors
-from orioleshore.tasks import mailbox
-from orioleshore.tasks import task
 from orioleshore.telemetry import collection
 from orioleshore.telemetry import dumps
 
-MAILBOX_CAPACITY = 16
 
-
-class HealthFrontend(task.Task):
+class HealthFrontend(frontend_web.ListeningTask):
     """Owns the connections of balancer and monitoring.
 
     ``get_obstacle`` returns why the process is not ready, None when it is.
@@ -31,7 +26,7 @@
         collector: collection.Collector,
         token_files: dict[str, str],
     ) -> None:
-        super().__init__(mailbox.Mailbox('health', MAILBOX_CAPACITY))
+        super().__init__('health')
         self._get_obstacle = get_obstacle
         self._dumper = dumper
         self._collector = collector
@@ -41,23 +36,7 @@
         app.router.add_get('/readyz', self._show_readiness)
         app.router.add_get('/v1/dump', self._dump)
         app.router.add_get('/metrics', self._show_metrics)
-        self._listener = frontend_web.Listener(address, app)
-
-    @property
-    def address(self) -> str:
-        return self._listener.address
-
-    async def open(self) -> None:
-        """Listen."""
-        await self._listener.start()
-
-    async def close(self) -> None:
-        """Close all connections."""
-        await self._listener.stop()
-
-    async def handle(self, message: Any) -> None:
-        """This front end receives no messages."""
-        raise TypeError(f'unknown message {type(message).__name__}')
+        self.listen(address, app)
 
     async def _show_health(self, request: web.Request) -> web.Response:
         return frontend_web.make_json({'healthy': True})
--- a/orioleshore/frontends/operators.py
+++ b/orioleshore/frontends/operators.py
@@ -23,18 +23,16 @@
 from orioleshore.state import operations
 from orioleshore.state import queries
 from orioleshore.tasks import mailbox
-from orioleshore.tasks import task
 from orioleshore.telemetry import collection
 from orioleshore.telemetry import dumps
 from orioleshore.timers import clock
 
-MAILBOX_CAPACITY = 16
 MAX_DOCUMENT_BYTES = 16 * 1_048_576
 CHANGE_TIMEOUT_S = 10.0
 QUERY_TIMEOUT_S = 5.0
 
 
-class OperatorsFrontend(task.Task):
+class OperatorsFrontend(frontend_web.ListeningTask):
     """Owns the operators' connections."""
 
     def __init__(
@@ -46,7 +44,7 @@
         dumper: dumps.Dumper,
         collector: collection.Collector,
     ) -> None:
-        super().__init__(mailbox.Mailbox('operators', MAILBOX_CAPACITY))
+        super().__init__('operators')
         self._access = access.Access(token_files)
         self._control = control
         self._clock = source
@@ -74,23 +72,7 @@
                 web.post('/edit/{section}', self._take_form),
             ]
         )
-        self._listener = frontend_web.Listener(address, app)
-
-    @property
-    def address(self) -> str:
-        return self._listener.address
-
-    async def open(self) -> None:
-        """Listen for operators."""
-        await self._listener.start()
-
-    async def close(self) -> None:
-        """Close all connections."""
-        await self._listener.stop()
-
-    async def handle(self, message: Any) -> None:
-        """This front end receives no messages."""
-        raise TypeError(f'unknown message {type(message).__name__}')
+        self.listen(address, app)
 
     @web.middleware
     async def _authenticate(
--- a/orioleshore/frontends/upstreams.py
+++ b/orioleshore/frontends/upstreams.py
@@ -19,40 +19,22 @@
 from orioleshore.routing import dispatcher
 from orioleshore.routing import upstreams
 from orioleshore.tasks import mailbox
-from orioleshore.tasks import task
 
-MAILBOX_CAPACITY = 16
 MAX_BODY_BYTES = 4_096
 # Renewals this often survive the loss of one of them.
 RENEW_EVERY_S = upstreams.UPSTREAM_EXPIRY_S / 3
 
 
-class UpstreamsFrontend(task.Task):
+class UpstreamsFrontend(frontend_web.ListeningTask):
     """Owns the connections on which upstreams announce themselves."""
 
     def __init__(self, address: str, routing: mailbox.Mailbox) -> None:
-        super().__init__(mailbox.Mailbox('upstreams', MAILBOX_CAPACITY))
+        super().__init__('upstreams')
         self._routing = routing
         app = web.Application(client_max_size=MAX_BODY_BYTES)
         app.router.add_post('/v1/upstreams', self._announce)
         app.router.add_delete('/v1/upstreams/{service}/{address}', self._leave)
-        self._listener = frontend_web.Listener(address, app)
-
-    @property
-    def address(self) -> str:
-        return self._listener.address
-
-    async def open(self) -> None:
-        """Listen for upstreams."""
-        await self._listener.start()
-
-    async def close(self) -> None:
-        """Close all connections."""
-        await self._listener.stop()
-
-    async def handle(self, message: Any) -> None:
-        """This front end receives no messages."""
-        raise TypeError(f'unknown message {type(message).__name__}')
+        self.listen(address, app)
 
     async def _announce(self, request: web.Request) -> web.Response:
         try:
--- a/orioleshore/frontends/web.py
+++ b/orioleshore/frontends/web.py
@@ -8,8 +8,12 @@
 
 from orioleshore import settings
 from orioleshore.model import errors
+from orioleshore.tasks import mailbox
+from orioleshore.tasks import task
 from orioleshore.telemetry import metrics
 
+MAILBOX_CAPACITY = 16
+
 ERROR_HEADER = 'Orioleshore-Error'
 RAN_HEADER = 'Orioleshore-Ran'
 REQUEST_HEADER = 'Orioleshore-Request'
@@ -87,3 +91,34 @@
         """Close the socket and wait for the requests in flight."""
         if self._runner is not None:
             await self._runner.cleanup()
+
+
+class ListeningTask(task.Task):
+    """A task whose only work is to answer HTTP requests.
+
+    Subclasses give their application to ``listen`` when they are built.
+    """
+
+    def __init__(self, name: str) -> None:
+        super().__init__(mailbox.Mailbox(name, MAILBOX_CAPACITY))
+        self._listener: Listener | None = None
+
+    @property
+    def address(self) -> str:
+        return self._listener.address
+
+    def listen(self, address: str, app: web.Application) -> None:
+        """Name the address and the application for ``open``."""
+        self._listener = Listener(address, app)
+
+    async def open(self) -> None:
+        """Listen."""
+        await self._listener.start()
+
+    async def close(self) -> None:
+        """Close all connections."""
+        await self._listener.stop()
+
+    async def handle(self, message: Any) -> None:
+        """Such a task receives no messages."""
+        raise TypeError(f'unknown message {type(message).__name__}')
