--- a/fakes/entry_hosts.py
+++ b/fakes/entry_hosts.py
@@ -6,6 +6,7 @@
 
 import msgspec
 from result import Err
+from result import Ok
 
 from fakes import upstream as fake_upstream
 from orioleshore import settings
@@ -23,6 +24,7 @@
 from orioleshore.routing import dispatcher
 from orioleshore.routing import router
 from orioleshore.state import machine
+from orioleshore.state import queries
 from orioleshore.state import records
 from orioleshore.state import subscriber
 from orioleshore.tasks import mailbox
@@ -60,6 +62,9 @@
 
     async def handle(self, message: client.Call) -> None:
         """Apply one command; a late one is kept until ``catch_up``."""
+        if isinstance(message.request, queries.ReportDemand):
+            message.answer.resolve(Ok(b'{}'))
+            return
         if self.is_cut_off:
             self.late.append(message.request)
             failure = errors.Failure(errors.ErrorKind.CHANGE_UNKNOWN, 'lost')
--- a/orioleshore/fleet/calls.py
+++ b/orioleshore/fleet/calls.py
@@ -1,8 +1,8 @@
 """Calls to the platform that are repeated until they are answered."""
 
-from orioleshore.fleet import agenda
 from orioleshore.fleet import events
 from orioleshore.fleet import tasks
+from orioleshore.fleet import timer_queue
 from orioleshore.model import ids
 
 REPEAT_S = 2.0
@@ -13,8 +13,8 @@
 class Calls:
     """Open calls; the platform answers a repeated call without acting."""
 
-    def __init__(self, duties: agenda.Agenda) -> None:
-        self._agenda = duties
+    def __init__(self, timers: timer_queue.TimerQueue) -> None:
+        self._timers = timers
         self._open: dict[ids.CallId, events.CallPlatform] = {}
         self._repeats_left = MAX_REPEATS
 
@@ -40,7 +40,9 @@
             return False
         self._open[call.call] = call
         task.calls[call.call] = None
-        self._agenda.add(due, agenda.Duty.REPEAT_CALL, call.call, task.attempt)
+        self._timers.add(
+            due, timer_queue.TimerKind.REPEAT_CALL, call.call, task.attempt
+        )
         return True
 
     def repeat(
@@ -50,9 +52,9 @@
         call = self._open[name]
         allowed = self._repeats_left > 0
         self._repeats_left -= allowed
-        self._agenda.add(
+        self._timers.add(
             now + REPEAT_S if allowed else now,
-            agenda.Duty.REPEAT_CALL,
+            timer_queue.TimerKind.REPEAT_CALL,
             name,
             call.attempt,
         )
--- a/orioleshore/fleet/capacity.py
+++ b/orioleshore/fleet/capacity.py
@@ -11,7 +11,7 @@
 from orioleshore.model import states
 
 # A host that does not serve is looked at this often, in seconds.
-LOOK_S = 5.0
+REVIEW_S = 5.0
 
 _GONE = (events.ReportedState.DOWN, events.ReportedState.REBOOTING)
 _DRAINED = (events.ReportedState.DRAINING, events.ReportedState.DRAINED)
@@ -47,12 +47,12 @@
         if isinstance(event, events.HostReported):
             self._watch(event.host, now, fleet)
         if isinstance(event, events.TimerFired):
-            actions += self._look_at_due(fleet, now)
+            actions += self._review_due(fleet, now)
             actions += self._find_silent(fleet, now)
         if fleet.is_document_new:
             self._schedule_unclaimed(fleet, now)
         for host in fleet.touched:
-            actions += self._look(host, fleet, now)
+            actions += self._review(host, fleet, now)
         return actions
 
     def get_dump(self) -> dict[str, Any]:
@@ -97,14 +97,14 @@
             self._scheduled.add(host)
             heapq.heappush(self._due, (due, host))
 
-    def _look_at_due(
+    def _review_due(
         self, fleet: view.Fleet, now: float
     ) -> list[events.Action]:
         actions: list[events.Action] = []
         while self._due and self._due[0][0] <= now:
             host = heapq.heappop(self._due)[1]
             self._scheduled.discard(host)
-            actions += self._look(host, fleet, now)
+            actions += self._review(host, fleet, now)
         return actions
 
     def _find_silent(
@@ -116,10 +116,10 @@
             if host not in fleet.state.hosts:
                 self._watched.discard(host)
                 continue
-            actions += self._judge_silence(host, fleet, now)
+            actions += self._check_silence(host, fleet, now)
         return actions
 
-    def _judge_silence(
+    def _check_silence(
         self, host: ids.HostId, fleet: view.Fleet, now: float
     ) -> list[events.Action]:
         timings = fleet.timings
@@ -129,9 +129,9 @@
             return []
         # A silent platform says nothing about one host.
         if fleet.is_platform_silent(now):
-            heapq.heappush(self._silent_at, (now + LOOK_S, host))
+            heapq.heappush(self._silent_at, (now + REVIEW_S, host))
             return []
-        heapq.heappush(self._silent_at, (now + LOOK_S, host))
+        heapq.heappush(self._silent_at, (now + REVIEW_S, host))
         fleet.suspects.add(host)
         fleet.refresh(host)
         if now - heard < timings.silent_s:
@@ -143,20 +143,20 @@
             f'no report for {timings.silent_s:.0f} s',
         )
 
-    def _look(
+    def _review(
         self, host: ids.HostId, fleet: view.Fleet, now: float
     ) -> list[events.Action]:
         record = fleet.state.hosts.get(host)
         if record is None or host in fleet.claimed:
             return []
         if record.state is states.HostState.SERVING:
-            return self._look_at_serving(host, fleet, now)
-        self._schedule(host, now + min(LOOK_S, fleet.timings.proving_s))
+            return self._review_serving(host, fleet, now)
+        self._schedule(host, now + min(REVIEW_S, fleet.timings.proving_s))
         if fleet.is_pending(host) or host not in fleet.reports:
             return []
-        return _LOOKS[record.state](self, host, fleet, now)
+        return _REVIEWS[record.state](self, host, fleet, now)
 
-    def _look_at_serving(
+    def _review_serving(
         self, host: ids.HostId, fleet: view.Fleet, now: float
     ) -> list[events.Action]:
         if not fleet.is_pending(host):
@@ -175,7 +175,7 @@
             return fleet.call(events.CallKind.RETURN_HOST, host, now)
         return []
 
-    def _look_at_draining(
+    def _review_draining(
         self, host: ids.HostId, fleet: view.Fleet, now: float
     ) -> list[events.Action]:
         if fleet.reports[host].state in _GONE:
@@ -189,7 +189,7 @@
             *fleet.end_permission(host, now),
         )
 
-    def _look_at_drained(
+    def _review_drained(
         self, host: ids.HostId, fleet: view.Fleet, now: float
     ) -> list[events.Action]:
         return fleet.propose(
@@ -200,7 +200,7 @@
             ),
         )
 
-    def _look_at_rebooting(
+    def _review_rebooting(
         self, host: ids.HostId, fleet: view.Fleet, now: float
     ) -> list[events.Action]:
         if fleet.reports[host].state is events.ReportedState.UP:
@@ -212,7 +212,7 @@
             return []
         return self._fail(host, fleet, now, 'did not come back from reboot')
 
-    def _look_at_proving(
+    def _review_proving(
         self, host: ids.HostId, fleet: view.Fleet, now: float
     ) -> list[events.Action]:
         report = fleet.reports[host]
@@ -238,7 +238,7 @@
             ),
         ]
 
-    def _look_at_down(
+    def _review_down(
         self, host: ids.HostId, fleet: view.Fleet, now: float
     ) -> list[events.Action]:
         report = fleet.reports[host]
@@ -250,7 +250,7 @@
             return []
         return self._prove(host, fleet, now)
 
-    def _look_at_set_aside(
+    def _review_set_aside(
         self, host: ids.HostId, fleet: view.Fleet, now: float
     ) -> list[events.Action]:
         report = fleet.reports[host]
@@ -306,15 +306,15 @@
     return now - begin >= fleet.timings.proving_s
 
 
-_Look = Callable[
+_Review = Callable[
     [HostWatch, ids.HostId, view.Fleet, float], list[events.Action]
 ]
 
-_LOOKS: dict[states.HostState, _Look] = {
-    states.HostState.DRAINING: HostWatch._look_at_draining,
-    states.HostState.DRAINED: HostWatch._look_at_drained,
-    states.HostState.REBOOTING: HostWatch._look_at_rebooting,
-    states.HostState.PROVING: HostWatch._look_at_proving,
-    states.HostState.DOWN: HostWatch._look_at_down,
-    states.HostState.SET_ASIDE: HostWatch._look_at_set_aside,
+_REVIEWS: dict[states.HostState, _Review] = {
+    states.HostState.DRAINING: HostWatch._review_draining,
+    states.HostState.DRAINED: HostWatch._review_drained,
+    states.HostState.REBOOTING: HostWatch._review_rebooting,
+    states.HostState.PROVING: HostWatch._review_proving,
+    states.HostState.DOWN: HostWatch._review_down,
+    states.HostState.SET_ASIDE: HostWatch._review_set_aside,
 }
--- a/orioleshore/fleet/blame.py
+++ b/orioleshore/fleet/fault_attribution.py
@@ -27,14 +27,14 @@
     worker: ids.HostId
 
 
-class BlameJob(msgspec.Struct, frozen=True):
+class JobAtFault(msgspec.Struct, frozen=True):
     """A job fails on workers that run other work."""
 
     job: ids.JobId
     workers: tuple[ids.HostId, ...]
 
 
-Verdict = SuspendWorker | ReinstateWorker | BlameJob
+Finding = SuspendWorker | ReinstateWorker | JobAtFault
 
 
 class _Health(msgspec.Struct):
@@ -46,10 +46,10 @@
     suspended: bool = False
     probation: bool = False
     # Jobs whose failures led to the suspension.
-    accusers: dict[ids.JobId, None] = {}
+    failed_jobs: dict[ids.JobId, None] = {}
 
 
-class Blame:
+class FaultAttribution:
     """Failures by job and by worker."""
 
     def __init__(self) -> None:
@@ -68,7 +68,7 @@
 
     def note_success(
         self, job: ids.JobId, worker: ids.HostId
-    ) -> list[Verdict]:
+    ) -> list[Finding]:
         """Take a success; it may show that other jobs are at fault."""
         health = self._health.setdefault(worker, _Health())
         suspects = list(health.failed)
@@ -78,21 +78,21 @@
         while len(health.succeeded) > 2:
             del health.succeeded[next(iter(health.succeeded))]
         self._failed_on.pop(job, None)
-        verdicts: list[Verdict] = []
+        findings: list[Finding] = []
         if health.suspended:
-            verdicts.append(self._reinstate(worker, health))
+            findings.append(self._reinstate(worker, health))
         for suspect in suspects:
-            verdicts += self._judge_job(suspect)
-        return verdicts
+            findings += self._evaluate_job(suspect)
+        return findings
 
     def note_failure(
         self, job: ids.JobId, worker: ids.HostId
-    ) -> list[Verdict]:
+    ) -> list[Finding]:
         """Take a failure of a job on a worker."""
         health = self._health.setdefault(worker, _Health())
         if health.suspended and not health.probation:
             # Placed before the suspension; it says nothing about the job.
-            health.accusers[job] = None
+            health.failed_jobs[job] = None
             return []
         failed_on = self._failed_on.setdefault(job, {})
         failed_on[worker] = None
@@ -101,7 +101,7 @@
         strikes = sum(health.failed.values())
         if health.suspended or strikes >= WORKER_FAILURES:
             return [self._suspend(worker, health)]
-        return self._judge_job(job)
+        return self._evaluate_job(job)
 
     def begin_probation(self, worker: ids.HostId) -> None:
         """Let the next task of a suspended worker decide about it."""
@@ -129,7 +129,7 @@
         suspended_s = min(
             MAX_SUSPENSION_S, SUSPENSION_S * 2**health.suspensions
         )
-        health.accusers |= dict.fromkeys(jobs)
+        health.failed_jobs |= dict.fromkeys(jobs)
         health.failed.clear()
         health.succeeded.clear()
         health.suspended = True
@@ -144,23 +144,23 @@
         health.suspended = False
         health.probation = False
         health.suspensions = 0
-        health.accusers.clear()
+        health.failed_jobs.clear()
         self._suspended.pop(worker, None)
         return ReinstateWorker(worker)
 
-    def _acquit_workers(self, job: ids.JobId) -> list[Verdict]:
+    def _acquit_workers(self, job: ids.JobId) -> list[Finding]:
         """Reinstate workers suspended mostly because of a job at fault."""
-        verdicts: list[Verdict] = []
+        findings: list[Finding] = []
         for worker in list(self._suspended):
             health = self._health[worker]
-            if job not in health.accusers:
+            if job not in health.failed_jobs:
                 continue
-            del health.accusers[job]
-            if len(health.accusers) < WORKER_FAILURES:
-                verdicts.append(self._reinstate(worker, health))
-        return verdicts
+            del health.failed_jobs[job]
+            if len(health.failed_jobs) < WORKER_FAILURES:
+                findings.append(self._reinstate(worker, health))
+        return findings
 
-    def _judge_job(self, job: ids.JobId) -> list[Verdict]:
+    def _evaluate_job(self, job: ids.JobId) -> list[Finding]:
         proven = tuple(
             worker
             for worker in self._failed_on.get(job, ())
@@ -169,7 +169,7 @@
         if len(proven) < JOB_FAILURES:
             return []
         self.forget_job(job)
-        return [BlameJob(job, proven), *self._acquit_workers(job)]
+        return [JobAtFault(job, proven), *self._acquit_workers(job)]
 
     def _runs_other_work(self, worker: ids.HostId, job: ids.JobId) -> bool:
         health = self._health.get(worker)
--- a/orioleshore/fleet/job_calls.py
+++ b/orioleshore/fleet/job_calls.py
@@ -56,7 +56,9 @@
     if core.calls.repeat(name, now) is not None:
         core.actions.append(call)
     task = core.tasks[call.job]
-    silent = now - max(task.started, task.heard) >= job_core.START_LIMIT_S
+    silent = (
+        now - max(task.started, task.last_contact) >= job_core.START_LIMIT_S
+    )
     if call.kind is events.CallKind.START_TASK and silent:
         close_worker(core, task.worker)
 
@@ -73,8 +75,8 @@
         )
 
 
-def hear(core: job_core.JobCore, task: tasks.Task, now: float) -> None:
-    task.heard = now
+def note_contact(core: job_core.JobCore, task: tasks.Task, now: float) -> None:
+    task.last_contact = now
     if core.table.set_reachable(task.worker, True):
         job_placing.reopen(core, task.worker, now)
 
@@ -82,4 +84,4 @@
 def confirm(core: job_core.JobCore, task: tasks.Task, now: float) -> None:
     task.confirmed = True
     core.calls.close_start(task)
-    hear(core, task, now)
+    note_contact(core, task, now)
--- a/orioleshore/fleet/job_core.py
+++ b/orioleshore/fleet/job_core.py
@@ -2,16 +2,16 @@
 
 import msgspec
 
-from orioleshore.fleet import agenda
-from orioleshore.fleet import blame
 from orioleshore.fleet import calls
 from orioleshore.fleet import events
+from orioleshore.fleet import fault_attribution
 from orioleshore.fleet import journal
 from orioleshore.fleet import learning
 from orioleshore.fleet import placement
 from orioleshore.fleet import pressure
 from orioleshore.fleet import quotas
 from orioleshore.fleet import tasks
+from orioleshore.fleet import timer_queue
 from orioleshore.fleet import workers
 from orioleshore.model import documents
 from orioleshore.model import ids
@@ -91,9 +91,9 @@
         self.hosts: dict[ids.HostId, documents.Host] = {}
         self.table = workers.WorkerTable()
         self.ledger = quotas.Ledger()
-        self.blame = blame.Blame()
+        self.faults = fault_attribution.FaultAttribution()
         self.pressure = pressure.Pressure()
-        self.agenda = agenda.Agenda()
+        self.timers = timer_queue.TimerQueue()
         self.queues: dict[ids.PoolId, placement.JobQueue] = {}
         self.tasks: dict[ids.JobId, tasks.Task] = {}
         self.team_tasks: dict[ids.TeamId, dict[ids.JobId, None]] = {}
@@ -106,7 +106,7 @@
         self.postponed: set[ids.PoolId] = set()
         self.placements_left = MAX_PLACEMENTS
         self.results: dict[ids.JobId, commands.RecordTaskResult] = {}
-        self.calls = calls.Calls(self.agenda)
+        self.calls = calls.Calls(self.timers)
         self.renewals: list[commands.LeaseHolder] = []
         self.journal = journal.Journal()
         self.actions: list[events.Action] = []
--- a/orioleshore/fleet/job_following.py
+++ b/orioleshore/fleet/job_following.py
@@ -5,7 +5,6 @@
 
 import msgspec
 
-from orioleshore.fleet import agenda
 from orioleshore.fleet import events
 from orioleshore.fleet import job_calls
 from orioleshore.fleet import job_core
@@ -15,6 +14,7 @@
 from orioleshore.fleet import job_queueing
 from orioleshore.fleet import job_tasks
 from orioleshore.fleet import job_workers
+from orioleshore.fleet import timer_queue
 from orioleshore.fleet import workers
 from orioleshore.model import changes
 from orioleshore.model import documents
@@ -28,7 +28,7 @@
 )
 
 
-def gain(core: job_core.JobCore, now: float) -> None:
+def start_leading(core: job_core.JobCore, now: float) -> None:
     state, epoch = core.state, core.epoch
     core.reset()
     core.state, core.epoch = state, epoch
@@ -59,7 +59,9 @@
         if attempt.result is not None
     ]
     for _, name, attempt in sorted(ended, key=lambda item: item[:2]):
-        job_tasks.judge(core, name, attempt.worker, attempt.result, now)
+        job_tasks.evaluate_result(
+            core, name, attempt.worker, attempt.result, now
+        )
 
 
 def follow_document(core: job_core.JobCore, now: float) -> None:
@@ -69,7 +71,7 @@
     missed = state.version - core.version
     deltas = state.deltas[-missed:]
     if len(deltas) < missed:
-        gain(core, now)
+        start_leading(core, now)
         return
     core.version = state.version
     for delta in deltas:
@@ -121,7 +123,7 @@
         'the document does not name the job any more',
     )
     job_preemption.drop_claim(core, name)
-    core.blame.forget_job(name)
+    core.faults.forget_job(name)
     core.unyielding.pop(name, None)
     core.journal.forget('job', name)
 
@@ -145,13 +147,13 @@
         record.state,
     )
     if record.state is states.HostState.DRAINING:
-        core.agenda.add(now, agenda.Duty.CHECK_DRAIN, name)
+        core.timers.add(now, timer_queue.TimerKind.CHECK_DRAIN, name)
         job_workers.check_drain(core, worker, now)
     if (
         record.state is states.HostState.SERVING
         and old_state is states.HostState.PROVING
     ):
-        core.blame.clear_worker(name)
+        core.faults.clear_worker(name)
         core.table.set_health(name, suspended=False, probation=False)
 
 
--- a/orioleshore/fleet/job_leases.py
+++ b/orioleshore/fleet/job_leases.py
@@ -1,11 +1,11 @@
 """Renewal and end of the leases of tasks."""
 
-from orioleshore.fleet import agenda
 from orioleshore.fleet import events
 from orioleshore.fleet import job_calls
 from orioleshore.fleet import job_core
 from orioleshore.fleet import job_reports
 from orioleshore.fleet import tasks
+from orioleshore.fleet import timer_queue
 from orioleshore.model import ids
 from orioleshore.model import states
 from orioleshore.state import commands
@@ -13,25 +13,25 @@
 
 
 def renew_lease(
-    core: job_core.JobCore, entry: agenda.Entry, now: float
+    core: job_core.JobCore, entry: timer_queue.Entry, now: float
 ) -> None:
     task = core.tasks.get(ids.JobId(entry.subject))
     if task is None or task.attempt != entry.attempt:
         return
     if now >= task.lease_until or now < task.renew_at:
         return
-    if now - max(task.heard, task.started) > job_core.REPORT_SILENCE_S:
-        core.agenda.add(
+    if now - max(task.last_contact, task.started) > job_core.REPORT_SILENCE_S:
+        core.timers.add(
             now + job_core.RENEW_RETRY_S,
-            agenda.Duty.RENEW_LEASE,
+            timer_queue.TimerKind.RENEW_LEASE,
             task.job,
             task.attempt,
         )
         return
     core.renewals.append(commands.LeaseHolder(task.job, task.attempt))
-    core.agenda.add(
+    core.timers.add(
         now + job_core.RENEW_RETRY_S,
-        agenda.Duty.RENEW_LEASE,
+        timer_queue.TimerKind.RENEW_LEASE,
         task.job,
         task.attempt,
     )
@@ -41,8 +41,11 @@
     core: job_core.JobCore, task: tasks.Task, now: float
 ) -> None:
     task.renew_at = tasks.get_renewal_time(task, now)
-    core.agenda.add(
-        task.renew_at, agenda.Duty.RENEW_LEASE, task.job, task.attempt
+    core.timers.add(
+        task.renew_at,
+        timer_queue.TimerKind.RENEW_LEASE,
+        task.job,
+        task.attempt,
     )
 
 
@@ -87,15 +90,17 @@
 
 
 def await_lease_end(core: job_core.JobCore, task: tasks.Task) -> None:
-    core.agenda.add(
+    core.timers.add(
         task.lease_until + job_commands.LEASE_GRACE_S,
-        agenda.Duty.END_LEASE,
+        timer_queue.TimerKind.END_LEASE,
         task.job,
         task.attempt,
     )
 
 
-def end_lease(core: job_core.JobCore, entry: agenda.Entry, now: float) -> None:
+def end_lease(
+    core: job_core.JobCore, entry: timer_queue.Entry, now: float
+) -> None:
     task = core.tasks.get(ids.JobId(entry.subject))
     if task is None or task.attempt != entry.attempt:
         return
--- a/orioleshore/fleet/job_placing.py
+++ b/orioleshore/fleet/job_placing.py
@@ -53,7 +53,7 @@
     if not job.urgent and any(known.fits(size) for known in too_large):
         core.journal.record_no_room(job, size)
         return False
-    avoided = core.blame.get_failed_workers(job.name)
+    avoided = core.faults.get_failed_workers(job.name)
     if avoided and not core.table.is_possible(job.pool, size, avoided):
         # It failed on every worker that is large enough.
         avoided = frozenset()
--- a/orioleshore/fleet/job_preemption.py
+++ b/orioleshore/fleet/job_preemption.py
@@ -1,6 +1,5 @@
 """Room made for urgent jobs by tasks that leave."""
 
-from orioleshore.fleet import agenda
 from orioleshore.fleet import events
 from orioleshore.fleet import job_calls
 from orioleshore.fleet import job_core
@@ -8,6 +7,7 @@
 from orioleshore.fleet import job_queueing
 from orioleshore.fleet import placement
 from orioleshore.fleet import tasks
+from orioleshore.fleet import timer_queue
 from orioleshore.fleet import workers
 from orioleshore.model import documents
 from orioleshore.model import ids
@@ -38,8 +38,10 @@
     core.claims[job.name] = job_core.Claim(name, size)
     core.claimed.setdefault(name, {})[job.name] = None
     core.table.reserve(name, job.name, size, False)
-    core.agenda.add(
-        now + job_core.PREEMPTION_LIMIT_S, agenda.Duty.END_PREEMPTION, job.name
+    core.timers.add(
+        now + job_core.PREEMPTION_LIMIT_S,
+        timer_queue.TimerKind.END_PREEMPTION,
+        job.name,
     )
     evict(core, victims, job, now)
     core.journal.record_job(
@@ -59,9 +61,9 @@
 ) -> None:
     for victim in victims:
         job_calls.ask(core, victim, events.CallKind.CHECKPOINT_TASK, now)
-        core.agenda.add(
+        core.timers.add(
             now + job_core.CHECKPOINT_LIMIT_S,
-            agenda.Duty.END_CHECKPOINT,
+            timer_queue.TimerKind.END_CHECKPOINT,
             victim.job,
             victim.attempt,
         )
@@ -74,7 +76,7 @@
 
 
 def end_checkpoint(
-    core: job_core.JobCore, entry: agenda.Entry, now: float
+    core: job_core.JobCore, entry: timer_queue.Entry, now: float
 ) -> None:
     """Stop a task that has not reached a checkpoint, if it may be."""
     task = core.tasks.get(ids.JobId(entry.subject))
--- a/orioleshore/fleet/job_queueing.py
+++ b/orioleshore/fleet/job_queueing.py
@@ -1,10 +1,10 @@
 """Waiting jobs, and proposals to place them."""
 
-from orioleshore.fleet import agenda
 from orioleshore.fleet import events
 from orioleshore.fleet import job_core
 from orioleshore.fleet import placement
 from orioleshore.fleet import tasks
+from orioleshore.fleet import timer_queue
 from orioleshore.fleet import workers
 from orioleshore.model import documents
 from orioleshore.model import ids
@@ -23,13 +23,13 @@
     delay_s = get_retry_delay(core, name)
     if delay_s:
         core.delayed.add(name)
-        core.agenda.add(now + delay_s, agenda.Duty.END_DELAY, name)
+        core.timers.add(now + delay_s, timer_queue.TimerKind.END_DELAY, name)
         return
     enter_queue(core, queue, job, now)
 
 
 def get_retry_delay(core: job_core.JobCore, name: ids.JobId) -> float:
-    failures = len(core.blame.get_failed_workers(name))
+    failures = len(core.faults.get_failed_workers(name))
     attempts = core.state.jobs[name].attempts
     refused = states.TaskResult.NOT_STARTED
     if attempts and attempts[-1].result is refused:
@@ -56,9 +56,9 @@
         if now + ahead_s + run_time_s > job.deadline:
             core.journal.record_deadline_miss(job, ahead_s, run_time_s)
         else:
-            core.agenda.add(
+            core.timers.add(
                 job.deadline - run_time_s,
-                agenda.Duty.CHECK_DEADLINE,
+                timer_queue.TimerKind.CHECK_DEADLINE,
                 job.name,
             )
     queue.push(job, core.learner.get_size(job).cores * run_time_s)
@@ -82,14 +82,14 @@
     if pool in core.postponed:
         return
     core.postponed.add(pool)
-    core.agenda.add(now, agenda.Duty.PLACE, pool)
+    core.timers.add(now, timer_queue.TimerKind.PLACE, pool)
 
 
 def retry_later(core: job_core.JobCore, name: ids.JobId, now: float) -> None:
     """Look at a job again, in case the proposal has no outcome."""
     core.delayed.add(name)
-    core.agenda.add(
-        now + job_core.PROPOSAL_LIMIT_S, agenda.Duty.END_DELAY, name
+    core.timers.add(
+        now + job_core.PROPOSAL_LIMIT_S, timer_queue.TimerKind.END_DELAY, name
     )
 
 
@@ -104,9 +104,9 @@
     core.placing[job.name] = job_core.Placing(attempt, worker, job.team, size)
     core.table.reserve(worker, job.name, size, False)
     core.ledger.charge(job.team, size)
-    core.agenda.add(
+    core.timers.add(
         now + job_core.PROPOSAL_LIMIT_S,
-        agenda.Duty.END_PROPOSAL,
+        timer_queue.TimerKind.END_PROPOSAL,
         job.name,
         attempt,
     )
--- a/orioleshore/fleet/job_reports.py
+++ b/orioleshore/fleet/job_reports.py
@@ -1,10 +1,10 @@
 """Reports of the platform about tasks."""
 
-from orioleshore.fleet import agenda
 from orioleshore.fleet import events
 from orioleshore.fleet import job_calls
 from orioleshore.fleet import job_core
 from orioleshore.fleet import job_placing
+from orioleshore.fleet import timer_queue
 from orioleshore.model import ids
 from orioleshore.model import states
 from orioleshore.state import commands
@@ -71,16 +71,16 @@
 ) -> None:
     core.results[command.job] = command
     core.actions.append(events.Propose(command))
-    core.agenda.add(
+    core.timers.add(
         now + job_core.RESULT_REPEAT_S,
-        agenda.Duty.REPEAT_RESULT,
+        timer_queue.TimerKind.REPEAT_RESULT,
         command.job,
         command.attempt,
     )
 
 
 def repeat_result(
-    core: job_core.JobCore, entry: agenda.Entry, now: float
+    core: job_core.JobCore, entry: timer_queue.Entry, now: float
 ) -> None:
     command = core.results.get(ids.JobId(entry.subject))
     if command is None or command.attempt != entry.attempt:
--- a/orioleshore/fleet/job_tasks.py
+++ b/orioleshore/fleet/job_tasks.py
@@ -3,15 +3,15 @@
 import functools
 from typing import Any
 
-from orioleshore.fleet import agenda
-from orioleshore.fleet import blame
 from orioleshore.fleet import events
+from orioleshore.fleet import fault_attribution
 from orioleshore.fleet import job_calls
 from orioleshore.fleet import job_core
 from orioleshore.fleet import job_leases
 from orioleshore.fleet import job_preemption
 from orioleshore.fleet import job_queueing
 from orioleshore.fleet import tasks
+from orioleshore.fleet import timer_queue
 from orioleshore.fleet import workers
 from orioleshore.model import ids
 from orioleshore.model import states
@@ -105,7 +105,7 @@
         core.learner.note_run_time(task.job_class, now - task.started)
     if result is states.TaskResult.LOST:
         core.table.set_reachable(task.worker, False)
-    judge(core, task.job, task.worker, result, now)
+    evaluate_result(core, task.job, task.worker, result, now)
     core.journal.record_job(
         task.job,
         f'attempt {task.attempt} ended: '
@@ -119,20 +119,20 @@
     job_preemption.serve_claims(core, task.worker, now)
 
 
-def judge(
+def evaluate_result(
     core: job_core.JobCore,
     job: ids.JobId,
     worker: ids.HostId,
     result: states.TaskResult | None,
     now: float,
 ) -> None:
-    verdicts: list[blame.Verdict] = []
+    findings: list[fault_attribution.Finding] = []
     if result is states.TaskResult.SUCCEEDED:
-        verdicts = core.blame.note_success(job, worker)
+        findings = core.faults.note_success(job, worker)
     elif result is states.TaskResult.FAILED:
-        verdicts = core.blame.note_failure(job, worker)
-    for verdict in verdicts:
-        _follow_verdict(verdict, core, now)
+        findings = core.faults.note_failure(job, worker)
+    for finding in findings:
+        _apply_finding(finding, core, now)
 
 
 def _get_result(
@@ -147,58 +147,66 @@
 
 
 @functools.singledispatch
-def _follow_verdict(verdict: Any, core: job_core.JobCore, now: float) -> None:
-    raise TypeError(f'unknown verdict {type(verdict).__name__}')
+def _apply_finding(finding: Any, core: job_core.JobCore, now: float) -> None:
+    raise TypeError(f'unknown finding {type(finding).__name__}')
 
 
-@_follow_verdict.register
+@_apply_finding.register
 def _(
-    verdict: blame.SuspendWorker, core: job_core.JobCore, now: float
+    finding: fault_attribution.SuspendWorker,
+    core: job_core.JobCore,
+    now: float,
 ) -> None:
-    core.table.set_health(verdict.worker, suspended=True, probation=False)
-    core.agenda.add(
-        now + verdict.suspended_s, agenda.Duty.TRY_WORKER, verdict.worker
+    core.table.set_health(finding.worker, suspended=True, probation=False)
+    core.timers.add(
+        now + finding.suspended_s,
+        timer_queue.TimerKind.TRY_WORKER,
+        finding.worker,
     )
     core.journal.record(
         'host',
-        verdict.worker,
+        finding.worker,
         'gets no more work',
-        {'jobs': list(verdict.jobs), 'suspended_s': verdict.suspended_s},
+        {'jobs': list(finding.jobs), 'suspended_s': finding.suspended_s},
         'it failed different jobs in a row',
         'the end of the suspension, or maintenance of the host',
     )
 
 
-@_follow_verdict.register
+@_apply_finding.register
 def _(
-    verdict: blame.ReinstateWorker, core: job_core.JobCore, now: float
+    finding: fault_attribution.ReinstateWorker,
+    core: job_core.JobCore,
+    now: float,
 ) -> None:
-    core.table.set_health(verdict.worker, suspended=False, probation=False)
+    core.table.set_health(finding.worker, suspended=False, probation=False)
     core.journal.record(
         'host',
-        verdict.worker,
+        finding.worker,
         'takes work again',
         {},
         'a job succeeded on it, or the jobs that it failed are at fault',
     )
 
 
-@_follow_verdict.register
-def _(verdict: blame.BlameJob, core: job_core.JobCore, now: float) -> None:
-    record = core.state.jobs.get(verdict.job)
+@_apply_finding.register
+def _(
+    finding: fault_attribution.JobAtFault, core: job_core.JobCore, now: float
+) -> None:
+    record = core.state.jobs.get(finding.job)
     if record is None or record.state is not states.JobState.WAITING:
         return
-    job = core.jobs.get(verdict.job)
+    job = core.jobs.get(finding.job)
     if job is not None:
         job_queueing.dequeue(core, job)
     core.actions.append(
         events.Propose(
             commands.QuarantineJob(
                 time=ids.WallTime(now),
-                job=verdict.job,
+                job=finding.job,
                 reason='failed on workers that run other work: '
-                + ', '.join(verdict.workers),
+                + ', '.join(finding.workers),
             )
         )
     )
-    job_queueing.retry_later(core, verdict.job, now)
+    job_queueing.retry_later(core, finding.job, now)
--- a/orioleshore/fleet/job_workers.py
+++ b/orioleshore/fleet/job_workers.py
@@ -3,12 +3,12 @@
 import functools
 from typing import Any
 
-from orioleshore.fleet import agenda
 from orioleshore.fleet import events
 from orioleshore.fleet import job_calls
 from orioleshore.fleet import job_core
 from orioleshore.fleet import job_placing
 from orioleshore.fleet import pressure
+from orioleshore.fleet import timer_queue
 from orioleshore.fleet import workers
 from orioleshore.model import ids
 from orioleshore.model import states
@@ -36,8 +36,10 @@
             'its worker drains and the task would run on for long',
         )
     if waits:
-        core.agenda.add(
-            now + job_core.DRAIN_FINISH_S, agenda.Duty.CHECK_DRAIN, worker.name
+        core.timers.add(
+            now + job_core.DRAIN_FINISH_S,
+            timer_queue.TimerKind.CHECK_DRAIN,
+            worker.name,
         )
 
 
@@ -59,12 +61,12 @@
 
 
 def try_worker(core: job_core.JobCore, name: ids.HostId, now: float) -> None:
-    if not core.blame.is_suspended(name):
+    if not core.faults.is_suspended(name):
         return
     worker = core.table.get(name)
     if worker is None:
         return
-    core.blame.begin_probation(name)
+    core.faults.begin_probation(name)
     core.table.set_health(name, suspended=False, probation=True)
     core.journal.record(
         'host',
--- a/orioleshore/fleet/jobs.py
+++ b/orioleshore/fleet/jobs.py
@@ -8,7 +8,6 @@
 import functools
 from typing import Any
 
-from orioleshore.fleet import agenda
 from orioleshore.fleet import events
 from orioleshore.fleet import job_calls
 from orioleshore.fleet import job_core
@@ -21,6 +20,7 @@
 from orioleshore.fleet import job_workers
 from orioleshore.fleet import learning
 from orioleshore.fleet import placement
+from orioleshore.fleet import timer_queue
 from orioleshore.model import ids
 from orioleshore.model import states
 from orioleshore.state import commands
@@ -66,7 +66,7 @@
                 for pool, queue in sorted(self._core.queues.items())
             },
             'open_calls': len(self._core.calls),
-            'agenda': len(self._core.agenda),
+            'timers': len(self._core.timers),
         }
 
     def count_tasks(self, worker: ids.HostId) -> int:
@@ -84,7 +84,7 @@
 def _(
     event: events.LeadershipGained, core: job_core.JobCore, now: float
 ) -> None:
-    job_following.gain(core, now)
+    job_following.start_leading(core, now)
 
 
 @_handle.register
@@ -147,13 +147,13 @@
 @_handle.register
 def _(event: events.TimerFired, core: job_core.JobCore, now: float) -> None:
     core.calls.start_tick()
-    for entry in core.agenda.take_due(now):
-        _DUTIES[entry.duty](core, entry, now)
+    for entry in core.timers.take_due(now):
+        _TIMER_HANDLERS[entry.kind](core, entry, now)
     job_leases.flush_renewals(core, now)
 
 
 def _end_delay(
-    core: job_core.JobCore, entry: agenda.Entry, now: float
+    core: job_core.JobCore, entry: timer_queue.Entry, now: float
 ) -> None:
     name = ids.JobId(entry.subject)
     job = core.jobs.get(name)
@@ -169,7 +169,7 @@
 
 
 def _check_deadline(
-    core: job_core.JobCore, entry: agenda.Entry, now: float
+    core: job_core.JobCore, entry: timer_queue.Entry, now: float
 ) -> None:
     job = core.jobs.get(ids.JobId(entry.subject))
     queue = None if job is None else core.queues.get(job.pool)
@@ -180,7 +180,7 @@
 
 
 def _check_drain(
-    core: job_core.JobCore, entry: agenda.Entry, now: float
+    core: job_core.JobCore, entry: timer_queue.Entry, now: float
 ) -> None:
     worker = core.table.get(ids.HostId(entry.subject))
     if worker is not None:
@@ -188,39 +188,39 @@
 
 
 def _place_postponed(
-    core: job_core.JobCore, entry: agenda.Entry, now: float
+    core: job_core.JobCore, entry: timer_queue.Entry, now: float
 ) -> None:
     core.postponed.discard(entry.subject)
     job_placing.place(core, entry.subject, now)
 
 
-_DUTIES = {
-    agenda.Duty.REPEAT_CALL: lambda core, entry, now: job_calls.repeat_call(
-        core, entry.subject, now
+_TIMER_HANDLERS = {
+    timer_queue.TimerKind.REPEAT_CALL: lambda core, entry, now: (
+        job_calls.repeat_call(core, entry.subject, now)
     ),
-    agenda.Duty.RENEW_LEASE: lambda core, entry, now: job_leases.renew_lease(
-        core, entry, now
+    timer_queue.TimerKind.RENEW_LEASE: lambda core, entry, now: (
+        job_leases.renew_lease(core, entry, now)
     ),
-    agenda.Duty.END_LEASE: lambda core, entry, now: job_leases.end_lease(
-        core, entry, now
+    timer_queue.TimerKind.END_LEASE: lambda core, entry, now: (
+        job_leases.end_lease(core, entry, now)
     ),
-    agenda.Duty.REPEAT_RESULT: lambda core, entry, now: (
+    timer_queue.TimerKind.REPEAT_RESULT: lambda core, entry, now: (
         job_reports.repeat_result(core, entry, now)
     ),
-    agenda.Duty.END_PROPOSAL: lambda core, entry, now: (
+    timer_queue.TimerKind.END_PROPOSAL: lambda core, entry, now: (
         job_following.give_up_placing(core, entry.subject, entry.attempt, now)
     ),
-    agenda.Duty.END_PREEMPTION: lambda core, entry, now: (
+    timer_queue.TimerKind.END_PREEMPTION: lambda core, entry, now: (
         job_placing.end_preemption(core, entry.subject, now)
     ),
-    agenda.Duty.END_CHECKPOINT: lambda core, entry, now: (
+    timer_queue.TimerKind.END_CHECKPOINT: lambda core, entry, now: (
         job_preemption.end_checkpoint(core, entry, now)
     ),
-    agenda.Duty.END_DELAY: _end_delay,
-    agenda.Duty.CHECK_DEADLINE: _check_deadline,
-    agenda.Duty.CHECK_DRAIN: _check_drain,
-    agenda.Duty.TRY_WORKER: lambda core, entry, now: job_workers.try_worker(
-        core, entry.subject, now
+    timer_queue.TimerKind.END_DELAY: _end_delay,
+    timer_queue.TimerKind.CHECK_DEADLINE: _check_deadline,
+    timer_queue.TimerKind.CHECK_DRAIN: _check_drain,
+    timer_queue.TimerKind.TRY_WORKER: lambda core, entry, now: (
+        job_workers.try_worker(core, entry.subject, now)
     ),
-    agenda.Duty.PLACE: _place_postponed,
+    timer_queue.TimerKind.PLACE: _place_postponed,
 }
--- a/orioleshore/fleet/moves.py
+++ b/orioleshore/fleet/moves.py
@@ -57,7 +57,7 @@
             units = round(event.cores_wanted * budgets.UNITS_PER_CORE)
             self._demands[event.pool] = (units, now)
         if isinstance(event, events.DemandHeard):
-            self._hear(event, fleet, now)
+            self._take_demand(event, fleet, now)
         actions: list[events.Action] = []
         for host in fleet.touched:
             actions += self._advance(host, fleet, now)
@@ -75,7 +75,7 @@
             'held': dict(sorted(self._held.items())),
         }
 
-    def _hear(
+    def _take_demand(
         self, event: events.DemandHeard, fleet: view.Fleet, now: float
     ) -> None:
         """Turn loads into the capacity that would carry them."""
--- a/orioleshore/fleet/planner.py
+++ b/orioleshore/fleet/planner.py
@@ -86,7 +86,7 @@
             **{name: part.get_dump() for name, part in self._parts.items()},
         }
 
-    def _gain(
+    def _start_leading(
         self, event: events.LeadershipGained, now: float
     ) -> list[events.Action]:
         self._fleet = view.Fleet(event.state, event.epoch, self._timings, now)
@@ -95,7 +95,7 @@
             actions += part.start(self._fleet, now)
         return actions
 
-    def _lose(self) -> list[events.Action]:
+    def _stop_leading(self) -> list[events.Action]:
         self._fleet = None
         return []
 
@@ -144,14 +144,14 @@
 def _(
     event: events.LeadershipGained, planner: Planner, now: float
 ) -> list[events.Action]:
-    return planner._gain(event, now)
+    return planner._start_leading(event, now)
 
 
 @_handle.register
 def _(
     event: events.LeadershipLost, planner: Planner, now: float
 ) -> list[events.Action]:
-    return planner._lose()
+    return planner._stop_leading()
 
 
 @_handle.register
--- a/orioleshore/fleet/steps.py
+++ b/orioleshore/fleet/steps.py
@@ -14,7 +14,7 @@
 MAX_ATTEMPTS = 3
 
 # A host under way is looked at at most this often, in seconds.
-LOOK_S = 2.0
+REVIEW_S = 2.0
 
 _GONE = (events.ReportedState.DOWN, events.ReportedState.REBOOTING)
 _DRAINED = (events.ReportedState.DRAINING, events.ReportedState.DRAINED)
@@ -75,10 +75,10 @@
     )
 
 
-def get_next_look(host: ids.HostId, fleet: view.Fleet, now: float) -> float:
+def get_next_review(host: ids.HostId, fleet: view.Fleet, now: float) -> float:
     """Return when a step can change without an event of the host."""
     record = fleet.state.hosts[host]
-    due = now + LOOK_S
+    due = now + REVIEW_S
     if record.state is states.HostState.PROVING:
         due = record.since + fleet.timings.proving_s
     elif record.state is states.HostState.DRAINING:
@@ -88,7 +88,7 @@
     repeat = fleet.get_next_call(host)
     if repeat is not None and repeat > now:
         due = min(due, repeat)
-    return max(due, now + min(LOOK_S, fleet.timings.proving_s))
+    return max(due, now + min(REVIEW_S, fleet.timings.proving_s))
 
 
 def _step_serving(
--- a/orioleshore/fleet/tasks.py
+++ b/orioleshore/fleet/tasks.py
@@ -38,7 +38,7 @@
     run_time_s: float
     resumed: bool = False
     confirmed: bool = False
-    heard: float = 0.0
+    last_contact: float = 0.0
     renew_at: float = 0.0
     peak_cores: float = 0.0
     peak_memory_gb: float = 0.0
--- a/orioleshore/fleet/agenda.py
+++ b/orioleshore/fleet/timer_queue.py
@@ -11,7 +11,7 @@
 ANY_ATTEMPT = ids.Attempt(0)
 
 
-class Duty(enum.Enum):
+class TimerKind(enum.Enum):
     """What becomes due for a job or a worker."""
 
     REPEAT_CALL = 'repeat_call'
@@ -29,14 +29,14 @@
 
 
 class Entry(msgspec.Struct, frozen=True):
-    """A duty; the attempt matters only for duties of a task."""
+    """A kind; the attempt matters only for timers of a task."""
 
-    duty: Duty
+    kind: TimerKind
     subject: str
     attempt: ids.Attempt = ANY_ATTEMPT
 
 
-class Agenda:
+class TimerQueue:
     """Entries by the time at which they are due."""
 
     def __init__(self) -> None:
@@ -49,12 +49,12 @@
     def add(
         self,
         due: float,
-        duty: Duty,
+        kind: TimerKind,
         subject: str,
         attempt: ids.Attempt = ANY_ATTEMPT,
     ) -> None:
         """Add an entry; it is dropped by its reader when it is outdated."""
-        entry = Entry(duty, subject, attempt)
+        entry = Entry(kind, subject, attempt)
         heapq.heappush(self._heap, (due, next(self._order), entry))
 
     def take_due(self, now: float) -> list[Entry]:
--- a/orioleshore/fleet/waves.py
+++ b/orioleshore/fleet/waves.py
@@ -21,7 +21,7 @@
 MAX_STARTS = 16
 MAX_SCANS = 32
 MAX_POOLS = 4
-MAX_LOOKS = 64
+MAX_REVIEWS = 64
 # Pools are filled when an event gives room, and besides this often, in
 # seconds, for hosts that may start because time has passed.
 FILL_S = 10.0
@@ -51,7 +51,7 @@
         if isinstance(event, events.CommandRefused):
             self._forget_refused(event.command, fleet)
         for host in fleet.touched:
-            actions += self._look(host, fleet, now)
+            actions += self._review(host, fleet, now)
             self._mark(host, fleet, now)
         if isinstance(event, events.TimerFired):
             actions += self._tick(fleet, now)
@@ -205,14 +205,14 @@
 
     def _tick(self, fleet: view.Fleet, now: float) -> list[events.Action]:
         actions: list[events.Action] = []
-        for _ in range(MAX_LOOKS):
+        for _ in range(MAX_REVIEWS):
             if not self._due or self._due[0][0] > now:
                 break
             due, host = heapq.heappop(self._due)
             if self._scheduled.get(host) != due:
                 continue  # Looked at earlier than planned.
             del self._scheduled[host]
-            actions += self._look(host, fleet, now)
+            actions += self._review(host, fleet, now)
         for wave in list(self._waves):
             actions += self._resume_quiet(wave, fleet, now)
         if now >= self._next_fill:
@@ -392,9 +392,9 @@
             host = queue.pop()
             if self._requeue_moved(wave, pool, host, fleet):
                 continue
-            verdict = self._judge(wave, host, fleet, now)
-            if verdict is not None:
-                actions += verdict
+            finding = self._evaluate(wave, host, fleet, now)
+            if finding is not None:
+                actions += finding
                 if self._is_waiting(wave, host, fleet):
                     queue.add(fleet.index.hosts[host])
                 continue
@@ -446,7 +446,7 @@
             and host not in self._active
         )
 
-    def _judge(
+    def _evaluate(
         self,
         wave: ids.WaveId,
         host: ids.HostId,
@@ -583,7 +583,7 @@
 
     # Steps of a host under way.
 
-    def _look(
+    def _review(
         self, host: ids.HostId, fleet: view.Fleet, now: float
     ) -> list[events.Action]:
         wave = self._active.get(host)
@@ -592,7 +592,7 @@
         if host not in fleet.state.hosts:
             self._release(host, fleet)
             return []
-        self._schedule(host, steps.get_next_look(host, fleet, now))
+        self._schedule(host, steps.get_next_review(host, fleet, now))
         if fleet.is_pending(host):
             return []
         progress = fleet.state.waves[wave].hosts[host]
--- a/orioleshore/membership/detector.py
+++ b/orioleshore/membership/detector.py
@@ -108,8 +108,8 @@
             self._results.clear()
         self._period_began = now
         actions = self._end_round(now)
-        actions += self._judge_isolation(now)
-        actions += self._judge_suspects()
+        actions += self._check_isolation(now)
+        actions += self._check_suspects()
         self._table.forget_old(self._period)
         self._broken_paths &= self._table.get_live().keys()
         return actions + self._start_round() + self._reach_out()
@@ -139,7 +139,7 @@
         self._broken_paths ^= {node}
         return [events.PathChanged(node, direct)]
 
-    def _judge_isolation(self, now: float) -> list[events.Action]:
+    def _check_isolation(self, now: float) -> list[events.Action]:
         isolated = self._results.is_mostly_failed(now)
         if isolated is self._isolated:
             return []
@@ -150,7 +150,7 @@
             self._table.restart_ages(suspects, self._period)
         return [events.IsolationChanged(isolated)]
 
-    def _judge_suspects(self) -> list[events.Action]:
+    def _check_suspects(self) -> list[events.Action]:
         if self._isolated:
             return []
         actions: list[events.Action] = []
@@ -208,7 +208,7 @@
 
     def _answer(self, event: events.ProbeReceived) -> list[events.Action]:
         known = self._table.get(event.sender)
-        actions = self._hear(event.peers)
+        actions = self._merge(event.peers)
         if known is not None and known.state in table.LIVE:
             batches = [self._take_rumours(event.sender)]
         else:
@@ -225,7 +225,7 @@
         return actions
 
     def _take_answer(self, event: events.ProbeAnswered) -> list[events.Action]:
-        actions = self._hear(event.peers)
+        actions = self._merge(event.peers)
         current = self._round
         if current is not None and (
             (current.sequence, current.node) == (event.sequence, event.subject)
@@ -245,7 +245,7 @@
     def _relay(
         self, event: events.IndirectProbeRequested
     ) -> list[events.Action]:
-        actions = self._hear(event.peers)
+        actions = self._merge(event.peers)
         if len(self._relays) >= MAX_RELAYS:
             self._relays.pop(next(iter(self._relays)))
         sequence = self._next_sequence()
@@ -259,7 +259,7 @@
 
     # News.
 
-    def _hear(self, peers: events.Peers) -> list[events.Action]:
+    def _merge(self, peers: events.Peers) -> list[events.Action]:
         actions: list[events.Action] = []
         for news in peers:
             if news.node == self._own.node:
--- a/orioleshore/roles/process.py
+++ b/orioleshore/roles/process.py
@@ -268,10 +268,10 @@
         status = (await answer.wait()).unwrap()
         if not status['version']:
             return 'no configuration is known yet'
-        if status['version'] < status['highest_heard']:
+        if status['version'] < status['highest_known']:
             return (
                 f'version {status["version"]} is in force here, a peer has '
-                f'version {status["highest_heard"]}'
+                f'version {status["highest_known"]}'
             )
         return None
 
--- a/orioleshore/routing/dispatcher.py
+++ b/orioleshore/routing/dispatcher.py
@@ -147,13 +147,13 @@
         for action in self._router.handle(event, now):
             _perform(action, self)
 
-    def _tell(self, request: ids.RequestId, message: Any) -> None:
+    def _notify(self, request: ids.RequestId, message: Any) -> None:
         exchange = self._exchanges.get(request)
         if exchange is not None:
             exchange.put(message)
 
     def _finish(self, request: ids.RequestId, message: Any) -> None:
-        self._tell(request, message)
+        self._notify(request, message)
         self._exchanges.pop(request, None)
         self._answers.pop(request, None)
 
@@ -481,7 +481,7 @@
                 upstream=action.upstream,
             )
         )
-    dispatcher._tell(action.request, action)
+    dispatcher._notify(action.request, action)
 
 
 @_perform.register
--- a/orioleshore/routing/router.py
+++ b/orioleshore/routing/router.py
@@ -310,7 +310,7 @@
 
     # Requests that end without an attempt.
 
-    def _lose_caller(self, request: ids.RequestId) -> list[events.Action]:
+    def _drop_caller(self, request: ids.RequestId) -> list[events.Action]:
         held = self._requests.get(request)
         if held is None or held.upstream is not None:
             # An attempt under way finishes, so that its outcome is known.
@@ -401,7 +401,7 @@
     def _hear_upstream(
         self, event: events.UpstreamAnnounced, now: float
     ) -> list[events.Action]:
-        if not self._supply.table.hear(event.upstream, now):
+        if not self._supply.table.update(event.upstream, now):
             return []
         actions: list[events.Action] = []
         if event.is_direct:
@@ -491,7 +491,7 @@
 def _(
     event: events.CallerGone, router: Router, now: float
 ) -> list[events.Action]:
-    return router._lose_caller(event.request)
+    return router._drop_caller(event.request)
 
 
 @_handle.register
--- a/orioleshore/routing/upstreams.py
+++ b/orioleshore/routing/upstreams.py
@@ -40,7 +40,7 @@
         """Return all announcements by address."""
         return [self._entries[key].announced for key in sorted(self._entries)]
 
-    def hear(self, announced: announcements.Upstream, now: float) -> bool:
+    def update(self, announced: announcements.Upstream, now: float) -> bool:
         """Take an announcement; return whether it was news or a renewal."""
         known = self._entries.get(announced.address)
         if known is not None and not _is_newer(announced, known.announced):
--- a/orioleshore/state/claim_keeper.py
+++ b/orioleshore/state/claim_keeper.py
@@ -42,7 +42,7 @@
     def __init__(self) -> None:
         self._hosts: dict[ids.NodeId, _Gone] = {}
 
-    def hear(self, peer: announcements.Peer, now: float) -> None:
+    def note_peer(self, peer: announcements.Peer, now: float) -> None:
         """Take what membership believes about a process."""
         if states.Role.ENTRY not in peer.roles:
             return
@@ -139,7 +139,7 @@
 def _(message: membership_events.PeersChanged, keeper: ClaimKeeper) -> None:
     now = keeper._timers.clock.get_monotonic()
     for peer in message.peers.values():
-        keeper._gone.hear(peer, now)
+        keeper._gone.note_peer(peer, now)
     keeper._mark_due()
 
 
--- a/orioleshore/state/subscriber.py
+++ b/orioleshore/state/subscriber.py
@@ -43,7 +43,7 @@
 
 
 class GetSubscriberStatus(msgspec.Struct, frozen=True):
-    """Asks for the version in force and the highest one heard of."""
+    """Asks for the version in force and the highest one known anywhere."""
 
     answer: reply.Reply
 
@@ -60,7 +60,7 @@
 
     def __init__(self) -> None:
         self._version = ids.Version(0)
-        self._heard = ids.Version(0)
+        self._highest_known = ids.Version(0)
         self._document = documents.Document()
 
     @property
@@ -68,8 +68,8 @@
         return self._version
 
     @property
-    def heard(self) -> ids.Version:
-        return self._heard
+    def highest_known(self) -> ids.Version:
+        return self._highest_known
 
     @property
     def document(self) -> documents.Document:
@@ -78,12 +78,12 @@
     def restore(self, cached: Cached) -> None:
         """Take the configuration that an earlier run of a process kept."""
         self._version = cached.version
-        self._heard = cached.version
+        self._highest_known = cached.version
         self._document = cached.document
 
-    def hear(self, version: ids.Version) -> None:
+    def observe_version(self, version: ids.Version) -> None:
         """Remember the highest version in force anywhere."""
-        self._heard = max(self._heard, version)
+        self._highest_known = max(self._highest_known, version)
 
     def take(
         self,
@@ -93,7 +93,7 @@
         full: bool,
     ) -> bool:
         """Apply an update; return whether it was newer and complete."""
-        if to_version <= self._version or to_version < self._heard:
+        if to_version <= self._version or to_version < self._highest_known:
             return False
         if full:
             self._document = changes.apply_delta(documents.Document(), edits)
@@ -102,7 +102,7 @@
         else:
             return False
         self._version = to_version
-        self.hear(to_version)
+        self.observe_version(to_version)
         return True
 
 
@@ -144,7 +144,7 @@
         self._timers.cancel(self.mailbox, RENEW)
 
     async def handle(self, message: Any) -> None:
-        """Handle an update, a heard version or the renewal."""
+        """Handle an update, a version at a peer or the renewal."""
         _take(message, self)
 
     def _subscribe(self) -> None:
@@ -237,12 +237,12 @@
 @_take.register
 def _(message: membership_events.PeersChanged, subscriber: Subscriber) -> None:
     for peer in message.peers.values():
-        subscriber._holder.hear(peer.version)
+        subscriber._holder.observe_version(peer.version)
 
 
 @_take.register
 def _(message: GetSubscriberStatus, subscriber: Subscriber) -> None:
     holder = subscriber._holder
     message.answer.resolve(
-        Ok({'version': holder.version, 'highest_heard': holder.heard})
+        Ok({'version': holder.version, 'highest_known': holder.highest_known})
     )
--- a/orioleshore/telemetry/readers.py
+++ b/orioleshore/telemetry/readers.py
@@ -42,7 +42,7 @@
 def read_subscriber(status: dict[str, Any], sheet: metrics.Sheet) -> None:
     """Write the version in force, and the highest that is known."""
     sheet.set('configuration_version', status['version'])
-    highest = max(status['version'], status['highest_heard'])
+    highest = max(status['version'], status['highest_known'])
     sheet.set('configuration_highest_version', highest)
 
 
--- a/orioleshore/tests/test_jobs_blame.py
+++ b/orioleshore/tests/test_jobs_blame.py
@@ -2,21 +2,23 @@
 
 import pytest
 
-from orioleshore.fleet import blame
+from orioleshore.fleet import fault_attribution
 
-SUSPENDED = blame.SuspendWorker('w3', ('a', 'b', 'c'), blame.SUSPENSION_S)
+SUSPENDED = fault_attribution.SuspendWorker(
+    'w3', ('a', 'b', 'c'), fault_attribution.SUSPENSION_S
+)
 
 
 def judge(results):
-    """Return all verdicts; a result is "+job@worker" or "-job@worker"."""
-    judged = blame.Blame()
-    verdicts = []
+    """Return all findings; a result is "+job@worker" or "-job@worker"."""
+    judged = fault_attribution.FaultAttribution()
+    findings = []
     for result in results.split():
         job, worker = result[1:].split('@')
         succeeded = result[0] == '+'
         note = judged.note_success if succeeded else judged.note_failure
-        verdicts += note(job, worker)
-    return verdicts
+        findings += note(job, worker)
+    return findings
 
 
 @pytest.mark.parametrize(
@@ -26,7 +28,7 @@
         ('-a@w1 -a@w2 -a@w3', []),
         (
             '-a@w1 -a@w2 -a@w3 +x@w1 +x@w2 +x@w3',
-            [blame.BlameJob('a', ('w1', 'w2', 'w3'))],
+            [fault_attribution.JobAtFault('a', ('w1', 'w2', 'w3'))],
         ),
         ('-a@w3 -b@w3 -c@w3', [SUSPENDED]),
         ('-a@w3 -b@w3 +x@w3 -c@w3', []),
@@ -35,8 +37,8 @@
         ('+x@w1 +x@w2 -a@w1 -a@w3 -b@w3 -c@w3 -a@w2', [SUSPENDED]),
         (
             '+x@w1 +x@w2 +x@w4 -a@w1 -a@w3 -b@w3 -c@w3 -a@w2 -a@w4',
-            [SUSPENDED, blame.BlameJob('a', ('w1', 'w2', 'w4'))]
-            + [blame.ReinstateWorker('w3')],
+            [SUSPENDED, fault_attribution.JobAtFault('a', ('w1', 'w2', 'w4'))]
+            + [fault_attribution.ReinstateWorker('w3')],
         ),
         # A job that failed on two other workers is in doubt itself.
         ('-a@w1 -a@w2 -a@w3 -b@w3 -c@w3', []),
--- a/orioleshore/tests/test_jobs_policy.py
+++ b/orioleshore/tests/test_jobs_policy.py
@@ -96,7 +96,7 @@
     suspended = {
         host
         for host in session.state.hosts
-        if session.planner._core.blame.is_suspended(host)
+        if session.planner._core.faults.is_suspended(host)
     }
     assert suspended == ({BAD} if bad_workers else set())
     reason = session.state.jobs['bad-0'].reason
