Deliver configurations again to tasks whose mailboxes were full

The subscriber and membership put news into the mailboxes of routing and front ends and ignored a refusal, so an overloaded entry host could keep an older configuration for ever. A publisher repeats the newest news on the next tick.

--- a/orioleshore/membership/gossip.py
+++ b/orioleshore/membership/gossip.py
@@ -17,6 +17,7 @@
 from orioleshore.protocol import transport
 from orioleshore.state import subscriber
 from orioleshore.tasks import mailbox
+from orioleshore.tasks import publisher
 from orioleshore.tasks import reply
 from orioleshore.tasks import task
 from orioleshore.telemetry import logs
@@ -70,7 +71,7 @@
         self._detector = decisions
         self._sender = sender
         self._timers = timers
-        self._listeners = listeners
+        self._publisher = publisher.Publisher(listeners)
         self._period_s = period_s
 
     async def open(self) -> None:
@@ -101,8 +102,7 @@
 
     def _publish(self) -> None:
         change = events.PeersChanged(self._detector.own, self._detector.peers)
-        for listener in self._listeners:
-            listener.put(change)
+        self._publisher.publish(change)
 
 
 @functools.singledispatch
@@ -113,6 +113,7 @@
 @_take.register
 def _(message: service.TimerFired, gossip: Gossip) -> None:
     if message.timer == PERIOD:
+        gossip._publisher.deliver()
         gossip._run(events.ProbeDue())
     else:
         gossip._run(events.ProbeTimedOut())
--- a/orioleshore/state/subscriber.py
+++ b/orioleshore/state/subscriber.py
@@ -15,6 +15,7 @@
 from orioleshore.protocol import messages
 from orioleshore.protocol import transport
 from orioleshore.tasks import mailbox
+from orioleshore.tasks import publisher
 from orioleshore.tasks import reply
 from orioleshore.tasks import task
 from orioleshore.telemetry import logs
@@ -124,13 +125,13 @@
         self._position = 0
         self._sender = sender
         self._timers = timers
-        self._listeners = listeners
+        self._publisher = publisher.Publisher(listeners)
         self._cache_folder = cache_folder
         self._holder = Holder()
 
     def add_listener(self, listener: mailbox.Mailbox) -> None:
         """Tell one more task about newer versions."""
-        self._listeners = (*self._listeners, listener)
+        self._publisher.add(listener)
 
     async def open(self) -> None:
         """Load the kept configuration and start to subscribe."""
@@ -181,8 +182,7 @@
         change = ConfigurationChanged(
             self._holder.version, self._holder.document
         )
-        for listener in self._listeners:
-            listener.put(change)
+        self._publisher.publish(change)
 
     def _load(self) -> None:
         path = pathlib.Path(self._cache_folder) / CACHE_NAME
@@ -226,6 +226,7 @@
 
 @_take.register
 def _(message: service.TimerFired, subscriber: Subscriber) -> None:
+    subscriber._publisher.deliver()
     subscriber._subscribe()
 
 
