--- a/orioleshore/cli/output.py
+++ b/orioleshore/cli/output.py
@@ -5,7 +5,7 @@
 
 from orioleshore.model import errors
 
-# Why a process has an older version, by what membership believes of it.
+# Why a process has an older version, by what membership knows of it.
 _LAG_REASONS = {
     None: 'not known to membership',
     'alive': 'alive, the update is on its way',
--- a/orioleshore/consensus/raft.py
+++ b/orioleshore/consensus/raft.py
@@ -84,7 +84,7 @@
         member = self._core
         member.now = max(now, member.now)
         member.actions = []
-        # A process that was paused must not decide on what it believed.
+        # A process that was paused must not decide on what it knew before.
         replication.step_down_without_quorum(member)
         _handle(event, member)
         return member.actions
--- a/orioleshore/fleet/job_tasks.py
+++ b/orioleshore/fleet/job_tasks.py
@@ -1,4 +1,4 @@
-"""Attempts that may run: their begin, their end and its judgement."""
+"""Attempts that may run: how they begin and end, and what the end means."""
 
 import functools
 from typing import Any
--- a/orioleshore/fleet/moves.py
+++ b/orioleshore/fleet/moves.py
@@ -260,7 +260,7 @@
             record = fleet.state.hosts[host]
             if now - record.since < stay:
                 continue
-            # One at a time: the next one is judged by what is left.
+            # One at a time: the next one is measured by what is left.
             actions = self._start_move(
                 host,
                 fleet.index.hosts[host].pool,
--- a/orioleshore/fleet/timer_queue.py
+++ b/orioleshore/fleet/timer_queue.py
@@ -29,7 +29,7 @@
 
 
 class Entry(msgspec.Struct, frozen=True):
-    """A kind; the attempt matters only for timers of a task."""
+    """One timer; the attempt matters only for timers of a task."""
 
     kind: TimerKind
     subject: str
--- a/orioleshore/membership/detector.py
+++ b/orioleshore/membership/detector.py
@@ -265,7 +265,7 @@
             if news.node == self._own.node:
                 actions += self._refute(news)
             else:
-                actions += self._believe(news)
+                actions += self._update_peer(news)
         return actions
 
     def _refute(self, news: announcements.Peer) -> list[events.Action]:
@@ -288,7 +288,7 @@
         self._next_conflict = self._period + CONFLICT_PERIODS
         return [events.NameConflictFound(news.address)]
 
-    def _believe(self, news: announcements.Peer) -> list[events.Action]:
+    def _update_peer(self, news: announcements.Peer) -> list[events.Action]:
         merged = self._table.merge(news)
         if merged is None:
             return []
@@ -349,7 +349,7 @@
     ) -> list[announcements.Peer]:
         """Return what a message must carry.
 
-        A receiver that is not believed alive must hear it to refute it.
+        A receiver that is not considered alive must hear it to refute it.
         """
         peer = self._table.get(receiver) if receiver is not None else None
         if peer is None or peer.state is states.PeerState.ALIVE:
--- a/orioleshore/membership/events.py
+++ b/orioleshore/membership/events.py
@@ -72,7 +72,7 @@
 
 
 class SendProbe(msgspec.Struct, frozen=True):
-    """Probe an address, and tell it what this process believes."""
+    """Probe an address, and send what this process knows."""
 
     address: str
     sequence: int
@@ -105,7 +105,7 @@
 
 
 class PeerStateChanged(msgspec.Struct, frozen=True):
-    """What this process believes about another one changed."""
+    """What this process knows about another one changed."""
 
     peer: announcements.Peer
     before: states.PeerState | None
@@ -146,7 +146,7 @@
 
 
 class PeersChanged(msgspec.Struct, frozen=True):
-    """The processes that this one believes in, by name."""
+    """The processes that this one knows, by name."""
 
     own: announcements.Peer
     peers: dict[ids.NodeId, announcements.Peer]
--- a/orioleshore/membership/gossip.py
+++ b/orioleshore/membership/gossip.py
@@ -43,7 +43,7 @@
 
 
 class GetMembershipDump(msgspec.Struct, frozen=True):
-    """Asks for what this process believes about others, for a dump."""
+    """Asks for what this process knows about others, for a dump."""
 
     answer: reply.Reply
 
--- a/orioleshore/membership/table.py
+++ b/orioleshore/membership/table.py
@@ -1,4 +1,4 @@
-"""What a process believes about its peers, and which news wins."""
+"""What a process knows about its peers, and which news wins."""
 
 import msgspec
 
@@ -34,7 +34,7 @@
         return self._peers
 
     def get(self, node: ids.NodeId) -> announcements.Peer | None:
-        """Return what is believed about a peer."""
+        """Return what is known about a peer."""
         return self._peers.get(node)
 
     def get_live(self) -> dict[ids.NodeId, announcements.Peer]:
@@ -46,7 +46,7 @@
         return self._select(frozenset({states.PeerState.SUSPECT}))
 
     def get_dead(self) -> dict[ids.NodeId, announcements.Peer]:
-        """Return the peers that are believed dead."""
+        """Return the peers that are considered dead."""
         return self._select(frozenset({states.PeerState.DEAD}))
 
     def get_highest_version(self) -> int:
@@ -75,7 +75,7 @@
             self._live.pop(peer.node, None)
 
     def merge(self, news: announcements.Peer) -> announcements.Peer | None:
-        """Return what to believe after news, None when it is not newer."""
+        """Return the state to keep after news, None when it is not newer."""
         known = self._peers.get(news.node)
         if known is None:
             return news if news.state in LIVE else None
--- a/orioleshore/model/ids.py
+++ b/orioleshore/model/ids.py
@@ -28,7 +28,7 @@
 Version = NewType('Version', int)
 Term = NewType('Term', int)
 LogIndex = NewType('LogIndex', int)
-# Epochs order the owners of a duty; receivers refuse older ones.
+# Epochs order successive leaders and owners; receivers refuse older ones.
 Epoch = NewType('Epoch', int)
 Incarnation = NewType('Incarnation', int)
 Attempt = NewType('Attempt', int)
--- a/orioleshore/model/states.py
+++ b/orioleshore/model/states.py
@@ -37,7 +37,7 @@
 
 
 class PeerState(enum.Enum):
-    """What the failure detector believes about a process."""
+    """What the failure detector knows about a process."""
 
     ALIVE = 'alive'
     SUSPECT = 'suspect'
--- a/orioleshore/routing/health.py
+++ b/orioleshore/routing/health.py
@@ -1,4 +1,4 @@
-"""Health of upstreams, judged by the attempts of this entry host."""
+"""Health of upstreams, measured by the attempts of this entry host."""
 
 import msgspec
 
--- a/orioleshore/routing/slots.py
+++ b/orioleshore/routing/slots.py
@@ -71,7 +71,7 @@
 
 
 class _View(msgspec.Struct, frozen=True):
-    """The entry hosts that were believed alive until ``ended``."""
+    """The entry hosts that were considered alive until ``ended``."""
 
     ended: float
     nodes: tuple[ids.NodeId, ...]
--- a/orioleshore/state/claim_keeper.py
+++ b/orioleshore/state/claim_keeper.py
@@ -43,7 +43,7 @@
         self._hosts: dict[ids.NodeId, _Gone] = {}
 
     def note_peer(self, peer: announcements.Peer, now: float) -> None:
-        """Take what membership believes about a process."""
+        """Take what membership knows about a process."""
         if states.Role.ENTRY not in peer.roles:
             return
         if peer.state not in _GONE:
--- a/orioleshore/telemetry/readers.py
+++ b/orioleshore/telemetry/readers.py
@@ -31,7 +31,7 @@
 
 
 def read_membership(status: dict[str, Any], sheet: metrics.Sheet) -> None:
-    """Write what the failure detector believes."""
+    """Write what the failure detector knows."""
     for state, count in status['peers'].items():
         sheet.set('membership_peers', count, state=state)
     sheet.set('membership_isolated', int(status['isolated']))
