Keep the key of a request in tests when it is sent again

Ruled out: the claim, which is recorded under the first key. The default key of a request number at a host now stays the same; the checks are unchanged.

--- a/orioleshore/tests/support.py
+++ b/orioleshore/tests/support.py
@@ -7,6 +7,7 @@
 import random
 import subprocess
 import time
+import weakref
 
 import aiohttp
 import yaml
@@ -187,6 +188,16 @@
     return f'{issued}-token-{number:08d}'
 
 
+# Keys by host and number: a request that is sent again a second later must
+# not get another key.
+_KEYS: weakref.WeakKeyDictionary = weakref.WeakKeyDictionary()
+
+
+def _get_same_key(host: entry_hosts.EntryHost, number: int) -> str:
+    keys = _KEYS.setdefault(host, {})
+    return keys.setdefault(number, get_key(host, number))
+
+
 async def send(
     session,
     host: entry_hosts.EntryHost,
@@ -194,12 +205,12 @@
     number: int = 1,
     **options,
 ):
-    """Send a request; return status, headers and body."""
+    """Send a request; one number at one host is one request."""
     path = options.pop('path', '/freight/q')
     key = options.pop('key', None)
     headers = dict(options.pop('headers', {}))
     if method == 'POST':
-        headers['Idempotency-Key'] = key or get_key(host, number)
+        headers['Idempotency-Key'] = key or _get_same_key(host, number)
     async with session.request(
         method, f'{host.url}{path}', headers=headers, **options
     ) as response:
