--- a/orioleshore/consensus/client.py
+++ b/orioleshore/consensus/client.py
@@ -11,6 +11,7 @@
 
 from orioleshore.consensus import packing
 from orioleshore.consensus import requests
+from orioleshore.jobs import calls as job_calls
 from orioleshore.model import errors
 from orioleshore.model import ids
 from orioleshore.protocol import messages
@@ -57,7 +58,7 @@
     deadline: float
     sent_at: float = -1.0e9
     retry_at: float = 0.0
-    was_sent: bool = False
+    sends: int = 0
     address: str = ''
 
 
@@ -121,7 +122,7 @@
         pending.address = address
         pending.sent_at = self._now()
         pending.retry_at = pending.sent_at + TRY_TIMEOUT_S
-        pending.was_sent = True
+        pending.sends += 1
         self._sender.put(
             transport.SendTo(address, pending.message, correlation)
         )
@@ -170,9 +171,8 @@
                 self._send(correlation, pending)
 
     def _give_up(self, pending: _Pending) -> None:
-        is_command = requests.is_request(pending.call.request)
         kind = errors.ErrorKind.NO_QUORUM
-        if is_command and pending.was_sent:
+        if _is_change(pending.call.request) and pending.sends:
             kind = errors.ErrorKind.CHANGE_UNKNOWN
         LOG.warning(
             logs.format_event(
@@ -190,11 +190,19 @@
 def _pack(
     request: Any,
 ) -> Result[messages.Propose | messages.Query, errors.Failure]:
+    if job_calls.is_call(request):
+        return Ok(messages.Query(job_calls.SUBJECT, job_calls.encode(request)))
     if requests.is_request(request):
         return requests.encode(request).map(messages.Propose)
     return Ok(messages.Query(type(request).__name__, queries.encode(request)))
 
 
+def _is_change(request: Any) -> bool:
+    return requests.is_request(request) or isinstance(
+        request, job_calls.CHANGING
+    )
+
+
 @functools.singledispatch
 def _take(message: Any, client: ControlClient) -> None:
     raise TypeError(f'unknown message {type(message).__name__}')
@@ -247,6 +255,10 @@
     client: ControlClient,
     received: messages.Received,
 ) -> None:
+    pending = client._pending.get(received.header.correlation)
+    if pending is not None and job_calls.is_call(pending.call.request):
+        client._take_answer(received, _unpack_jobs(pending, message))
+        return
     answer: Result = Ok(packing.unpack(message.answer))
     if message.error_kind:
         answer = Err(
@@ -257,6 +269,21 @@
     client._take_answer(received, answer)
 
 
+def _unpack_jobs(pending: _Pending, message: messages.QueryReply) -> Result:
+    request = pending.call.request
+    if not message.error_kind:
+        data = packing.unpack(message.answer)
+        return Ok(job_calls.decode_answer(request, data))
+    kind = errors.ErrorKind(message.error_kind)
+    delay_s = None
+    if message.answer:
+        delay_s = msgspec.msgpack.decode(message.answer)
+    if pending.sends > 1 and _is_change(request):
+        # A copy that was sent before may still take effect.
+        kind = errors.ErrorKind.CHANGE_UNKNOWN
+    return Err(errors.Failure(kind, message.message, retry_after_s=delay_s))
+
+
 async def call(
     client: mailbox.Mailbox, request: Any, timeout_s: float = 5.0
 ) -> Result[Any, errors.Failure]:
--- a/orioleshore/consensus/member.py
+++ b/orioleshore/consensus/member.py
@@ -17,6 +17,8 @@
 from orioleshore.consensus import raft
 from orioleshore.consensus import requests
 from orioleshore.consensus import storage
+from orioleshore.jobs import calls as job_calls
+from orioleshore.jobs import ledger
 from orioleshore.membership import events as membership_events
 from orioleshore.model import changes
 from orioleshore.model import errors
@@ -99,6 +101,20 @@
     command: commands.Command
 
 
+class CommitLocally(msgspec.Struct, frozen=True):
+    """Commits a command of a task of this process.
+
+    Without a command, only confirms that this member still leads.
+    """
+
+    command: commands.Command | None
+    answer: reply.Reply
+
+
+class ResendState(msgspec.Struct, frozen=True):
+    """The scheduler of jobs dropped its copy of the state."""
+
+
 class DemandReceived(msgspec.Struct, frozen=True):
     """An entry host reported demand to this member, which leads."""
 
@@ -119,6 +135,12 @@
     query: queries.Query | None = None
 
 
+class _LocalCall(msgspec.Struct):
+    """A call of a task of this process that waits for the log."""
+
+    answer: reply.Reply
+
+
 class MemberTask(task.Task):
     """Owns the decision part, the data folder and the replicated state."""
 
@@ -144,7 +166,10 @@
         self._applied = 0
         self._feed = feed.Feed()
         self._manager: mailbox.Mailbox | None = None
-        self._calls: dict[int, _PendingCall] = {}
+        self._jobs: mailbox.Mailbox | None = None
+        # The tasks that act for the leader have the state of this term.
+        self._is_managing = False
+        self._calls: dict[int, _PendingCall | _LocalCall] = {}
         self._accepted: dict[tuple[int, int], int] = {}
         self._reads: list[tuple[int, int]] = []
         self._next_token = 1
@@ -162,6 +187,10 @@
         """Name the task that acts for the fleet while this member leads."""
         self._manager = manager
 
+    def set_jobs(self, jobs: mailbox.Mailbox) -> None:
+        """Name the task that schedules jobs while this member leads."""
+        self._jobs = jobs
+
     def load(self) -> Result[None, errors.Failure]:
         """Open the data folder; fails with a kind of the storage."""
         outcome = self._storage.open()
@@ -391,6 +420,9 @@
         call = self._calls.pop(token, None)
         if call is None:
             return
+        if isinstance(call, _LocalCall):
+            call.answer.resolve(outcome)
+            return
         if call.query is None:
             message = answers.pack_reply(outcome, self._get_leader_address())
         else:
@@ -477,6 +509,8 @@
     def _publish(
         self, command: commands.Command, version: ids.Version
     ) -> None:
+        if isinstance(command, commands.RecordProgress):
+            return
         if self._leads and self._manager is not None:
             outcome = self._manager.put(CommandApplied(command))
             # A manager that missed a command needs the whole state again.
@@ -508,6 +542,9 @@
         call = self._calls.get(token)
         if call is None:
             return
+        if isinstance(call, _LocalCall):
+            self._answer_call(token, Ok(None))
+            return
         if isinstance(call.query, queries.Explain) and self._manager:
             # The fleet manager adds its own records and answers.
             del self._calls[token]
@@ -601,17 +638,75 @@
                     'the leader changed before the outcome was known',
                 ),
             )
-        if self._manager is not None:
-            self._manager.put(LeadershipLost())
+        self._is_managing = False
+        for listener in (self._manager, self._jobs):
+            if listener is not None:
+                listener.put(LeadershipLost())
 
     def _start_managing(self) -> None:
         """Hand the state over once the barrier of this term is applied."""
-        if self._manager is None:
+        self._is_managing = True
+        epoch = ids.Epoch(self._raft.term)
+        if self._manager is not None:
+            image = records.encode_state(
+                msgspec.structs.replace(
+                    self._state,
+                    claims={},
+                    released={},
+                    ledger=ledger.Ledger(),
+                )
+            )
+            self._manager.put(LeadershipGained(epoch, image))
+        self._resend_ledger()
+
+    def _resend_ledger(self) -> None:
+        if self._jobs is None or not self._is_managing:
             return
-        image = records.encode_state(
-            msgspec.structs.replace(self._state, claims={}, released={})
+        image = records.encode_state(records.State(ledger=self._state.ledger))
+        self._jobs.put(LeadershipGained(ids.Epoch(self._raft.term), image))
+
+    def _take_jobs_call(self, received: messages.Received) -> None:
+        """Pass a call on to the scheduler, which runs at the leader."""
+        header = received.header
+        if self._jobs is None or not self._is_managing:
+            leader = self._get_leader_address()
+            if self._leads:
+                # The state of this term is not complete yet.
+                leader = ''
+            self._send_reply(
+                header,
+                messages.QueryReply(
+                    errors.ErrorKind.NOT_LEADER.value, '', b'', leader
+                ),
+            )
+            return
+        call = job_calls.decode(received.message.parameters)
+        answer: reply.Reply = reply.Reply()
+        answer.add_callback(
+            lambda outcome: self._send_jobs_answer(header, outcome)
+        )
+        outcome = self._jobs.put(job_calls.Ask(call, answer))
+        if outcome.is_err():
+            answer.resolve(outcome)
+
+    def _send_jobs_answer(
+        self, header: messages.Header, outcome: Result[Any, errors.Failure]
+    ) -> None:
+        if outcome.is_ok():
+            content = job_calls.encode_answer(outcome.unwrap())
+            self._send_reply(header, self._pack_query_reply(Ok(content)))
+            return
+        failure = outcome.unwrap_err()
+        # A failure carries its delay as the answer.
+        self._send_reply(
+            header,
+            messages.QueryReply(
+                failure.kind.value,
+                failure.message,
+                job_calls.encode_answer(failure.retry_after_s),
+                self._get_leader_address(),
+            ),
         )
-        self._manager.put(LeadershipGained(ids.Epoch(self._raft.term), image))
 
     def get_status(self) -> dict[str, Any]:
         """Return what this member knows, possibly stale."""
@@ -683,6 +778,26 @@
     return []
 
 
+@_take.register
+def _(message: CommitLocally, member: MemberTask) -> list[events.Action]:
+    token = member._next_token
+    member._next_token += 1
+    member._calls[token] = _LocalCall(message.answer)
+    if message.command is None:
+        return member._decide(events.ReadRequested(token))
+    data = requests.encode(message.command)
+    if data.is_err():
+        member._answer_call(token, data)
+        return []
+    return member._decide(events.ProposeRequested(token, data.unwrap()))
+
+
+@_take.register
+def _(message: ResendState, member: MemberTask) -> list[events.Action]:
+    member._resend_ledger()
+    return []
+
+
 @_take.register
 def _(
     message: membership_events.PeersChanged, member: MemberTask
@@ -726,6 +841,9 @@
     member: MemberTask,
     received: messages.Received,
 ) -> list[events.Action]:
+    if message.subject == job_calls.SUBJECT:
+        member._take_jobs_call(received)
+        return []
     try:
         query = queries.decode(message.parameters)
     except msgspec.ValidationError as error:
--- a/orioleshore/frontends/web.py
+++ b/orioleshore/frontends/web.py
@@ -63,13 +63,19 @@
 
 
 class Listener:
-    """A listening socket with an aiohttp application behind it."""
+    """A listening socket with an aiohttp application behind it.
 
-    def __init__(self, address: str, app: web.Application, **options) -> None:
+    A ``web.Server`` calls one handler for all requests and spends less
+    time on each than an application with its routes.
+    """
+
+    def __init__(
+        self, address: str, app: web.Application | web.Server, **options
+    ) -> None:
         self._address = address
         self._app = app
         self._options = options
-        self._runner: web.AppRunner | None = None
+        self._runner: web.BaseRunner | None = None
 
     @property
     def address(self) -> str:
@@ -77,9 +83,12 @@
 
     async def start(self) -> None:
         """Listen; port 0 is replaced by the one that the kernel chose."""
-        self._runner = web.AppRunner(
-            self._app, access_log=None, **self._options
-        )
+        if isinstance(self._app, web.Server):
+            self._runner = web.ServerRunner(self._app)
+        else:
+            self._runner = web.AppRunner(
+                self._app, access_log=None, **self._options
+            )
         await self._runner.setup()
         host, port = settings.parse_address(self._address)
         site = web.TCPSite(self._runner, host, port, backlog=1_024)
@@ -107,7 +116,7 @@
     def address(self) -> str:
         return self._listener.address
 
-    def listen(self, address: str, app: web.Application) -> None:
+    def listen(self, address: str, app: web.Application | web.Server) -> None:
         """Name the address and the application for ``open``."""
         self._listener = Listener(address, app)
 
--- /dev/null
+++ b/orioleshore/jobs/placement.py
@@ -0,0 +1,139 @@
+"""Which tasks a worker starts when it reports.
+
+Workers ask by their heartbeats, so room is filled where it is known to be
+free; the order among jobs comes from ``ordering``.
+"""
+
+from __future__ import annotations
+
+import typing
+
+from orioleshore.jobs import calls
+from orioleshore.jobs import ledger
+from orioleshore.jobs import ordering
+from orioleshore.jobs import progress
+from orioleshore.jobs import specs
+from orioleshore.jobs import workers
+from orioleshore.model import ids
+from orioleshore.model import states
+
+if typing.TYPE_CHECKING:
+    from orioleshore.jobs import scheduler as scheduling
+
+# Ends in a row without success after which a worker is tried with one
+# task at a time: a job of its own fault fails on other workers too.
+SUSPECT_FAILURES = 3
+# Time for which a suspect worker gets no task after a further failure.
+SHUN_S = 1.5
+# Tasks that may fill the idle processors of one worker at a time.
+MAX_FILLERS = 8
+
+
+def choose_starts(
+    scheduler: scheduling.Scheduler, worker: workers.Worker
+) -> list[calls.StartOrder]:
+    """Choose tasks for the free room of a worker, and record them."""
+    if worker.state is not states.WorkerState.READY:
+        return []
+    if worker.is_cordoned or scheduler.now < worker.shunned_until:
+        return []
+    free = worker.get_free()
+    jobs = scheduler.get_pool_jobs(worker.pool)
+    jobs.sort(key=lambda job: ordering.get_rank(job, scheduler.wall))
+    orders: list[calls.StartOrder] = []
+    for job in jobs:
+        if free.cpu_millis <= 0 and free.memory_mb <= 0:
+            break
+        for group in job.find_open_groups(scheduler.wall):
+            free = _fill(scheduler, worker, job, group, free, orders)
+    return orders
+
+
+def learn_from_end(
+    worker: workers.Worker,
+    how: states.RunEnd,
+    scheduler: scheduling.Scheduler,
+) -> None:
+    """Count failures of a worker, and keep work off one that fails all."""
+    if how is states.RunEnd.DONE:
+        worker.failures_in_row = 0
+    if how is not states.RunEnd.FAILED:
+        return
+    worker.failures_in_row += 1
+    if worker.failures_in_row >= SUSPECT_FAILURES:
+        worker.shunned_until = scheduler.now + SHUN_S
+
+
+def get_retry_ms(
+    scheduler: scheduling.Scheduler, worker: workers.Worker
+) -> int | None:
+    """Return when a worker should report again, None for its own pace."""
+    if worker.state is not states.WorkerState.READY:
+        return None
+    return scheduler.limits.idle_retry_ms
+
+
+def _fill(
+    scheduler: scheduling.Scheduler,
+    worker: workers.Worker,
+    job: progress.JobProgress,
+    group: progress.Group,
+    free: specs.Resources,
+    orders: list[calls.StartOrder],
+) -> specs.Resources:
+    """Start tasks of one group, and return the room that is left."""
+    step = group.step
+    if step.is_gang or not _is_allowed(worker, step):
+        return free
+    need = workers.get_reserved(step)
+    while (
+        group.waiting
+        and group.may_use(worker.name)
+        and workers.fits(need, free)
+        and _may_take_more(worker, step)
+    ):
+        orders.append(_start(scheduler, worker, job, group))
+        free = workers.subtract(free, need)
+    return free
+
+
+def _is_allowed(worker: workers.Worker, step: specs.Step) -> bool:
+    return not step.required_label or step.required_label in worker.labels
+
+
+def _may_take_more(worker: workers.Worker, step: specs.Step) -> bool:
+    if worker.failures_in_row >= SUSPECT_FAILURES and worker.ordered:
+        return False
+    if not step.is_filler:
+        return True
+    fillers = sum(need.cpu_millis == 0 for need in worker.ordered.values())
+    return fillers < MAX_FILLERS
+
+
+def _start(
+    scheduler: scheduling.Scheduler,
+    worker: workers.Worker,
+    job: progress.JobProgress,
+    group: progress.Group,
+) -> calls.StartOrder:
+    index = group.take()
+    task = specs.make_task_name(group.occurrence, group.position, index)
+    run = job.record.tasks.get(task)
+    attempt = ids.Attempt((run.attempt if run else 0) + 1)
+    checkpoint = run.checkpoint if run else ''
+    scheduler.record(
+        ledger.TaskStarted(
+            job.job,
+            task,
+            attempt,
+            worker.name,
+            worker.incarnation,
+            worker.sequence,
+        )
+    )
+    job.start(task, worker.name)
+    key = (job.job, task, attempt)
+    worker.ordered[key] = workers.get_reserved(group.step)
+    return calls.StartOrder(
+        job.job, task, attempt, job.record.job.payload, checkpoint
+    )
--- /dev/null
+++ b/orioleshore/jobs/progress.py
@@ -0,0 +1,135 @@
+"""Which tasks of a job may start now, derived from its record."""
+
+import collections
+import heapq
+
+from orioleshore.jobs import ledger
+from orioleshore.jobs import specs
+from orioleshore.model import ids
+from orioleshore.model import states
+
+MS_PER_S = 1_000.0
+
+
+class Group:
+    """The tasks of one step in one occurrence."""
+
+    def __init__(
+        self, occurrence: int, position: int, step: specs.Step
+    ) -> None:
+        self.occurrence = occurrence
+        self.position = position
+        self.step = step
+        self.undone = step.tasks
+        # Lowest index first, so that restarts of early tasks come first.
+        self.waiting: list[int] = list(range(step.tasks))
+        # Workers of the running tasks, and how many each has.
+        self.workers: collections.Counter[ids.WorkerId] = collections.Counter()
+
+    def put_back(self, index: int) -> None:
+        """Let a task wait again."""
+        heapq.heappush(self.waiting, index)
+
+    def take(self) -> int:
+        """Return the first waiting task."""
+        return heapq.heappop(self.waiting)
+
+    def may_use(self, worker: ids.WorkerId) -> bool:
+        """Return whether the step's limit leaves room on a worker."""
+        limit = self.step.max_per_worker
+        return not limit or self.workers[worker] < limit
+
+
+class JobProgress:
+    """One job that goes on, as the scheduler sees it."""
+
+    def __init__(self, job: ids.JobId, record: ledger.JobRecord) -> None:
+        self.job = job
+        self.record = record
+        self.is_lasting = record.job.is_lasting
+        self.due_at = record.accepted_at + record.objective_ms / MS_PER_S
+        self.running: dict[ids.TaskName, ids.WorkerId] = {}
+        self.groups: dict[tuple[int, int], Group] = {}
+        for occurrence in range(record.job.occurrence_count):
+            for position, step in enumerate(record.job.steps):
+                self.groups[occurrence, position] = Group(
+                    occurrence, position, step
+                )
+        for name, run in record.tasks.items():
+            self._restore(name, run)
+
+    def get_group(self, name: ids.TaskName) -> Group:
+        """Return the group of a task."""
+        occurrence, position, _ = specs.parse_task_name(name)
+        return self.groups[occurrence, position]
+
+    def get_step(self, name: ids.TaskName) -> specs.Step:
+        """Return the step of a task."""
+        return self.get_group(name).step
+
+    def find_open_groups(self, wall: ids.WallTime) -> list[Group]:
+        """Return the groups with waiting tasks that may start at a time.
+
+        ``wall`` is a wall time in seconds; occurrences are due by it.
+        """
+        return [
+            group
+            for group in self.groups.values()
+            if group.waiting and self._is_open(group, wall)
+        ]
+
+    def get_due_time(self, occurrence: int) -> ids.WallTime:
+        """Return the wall time before which an occurrence must not start."""
+        spec = self.record.job
+        if not spec.occurrences:
+            return ids.WallTime(0.0)
+        due_ms = spec.first_due_ms + occurrence * spec.interval_ms
+        return ids.WallTime(due_ms / MS_PER_S)
+
+    def start(self, name: ids.TaskName, worker: ids.WorkerId) -> None:
+        """Note that a task, taken from its group before, runs."""
+        self.running[name] = worker
+        self.get_group(name).workers[worker] += 1
+
+    def end(self, name: ids.TaskName) -> None:
+        """Note that the newest attempt of a task ended."""
+        worker = self.running.pop(name, None)
+        if worker is None:
+            return
+        group = self.get_group(name)
+        group.workers[worker] -= 1
+        run = self.record.tasks.get(name)
+        if run is None:
+            return
+        if run.stage is states.RunStage.DONE:
+            self._count_done(group)
+            return
+        _, _, index = specs.parse_task_name(name)
+        group.put_back(index)
+
+    def _count_done(self, group: Group) -> None:
+        if not group.step.is_gang:
+            group.undone -= 1
+            return
+        group.undone = 0
+        group.waiting.clear()
+
+    def _is_open(self, group: Group, wall: ids.WallTime) -> bool:
+        if wall < self.get_due_time(group.occurrence):
+            return False
+        return all(
+            self.groups[group.occurrence, earlier].undone == 0
+            for earlier in group.step.after
+        )
+
+    def _restore(self, name: ids.TaskName, run: ledger.RunRecord) -> None:
+        _, _, index = specs.parse_task_name(name)
+        group = self.get_group(name)
+        if run.stage is states.RunStage.WAITING:
+            return
+        group.waiting.remove(index)
+        heapq.heapify(group.waiting)
+        if run.stage is states.RunStage.DONE:
+            group.undone -= 1
+            return
+        self.start(name, run.worker)
--- /dev/null
+++ b/orioleshore/jobs/scheduler.py
@@ -0,0 +1,614 @@
+"""Decisions of the leader about callers' jobs, without input or output.
+
+``handle`` turns a call into its answer and the changes that must be in the
+log before the answer leaves. The caller commits the changes; when that
+fails, the whole scheduler is thrown away and built anew from the log.
+"""
+
+import functools
+import logging
+from typing import Any
+
+from result import Err
+from result import Ok
+from result import Result
+
+from orioleshore.jobs import admission
+from orioleshore.jobs import calls
+from orioleshore.jobs import interference
+from orioleshore.jobs import ledger
+from orioleshore.jobs import placement
+from orioleshore.jobs import progress
+from orioleshore.jobs import specs
+from orioleshore.jobs import tuning
+from orioleshore.jobs import upkeep
+from orioleshore.jobs import workers
+from orioleshore.model import errors
+from orioleshore.model import ids
+from orioleshore.model import states
+from orioleshore.telemetry import logs
+
+LOG = logging.getLogger(__name__)
+
+JOB_ID_LENGTH = 16
+MS_PER_S = 1_000.0
+
+Answer = Result[Any, errors.Failure]
+
+
+class Scheduler:
+    """State of the leader's decisions; times are seconds.
+
+    ``now`` is monotonic, ``wall`` the time of day.
+    """
+
+    def __init__(
+        self,
+        book: ledger.Ledger,
+        epoch: ids.Epoch,
+        limits: tuning.Tuning,
+        leader: str,
+        now: float,
+    ) -> None:
+        self.book = book
+        self.epoch = epoch
+        self.limits = limits
+        self.leader = leader
+        self.now = now
+        self.wall = ids.WallTime(0.0)
+        self.gained_at = now
+        self.workers: dict[ids.WorkerId, workers.Worker] = {}
+        self.jobs: dict[ids.JobId, progress.JobProgress] = {}
+        self.upkeep = upkeep.Upkeep(self)
+        self._changes: list[ledger.Change] = []
+        # Runs of workers that did not report to this leader yet.
+        self._unheard: dict[
+            ids.WorkerId, dict[workers.RunKey, specs.Resources]
+        ] = {}
+        self._pools: dict[ids.PoolId, dict[ids.JobId, None]] = {}
+        for name, record in book.jobs.items():
+            if not record.is_ended:
+                self._adopt(name, record)
+
+    # Interface to the task.
+
+    def handle(
+        self, call: calls.Call, now: float, wall: ids.WallTime
+    ) -> Answer:
+        """Decide about a call."""
+        self.now = now
+        self.wall = wall
+        return _handle(call, self)
+
+    def tick(self, now: float, wall: ids.WallTime) -> None:
+        """Give up workers whose leases ended, and advance upkeep."""
+        self.now = now
+        self.wall = wall
+        for worker in list(self.workers.values()):
+            if now >= worker.lease_end:
+                self.drop_worker(worker, 'lease_ended')
+        if now >= self.gained_at + self.lease_span_s:
+            self._drop_unheard()
+        self._forget_jobs()
+        self.upkeep.advance()
+
+    def take_changes(self) -> tuple[ledger.Change, ...]:
+        """Return the changes made since the last call."""
+        changes, self._changes = tuple(self._changes), []
+        return changes
+
+    @property
+    def lease_span_s(self) -> float:
+        """Longest time in which a lease that was granted may last."""
+        lease_s = self.limits.lease_ms / MS_PER_S
+        return lease_s * (1.0 + tuning.WORKER_CLOCK_DRIFT)
+
+    def record(self, change: ledger.Change) -> None:
+        """Apply a change here and note it for the log."""
+        ledger.apply_change(change, self.book)
+        self._changes.append(change)
+
+    def get_pool_jobs(self, pool: ids.PoolId) -> list[progress.JobProgress]:
+        """Return the jobs whose tasks a pool runs."""
+        return [self.jobs[name] for name in self._pools.get(pool, ())]
+
+    def get_pool_workers(self, pool: ids.PoolId) -> list[workers.Worker]:
+        """Return the known workers of a pool."""
+        return [w for w in self.workers.values() if w.pool == pool]
+
+    # Jobs.
+
+    def find_target(
+        self, host: str, path: str
+    ) -> Result[tuple[specs.Queue, ids.JobId], errors.Failure]:
+        """Return queue and job that a path names; the job may be empty."""
+        if not self.book.configuration.version:
+            return _fail(errors.ErrorKind.NOT_READY, 'no configuration yet')
+        queue = specs.find_queue(self.book.configuration, host, path)
+        if queue is None:
+            return _fail(
+                errors.ErrorKind.NOT_FOUND, f'no queue for {host}{path}'
+            )
+        return Ok((queue, ids.JobId(path[len(queue.prefix) :])))
+
+    def accept(
+        self, name: ids.JobId, spec: specs.Job, queue: specs.Queue
+    ) -> None:
+        """Take a job in."""
+        self.record(
+            ledger.JobAccepted(
+                name,
+                spec,
+                queue.host,
+                queue.prefix,
+                queue.pool,
+                queue.priority,
+                queue.max_attempts,
+                admission.get_objective_ms(spec, queue),
+                self.wall,
+            )
+        )
+        self._adopt(name, self.book.jobs[name])
+
+    def cancel(self, name: ids.JobId) -> None:
+        """Cancel a job; its runs are stopped by the next heartbeats."""
+        self.record(ledger.JobCancelled(name, self.wall))
+        self._release_job(name)
+
+    def end_run(
+        self,
+        key: workers.RunKey,
+        how: states.RunEnd,
+        checkpoint: str,
+        worker: ids.WorkerId,
+    ) -> None:
+        """Note the end of a run, unless it is not the newest attempt."""
+        name, task, attempt = key
+        job = self.jobs.get(name)
+        run = job and job.record.tasks.get(task)
+        if (
+            not run
+            or run.attempt != attempt
+            or run.stage is not states.RunStage.RUNNING
+            or run.worker != worker
+        ):
+            return
+        self.record(
+            ledger.TaskEnded(name, task, attempt, how, checkpoint, self.wall)
+        )
+        job.end(task)
+        if how is not states.RunEnd.DONE:
+            LOG.info(
+                logs.format_event(
+                    'task_ended',
+                    job=name,
+                    task=task,
+                    attempt=attempt,
+                    how=how,
+                    worker=worker,
+                    failures=run.failures,
+                )
+            )
+        if job.record.is_ended:
+            LOG.info(
+                logs.format_event(
+                    'job_ended',
+                    job=name,
+                    state=job.record.state,
+                    age_s=self.wall - job.record.accepted_at,
+                    objective_ms=job.record.objective_ms,
+                )
+            )
+            self._release_job(name)
+
+    def _adopt(self, name: ids.JobId, record: ledger.JobRecord) -> None:
+        job = progress.JobProgress(name, record)
+        self.jobs[name] = job
+        self._pools.setdefault(record.pool, {})[name] = None
+        for task, run in record.tasks.items():
+            if run.stage is not states.RunStage.RUNNING:
+                continue
+            key = (name, task, run.attempt)
+            need = workers.get_reserved(job.get_step(task))
+            self._unheard.setdefault(run.worker, {})[key] = need
+
+    def _release_job(self, name: ids.JobId) -> None:
+        job = self.jobs.pop(name, None)
+        if job is not None:
+            self._pools[job.record.pool].pop(name, None)
+
+    def _forget_jobs(self) -> None:
+        horizon = self.wall - self.limits.status_s
+        for name, record in list(self.book.jobs.items()):
+            if record.is_ended and record.ended_at < horizon:
+                self.record(ledger.JobForgotten(name))
+
+    # Workers.
+
+    def get_reserved(self, key: workers.RunKey) -> specs.Resources:
+        """Return what a run takes of its worker, by its job's steps."""
+        record = self.book.jobs.get(key[0])
+        if record is None:
+            return specs.Resources()
+        _, position, _ = specs.parse_task_name(key[1])
+        if position >= len(record.job.steps):
+            return specs.Resources()
+        return workers.get_reserved(record.job.steps[position])
+
+    def add_worker(self, beat: calls.Heartbeat) -> workers.Worker:
+        """Begin to know a worker, or a new life of one."""
+        old = self.workers.get(beat.worker)
+        if old is not None:
+            self.drop_worker(old, 'restarted')
+        worker = workers.Worker(
+            beat.worker,
+            beat.incarnation,
+            beat.host,
+            beat.pool,
+            beat.zone,
+            beat.capacity,
+            beat.labels,
+        )
+        self.workers[beat.worker] = worker
+        unheard = self._unheard.pop(beat.worker, {})
+        for key, need in unheard.items():
+            run = self.jobs[key[0]].record.tasks[key[1]]
+            if run.incarnation == beat.incarnation:
+                worker.ordered[key] = need
+            else:
+                self.end_run(key, states.RunEnd.LOST, '', beat.worker)
+        self._drop_previous_lives(worker)
+        LOG.info(
+            logs.format_event(
+                'worker_found',
+                worker=worker.name,
+                incarnation=worker.incarnation,
+                host=worker.host,
+                pool=worker.pool,
+                rack=worker.rack,
+            )
+        )
+        return worker
+
+    def leave(self, worker: workers.Worker) -> None:
+        """Wait for the end of a worker that said it leaves."""
+        worker.state = states.WorkerState.DRAINING
+        worker.lease_end = min(
+            worker.lease_end, self.now + self.limits.leave_ms / MS_PER_S
+        )
+
+    def _drop_previous_lives(self, worker: workers.Worker) -> None:
+        # A host runs one worker at a time, so a newer one proves that the
+        # one before has ended with all its runs.
+        for other in list(self.workers.values()):
+            if (
+                other.host == worker.host
+                and other.host
+                and other.name != worker.name
+                and other.incarnation < worker.incarnation
+            ):
+                self.drop_worker(other, 'replaced')
+
+    def drop_worker(self, worker: workers.Worker, why: str) -> None:
+        """Forget a worker that has ended, and all runs on it."""
+        del self.workers[worker.name]
+        LOG.warning(
+            logs.format_event(
+                'worker_lost',
+                worker=worker.name,
+                host=worker.host,
+                pool=worker.pool,
+                why=why,
+                runs=len(worker.ordered),
+                silent_s=self.now - worker.heard_at,
+            )
+        )
+        for key in list(worker.ordered):
+            self.end_run(key, states.RunEnd.LOST, '', worker.name)
+
+    def _drop_unheard(self) -> None:
+        unheard, self._unheard = self._unheard, {}
+        for worker, runs in unheard.items():
+            LOG.warning(
+                logs.format_event(
+                    'worker_unheard', worker=worker, runs=len(runs)
+                )
+            )
+            for key in runs:
+                self.end_run(key, states.RunEnd.LOST, '', worker)
+
+
+def _fail(
+    kind: errors.ErrorKind, message: str, retry_after_s: float | None = None
+) -> Err[errors.Failure]:
+    return Err(errors.Failure(kind, message, retry_after_s=retry_after_s))
+
+
+def is_job_id(text: str) -> bool:
+    """Return whether a text has the form of a job's id."""
+    return len(text) == JOB_ID_LENGTH and all(
+        char in '0123456789abcdefABCDEF' for char in text
+    )
+
+
+@functools.singledispatch
+def _handle(call: Any, scheduler: Scheduler) -> Answer:
+    raise TypeError(f'unknown call {type(call).__name__}')
+
+
+@_handle.register
+def _(call: calls.SubmitJob, scheduler: Scheduler) -> Answer:
+    target = scheduler.find_target(call.host, call.path)
+    if target.is_err():
+        return target
+    queue, name = target.unwrap()
+    if not is_job_id(name):
+        return _fail(errors.ErrorKind.INVALID_REQUEST, 'malformed job id')
+    if name in scheduler.book.jobs:
+        return Ok(None)
+    refusal = admission.find_refusal(scheduler, call.job, queue)
+    if refusal is not None:
+        LOG.info(
+            logs.format_event(
+                'job_refused',
+                job=name,
+                queue=queue.name,
+                error=refusal.kind,
+                reason=refusal.message,
+                retry_after_s=refusal.retry_after_s,
+            )
+        )
+        return Err(refusal)
+    scheduler.accept(name, call.job, queue)
+    LOG.info(
+        logs.format_event(
+            'job_accepted',
+            job=name,
+            queue=queue.name,
+            pool=queue.pool,
+            tasks=ledger.count_tasks(call.job),
+            objective_ms=scheduler.book.jobs[name].objective_ms,
+            version=scheduler.book.configuration.version,
+        )
+    )
+    return Ok(None)
+
+
+@_handle.register
+def _(call: calls.GetJob, scheduler: Scheduler) -> Answer:
+    target = scheduler.find_target(call.host, call.path)
+    if target.is_err():
+        return target
+    queue, name = target.unwrap()
+    if not name:
+        waiting = sum(
+            record.state is states.BatchState.QUEUED
+            and record.host == queue.host
+            and record.prefix == queue.prefix
+            for record in scheduler.book.jobs.values()
+        )
+        return Ok(calls.QueueStatus(waiting))
+    record = scheduler.book.jobs.get(name)
+    if record is None:
+        return _fail(errors.ErrorKind.JOB_UNKNOWN, 'no such job')
+    return Ok(calls.JobStatus(record.state))
+
+
+@_handle.register
+def _(call: calls.CancelJob, scheduler: Scheduler) -> Answer:
+    target = scheduler.find_target(call.host, call.path)
+    if target.is_err():
+        return target
+    _, name = target.unwrap()
+    record = scheduler.book.jobs.get(name)
+    if record is None:
+        return _fail(errors.ErrorKind.JOB_UNKNOWN, 'no such job')
+    if not record.is_ended:
+        scheduler.cancel(name)
+        LOG.info(logs.format_event('job_cancelled', job=name))
+    return Ok(None)
+
+
+@_handle.register
+def _(call: calls.PutConfiguration, scheduler: Scheduler) -> Answer:
+    held = scheduler.book.configuration.version
+    given = call.configuration.version
+    if given > held:
+        scheduler.record(ledger.ConfigurationChanged(call.configuration))
+    LOG.info(
+        logs.format_event(
+            'configuration_received',
+            version=given,
+            held=held,
+            in_force=max(given, held),
+            queues=len(call.configuration.queues),
+        )
+    )
+    return Ok(None)
+
+
+@_handle.register
+def _(call: calls.GetConfiguration, scheduler: Scheduler) -> Answer:
+    if not scheduler.book.configuration.version:
+        return _fail(errors.ErrorKind.NOT_READY, 'no configuration yet')
+    return Ok(scheduler.book.configuration)
+
+
+@_handle.register
+def _(call: calls.OpenWave, scheduler: Scheduler) -> Answer:
+    if call.wave not in scheduler.book.waves:
+        scheduler.record(
+            ledger.WaveOpened(
+                call.wave,
+                call.hosts,
+                call.at_once,
+                scheduler.wall,
+                ids.WallTime(scheduler.wall + call.duration_s),
+            )
+        )
+        LOG.info(
+            logs.format_event(
+                'wave_opened',
+                wave=call.wave,
+                hosts=len(call.hosts),
+                at_once=call.at_once,
+                duration_s=call.duration_s,
+            )
+        )
+    return Ok(None)
+
+
+@_handle.register
+def _(call: calls.GetWave, scheduler: Scheduler) -> Answer:
+    record = scheduler.book.waves.get(call.wave)
+    if record is None:
+        return _fail(errors.ErrorKind.NOT_FOUND, 'no such wave')
+    return Ok(calls.WaveStatus(record.is_completed))
+
+
+@_handle.register
+def _(call: calls.NoteUpkeep, scheduler: Scheduler) -> Answer:
+    scheduler.upkeep.note_outcome(call)
+    return Ok(None)
+
+
+@_handle.register
+def _(call: calls.LeaveWorker, scheduler: Scheduler) -> Answer:
+    worker = scheduler.workers.get(call.worker)
+    if worker is not None:
+        scheduler.leave(worker)
+    return Ok(None)
+
+
+@_handle.register
+def _(call: calls.Heartbeat, scheduler: Scheduler) -> Answer:
+    worker = scheduler.workers.get(call.worker)
+    if worker is None or worker.incarnation < call.incarnation:
+        worker = scheduler.add_worker(call)
+    elif (
+        worker.incarnation > call.incarnation
+        or call.sequence <= worker.sequence
+    ):
+        # An old heartbeat says nothing about now, and grants nothing.
+        LOG.info(
+            logs.format_event(
+                'heartbeat_ignored',
+                worker=call.worker,
+                incarnation=call.incarnation,
+                sequence=call.sequence,
+                newest=worker.sequence,
+            )
+        )
+        return Ok(calls.HeartbeatAnswer(0, scheduler.epoch, 0))
+    _update(worker, call, scheduler)
+    observed = _take_ends(worker, call, scheduler)
+    _find_lost_runs(worker, scheduler)
+    starts = placement.choose_starts(scheduler, worker)
+    return Ok(
+        calls.HeartbeatAnswer(
+            observed,
+            scheduler.epoch,
+            scheduler.limits.lease_ms,
+            tuple(starts),
+            tuple(_find_stops(worker, scheduler)),
+            tuple(_set_rates(worker, scheduler)),
+            placement.get_retry_ms(scheduler, worker),
+            scheduler.leader,
+        )
+    )
+
+
+def _update(
+    worker: workers.Worker, call: calls.Heartbeat, scheduler: Scheduler
+) -> None:
+    if worker.state is not call.state:
+        LOG.info(
+            logs.format_event(
+                'worker_state',
+                worker=worker.name,
+                state=call.state,
+                remaining_ms=call.remaining_ms,
+            )
+        )
+    if worker.state is not states.WorkerState.DRAINING:
+        worker.state = call.state
+    worker.sequence = call.sequence
+    worker.capacity = call.capacity
+    worker.pool = call.pool
+    worker.heard_at = scheduler.now
+    worker.lease_end = scheduler.now + scheduler.lease_span_s
+    worker.reports = {
+        (report.job, report.task, report.attempt): report
+        for report in call.running
+    }
+    worker.listed = {
+        key: worker.ordered.get(key) or scheduler.get_reserved(key)
+        for key in worker.reports
+    }
+
+
+def _take_ends(
+    worker: workers.Worker, call: calls.Heartbeat, scheduler: Scheduler
+) -> int:
+    """Note all ends that a heartbeat lists, and return the last number."""
+    observed = 0
+    for end in call.ended:
+        observed = max(observed, end.number)
+        key = (end.job, end.task, end.attempt)
+        was_ordered = worker.ordered.pop(key, None) is not None
+        worker.rates.pop(key, None)
+        if was_ordered:
+            placement.learn_from_end(worker, end.how, scheduler)
+        scheduler.end_run(key, end.how, end.checkpoint, worker.name)
+    return observed
+
+
+def _find_lost_runs(worker: workers.Worker, scheduler: Scheduler) -> None:
+    """End runs whose order did not arrive at the worker."""
+    for key in list(worker.ordered):
+        if key in worker.listed:
+            continue
+        job = scheduler.jobs.get(key[0])
+        run = job and job.record.tasks.get(key[1])
+        if run and run.attempt == key[2] and run.sequence >= worker.sequence:
+            continue
+        del worker.ordered[key]
+        scheduler.end_run(key, states.RunEnd.LOST, '', worker.name)
+
+
+def _find_stops(
+    worker: workers.Worker, scheduler: Scheduler
+) -> list[calls.StopOrder]:
+    """Return orders against runs that should not be on the worker."""
+    stops = []
+    for key in worker.listed:
+        if key in worker.ordered and key[0] in scheduler.jobs:
+            continue
+        worker.ordered.pop(key, None)
+        stops.append(calls.StopOrder(*key))
+    return stops
+
+
+def _set_rates(
+    worker: workers.Worker, scheduler: Scheduler
+) -> list[calls.RateOrder]:
+    """Return new rates for the filling tasks of a worker."""
+    fillers = []
+    worst = 0.0
+    for key, report in worker.reports.items():
+        job = scheduler.jobs.get(key[0])
+        if job is None:
+            continue
+        step = job.get_step(key[1])
+        if step.is_filler:
+            fillers.append(key)
+        elif step.tail_target_ms:
+            worst = max(worst, report.figure / step.tail_target_ms)
+    rates = []
+    for key in fillers:
+        current = worker.rates.get(key, interference.FULL_PERCENT)
+        rate = interference.get_rate(current, worst)
+        if rate != current:
+            worker.rates[key] = rate
+            rates.append(calls.RateOrder(*key, rate))
+    return rates
--- /dev/null
+++ b/orioleshore/jobs/specs.py
@@ -0,0 +1,141 @@
+"""What callers hand in as jobs, and what operators configure for them."""
+
+import msgspec
+
+from orioleshore.model import ids
+
+
+class Resources(msgspec.Struct, frozen=True, array_like=True):
+    """Room that a task needs or a worker has; processors in thousandths."""
+
+    cpu_millis: int = 0
+    memory_mb: int = 0
+    accelerators: int = 0
+
+
+class Step(msgspec.Struct, frozen=True, omit_defaults=True):
+    """Equal tasks of a job that may start together.
+
+    ``after`` lists earlier steps, counted from 0, whose tasks come first.
+    ``max_per_worker`` of 0 sets no limit. ``max_away`` tasks of a lasting
+    step may be unavailable at once because of the system's own orders.
+    """
+
+    tasks: int
+    need: Resources = Resources()
+    estimate_ms: int = 0
+    after: tuple[int, ...] = ()
+    saves_progress: bool = False
+    is_gang: bool = False
+    needs_one_rack: bool = False
+    required_label: str = ''
+    data_rack: str = ''
+    max_per_worker: int = 0
+    may_race: bool = False
+    # Tasks run until the job is cancelled, and serve users of their own.
+    is_lasting: bool = False
+    image: str = ''
+    tail_target_ms: int = 0
+    # Tasks get the processors that others leave idle, and reserve none.
+    is_filler: bool = False
+    max_away: int = 0
+
+
+class Job(msgspec.Struct, frozen=True, omit_defaults=True):
+    """A job; ``occurrences`` of 0 means that it runs once, at once.
+
+    Times of day are in milliseconds since the Unix epoch.
+    """
+
+    payload: str
+    steps: tuple[Step, ...]
+    occurrences: int = 0
+    first_due_ms: int = 0
+    interval_ms: int = 0
+
+    @property
+    def is_lasting(self) -> bool:
+        """Return whether the job ends only when it is cancelled."""
+        return any(step.is_lasting for step in self.steps)
+
+    @property
+    def occurrence_count(self) -> int:
+        """Return how often the steps run."""
+        return max(1, self.occurrences)
+
+
+class Queue(msgspec.Struct, frozen=True, omit_defaults=True):
+    """Where callers hand jobs in, and how they are to be treated.
+
+    A job's objective is ``stretch`` times its longest chain of work, and
+    ``objective_ms`` more. Priority 0 is the most urgent.
+    """
+
+    name: ids.QueueId
+    host: str
+    prefix: str
+    pool: ids.PoolId
+    priority: int = 0
+    max_attempts: int = 1
+    stretch: float = 1.0
+    objective_ms: int = 0
+    # Only the workers that the policy service names may run its steps.
+    needs_approval: bool = False
+
+
+class Pool(msgspec.Struct, frozen=True, omit_defaults=True):
+    """Workers that run the tasks of the queues that name the pool.
+
+    ``guards_capacity`` tells that workers refuse what does not fit;
+    hosts of a standby pool are switched off and cost nothing.
+    """
+
+    name: ids.PoolId
+    guards_capacity: bool = False
+    is_standby: bool = False
+
+
+class Configuration(msgspec.Struct, frozen=True):
+    """One version of all queues and pools.
+
+    ``source`` is the document as the operator sent it, which is returned
+    to readers unchanged.
+    """
+
+    version: ids.Version = ids.Version(0)
+    queues: tuple[Queue, ...] = ()
+    pools: tuple[Pool, ...] = ()
+    source: bytes = b''
+
+
+def find_queue(
+    configuration: Configuration, host: str, path: str
+) -> Queue | None:
+    """Return the queue with the longest prefix of a path, if any."""
+    found = None
+    for queue in configuration.queues:
+        if queue.host != host or not path.startswith(queue.prefix):
+            continue
+        if found is None or len(queue.prefix) > len(found.prefix):
+            found = queue
+    return found
+
+
+def get_chain_ms(steps: tuple[Step, ...]) -> int:
+    """Return the longest chain of declared run times, in milliseconds."""
+    ends: list[int] = []
+    for step in steps:
+        begin = max((ends[i] for i in step.after if i < len(ends)), default=0)
+        ends.append(begin + step.estimate_ms)
+    return max(ends, default=0)
+
+
+def make_task_name(occurrence: int, step: int, index: int) -> ids.TaskName:
+    """Return the name of a task within its job."""
+    return ids.TaskName(f'{occurrence}.{step}.{index}')
+
+
+def parse_task_name(name: ids.TaskName) -> tuple[int, int, int]:
+    """Return occurrence, step and index; raises ValueError if malformed."""
+    occurrence, step, index = name.split('.')
+    return int(occurrence), int(step), int(index)
--- /dev/null
+++ b/orioleshore/jobs/task.py
@@ -0,0 +1,253 @@
+"""Task that owns the scheduler of the leader and commits its decisions."""
+
+import functools
+import logging
+from typing import Any
+
+import msgspec
+from result import Err
+from result import Ok
+from result import Result
+
+from orioleshore.consensus import member
+from orioleshore.jobs import calls
+from orioleshore.jobs import scheduler
+from orioleshore.jobs import tuning
+from orioleshore.model import errors
+from orioleshore.model import ids
+from orioleshore.state import commands
+from orioleshore.state import records
+from orioleshore.tasks import mailbox
+from orioleshore.tasks import reply
+from orioleshore.tasks import task
+from orioleshore.telemetry import logs
+from orioleshore.timers import service
+
+LOG = logging.getLogger(__name__)
+
+MAILBOX_CAPACITY = 4_096
+TICK = ids.TimerId('jobs-tick')
+# Leases and waves are looked at this often; well below their bounds.
+TICK_S = 0.1
+
+
+class _Committed(msgspec.Struct, frozen=True):
+    """The log took or refused a group of changes."""
+
+    epoch: ids.Epoch
+    outcome: Result[Any, errors.Failure]
+
+
+class GetJobsDump(msgspec.Struct, frozen=True):
+    """Asks for what the scheduler of this process holds."""
+
+    answer: reply.Reply
+
+
+class _Waiting(msgspec.Struct, frozen=True):
+    """An answer that leaves once all changes before it are committed."""
+
+    answer: reply.Reply
+    outcome: Result[Any, errors.Failure]
+
+
+class JobsTask(task.Task):
+    """Decides while this member leads, and answers after the commit.
+
+    One group of changes is in the log at a time; what is decided meanwhile
+    forms the next group. A group without changes only proves that this
+    member still leads.
+    """
+
+    def __init__(
+        self,
+        limits: tuning.Tuning,
+        public_address: str,
+        consensus: mailbox.Mailbox,
+        timers: service.TimerService,
+    ) -> None:
+        super().__init__(mailbox.Mailbox('jobs', MAILBOX_CAPACITY))
+        self._limits = limits
+        self._public_address = public_address
+        self._consensus = consensus
+        self._timers = timers
+        self._hosts: mailbox.Mailbox | None = None
+        self._scheduler: scheduler.Scheduler | None = None
+        self._waiting: list[_Waiting] = []
+        self._in_flight: list[_Waiting] = []
+        self._actions: list[Any] = []
+        self._is_committing = False
+
+    def set_hosts(self, hosts: mailbox.Mailbox) -> None:
+        """Name the task that carries out orders about hosts."""
+        self._hosts = hosts
+
+    async def open(self) -> None:
+        """Subscribe to the tick."""
+        self._timers.subscribe_every(self.mailbox, TICK, TICK_S)
+
+    async def close(self) -> None:
+        """Answer all that wait."""
+        self._timers.cancel(self.mailbox, TICK)
+        self._lose_leadership()
+
+    async def handle(self, message: Any) -> None:
+        """Handle all messages that wait, then commit what they changed."""
+        while message is not None:
+            _take(message, self)
+            message = self.mailbox.get_nowait()
+        self._commit()
+
+    def _now(self) -> float:
+        return self._timers.clock.get_monotonic()
+
+    def _decide(self, ask: calls.Ask) -> None:
+        if self._scheduler is None:
+            ask.answer.resolve(_fail(errors.ErrorKind.NOT_LEADER))
+            return
+        outcome = self._scheduler.handle(
+            ask.call, self._now(), self._timers.clock.get_wall()
+        )
+        self._waiting.append(_Waiting(ask.answer, outcome))
+
+    def _tick(self) -> None:
+        if self._scheduler is not None:
+            self._scheduler.tick(self._now(), self._timers.clock.get_wall())
+
+    def _commit(self) -> None:
+        if self._scheduler is None or self._is_committing:
+            return
+        changes = self._scheduler.take_changes()
+        actions = self._scheduler.upkeep.take_actions()
+        if not changes and not actions and not self._waiting:
+            return
+        self._in_flight, self._waiting = self._waiting, []
+        self._actions = actions
+        self._is_committing = True
+        command = None
+        if changes:
+            command = commands.RecordProgress(
+                time=self._timers.clock.get_wall(),
+                epoch=self._scheduler.epoch,
+                changes=changes,
+            )
+        answer: reply.Reply = reply.Reply()
+        epoch = self._scheduler.epoch
+        answer.add_callback(
+            lambda outcome: self.mailbox.put(_Committed(epoch, outcome))
+        )
+        sent = self._consensus.put(member.CommitLocally(command, answer))
+        if sent.is_err():
+            answer.resolve(sent)
+
+    def _finish_commit(self, message: _Committed) -> None:
+        if self._scheduler is None or message.epoch != self._scheduler.epoch:
+            return
+        self._is_committing = False
+        if message.outcome.is_err():
+            # What was decided may differ from the log now.
+            LOG.warning(
+                logs.format_event(
+                    'commit_failed',
+                    epoch=message.epoch,
+                    error=message.outcome.unwrap_err().kind,
+                )
+            )
+            self._lose_leadership()
+            self._consensus.put(member.ResendState())
+            return
+        for waiting in self._in_flight:
+            waiting.answer.resolve(waiting.outcome)
+        self._in_flight = []
+        if self._hosts is not None:
+            for action in self._actions:
+                self._hosts.put(action)
+        self._actions = []
+
+    def _gain_leadership(self, message: member.LeadershipGained) -> None:
+        self._lose_leadership()
+        state = records.decode_state(message.image)
+        self._scheduler = scheduler.Scheduler(
+            state.ledger,
+            message.epoch,
+            self._limits,
+            self._public_address,
+            self._now(),
+        )
+        LOG.info(
+            logs.format_event(
+                'scheduling_started',
+                epoch=message.epoch,
+                jobs=len(state.ledger.jobs),
+                version=state.ledger.configuration.version,
+            )
+        )
+
+    def _lose_leadership(self) -> None:
+        waiting = [*self._in_flight, *self._waiting]
+        self._in_flight, self._waiting, self._actions = [], [], []
+        self._is_committing = False
+        if self._scheduler is not None:
+            LOG.info(
+                logs.format_event(
+                    'scheduling_stopped',
+                    epoch=self._scheduler.epoch,
+                    unanswered=len(waiting),
+                )
+            )
+        self._scheduler = None
+        for item in waiting:
+            item.answer.resolve(_fail(errors.ErrorKind.CHANGE_UNKNOWN))
+
+    def _get_dump(self) -> dict[str, Any]:
+        if self._scheduler is None:
+            return {'leads': False}
+        return {
+            'leads': True,
+            'epoch': self._scheduler.epoch,
+            'workers': msgspec.to_builtins(
+                list(self._scheduler.workers.values()), str_keys=True
+            ),
+            'ledger': msgspec.to_builtins(self._scheduler.book),
+        }
+
+
+@functools.singledispatch
+def _take(message: Any, owner: JobsTask) -> None:
+    """Handle one message; the state machine's news are not needed here."""
+
+
+@_take.register
+def _(message: calls.Ask, owner: JobsTask) -> None:
+    owner._decide(message)
+
+
+@_take.register
+def _(message: service.TimerFired, owner: JobsTask) -> None:
+    owner._tick()
+
+
+@_take.register
+def _(message: _Committed, owner: JobsTask) -> None:
+    owner._finish_commit(message)
+
+
+@_take.register
+def _(message: member.LeadershipGained, owner: JobsTask) -> None:
+    owner._gain_leadership(message)
+
+
+@_take.register
+def _(message: member.LeadershipLost, owner: JobsTask) -> None:
+    owner._lose_leadership()
+
+
+@_take.register
+def _(message: GetJobsDump, owner: JobsTask) -> None:
+    message.answer.resolve(Ok(owner._get_dump()))
+
+
+def _fail(kind: errors.ErrorKind) -> Err[errors.Failure]:
+    return Err(
+        errors.Failure(kind, 'this member does not lead', retry_after_s=1.0)
+    )
--- a/orioleshore/model/errors.py
+++ b/orioleshore/model/errors.py
@@ -38,6 +38,7 @@
     UNAUTHORIZED = 'unauthorized'
     FORBIDDEN = 'forbidden'
     NOT_FOUND = 'not_found'
+    JOB_UNKNOWN = 'job_unknown'
     INVALID_DOCUMENT = 'invalid_document'
     VERSION_CONFLICT = 'version_conflict'
     OPERATION_EXPIRED = 'operation_expired'
@@ -124,6 +125,7 @@
     ErrorKind.UNAUTHORIZED: Answer(401, _NO, False, EXIT_REFUSED),
     ErrorKind.FORBIDDEN: Answer(403, _NO, False, EXIT_REFUSED),
     ErrorKind.NOT_FOUND: Answer(404, _NO, False, EXIT_REFUSED),
+    ErrorKind.JOB_UNKNOWN: Answer(410, _NO, False, EXIT_REFUSED),
     ErrorKind.INVALID_DOCUMENT: Answer(422, _NO, False, EXIT_INVALID),
     ErrorKind.VERSION_CONFLICT: Answer(409, _NO, False, EXIT_REFUSED),
     ErrorKind.OPERATION_EXPIRED: Answer(410, _UNKNOWN, False, EXIT_UNKNOWN),
--- a/orioleshore/model/ids.py
+++ b/orioleshore/model/ids.py
@@ -22,6 +22,11 @@
 CallId = NewType('CallId', str)
 TimerId = NewType('TimerId', str)
 
+# A queue is named by the document; a worker is one life of an upstream
+# that runs tasks; a task name is "occurrence.step.index" within its job.
+QueueId = NewType('QueueId', str)
+WorkerId = NewType('WorkerId', str)
+TaskName = NewType('TaskName', str)
 # An upstream is named by the address that it announces, "IP:port".
 UpstreamId = NewType('UpstreamId', str)
 
--- a/orioleshore/model/states.py
+++ b/orioleshore/model/states.py
@@ -118,3 +118,56 @@
     ANSWERED = 'answered'
     NOT_RUN = 'not_run'
     UNKNOWN = 'unknown'
+
+
+class BatchState(enum.Enum):
+    """Progress of a job that a caller handed in."""
+
+    QUEUED = 'queued'
+    RUNNING = 'running'
+    COMPLETED = 'completed'
+    FAILED = 'failed'
+    CANCELLED = 'cancelled'
+
+
+class RunStage(enum.Enum):
+    """Whether a task of a caller's job runs, waits or is done."""
+
+    WAITING = 'waiting'
+    RUNNING = 'running'
+    DONE = 'done'
+
+
+class RunEnd(enum.Enum):
+    """How a worker says that a run ended."""
+
+    DONE = 'done'
+    FAILED = 'failed'
+    STOPPED = 'stopped'
+    # The lease of the run expired on the worker.
+    LAPSED = 'lapsed'
+    # Another member of the gang ended.
+    BROKEN = 'broken'
+    # The other members of the gang did not come in time.
+    ALONE = 'alone'
+    # The worker did not start the run.
+    REFUSED = 'refused'
+    # The worker no longer knows the run, or is gone.
+    LOST = 'lost'
+
+
+class WorkerState(enum.Enum):
+    """What a worker reports about itself."""
+
+    READY = 'ready'
+    DRAINING = 'draining'
+
+
+class UpkeepOutcome(enum.Enum):
+    """What the platform answered about the upkeep of a host."""
+
+    BEGUN = 'begun'
+    REFUSED = 'refused'
+    GONE = 'gone'
+    # The call may have been carried out.
+    UNKNOWN = 'unknown'
--- /dev/null
+++ b/orioleshore/platform/__main__.py
@@ -0,0 +1,42 @@
+"""Runs one role on the platform: ``python -m orioleshore.platform ROLE``."""
+
+import os
+import sys
+
+import aiomisc
+
+from orioleshore.model import states
+from orioleshore.platform import boot
+from orioleshore.platform import process
+from orioleshore.telemetry import logs
+
+SETTINGS_VARIABLE = 'ORIOLESHORE_SETTINGS'
+# One for the sync of the log, one for snapshots.
+THREADS = 2
+
+
+def main(arguments: list[str]) -> int:
+    """Run until the process is stopped, and return the exit code."""
+    role = states.Role(arguments[0])
+    path = os.environ[SETTINGS_VARIABLE]
+    outcome = boot.read_deployment(path, role)
+    if outcome.is_err():
+        failure = outcome.unwrap_err()
+        sys.stderr.write(f'{failure.message}: {failure.details}\n')
+        return failure.answer.exit_code
+    deployment = outcome.unwrap()
+    config = deployment.settings
+    logs.configure(config.node, config.log_level)
+    with aiomisc.entrypoint(
+        pool_size=THREADS, log_config=False, catch_signals=()
+    ) as loop:
+        running = process.PlatformProcess(path, role)
+        ended = loop.run_until_complete(running.run(deployment))
+    if ended.is_err():
+        sys.stderr.write(f'{ended.unwrap_err()}\n')
+        return ended.unwrap_err().answer.exit_code
+    return 0
+
+
+if __name__ == '__main__':
+    sys.exit(main(sys.argv[1:]))
--- /dev/null
+++ b/orioleshore/platform/asking.py
@@ -0,0 +1,78 @@
+"""The way from an HTTP request to the scheduler, and back from a failure."""
+
+from collections.abc import Callable
+import math
+from typing import Any
+
+from aiohttp import web
+from result import Result
+
+from orioleshore.consensus import client
+from orioleshore.jobs import calls
+from orioleshore.model import errors
+from orioleshore.tasks import mailbox
+from orioleshore.tasks import reply
+
+JSON_TYPE = 'application/json'
+
+
+class Asker:
+    """Brings calls to the scheduler of the leader.
+
+    A control member asks its own scheduler first, since it often leads.
+    """
+
+    def __init__(
+        self, control: mailbox.Mailbox, jobs: mailbox.Mailbox | None = None
+    ) -> None:
+        self._control = control
+        self._jobs = jobs
+
+    async def ask(
+        self, call: calls.Call, timeout_s: float
+    ) -> Result[object, errors.Failure]:
+        """Return the scheduler's answer; ``timeout_s`` is in seconds."""
+        if self._jobs is not None:
+            answer: reply.Reply = reply.Reply()
+            if self._jobs.put(calls.Ask(call, answer)).is_ok():
+                outcome = await answer.wait()
+                if not _is_elsewhere(outcome):
+                    return outcome
+        return await client.call(self._control, call, timeout_s)
+
+
+def respond(
+    outcome: Result[Any, errors.Failure], encode: Callable[[Any], bytes]
+) -> web.Response:
+    """Return the response to a call that was passed on."""
+    if outcome.is_err():
+        return make_failure(outcome.unwrap_err())
+    return make_answer(encode(outcome.unwrap()))
+
+
+def make_answer(body: bytes = b'{}') -> web.Response:
+    """Return a success with a JSON body."""
+    return web.Response(body=body, content_type=JSON_TYPE)
+
+
+def make_failure(failure: errors.Failure) -> web.Response:
+    """Return the answer that the table of errors gives for a failure."""
+    response = web.json_response(
+        {'error': failure.kind.value, 'reason': failure.message},
+        status=failure.answer.status,
+    )
+    if failure.retry_after_s is not None:
+        seconds = max(1, math.ceil(failure.retry_after_s))
+        response.headers['Retry-After'] = str(seconds)
+    return response
+
+
+def make_refusal(kind: errors.ErrorKind, message: str) -> web.Response:
+    """Return the answer to a request that was not passed on."""
+    return make_failure(errors.Failure(kind, message))
+
+
+def _is_elsewhere(outcome: Result) -> bool:
+    if outcome.is_ok():
+        return False
+    return outcome.unwrap_err().kind is errors.ErrorKind.NOT_LEADER
--- /dev/null
+++ b/orioleshore/platform/boot.py
@@ -0,0 +1,179 @@
+"""The platform's settings file, read into the project's settings."""
+
+import pathlib
+import tomllib
+from typing import Any
+
+import msgspec
+from result import Err
+from result import Ok
+from result import Result
+
+from orioleshore import settings
+from orioleshore.jobs import tuning
+from orioleshore.model import errors
+from orioleshore.model import ids
+from orioleshore.model import states
+
+MS_PER_S = 1_000.0
+
+# Ports for the inner protocol, counted from the start of the free range.
+CONTROL_PORT_OFFSET = 0
+ENTRY_PORT_OFFSET = 1
+
+# Two rounds of heartbeats fit into one tick of slack on the platform's
+# links, so that an election ends within its bound for configurations.
+_CONTROL = {'tick_s': 0.05, 'heartbeat_s': 0.2, 'election_timeout_s': 0.8}
+
+
+class _Listen(msgspec.Struct, frozen=True):
+    front: str = ''
+    ready: str = ''
+    control: str = ''
+
+
+class _Bounds(msgspec.Struct, frozen=True):
+    hold_max_ms: int = 6_000
+    status_s: float = 120
+    lease_ms: int = 3_000
+    stop_timeout_ms: int = 900
+    gang_timeout_ms: int = 3_000
+    notice_ms: int = 4_500
+    early_ms: int = 250
+    interference_ms: int = 4_000
+    grace_s: float = 6
+
+
+class _CloudApi(msgspec.Struct, frozen=True):
+    address: str = ''
+
+
+class _Boot(msgspec.Struct, frozen=True):
+    node_name: str
+    ip: str
+    zone: str
+    port_range: tuple[int, int]
+    # Addresses of the control interface, not of the inner protocol.
+    seeds: tuple[str, ...]
+    bootstrap: bool = False
+    data_dir: str = ''
+    listen: _Listen = _Listen()
+    bounds: _Bounds = _Bounds()
+    cloud_api: _CloudApi = _CloudApi()
+
+
+class Deployment(msgspec.Struct, frozen=True):
+    """Settings of a process, and addresses on the platform.
+
+    ``stop_s`` is the time in seconds between the order to stop and the
+    kill.
+    """
+
+    settings: settings.Settings
+    limits: tuning.Tuning
+    callers: str
+    readiness: str
+    control: str
+    hosts: str
+    stop_s: float
+
+
+def read_deployment(
+    path: str, role: states.Role
+) -> Result[Deployment, errors.Failure]:
+    """Load the platform's file; fails with ``INVALID_SETTINGS``."""
+    try:
+        text = pathlib.Path(path).read_text(encoding='utf-8')
+        boot = msgspec.convert(tomllib.loads(text), _Boot, strict=False)
+    except (OSError, ValueError, msgspec.ValidationError) as error:
+        return _fail(path, [str(error)])
+    outcome = settings.check_settings(_get_values(boot, role), path)
+    if outcome.is_err():
+        return outcome
+    return Ok(
+        Deployment(
+            outcome.unwrap(),
+            _get_limits(boot.bounds),
+            boot.listen.front,
+            boot.listen.ready,
+            boot.listen.control,
+            boot.cloud_api.address,
+            boot.bounds.grace_s,
+        )
+    )
+
+
+def _get_values(boot: _Boot, role: states.Role) -> dict[str, Any]:
+    first_port = boot.port_range[0]
+    control_port = first_port + CONTROL_PORT_OFFSET
+    members = {
+        _get_member_name(seed): f'{_get_host(seed)}:{control_port}'
+        for seed in boot.seeds
+    }
+    is_control = role is states.Role.CONTROL
+    own_port = control_port if is_control else first_port + ENTRY_PORT_OFFSET
+    name = f'entry-{boot.node_name}'
+    if is_control:
+        name = _get_member_name(boot.ip)
+    return {
+        'node': name,
+        'availability_zone': boot.zone,
+        'roles': [role.value],
+        'data_folder': boot.data_dir if is_control else None,
+        'seeds': list(members.values()),
+        'addresses': {
+            'inner': f'{boot.ip}:{own_port}',
+            # Both are served by the adapter.
+            'operators': boot.listen.control or None,
+            'callers': boot.listen.front or None,
+            'upstreams': boot.listen.front or None,
+        },
+        'control': {
+            **_CONTROL,
+            'initial_members': members if _may_found(boot) else {},
+        },
+    }
+
+
+def _may_found(boot: _Boot) -> bool:
+    """Return whether this member may take part in founding the group.
+
+    A member that was killed before the group was founded may still do so;
+    one that comes back with an empty disk waits to be taken in again.
+    """
+    if boot.bootstrap:
+        return True
+    folder = pathlib.Path(boot.data_dir)
+    return bool(boot.data_dir) and folder.is_dir() and any(folder.iterdir())
+
+
+def _get_limits(bounds: _Bounds) -> tuning.Tuning:
+    return tuning.Tuning(
+        max_lease_ms=bounds.hold_max_ms,
+        status_s=bounds.status_s,
+        host_lease_ms=bounds.lease_ms,
+        stop_ms=bounds.stop_timeout_ms,
+        gang_ms=bounds.gang_timeout_ms,
+        notice_ms=bounds.notice_ms,
+        early_ms=bounds.early_ms,
+        interference_ms=bounds.interference_ms,
+    )
+
+
+def _get_host(address: str) -> str:
+    return address.partition(':')[0]
+
+
+def _get_member_name(address: str) -> ids.NodeId:
+    # Members are known by address alone, so the name comes from it.
+    return ids.NodeId('control-' + _get_host(address).replace('.', '-'))
+
+
+def _fail(path: str, problems: list[str]) -> Err[errors.Failure]:
+    return Err(
+        errors.Failure(
+            errors.ErrorKind.INVALID_SETTINGS,
+            f'settings file {path!r} is not valid',
+            tuple(problems),
+        )
+    )
--- /dev/null
+++ b/orioleshore/platform/front_server.py
@@ -0,0 +1,142 @@
+"""HTTP server for callers, who hand jobs in and ask for their states."""
+
+import asyncio
+import logging
+
+from aiohttp import web
+import msgspec
+from result import Result
+
+from orioleshore.frontends import web as frontend_web
+from orioleshore.jobs import calls
+from orioleshore.model import errors
+from orioleshore.platform import asking
+from orioleshore.platform import wire
+from orioleshore.telemetry import logs
+
+LOG = logging.getLogger(__name__)
+
+MS_PER_S = 1_000.0
+# A caller that names no deadline.
+DEFAULT_TIMEOUT_S = 3.0
+# Share of the caller's deadline after which a request is given up, so that
+# the answer is there in time.
+TIMEOUT_SHARE = 0.8
+# Longest wait for a leader; an election takes 0.8 to 1.6 s.
+MAX_TIMEOUT_S = 2.0
+# Once an orderly stop begins, the balancer needs two of its checks, one
+# each second, to send no new connections.
+NOTICE_S = 2.3
+
+
+class FrontServer(frontend_web.ListeningTask):
+    """Owns the connections of callers."""
+
+    def __init__(self, address: str, asker: asking.Asker) -> None:
+        super().__init__('platform-front')
+        self._asker = asker
+        self._in_flight = 0
+        self._is_stopping = False
+        self.listen(address, web.Server(self._serve))
+
+    @property
+    def is_stopping(self) -> bool:
+        """Return whether the balancer must choose another host."""
+        return self._is_stopping
+
+    async def drain(self, limit_s: float) -> None:
+        """Serve until the balancer has noticed and all is answered.
+
+        ``limit_s`` is the longest time in seconds.
+        """
+        self._is_stopping = True
+        loop = asyncio.get_running_loop()
+        end = loop.time() + limit_s
+        await asyncio.sleep(min(NOTICE_S, limit_s))
+        while self._in_flight and loop.time() < end:
+            await asyncio.sleep(0.05)
+
+    async def _serve(self, request: web.BaseRequest) -> web.StreamResponse:
+        self._in_flight += 1
+        try:
+            response = await self._answer(request)
+        finally:
+            self._in_flight -= 1
+        if self._is_stopping:
+            response.force_close()
+        return response
+
+    async def _answer(self, request: web.BaseRequest) -> web.StreamResponse:
+        host = request.headers.get('Host', '').partition(':')[0]
+        path = request.path
+        try:
+            call = await self._make_call(request, host, path)
+        except (msgspec.DecodeError, ValueError) as error:
+            return self._refuse(request, str(error))
+        if call is None:
+            return self._refuse(request, f'method {request.method}')
+        outcome = await self._asker.ask(call, _get_timeout(request))
+        if outcome.is_err():
+            self._log(request, outcome)
+            return asking.make_failure(outcome.unwrap_err())
+        return asking.make_answer(wire.encode_job_answer(outcome.unwrap()))
+
+    async def _make_call(
+        self, request: web.BaseRequest, host: str, path: str
+    ) -> calls.Call | None:
+        if request.method == 'POST':
+            job = wire.decode_job(await request.read())
+            return calls.SubmitJob(host, path, job)
+        if request.method == 'GET':
+            return calls.GetJob(host, path)
+        if request.method == 'DELETE':
+            return calls.CancelJob(host, path)
+        return None
+
+    def _refuse(self, request: web.BaseRequest, why: str) -> web.Response:
+        LOG.warning(
+            logs.format_event(
+                'request_unreadable',
+                method=request.method,
+                path=request.path,
+                peer=request.remote,
+                error=why,
+            )
+        )
+        return asking.make_refusal(errors.ErrorKind.INVALID_REQUEST, why)
+
+    def _log(self, request: web.BaseRequest, outcome: Result) -> None:
+        failure = outcome.unwrap_err()
+        LOG.info(
+            logs.format_event(
+                'request_failed',
+                method=request.method,
+                path=request.path,
+                error=failure.kind,
+                reason=failure.message,
+                status=failure.answer.status,
+                retry_after_s=failure.retry_after_s,
+            )
+        )
+
+
+class ReadinessServer(frontend_web.ListeningTask):
+    """Tells the balancer whether callers may be sent here."""
+
+    def __init__(self, address: str, front: FrontServer) -> None:
+        super().__init__('platform-readiness')
+        self._front = front
+        self.listen(address, web.Server(self._serve))
+
+    async def _serve(self, request: web.BaseRequest) -> web.StreamResponse:
+        if self._front.is_stopping:
+            return asking.make_refusal(errors.ErrorKind.STOPPING, 'stopping')
+        return asking.make_answer()
+
+
+def _get_timeout(request: web.BaseRequest) -> float:
+    text = request.headers.get('Timeout-Ms', '')
+    timeout_s = DEFAULT_TIMEOUT_S
+    if text.isdigit():
+        timeout_s = int(text) / MS_PER_S
+    return min(MAX_TIMEOUT_S, TIMEOUT_SHARE * timeout_s)
--- /dev/null
+++ b/orioleshore/platform/hosts.py
@@ -0,0 +1,116 @@
+"""Client of the platform's interface for hosts."""
+
+import asyncio
+import functools
+from typing import Any
+
+import aiohttp
+import msgspec
+
+from orioleshore.jobs import calls
+from orioleshore.jobs import upkeep
+from orioleshore.model import ids
+from orioleshore.model import states
+from orioleshore.tasks import mailbox
+from orioleshore.tasks import reply
+from orioleshore.tasks import task
+
+MAILBOX_CAPACITY = 256
+# Below the time after which the scheduler takes a call as lost.
+CALL_TIMEOUT_S = 1.8
+
+
+class _Refusal(msgspec.Struct):
+    # Why the call was not carried out: fence, busy or wave.
+    reason: str = ''
+
+
+class HostsClient(task.Task):
+    """Carries out orders about hosts, and reports what came of them."""
+
+    def __init__(
+        self, address: str, holder: ids.NodeId, jobs: mailbox.Mailbox
+    ) -> None:
+        super().__init__(mailbox.Mailbox('platform-hosts', MAILBOX_CAPACITY))
+        self._base = f'http://{address}'
+        self._holder = holder
+        self._jobs = jobs
+        self._session: aiohttp.ClientSession | None = None
+        self._calls: set[asyncio.Task] = set()
+
+    async def open(self) -> None:
+        """Create the session; connections are opened when needed."""
+        self._session = aiohttp.ClientSession(
+            timeout=aiohttp.ClientTimeout(total=CALL_TIMEOUT_S)
+        )
+
+    async def close(self) -> None:
+        """Give up all calls."""
+        for call in self._calls:
+            call.cancel()
+        await asyncio.gather(*self._calls, return_exceptions=True)
+        await self._session.close()
+
+    async def handle(self, message: Any) -> None:
+        """Begin one call; slow answers do not hold up the others."""
+        call = asyncio.create_task(_carry_out(message, self))
+        self._calls.add(call)
+        call.add_done_callback(self._calls.discard)
+
+    async def post(
+        self, path: str, body: dict[str, Any], epoch: ids.Epoch
+    ) -> tuple[states.UpkeepOutcome, str]:
+        """Send an order under an epoch, and return what came of it."""
+        headers = {
+            'Lease-Holder': self._holder,
+            'Fencing-Token': str(epoch),
+        }
+        try:
+            async with self._session.post(
+                self._base + path, json=body, headers=headers
+            ) as response:
+                return _read_outcome(response.status, await response.read())
+        except (aiohttp.ClientError, TimeoutError, OSError) as error:
+            detail = str(error) or type(error).__name__
+            return states.UpkeepOutcome.UNKNOWN, detail
+
+    def report(self, call: calls.Call) -> None:
+        """Tell the scheduler; it asks again when the report is lost."""
+        self._jobs.put(calls.Ask(call, reply.Reply()))
+
+
+@functools.singledispatch
+async def _carry_out(message: Any, client: HostsClient) -> None:
+    raise TypeError(f'unknown message {type(message).__name__}')
+
+
+@_carry_out.register
+async def _(message: upkeep.TakeDown, client: HostsClient) -> None:
+    wave = int(message.wave) if message.wave.isdigit() else message.wave
+    outcome, detail = await client.post(
+        '/machine-upkeep',
+        {'machine': message.host, 'wave': wave},
+        message.epoch,
+    )
+    client.report(
+        calls.NoteUpkeep(message.wave, message.host, outcome, detail)
+    )
+
+
+def _read_outcome(
+    status: int, body: bytes
+) -> tuple[states.UpkeepOutcome, str]:
+    if status == 200:
+        return states.UpkeepOutcome.BEGUN, ''
+    if status == 400:
+        return states.UpkeepOutcome.GONE, 'no such host'
+    if status in (409, 429):
+        return states.UpkeepOutcome.REFUSED, _get_reason(status, body)
+    return states.UpkeepOutcome.UNKNOWN, f'status {status}'
+
+
+def _get_reason(status: int, body: bytes) -> str:
+    try:
+        return msgspec.json.decode(body, type=_Refusal).reason or str(status)
+    except msgspec.DecodeError:
+        return f'status {status}'
--- /dev/null
+++ b/orioleshore/platform/wire.py
@@ -0,0 +1,327 @@
+"""Bodies of the platform's interface, and the product's types for them.
+
+The platform's field names appear here only. Bodies that cannot be read
+raise msgspec.ValidationError or msgspec.DecodeError.
+"""
+
+from typing import Any
+
+import msgspec
+
+from orioleshore.jobs import calls
+from orioleshore.jobs import specs
+from orioleshore.model import ids
+from orioleshore.model import states
+
+
+class _StepBody(msgspec.Struct):
+    replicas: int = 1
+    cpus: int = 0
+    mem_mb: int = 0
+    gpus: int = 0
+    estimate_ms: int = 0
+    after: tuple[int, ...] = ()
+    saves_progress: bool = False
+    gang: bool = False
+    # The tasks are slow on more than one rack.
+    rack_sensitive: bool = False
+    # A single label that the worker must have.
+    constraints: str = ''
+    # The rack that holds the data.
+    affinity: str = ''
+    # Most tasks of the step on one worker, not a label.
+    anti_affinity: int = 0
+    # Copies of a task may run side by side.
+    speculative: bool = False
+    long_running: bool = False
+    image: str = ''
+    target_ms: int = 0
+    # Not a ratio: the tasks only use what others leave idle.
+    fill_ratio: bool | int | float = False
+    may_miss: int = 0
+
+
+class _JobBody(msgspec.Struct):
+    # An opaque text that the worker gets, not a description of the job.
+    spec: str
+    steps: tuple[_StepBody, ...]
+    start_time_ms: int = 0
+    interval_ms: int = 0
+    repeat_count: int = 0
+
+
+class _RouteBody(msgspec.Struct):
+    name: str
+    host: str
+    path_prefix: str
+    service: str
+    timeout_ms: int
+    # The objective beyond the stretched chain of work, not an indicator.
+    slo_ms: int = 0
+    priority: int = 0
+    max_attempts: int = 1
+    stretch_factor: float = 1.0
+    recommendation: Any = None
+
+
+class _ServiceBody(msgspec.Struct):
+    name: str
+    # Workers refuse what does not fit.
+    preconditions: bool = False
+    standby: bool = False
+
+
+class _ConfigBody(msgspec.Struct):
+    version: int
+    routes: tuple[_RouteBody, ...]
+    services: tuple[_ServiceBody, ...]
+
+
+class _RoomBody(msgspec.Struct, frozen=True):
+    cpus: int = 0
+    mem_mb: int = 0
+    gpus: int = 0
+
+
+class _BeatBody(msgspec.Struct):
+    service: str
+    zone: str
+    state: str
+    sequence: int
+    # Unix millisecond of the worker's start; tells its lives apart.
+    born: int = 0
+    machine: str = ''
+    capacity: _RoomBody = _RoomBody()
+    labels: tuple[str, ...] = ()
+    remaining_ms: float = 0
+    running: tuple[tuple, ...] = ()
+    finished: tuple[tuple, ...] = ()
+
+
+class _WaveBody(msgspec.Struct):
+    wave: int | str
+    machines: tuple[str, ...]
+    duration_s: float
+    # Most machines that may be down for the wave at once.
+    cap: int = 1
+
+
+_JOB = msgspec.json.Decoder(_JobBody)
+_CONFIG = msgspec.json.Decoder(_ConfigBody)
+_BEAT = msgspec.json.Decoder(_BeatBody, strict=False)
+_WAVE = msgspec.json.Decoder(_WaveBody)
+_STATES = {state.value: state for state in states.WorkerState}
+
+
+def decode_job(body: bytes) -> specs.Job:
+    """Return the job of a caller's request."""
+    content = _JOB.decode(body)
+    return specs.Job(
+        content.spec,
+        tuple(_make_step(step) for step in content.steps),
+        content.repeat_count,
+        content.start_time_ms,
+        content.interval_ms,
+    )
+
+
+def decode_configuration(body: bytes) -> specs.Configuration:
+    """Return a configuration whose parts fit together.
+
+    Raises msgspec.ValidationError with the first problem otherwise.
+    """
+    content = _CONFIG.decode(body)
+    services = {service.name for service in content.services}
+    places = set()
+    for route in content.routes:
+        _check_route(route, services)
+        place = (route.host, route.path_prefix)
+        if place in places:
+            raise msgspec.ValidationError(
+                f'route {route.name!r} has the host and prefix of another'
+            )
+        places.add(place)
+    if content.version < 1:
+        raise msgspec.ValidationError('the version is not positive')
+    return specs.Configuration(
+        ids.Version(content.version),
+        tuple(_make_queue(route) for route in content.routes),
+        tuple(_make_pool(service) for service in content.services),
+        body,
+    )
+
+
+def decode_heartbeat(worker: str, body: bytes) -> calls.Heartbeat:
+    """Return what a worker reports of itself."""
+    content = _BEAT.decode(body)
+    state = _STATES.get(content.state)
+    if state is None:
+        raise msgspec.ValidationError(f'unknown state {content.state!r}')
+    if not content.service:
+        raise msgspec.ValidationError('the service has no name')
+    return calls.Heartbeat(
+        ids.WorkerId(worker),
+        ids.Incarnation(content.born),
+        content.sequence,
+        ids.PoolId(content.service),
+        ids.AvailabilityZone(content.zone),
+        ids.HostId(content.machine),
+        state,
+        specs.Resources(
+            content.capacity.cpus,
+            content.capacity.mem_mb,
+            content.capacity.gpus,
+        ),
+        content.labels,
+        int(content.remaining_ms),
+        tuple(_make_run(row) for row in content.running),
+        tuple(_make_end(row) for row in content.finished),
+    )
+
+
+def encode_heartbeat_answer(answer: calls.HeartbeatAnswer) -> bytes:
+    """Return orders as the worker reads them."""
+    body: dict[str, Any] = {}
+    if answer.leader:
+        # An "IP:port" for the worker's next heartbeats, not a URL.
+        body['heartbeat_url'] = answer.leader
+    if answer.lease_ms:
+        body['hold_ms'] = answer.lease_ms
+        body['observed'] = answer.observed
+        body['fencing_token'] = answer.epoch
+    if answer.retry_ms is not None:
+        body['retry_ms'] = answer.retry_ms
+    if answer.starts:
+        body['start'] = [_make_start(order) for order in answer.starts]
+    if answer.stops:
+        body['stop'] = [
+            [_join(order.job, order.task), order.attempt]
+            for order in answer.stops
+        ]
+    if answer.rates:
+        body['rate_limit'] = [
+            [_join(order.job, order.task), order.attempt, order.percent]
+            for order in answer.rates
+        ]
+    return msgspec.json.encode(body)
+
+
+def decode_wave(body: bytes) -> calls.OpenWave:
+    """Return a request for upkeep."""
+    content = _WAVE.decode(body)
+    return calls.OpenWave(
+        ids.WaveId(str(content.wave)),
+        tuple(ids.HostId(name) for name in content.machines),
+        content.duration_s,
+        content.cap,
+    )
+
+
+def encode_wave_status(status: calls.WaveStatus) -> bytes:
+    """Return how far a wave is."""
+    state = 'completed' if status.completed else 'running'
+    return msgspec.json.encode({'state': state})
+
+
+def encode_job_answer(
+    answer: calls.JobStatus | calls.QueueStatus | None,
+) -> bytes:
+    """Return what a caller is told about a job or a queue."""
+    if isinstance(answer, calls.JobStatus):
+        return msgspec.json.encode({'state': answer.state.value})
+    if isinstance(answer, calls.QueueStatus):
+        return msgspec.json.encode({'pending': answer.waiting})
+    return b'{}'
+
+
+def _make_step(step: _StepBody) -> specs.Step:
+    return specs.Step(
+        step.replicas,
+        specs.Resources(step.cpus, step.mem_mb, step.gpus),
+        step.estimate_ms,
+        step.after,
+        step.saves_progress,
+        step.gang,
+        step.rack_sensitive,
+        step.constraints,
+        step.affinity,
+        step.anti_affinity,
+        step.speculative,
+        step.long_running,
+        step.image,
+        step.target_ms,
+        bool(step.fill_ratio),
+        step.may_miss,
+    )
+
+
+def _check_route(route: _RouteBody, services: set[str]) -> None:
+    if route.service not in services:
+        raise msgspec.ValidationError(
+            f'route {route.name!r} names the unknown service {route.service!r}'
+        )
+    if route.timeout_ms <= 0:
+        raise msgspec.ValidationError(
+            f'route {route.name!r} has no positive timeout'
+        )
+
+
+def _make_queue(route: _RouteBody) -> specs.Queue:
+    return specs.Queue(
+        ids.QueueId(route.name),
+        route.host,
+        route.path_prefix,
+        ids.PoolId(route.service),
+        route.priority,
+        route.max_attempts,
+        route.stretch_factor,
+        route.slo_ms,
+        bool(route.recommendation),
+    )
+
+
+def _make_pool(service: _ServiceBody) -> specs.Pool:
+    return specs.Pool(
+        ids.PoolId(service.name), service.preconditions, service.standby
+    )
+
+
+def _split(name: str) -> tuple[ids.JobId, ids.TaskName]:
+    job, _, task = name.partition('.')
+    return ids.JobId(job), ids.TaskName(task)
+
+
+def _join(job: ids.JobId, task: ids.TaskName) -> str:
+    return f'{job}.{task}'
+
+
+def _make_run(row: tuple) -> calls.RunReport:
+    # [task, attempt, checkpoint, percent, tail or processors]
+    job, task = _split(row[0])
+    figure = row[4] if len(row) > 4 else 0.0
+    return calls.RunReport(
+        job, task, ids.Attempt(row[1]), row[2], int(row[3]), float(figure)
+    )
+
+
+def _make_end(row: tuple) -> calls.EndReport:
+    # [number, task, attempt, how, checkpoint]
+    job, task = _split(row[1])
+    return calls.EndReport(
+        row[0],
+        job,
+        task,
+        ids.Attempt(row[2]),
+        states.RunEnd(row[3]),
+        row[4],
+    )
+
+
+def _make_start(order: calls.StartOrder) -> list:
+    row = [
+        _join(order.job, order.task),
+        order.attempt,
+        order.payload,
+        order.checkpoint,
+    ]
+    return [*row, order.ticket] if order.ticket else row
--- a/orioleshore/protocol/outgoing.py
+++ b/orioleshore/protocol/outgoing.py
@@ -4,6 +4,7 @@
 from collections.abc import Callable
 import logging
 import random
+import socket
 
 import msgspec
 
@@ -23,6 +24,9 @@
 # Probes, heartbeats and calls are repeated, so an old frame only delays the
 # fresh ones after an outage.
 MAX_FRAME_AGE_S = 2.0
+# A connection whose bytes are not acknowledged for this long is silent for
+# good or its peer is gone; below the time in which callers wait.
+USER_TIMEOUT_MS = 1_500
 # Longer than it takes to probe 200 peers in turn, because each new TLS
 # connection costs both ends milliseconds of processor time.
 IDLE_TIMEOUT_S = 600.0
@@ -109,7 +113,13 @@
         try:
             context = self._contexts and self._contexts.get_client()
             async with asyncio.timeout(CONNECT_TIMEOUT_S):
-                return await asyncio.open_connection(host, port, ssl=context)
+                streams = await asyncio.open_connection(
+                    host, port, ssl=context
+                )
+            streams[1].get_extra_info('socket').setsockopt(
+                socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, USER_TIMEOUT_MS
+            )
+            return streams
         except (OSError, TimeoutError) as error:
             self._log_failure('peer_unreachable', error, logging.DEBUG)
             return None
--- a/orioleshore/settings.py
+++ b/orioleshore/settings.py
@@ -151,6 +151,16 @@
         return _fail(path, [f'cannot be read: {error}'])
     if not isinstance(loaded, dict):
         return _fail(path, ['$: expected a mapping of settings'])
+    return check_settings(loaded, path)
+
+
+def check_settings(
+    loaded: dict[str, Any], path: str
+) -> Result[Settings, errors.Failure]:
+    """Check plain settings that were read from a file.
+
+    Fails with ``INVALID_SETTINGS``.
+    """
     outcome = checks.convert(
         merge_defaults(loaded, DEFAULT_SETTINGS), Settings
     )
--- a/orioleshore/state/commands.py
+++ b/orioleshore/state/commands.py
@@ -6,6 +6,7 @@
 
 import msgspec
 
+from orioleshore.jobs import ledger
 from orioleshore.model import changes
 from orioleshore.model import ids
 from orioleshore.model import states
@@ -206,6 +207,14 @@
     reason: str
 
 
+class RecordProgress(_Command, frozen=True, kw_only=True):
+    """Record decisions about callers' jobs, made under an epoch."""
+
+    time: ids.WallTime
+    epoch: ids.Epoch
+    changes: tuple[ledger.Change, ...]
+
+
 Command = (
     ChangeDocument
     | ClaimRequest
@@ -223,6 +232,7 @@
     | RenewLeases
     | RecordTaskResult
     | QuarantineJob
+    | RecordProgress
 )
 
 _ENCODER = msgspec.msgpack.Encoder()
--- a/orioleshore/state/machine.py
+++ b/orioleshore/state/machine.py
@@ -10,6 +10,7 @@
 from orioleshore.state import document_commands  # noqa: F401
 from orioleshore.state import host_commands  # noqa: F401
 from orioleshore.state import job_commands  # noqa: F401
+from orioleshore.state import ledger_commands  # noqa: F401
 from orioleshore.state import records
 from orioleshore.state import registry
 from orioleshore.state import wave_commands  # noqa: F401
--- a/orioleshore/state/records.py
+++ b/orioleshore/state/records.py
@@ -2,6 +2,7 @@
 
 import msgspec
 
+from orioleshore.jobs import ledger as jobs_ledger
 from orioleshore.model import changes
 from orioleshore.model import documents
 from orioleshore.model import errors
@@ -152,6 +153,11 @@
     # Newest epoch of a removed host. A host that is added later starts
     # above it, so calls meant for a removed host of that name are stale.
     host_epoch_floor: ids.Epoch = ids.Epoch(0)
+    # Callers' jobs, and the newest epoch that recorded decisions on them.
+    ledger: jobs_ledger.Ledger = msgspec.field(
+        default_factory=jobs_ledger.Ledger
+    )
+    ledger_epoch: ids.Epoch = ids.Epoch(0)
 
 
 def encode_state(state: State) -> bytes:
