Lend standby hosts to pools in their turn of demand

Cause: a queue in its turn asks about five times its mean, more than its pool holds, while the hosts of the standby pool are off.

--- a/orioleshore/jobs/calls.py
+++ b/orioleshore/jobs/calls.py
@@ -180,10 +180,35 @@
 
     wave: ids.WaveId
     host: ids.HostId
-    outcome: states.UpkeepOutcome
+    outcome: states.HostOrderOutcome
     detail: str = ''
 
 
+class NoteMove(_Call, frozen=True):
+    """The platform's answer about the move of a host."""
+
+    host: ids.HostId
+    pool: ids.PoolId
+    outcome: states.HostOrderOutcome
+    detail: str = ''
+
+
+class HostInfo(msgspec.Struct, frozen=True, array_like=True):
+    """One host as the platform lists it."""
+
+    host: ids.HostId
+    pool: ids.PoolId
+    state: states.PlatformHostState
+    capacity: specs.Resources = specs.Resources()
+
+
+class NoteHosts(_Call, frozen=True):
+    """The platform's list of all hosts, asked for at a monotonic time."""
+
+    asked_at: float
+    hosts: tuple[HostInfo, ...]
+
+
 class WaveStatus(msgspec.Struct, frozen=True):
     """Whether each host of a wave had its upkeep."""
 
@@ -201,6 +226,8 @@
     | OpenWave
     | GetWave
     | NoteUpkeep
+    | NoteMove
+    | NoteHosts
 )
 
 # Types of the answers; calls that are missing here are answered with None.
--- a/orioleshore/jobs/placement.py
+++ b/orioleshore/jobs/placement.py
@@ -85,6 +85,10 @@
     step = group.step
     if step.is_gang or not _is_allowed(worker, step):
         return free
+    if step.is_lasting and worker.host in scheduler.book.lent:
+        # A lent host moves on after the turn of demand; lasting tasks
+        # would be thrown away then or keep it.
+        return free
     need = workers.get_reserved(step)
     while (
         group.waiting
--- a/orioleshore/jobs/scheduler.py
+++ b/orioleshore/jobs/scheduler.py
@@ -17,6 +17,8 @@
 from orioleshore.jobs import calls
 from orioleshore.jobs import interference
 from orioleshore.jobs import ledger
+from orioleshore.jobs import lending
+from orioleshore.jobs import orders
 from orioleshore.jobs import placement
 from orioleshore.jobs import progress
 from orioleshore.jobs import specs
@@ -59,7 +61,9 @@
         self.gained_at = now
         self.workers: dict[ids.WorkerId, workers.Worker] = {}
         self.jobs: dict[ids.JobId, progress.JobProgress] = {}
+        self.orders = orders.OrderBook(limits, epoch, now)
         self.upkeep = upkeep.Upkeep(self)
+        self.lending = lending.Lending(self)
         self._changes: list[ledger.Change] = []
         # Runs of workers that did not report to this leader yet.
         self._unheard: dict[
@@ -90,7 +94,12 @@
         if now >= self.gained_at + self.lease_span_s:
             self._drop_unheard()
         self._forget_jobs()
+        if not self.orders.is_usable(now):
+            return
+        is_busy = self.upkeep.is_busy or self.lending.is_busy
+        self.orders.list_when_due(now, is_busy)
         self.upkeep.advance()
+        self.lending.advance()
 
     def take_changes(self) -> tuple[ledger.Change, ...]:
         """Return the changes made since the last call."""
@@ -116,6 +125,34 @@
         """Return the known workers of a pool."""
         return [w for w in self.workers.values() if w.pool == pool]
 
+    def get_pools(self) -> tuple[ids.PoolId, ...]:
+        """Return the names of all pools of the configuration."""
+        return tuple(pool.name for pool in self.book.configuration.pools)
+
+    def is_standby(self, name: ids.PoolId) -> bool:
+        """Return whether hosts of a pool are switched off."""
+        return any(
+            pool.name == name and pool.is_standby
+            for pool in self.book.configuration.pools
+        )
+
+    def get_waiting_cpu(self, pool: ids.PoolId) -> int:
+        """Return what the open tasks of a pool lack, in thousandths."""
+        return sum(
+            len(group.waiting) * workers.get_reserved(group.step).cpu_millis
+            for job in self.get_pool_jobs(pool)
+            if not job.is_lasting
+            for group in job.find_open_groups(self.wall)
+        )
+
+    def is_without_batch(self, worker: workers.Worker) -> bool:
+        """Return whether only lasting tasks run on a worker."""
+        for key in (*worker.ordered, *worker.listed):
+            job = self.jobs.get(key[0])
+            if job is None or not job.get_step(key[1]).is_lasting:
+                return False
+        return True
+
     # Jobs.
 
     def find_target(
@@ -250,13 +287,8 @@
             beat.labels,
         )
         self.workers[beat.worker] = worker
-        unheard = self._unheard.pop(beat.worker, {})
-        for key, need in unheard.items():
-            run = self.jobs[key[0]].record.tasks[key[1]]
-            if run.incarnation == beat.incarnation:
-                worker.ordered[key] = need
-            else:
-                self.end_run(key, states.RunEnd.LOST, '', beat.worker)
+        for key, need in self._unheard.pop(beat.worker, {}).items():
+            self._take_over_run(worker, key, need)
         self._drop_previous_lives(worker)
         LOG.info(
             logs.format_event(
@@ -270,6 +302,23 @@
         )
         return worker
 
+    def _take_over_run(
+        self,
+        worker: workers.Worker,
+        key: workers.RunKey,
+        need: specs.Resources,
+    ) -> None:
+        """Learn whether a run that the log knows is of this life."""
+        job = self.jobs.get(key[0])
+        run = job and job.record.tasks.get(key[1])
+        if not run or run.attempt != key[2]:
+            # Its job ended meanwhile; the worker is told to stop it.
+            return
+        if run.incarnation == worker.incarnation:
+            worker.ordered[key] = need
+        else:
+            self.end_run(key, states.RunEnd.LOST, '', worker.name)
+
     def leave(self, worker: workers.Worker) -> None:
         """Wait for the end of a worker that said it leaves."""
         worker.state = states.WorkerState.DRAINING
@@ -472,6 +521,18 @@
     return Ok(None)
 
 
+@_handle.register
+def _(call: calls.NoteMove, scheduler: Scheduler) -> Answer:
+    scheduler.lending.note_outcome(call)
+    return Ok(None)
+
+
+@_handle.register
+def _(call: calls.NoteHosts, scheduler: Scheduler) -> Answer:
+    scheduler.orders.note_hosts(call)
+    return Ok(None)
+
+
 @_handle.register
 def _(call: calls.LeaveWorker, scheduler: Scheduler) -> Answer:
     worker = scheduler.workers.get(call.worker)
--- a/orioleshore/jobs/task.py
+++ b/orioleshore/jobs/task.py
@@ -75,7 +75,7 @@
         self._scheduler: scheduler.Scheduler | None = None
         self._waiting: list[_Waiting] = []
         self._in_flight: list[_Waiting] = []
-        self._actions: list[Any] = []
+        self._orders: list[Any] = []
         self._is_committing = False
 
     def set_hosts(self, hosts: mailbox.Mailbox) -> None:
@@ -118,11 +118,11 @@
         if self._scheduler is None or self._is_committing:
             return
         changes = self._scheduler.take_changes()
-        actions = self._scheduler.upkeep.take_actions()
-        if not changes and not actions and not self._waiting:
+        orders = self._scheduler.orders.take_orders()
+        if not changes and not orders and not self._waiting:
             return
         self._in_flight, self._waiting = self._waiting, []
-        self._actions = actions
+        self._orders = orders
         self._is_committing = True
         command = None
         if changes:
@@ -160,9 +160,9 @@
             waiting.answer.resolve(waiting.outcome)
         self._in_flight = []
         if self._hosts is not None:
-            for action in self._actions:
-                self._hosts.put(action)
-        self._actions = []
+            for order in self._orders:
+                self._hosts.put(order)
+        self._orders = []
 
     def _gain_leadership(self, message: member.LeadershipGained) -> None:
         self._lose_leadership()
@@ -185,7 +185,7 @@
 
     def _lose_leadership(self) -> None:
         waiting = [*self._in_flight, *self._waiting]
-        self._in_flight, self._waiting, self._actions = [], [], []
+        self._in_flight, self._waiting, self._orders = [], [], []
         self._is_committing = False
         if self._scheduler is not None:
             LOG.info(
--- a/orioleshore/jobs/upkeep.py
+++ b/orioleshore/jobs/upkeep.py
@@ -14,6 +14,7 @@
 
 from orioleshore.jobs import calls
 from orioleshore.jobs import ledger
+from orioleshore.jobs import progress
 from orioleshore.jobs import workers
 from orioleshore.model import ids
 from orioleshore.model import states
@@ -24,26 +25,15 @@
 
 LOG = logging.getLogger(__name__)
 
-MS_PER_S = 1_000.0
 # A host goes down with what still runs after this time without new work;
 # two mean run times of the deployments' short tasks.
 CORDON_S = 2.0
 # Share of a wave's time after which hosts are taken without that wait.
 HURRY_SHARE = 0.7
-# Pause before the platform is asked again after a refusal or silence.
-RETRY_S = 0.7
 # A percentage at which a lasting task is at work.
 AT_WORK = 100
 
 
-class TakeDown(msgspec.Struct, frozen=True):
-    """Asks the platform for the upkeep of a host."""
-
-    wave: ids.WaveId
-    host: ids.HostId
-    epoch: ids.Epoch
-
-
 class _Cordon(msgspec.Struct):
     worker: ids.WorkerId
     since: float
@@ -55,25 +45,28 @@
     def __init__(self, scheduler: scheduling.Scheduler) -> None:
         self._scheduler = scheduler
         self._cordons: dict[ids.HostId, _Cordon] = {}
-        # Hosts about which the platform is being asked, with when the
-        # answer counts as lost.
-        self._asked: dict[ids.HostId, float] = {}
-        self._retry_at: dict[ids.HostId, float] = {}
-        self._actions: list[TakeDown] = []
+        # When the upkeep of a host was confirmed to this leader.
+        self._begun_at: dict[ids.HostId, float] = {}
+
+    @property
+    def is_busy(self) -> bool:
+        """Return whether a wave is not completed."""
+        return any(
+            not upkeep.back
+            for wave in self._scheduler.book.waves.values()
+            for upkeep in wave.hosts.values()
+        )
 
-    def take_actions(self) -> list[TakeDown]:
-        """Return the orders to the platform since the last call."""
-        actions, self._actions = self._actions, []
-        return actions
+    def is_due(self, host: ids.HostId) -> bool:
+        """Return whether a host waits for its upkeep or is in it."""
+        return any(
+            host in wave.hosts and not wave.hosts[host].back
+            for wave in self._scheduler.book.waves.values()
+        )
 
     def advance(self) -> None:
         """Take the next hosts down where that is allowed."""
-        scheduler = self._scheduler
-        lease_s = scheduler.limits.host_lease_ms / MS_PER_S
-        if scheduler.now < scheduler.gained_at + lease_s:
-            # The leader before may have used its lease of a host just now.
-            return
-        for name, wave in scheduler.book.waves.items():
+        for name, wave in self._scheduler.book.waves.items():
             self._find_returned(name, wave)
             if not wave.is_completed:
                 self._advance_wave(name, wave)
@@ -81,7 +74,7 @@
     def note_outcome(self, call: calls.NoteUpkeep) -> None:
         """Learn what the platform said about the upkeep of a host."""
         scheduler = self._scheduler
-        self._asked.pop(call.host, None)
+        scheduler.orders.note_answer(call.host, call.outcome, scheduler.now)
         wave = scheduler.book.waves.get(call.wave)
         if wave is None or call.host not in wave.hosts:
             return
@@ -94,13 +87,11 @@
                 detail=call.detail,
             )
         )
-        if call.outcome is states.UpkeepOutcome.BEGUN:
+        if call.outcome is states.HostOrderOutcome.ACCEPTED:
             self._begin(call, wave)
-            return
-        self._retry_at[call.host] = scheduler.now + RETRY_S
-        if call.outcome is states.UpkeepOutcome.GONE:
+        if call.outcome is states.HostOrderOutcome.GONE:
             scheduler.record(ledger.UpkeepFinished(call.wave, call.host))
-        if call.outcome is states.UpkeepOutcome.REFUSED:
+        if call.outcome is states.HostOrderOutcome.REFUSED:
             scheduler.record(ledger.UpkeepWithdrawn(call.wave, call.host))
             self._release(call.host)
 
@@ -109,6 +100,7 @@
         upkeep = wave.hosts[call.host]
         if not upkeep.begun:
             scheduler.record(ledger.UpkeepBegun(call.wave, call.host))
+        self._begun_at[call.host] = scheduler.now
         self._cordons.pop(call.host, None)
         worker = scheduler.workers.get(upkeep.worker)
         if worker is not None and worker.host == call.host:
@@ -117,33 +109,42 @@
     def _find_returned(
         self, name: ids.WaveId, wave: ledger.WaveRecord
     ) -> None:
-        for worker in self._scheduler.workers.values():
-            upkeep = wave.hosts.get(worker.host)
-            if upkeep is None or not upkeep.begun or upkeep.back:
+        scheduler = self._scheduler
+        present = {
+            worker.host: worker.name for worker in scheduler.workers.values()
+        }
+        for host, upkeep in wave.hosts.items():
+            if not upkeep.begun or upkeep.back:
                 continue
-            if worker.name != upkeep.worker:
-                self._scheduler.record(
-                    ledger.UpkeepFinished(name, worker.host)
-                )
+            began_at = self._begun_at.setdefault(host, scheduler.now)
+            is_new = present.get(host, upkeep.worker) != upkeep.worker
+            if is_new or self._is_listed_up(host, began_at):
+                scheduler.record(ledger.UpkeepFinished(name, host))
+
+    def _is_listed_up(self, host: ids.HostId, began_at: float) -> bool:
+        orders = self._scheduler.orders
+        if orders.listed_at <= began_at:
+            return False
+        info = orders.hosts.get(host)
+        return info is None or info.state is states.PlatformHostState.UP
 
     def _advance_wave(self, name: ids.WaveId, wave: ledger.WaveRecord) -> None:
         self._repeat_lost(name, wave)
         down = sum(u.ordered and not u.back for u in wave.hosts.values())
-        by_host = {
-            worker.host: worker
-            for worker in self._scheduler.workers.values()
-            if worker.state is states.WorkerState.READY
-        }
+        limit = max(1, wave.at_once)
         waiting = [
-            by_host[host]
+            host
             for host, upkeep in wave.hosts.items()
             if not upkeep.ordered
             and not upkeep.begun
-            and host in by_host
-            and self._may_ask(host)
+            and self._scheduler.orders.may_ask(host, self._scheduler.now)
         ]
+        for host in self._find_idle(name, waiting):
+            if down < limit:
+                down += 1
+                self._order(name, host, ids.WorkerId(''))
         for worker in self._rank(waiting):
-            if down >= max(1, wave.at_once):
+            if down >= limit:
                 break
             if not self._keeps_steps(worker):
                 self._release(worker.host)
@@ -151,12 +152,47 @@
             down += 1
             self._cordon(worker)
             if self._is_quiet(worker, wave):
-                self._order(name, worker)
+                self._order(name, worker.host, worker.name)
+
+    def _find_idle(
+        self, name: ids.WaveId, waiting: list[ids.HostId]
+    ) -> list[ids.HostId]:
+        """Return hosts of standby pools; nothing runs on those.
+
+        Hosts that the platform does not list any more need no upkeep.
+        """
+        scheduler = self._scheduler
+        if scheduler.orders.listed_at < scheduler.gained_at:
+            return []
+        idle = []
+        for host in waiting:
+            info = scheduler.orders.hosts.get(host)
+            if info is None:
+                scheduler.record(ledger.UpkeepFinished(name, host))
+            elif (
+                info.state is states.PlatformHostState.UP
+                and scheduler.is_standby(info.pool)
+                and not self._has_worker(host)
+            ):
+                idle.append(host)
+        return idle
+
+    def _has_worker(self, host: ids.HostId) -> bool:
+        return any(
+            worker.host == host for worker in self._scheduler.workers.values()
+        )
 
-    def _rank(self, waiting: list[workers.Worker]) -> list[workers.Worker]:
+    def _rank(self, waiting: list[ids.HostId]) -> list[workers.Worker]:
         """Return cordoned hosts first, then those with the least work."""
+        wanted = set(waiting)
+        found = [
+            worker
+            for worker in self._scheduler.workers.values()
+            if worker.host in wanted
+            and worker.state is states.WorkerState.READY
+        ]
         return sorted(
-            waiting,
+            found,
             key=lambda worker: (
                 worker.host not in self._cordons,
                 len(worker.ordered),
@@ -170,15 +206,12 @@
         for host, upkeep in wave.hosts.items():
             if not upkeep.ordered or upkeep.begun:
                 continue
-            lost_at = self._asked.get(host, 0.0)
-            if scheduler.now >= lost_at and self._may_ask(host):
-                self._ask(name, host)
-
-    def _may_ask(self, host: ids.HostId) -> bool:
-        return self._scheduler.now >= self._retry_at.get(host, 0.0)
+            if scheduler.orders.may_ask(host, scheduler.now):
+                scheduler.orders.take_down(name, host, scheduler.now)
 
     def _cordon(self, worker: workers.Worker) -> None:
-        if worker.host in self._cordons:
+        cordon = self._cordons.get(worker.host)
+        if cordon is not None and cordon.worker == worker.name:
             return
         worker.is_cordoned = True
         self._cordons[worker.host] = _Cordon(worker.name, self._scheduler.now)
@@ -197,16 +230,9 @@
         span_s = wave.due_at - wave.opened_at
         if scheduler.wall > wave.opened_at + HURRY_SHARE * span_s:
             return True
-        since = self._cordons[worker.host].since
-        if scheduler.now >= since + CORDON_S:
+        if scheduler.now >= self._cordons[worker.host].since + CORDON_S:
             return True
-        return all(
-            self._is_lasting(key) for key in (*worker.ordered, *worker.listed)
-        )
-
-    def _is_lasting(self, key: workers.RunKey) -> bool:
-        job = self._scheduler.jobs.get(key[0])
-        return job is not None and job.get_step(key[1]).is_lasting
+        return scheduler.is_without_batch(worker)
 
     def _keeps_steps(self, worker: workers.Worker) -> bool:
         """Return whether each lasting step can miss what runs here."""
@@ -216,16 +242,18 @@
                 continue
             group = job.get_group(key[1])
             limit = group.step.max_away
-            if not limit:
-                continue
-            if self._count_away(job, group, worker) >= limit:
+            if limit and self._count_away(job, group, worker) >= limit:
                 return False
         return True
 
-    def _count_away(self, job, group, worker: workers.Worker) -> int:
-        """Count tasks of a step that are not at work without this host."""
+    def _count_away(
+        self,
+        job: progress.JobProgress,
+        group: progress.Group,
+        worker: workers.Worker,
+    ) -> int:
+        """Count tasks of a step that would be away besides one here."""
         at_work = 0
-        own = group.workers[worker.name]
         for task, name in job.running.items():
             holder = self._scheduler.workers.get(name)
             if holder is None or name == worker.name:
@@ -236,24 +264,18 @@
             report = holder.reports.get((job.job, task, run.attempt))
             if report is None or report.progress < AT_WORK:
                 continue
-            if not self._is_going_down(holder):
+            if not self._scheduler.orders.is_asked(holder.host):
                 at_work += 1
-        return group.step.tasks - at_work - min(own, 1)
+        return group.step.tasks - at_work - 1
 
-    def _is_going_down(self, worker: workers.Worker) -> bool:
-        return worker.host in self._asked
-
-    def _order(self, name: ids.WaveId, worker: workers.Worker) -> None:
-        self._scheduler.record(
-            ledger.UpkeepOrdered(name, worker.host, worker.name)
-        )
-        self._ask(name, worker.host)
-
-    def _ask(self, name: ids.WaveId, host: ids.HostId) -> None:
+    def _order(
+        self, name: ids.WaveId, host: ids.HostId, worker: ids.WorkerId
+    ) -> None:
         scheduler = self._scheduler
-        # Asked again only when the call before has certainly timed out.
-        self._asked[host] = (
-            scheduler.now + scheduler.limits.host_call_ms / MS_PER_S
+        scheduler.record(ledger.UpkeepOrdered(name, host, worker))
+        scheduler.orders.take_down(name, host, scheduler.now)
+        LOG.info(
+            logs.format_event(
+                'upkeep_ordered', wave=name, host=host, worker=worker
+            )
         )
-        self._actions.append(TakeDown(name, host, scheduler.epoch))
-        LOG.info(logs.format_event('upkeep_ordered', wave=name, host=host))
--- a/orioleshore/model/states.py
+++ b/orioleshore/model/states.py
@@ -163,10 +163,20 @@
     DRAINING = 'draining'
 
 
-class UpkeepOutcome(enum.Enum):
-    """What the platform answered about the upkeep of a host."""
+class PlatformHostState(enum.Enum):
+    """What the platform lists about a host."""
 
-    BEGUN = 'begun'
+    UP = 'up'
+    MOVING = 'moving'
+    UPKEEP = 'upkeep'
+    DOWN = 'down'
+
+
+class HostOrderOutcome(enum.Enum):
+    """What the platform answered to an order about a host."""
+
+    # Also when the order was carried out before.
+    ACCEPTED = 'accepted'
     REFUSED = 'refused'
     GONE = 'gone'
     # The call may have been carried out.
--- a/orioleshore/platform/hosts.py
+++ b/orioleshore/platform/hosts.py
@@ -1,19 +1,26 @@
 """Client of the platform's interface for hosts."""
 
+from __future__ import annotations
+
 import asyncio
 import functools
+import logging
 from typing import Any
 
 import aiohttp
 import msgspec
 
 from orioleshore.jobs import calls
-from orioleshore.jobs import upkeep
+from orioleshore.jobs import orders
+from orioleshore.jobs import specs
 from orioleshore.model import ids
 from orioleshore.model import states
 from orioleshore.tasks import mailbox
 from orioleshore.tasks import reply
 from orioleshore.tasks import task
+from orioleshore.telemetry import logs
+
+LOG = logging.getLogger(__name__)
 
 MAILBOX_CAPACITY = 256
 # Below the time after which the scheduler takes a call as lost.
@@ -25,6 +32,24 @@
     reason: str = ''
 
 
+class _Room(msgspec.Struct, frozen=True):
+    cpus: int = 0
+    mem_mb: int = 0
+    gpus: int = 0
+
+
+class _Machine(msgspec.Struct):
+    machine: str
+    pool: str
+    state: states.PlatformHostState
+    capacity: _Room = _Room()
+
+
+class _Page(msgspec.Struct):
+    machines: list[_Machine]
+    next_token: str | int | None = None
+
+
 class HostsClient(task.Task):
     """Carries out orders about hosts, and reports what came of them."""
 
@@ -59,7 +84,7 @@
 
     async def post(
         self, path: str, body: dict[str, Any], epoch: ids.Epoch
-    ) -> tuple[states.UpkeepOutcome, str]:
+    ) -> tuple[states.HostOrderOutcome, str]:
         """Send an order under an epoch, and return what came of it."""
         headers = {
             'Lease-Holder': self._holder,
@@ -72,7 +97,37 @@
                 return _read_outcome(response.status, await response.read())
         except (aiohttp.ClientError, TimeoutError, OSError) as error:
             detail = str(error) or type(error).__name__
-            return states.UpkeepOutcome.UNKNOWN, detail
+            return states.HostOrderOutcome.UNKNOWN, detail
+
+    async def list(self) -> tuple[calls.HostInfo, ...] | None:
+        """Return all hosts, None when the platform does not answer."""
+        hosts: list[calls.HostInfo] = []
+        token = None
+        while True:
+            page = await self._get_page(token)
+            if page is None:
+                return None
+            hosts += [_make_host(row) for row in page.machines]
+            token = page.next_token
+            if token is None:
+                return tuple(hosts)
+
+    async def _get_page(self, token: str | int | None) -> _Page | None:
+        parameters = {} if token is None else {'page_token': str(token)}
+        try:
+            async with self._session.get(
+                f'{self._base}/machines', params=parameters
+            ) as response:
+                body = await response.read()
+                if response.status == 200:
+                    return msgspec.json.decode(body, type=_Page)
+                error: object = f'status {response.status}'
+        except (aiohttp.ClientError, TimeoutError, OSError) as failure:
+            error = failure or type(failure).__name__
+        except msgspec.DecodeError as failure:
+            error = failure
+        LOG.warning(logs.format_event('host_list_failed', error=error))
+        return None
 
     def report(self, call: calls.Call) -> None:
         """Tell the scheduler; it asks again when the report is lost."""
@@ -85,7 +140,24 @@
 
 
 @_carry_out.register
-async def _(message: upkeep.TakeDown, client: HostsClient) -> None:
+async def _(message: orders.Move, client: HostsClient) -> None:
+    outcome, detail = await client.post(
+        '/machine-move',
+        {'machine': message.host, 'pool': message.pool},
+        message.epoch,
+    )
+    client.report(calls.NoteMove(message.host, message.pool, outcome, detail))
+
+
+@_carry_out.register
+async def _(message: orders.ListHosts, client: HostsClient) -> None:
+    hosts = await client.list()
+    if hosts is not None:
+        client.report(calls.NoteHosts(message.asked_at, hosts))
+
+
+@_carry_out.register
+async def _(message: orders.TakeDown, client: HostsClient) -> None:
     wave = int(message.wave) if message.wave.isdigit() else message.wave
     outcome, detail = await client.post(
         '/machine-upkeep',
@@ -99,14 +171,14 @@
 
 def _read_outcome(
     status: int, body: bytes
-) -> tuple[states.UpkeepOutcome, str]:
+) -> tuple[states.HostOrderOutcome, str]:
     if status == 200:
-        return states.UpkeepOutcome.BEGUN, ''
+        return states.HostOrderOutcome.ACCEPTED, ''
     if status == 400:
-        return states.UpkeepOutcome.GONE, 'no such host'
+        return states.HostOrderOutcome.GONE, 'no such host'
     if status in (409, 429):
-        return states.UpkeepOutcome.REFUSED, _get_reason(status, body)
-    return states.UpkeepOutcome.UNKNOWN, f'status {status}'
+        return states.HostOrderOutcome.REFUSED, _get_reason(status, body)
+    return states.HostOrderOutcome.UNKNOWN, f'status {status}'
 
 
 def _get_reason(status: int, body: bytes) -> str:
@@ -114,3 +186,14 @@
         return msgspec.json.decode(body, type=_Refusal).reason or str(status)
     except msgspec.DecodeError:
         return f'status {status}'
+
+
+def _make_host(row: _Machine) -> calls.HostInfo:
+    return calls.HostInfo(
+        ids.HostId(row.machine),
+        ids.PoolId(row.pool),
+        row.state,
+        specs.Resources(
+            row.capacity.cpus, row.capacity.mem_mb, row.capacity.gpus
+        ),
+    )
--- a/orioleshore/platform/process.py
+++ b/orioleshore/platform/process.py
@@ -6,6 +6,7 @@
 import signal
 import time
 
+from result import Err
 from result import Ok
 from result import Result
 
@@ -80,10 +81,16 @@
                 callers=deployment.callers,
             )
         )
-        await self._wait_for_end()
+        failed = await self._wait_for_end()
         await self._stop(deployment.stop_s)
         await timers.stop()
-        return Ok(None)
+        if failed is None:
+            return Ok(None)
+        return Err(
+            errors.Failure(
+                errors.ErrorKind.INTERNAL, f'task {failed.name!r} failed'
+            )
+        )
 
     def _build(
         self,
@@ -154,7 +161,8 @@
         self._calls.mailbox.put(client.ControlMembers(seeds))
         LOG.info(logs.format_event('reloaded', seeds=seeds))
 
-    async def _wait_for_end(self) -> None:
+    async def _wait_for_end(self) -> task.Task | None:
+        """Wait for a stop, and return the task that failed, if any."""
         waits = [asyncio.create_task(self._stopping.wait())]
         waits += [
             asyncio.create_task(item.failed.wait()) for item in self._tasks
@@ -162,6 +170,8 @@
         await asyncio.wait(waits, return_when=asyncio.FIRST_COMPLETED)
         for wait in waits:
             wait.cancel()
+        failed = [item for item in self._tasks if item.failed.is_set()]
+        return failed[0] if failed else None
 
     async def _stop(self, limit_s: float) -> None:
         LOG.info(logs.format_event('stopping'))
