--- a/orioleshore/jobs/ledger.py
+++ b/orioleshore/jobs/ledger.py
@@ -89,8 +89,6 @@
     configuration: specs.Configuration = specs.Configuration()
     jobs: dict[ids.JobId, JobRecord] = {}
     waves: dict[ids.WaveId, WaveRecord] = {}
-    # Hosts that were lent from a standby pool, with their own pool.
-    lent: dict[ids.HostId, ids.PoolId] = {}
 
 
 class _Change(
@@ -193,19 +191,6 @@
     host: ids.HostId
 
 
-class HostLent(_Change, frozen=True):
-    """A host of a standby pool is moved to another pool."""
-
-    host: ids.HostId
-    home: ids.PoolId
-
-
-class HostReturned(_Change, frozen=True):
-    """A lent host is moved back, or is gone."""
-
-    host: ids.HostId
-
-
 Change = (
     JobAccepted
     | JobCancelled
@@ -218,8 +203,6 @@
     | UpkeepWithdrawn
     | UpkeepBegun
     | UpkeepFinished
-    | HostLent
-    | HostReturned
 )
 
 
@@ -337,16 +320,6 @@
     record.back = True
 
 
-@apply_change.register
-def _(change: HostLent, ledger: Ledger) -> None:
-    ledger.lent.setdefault(change.host, change.home)
-
-
-@apply_change.register
-def _(change: HostReturned, ledger: Ledger) -> None:
-    ledger.lent.pop(change.host, None)
-
-
 def count_tasks(job: specs.Job) -> int:
     """Return how many tasks must be done before the job is completed."""
     return job.occurrence_count * sum(step.tasks for step in job.steps)
--- a/orioleshore/jobs/placement.py
+++ b/orioleshore/jobs/placement.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import math
 import typing
 
 from orioleshore.jobs import calls
@@ -25,6 +26,9 @@
 SUSPECT_FAILURES = 3
 # Time for which a suspect worker gets no task after a further failure.
 SHUN_S = 1.5
+# A worker that is silent for this long is not waited for; workers with
+# room report every 0.1 s.
+SILENT_S = 0.4
 # Tasks that may fill the idle processors of one worker at a time.
 MAX_FILLERS = 8
 
@@ -85,16 +89,13 @@
     step = group.step
     if step.is_gang or not _is_allowed(worker, step):
         return free
-    if step.is_lasting and worker.host in scheduler.book.lent:
-        # A lent host moves on after the turn of demand; lasting tasks
-        # would be thrown away then or keep it.
-        return free
     need = workers.get_reserved(step)
     while (
         group.waiting
         and group.may_use(worker.name)
         and workers.fits(need, free)
         and _may_take_more(worker, step)
+        and (not step.is_lasting or _may_hold(scheduler, worker, group))
     ):
         orders.append(_start(scheduler, worker, job, group))
         free = workers.subtract(free, need)
@@ -114,6 +115,54 @@
     return fillers < MAX_FILLERS
 
 
+def _may_hold(
+    scheduler: scheduling.Scheduler,
+    worker: workers.Worker,
+    group: progress.Group,
+) -> bool:
+    """Return whether a lasting task should go to a worker.
+
+    Lasting tasks share few workers, so that the others can move to other
+    pools, but no worker holds more than half of a step.
+    """
+    half = math.ceil(group.step.tasks / 2)
+    if group.workers[worker.name] >= half:
+        return False
+    if _holds_lasting(scheduler, worker):
+        return True
+    need = workers.get_reserved(group.step)
+    return not any(
+        group.workers[other.name] < half
+        and group.may_use(other.name)
+        and _is_available(scheduler, other)
+        and _holds_lasting(scheduler, other)
+        and workers.fits(need, other.get_free())
+        for other in scheduler.get_pool_workers(worker.pool)
+        if other is not worker
+    )
+
+
+def _is_available(
+    scheduler: scheduling.Scheduler, worker: workers.Worker
+) -> bool:
+    return (
+        worker.state is states.WorkerState.READY
+        and not worker.is_cordoned
+        and scheduler.now >= worker.shunned_until
+        and scheduler.now < worker.heard_at + SILENT_S
+    )
+
+
+def _holds_lasting(
+    scheduler: scheduling.Scheduler, worker: workers.Worker
+) -> bool:
+    for key in worker.ordered:
+        job = scheduler.jobs.get(key[0])
+        if job is not None and job.get_step(key[1]).is_lasting:
+            return True
+    return False
+
+
 def _start(
     scheduler: scheduling.Scheduler,
     worker: workers.Worker,
--- a/orioleshore/jobs/lending.py
+++ b/orioleshore/jobs/pools.py
@@ -1,9 +1,10 @@
-"""Which standby hosts are lent to which pool, and when they go back.
+"""How many hosts each pool has, and which hosts move.
 
 Answers queues whose demand rises by turns to several times what their
-pool holds: hosts of the standby pools follow the demand. A host moves on
-only once it is without work, and goes back after a pause, since each move
-takes seconds and the next turn may need it again.
+pool holds, and is a twentieth in between: hosts follow the waiting work,
+first those that are switched off, then idle ones of other pools. A host
+without work goes to a standby pool after a pause, since each move takes
+seconds and the next turn may need it again.
 """
 
 from __future__ import annotations
@@ -13,7 +14,6 @@
 import typing
 
 from orioleshore.jobs import calls
-from orioleshore.jobs import ledger
 from orioleshore.jobs import workers
 from orioleshore.model import ids
 from orioleshore.model import states
@@ -27,16 +27,22 @@
 # Waiting work, as a share of what one host runs at a time, from which a
 # host is worth its move.
 BORROW_SHARE = 0.5
-# Time for which a lent host is without work before it goes back; longer
-# than the pause between two turns of demand.
-IDLE_S = 3.0
+# A host without work for this long may go to a pool that lacks hosts;
+# above the time between two heartbeats.
+SPARE_AFTER_S = 0.3
+# A host without work for this long is switched off. A move back takes
+# 1.5 s, so shorter pauses are not worth it.
+IDLE_S = 2.5
+# Hosts that each pool keeps: one may be lost, the other takes the first
+# work of a new turn.
+MIN_HOSTS = 2
 # A host that was moved but is not heard of counts as on its way for this
 # long; several times the platform's time for a move.
 ARRIVAL_S = 6.0
 
 
-class Lending:
-    """Chooses moves of standby hosts; part of the scheduler's state."""
+class Pools:
+    """Chooses moves of hosts; part of the scheduler's state."""
 
     def __init__(self, scheduler: scheduling.Scheduler) -> None:
         self._scheduler = scheduler
@@ -48,19 +54,21 @@
 
     @property
     def is_busy(self) -> bool:
-        """Return whether hosts are lent or on their way."""
-        return bool(self._scheduler.book.lent or self._targets)
+        """Return whether hosts are on their way."""
+        return bool(self._targets or self._arriving)
 
     def advance(self) -> None:
         """Order the moves that the demand calls for now."""
         self._forget_arrived()
-        free = self._find_free()
-        for pool, missing in self._find_demand():
-            for _ in range(missing):
-                if not free:
-                    return
-                self._move(free.pop(0), pool)
-        self._send_back()
+        self._note_idle()
+        demand = self._find_demand()
+        free = self._find_free() if demand else []
+        for pool, missing in demand:
+            chosen = [host for host, home in free if home != pool][:missing]
+            free = [item for item in free if item[0] not in chosen]
+            for host in chosen:
+                self._move(host, pool)
+        self._switch_off()
 
     def note_outcome(self, call: calls.NoteMove) -> None:
         """Learn what the platform said about the move of a host."""
@@ -76,25 +84,18 @@
                 detail=call.detail,
             )
         )
-        if call.outcome is states.HostOrderOutcome.ACCEPTED:
-            self._finish(call)
-            return
-        worker = self._find_worker(call.host)
-        if worker is not None:
-            worker.is_cordoned = False
-        self._arriving.pop(call.host, None)
-        if call.outcome is states.HostOrderOutcome.GONE:
-            scheduler.record(ledger.HostReturned(call.host))
-
-    def _finish(self, call: calls.NoteMove) -> None:
-        scheduler = self._scheduler
         worker = self._find_worker(call.host)
+        if call.outcome is not states.HostOrderOutcome.ACCEPTED:
+            # After silence the move may have been carried out; the list
+            # and the worker's next heartbeat tell.
+            if worker is not None:
+                worker.is_cordoned = False
+            return
         if worker is not None and worker.pool != call.pool:
             scheduler.drop_worker(worker, 'moved')
-        if scheduler.is_standby(call.pool):
-            scheduler.record(ledger.HostReturned(call.host))
-            return
-        self._arriving[call.host] = (call.pool, scheduler.now + ARRIVAL_S)
+        if not scheduler.is_standby(call.pool):
+            until = scheduler.now + ARRIVAL_S
+            self._arriving[call.host] = (call.pool, until)
 
     def _forget_arrived(self) -> None:
         scheduler = self._scheduler
@@ -106,28 +107,37 @@
             if scheduler.now >= until:
                 del self._arriving[host]
 
+    def _note_idle(self) -> None:
+        """Note since when each worker has nothing to run."""
+        idle = {}
+        for worker in self._scheduler.workers.values():
+            is_ready = worker.state is states.WorkerState.READY
+            if is_ready and not worker.ordered and not worker.listed:
+                idle[worker.host] = self._idle_since.get(
+                    worker.host, self._scheduler.now
+                )
+        self._idle_since = idle
+
     def _find_demand(self) -> list[tuple[ids.PoolId, int]]:
         """Return pools that lack hosts, the most pressing first."""
         scheduler = self._scheduler
-        demand = []
         size = self._get_host_size()
+        demand = []
         for pool in scheduler.get_pools():
             if scheduler.is_standby(pool) or not size:
                 continue
             waiting = scheduler.get_waiting_cpu(pool)
-            coming = sum(
-                target == pool
-                for target in (
-                    *(target for target, _ in self._arriving.values()),
-                    *self._targets.values(),
-                )
-            )
-            missing = math.floor(waiting / size + 1 - BORROW_SHARE) - coming
+            missing = math.floor(waiting / size + 1 - BORROW_SHARE)
+            missing -= self._count_coming(pool)
             if missing > 0:
                 demand.append((pool, missing))
         demand.sort(key=lambda item: -item[1])
         return demand
 
+    def _count_coming(self, pool: ids.PoolId) -> int:
+        arriving = [target for target, _ in self._arriving.values()]
+        return [*arriving, *self._targets.values()].count(pool)
+
     def _get_host_size(self) -> int:
         """Return the processors of a typical host, in thousandths."""
         sizes = [
@@ -136,64 +146,72 @@
         ]
         return sorted(sizes)[len(sizes) // 2] if sizes else 0
 
-    def _find_free(self) -> list[ids.HostId]:
-        """Return hosts that may move now: standby ones, then idle ones."""
+    def _find_free(self) -> list[tuple[ids.HostId, ids.PoolId]]:
+        """Return hosts that may move now, with their present pools."""
         scheduler = self._scheduler
-        free = []
-        for host, info in scheduler.orders.hosts.items():
-            if (
-                scheduler.is_standby(info.pool)
-                and info.state is states.PlatformHostState.UP
-                and host not in scheduler.book.lent
-                and self._may_move(host)
-            ):
-                free.append(host)
+        free = [
+            (host, info.pool)
+            for host, info in scheduler.orders.hosts.items()
+            if scheduler.is_standby(info.pool)
+            and info.state is states.PlatformHostState.UP
+            and self._find_worker(host) is None
+            and self._may_move(host)
+        ]
         free += [
-            worker.host
-            for worker in self._find_lent_workers()
-            if not worker.ordered
-            and not worker.listed
-            and not scheduler.get_waiting_cpu(worker.pool)
-            and self._may_move(worker.host)
+            (worker.host, worker.pool)
+            for worker in self._find_spare(SPARE_AFTER_S)
         ]
         return free
 
-    def _find_lent_workers(self) -> list[workers.Worker]:
-        return [
-            worker
-            for worker in self._scheduler.workers.values()
-            if worker.host in self._scheduler.book.lent
-            and worker.state is states.WorkerState.READY
-        ]
+    def _find_spare(self, idle_s: float) -> list[workers.Worker]:
+        """Return workers without work that their pools can do without."""
+        scheduler = self._scheduler
+        spare = []
+        for pool in scheduler.get_pools():
+            if scheduler.get_waiting_cpu(pool):
+                continue
+            members = scheduler.get_pool_workers(pool)
+            surplus = len(members) - MIN_HOSTS
+            idle = [
+                worker
+                for worker in members
+                if self._is_idle(worker, idle_s)
+                and self._may_move(worker.host)
+            ]
+            spare += idle[: max(0, surplus)]
+        return spare
+
+    def _is_idle(self, worker: workers.Worker, idle_s: float) -> bool:
+        since = self._idle_since.get(worker.host)
+        return since is not None and self._scheduler.now >= since + idle_s
 
     def _may_move(self, host: ids.HostId) -> bool:
         scheduler = self._scheduler
         return (
-            host not in self._arriving
+            bool(host)
+            and host not in self._arriving
             and not scheduler.orders.is_asked(host)
             and scheduler.orders.may_ask(host, scheduler.now)
             and not scheduler.upkeep.is_due(host)
         )
 
-    def _send_back(self) -> None:
+    def _switch_off(self) -> None:
         scheduler = self._scheduler
-        for worker in self._find_lent_workers():
-            if worker.ordered or worker.listed:
-                self._idle_since.pop(worker.host, None)
-                continue
-            since = self._idle_since.setdefault(worker.host, scheduler.now)
-            if scheduler.now >= since + IDLE_S and self._may_move(worker.host):
-                self._move(worker.host, scheduler.book.lent[worker.host])
+        standby = [
+            pool
+            for pool in scheduler.get_pools()
+            if scheduler.is_standby(pool)
+        ]
+        if not standby:
+            return
+        for worker in self._find_spare(IDLE_S):
+            self._move(worker.host, standby[0])
 
     def _move(self, host: ids.HostId, pool: ids.PoolId) -> None:
         scheduler = self._scheduler
-        if host not in scheduler.book.lent:
-            home = scheduler.orders.hosts[host].pool
-            scheduler.record(ledger.HostLent(host, home))
         worker = self._find_worker(host)
         if worker is not None:
             worker.is_cordoned = True
-        self._idle_since.pop(host, None)
         self._targets[host] = pool
         scheduler.orders.move(host, pool, scheduler.now)
         LOG.info(
@@ -201,6 +219,7 @@
                 'move_ordered',
                 host=host,
                 pool=pool,
+                from_pool=worker.pool if worker else None,
                 waiting_cpu=scheduler.get_waiting_cpu(pool),
             )
         )
--- a/orioleshore/jobs/scheduler.py
+++ b/orioleshore/jobs/scheduler.py
@@ -17,9 +17,9 @@
 from orioleshore.jobs import calls
 from orioleshore.jobs import interference
 from orioleshore.jobs import ledger
-from orioleshore.jobs import lending
 from orioleshore.jobs import orders
 from orioleshore.jobs import placement
+from orioleshore.jobs import pools
 from orioleshore.jobs import progress
 from orioleshore.jobs import specs
 from orioleshore.jobs import tuning
@@ -63,7 +63,7 @@
         self.jobs: dict[ids.JobId, progress.JobProgress] = {}
         self.orders = orders.OrderBook(limits, epoch, now)
         self.upkeep = upkeep.Upkeep(self)
-        self.lending = lending.Lending(self)
+        self.pools = pools.Pools(self)
         self._changes: list[ledger.Change] = []
         # Runs of workers that did not report to this leader yet.
         self._unheard: dict[
@@ -96,10 +96,10 @@
         self._forget_jobs()
         if not self.orders.is_usable(now):
             return
-        is_busy = self.upkeep.is_busy or self.lending.is_busy
+        is_busy = self.upkeep.is_busy or self.pools.is_busy
         self.orders.list_when_due(now, is_busy)
         self.upkeep.advance()
-        self.lending.advance()
+        self.pools.advance()
 
     def take_changes(self) -> tuple[ledger.Change, ...]:
         """Return the changes made since the last call."""
@@ -416,6 +416,7 @@
             queue=queue.name,
             pool=queue.pool,
             tasks=ledger.count_tasks(call.job),
+            lasting=call.job.is_lasting,
             objective_ms=scheduler.book.jobs[name].objective_ms,
             version=scheduler.book.configuration.version,
         )
@@ -523,7 +524,7 @@
 
 @_handle.register
 def _(call: calls.NoteMove, scheduler: Scheduler) -> Answer:
-    scheduler.lending.note_outcome(call)
+    scheduler.pools.note_outcome(call)
     return Ok(None)
 
 
@@ -641,7 +642,8 @@
     worker: workers.Worker, scheduler: Scheduler
 ) -> list[calls.StopOrder]:
     """Return orders against runs that should not be on the worker."""
-    stops = []
+    worker.evicted &= worker.listed.keys()
+    stops = [calls.StopOrder(*key) for key in worker.evicted]
     for key in worker.listed:
         if key in worker.ordered and key[0] in scheduler.jobs:
             continue
--- a/orioleshore/jobs/upkeep.py
+++ b/orioleshore/jobs/upkeep.py
@@ -47,6 +47,8 @@
         self._cordons: dict[ids.HostId, _Cordon] = {}
         # When the upkeep of a host was confirmed to this leader.
         self._begun_at: dict[ids.HostId, float] = {}
+        # The run for which the upkeep of a host waits, logged once.
+        self._held: dict[ids.HostId, workers.RunKey] = {}
 
     @property
     def is_busy(self) -> bool:
@@ -146,12 +148,11 @@
         for worker in self._rank(waiting):
             if down >= limit:
                 break
-            if not self._keeps_steps(worker):
-                self._release(worker.host)
-                continue
             down += 1
             self._cordon(worker)
-            if self._is_quiet(worker, wave):
+            if not self._keeps_steps(worker):
+                self._evict_one(worker)
+            elif self._is_quiet(worker, wave):
                 self._order(name, worker.host, worker.name)
 
     def _find_idle(
@@ -242,28 +243,87 @@
                 continue
             group = job.get_group(key[1])
             limit = group.step.max_away
-            if limit and self._count_away(job, group, worker) >= limit:
+            if not limit:
+                continue
+            away = self._count_away(job, group, worker)
+            if away >= limit:
+                self._log_held(worker, key, away, limit)
                 return False
+        self._held.pop(worker.host, None)
         return True
 
+    def _log_held(
+        self,
+        worker: workers.Worker,
+        key: workers.RunKey,
+        away: int,
+        limit: int,
+    ) -> None:
+        if self._held.get(worker.host) == key:
+            return
+        self._held[worker.host] = key
+        LOG.info(
+            logs.format_event(
+                'upkeep_held',
+                host=worker.host,
+                job=key[0],
+                task=key[1],
+                away=away,
+                limit=limit,
+            )
+        )
+
+    def _evict_one(self, worker: workers.Worker) -> None:
+        """Stop one lasting task so that it runs elsewhere.
+
+        A step whose tasks share this host loses them one by one.
+        """
+        if worker.evicted:
+            return
+        for key in worker.ordered:
+            job = self._scheduler.jobs.get(key[0])
+            if job is None:
+                continue
+            group = job.get_group(key[1])
+            limit = group.step.max_away
+            if not limit or self._count_away(job, group, None) >= limit:
+                continue
+            worker.evicted.add(key)
+            LOG.info(
+                logs.format_event(
+                    'task_evicted',
+                    host=worker.host,
+                    job=key[0],
+                    task=key[1],
+                    attempt=key[2],
+                )
+            )
+            return
+
     def _count_away(
         self,
         job: progress.JobProgress,
         group: progress.Group,
-        worker: workers.Worker,
+        worker: workers.Worker | None,
     ) -> int:
-        """Count tasks of a step that would be away besides one here."""
-        at_work = 0
+        """Count tasks of a step that are away besides one at work.
+
+        All tasks on ``worker``, if given, count as away but that one.
+        """
+        at_work = 0 if worker else -1
         for task, name in job.running.items():
             holder = self._scheduler.workers.get(name)
-            if holder is None or name == worker.name:
+            if holder is None or holder is worker:
                 continue
             if job.get_group(task) is not group:
                 continue
             run = job.record.tasks[task]
-            report = holder.reports.get((job.job, task, run.attempt))
+            key = (job.job, task, run.attempt)
+            report = holder.reports.get(key)
             if report is None or report.progress < AT_WORK:
                 continue
+            if key in holder.evicted:
+                continue
             if not self._scheduler.orders.is_asked(holder.host):
                 at_work += 1
         return group.step.tasks - at_work - 1
--- a/orioleshore/jobs/workers.py
+++ b/orioleshore/jobs/workers.py
@@ -35,6 +35,8 @@
     reports: dict[RunKey, calls.RunReport] = {}
     ordered: dict[RunKey, specs.Resources] = {}
     rates: dict[RunKey, int] = {}
+    # Runs that are stopped so that their tasks run elsewhere.
+    evicted: set[RunKey] = set()
     # Ends in a row that were no success, over all jobs.
     failures_in_row: int = 0
     # No tasks are started before this monotonic time.
