Give hosts to pools whose lasting tasks wait, and end trials of workers

Cause: demand left out lasting tasks, so a pool that lost its hosts got no others, and a worker that was suspected kept its trial while lasting tasks ran on it. Tests replay both with fake workers; log long waits of lasting tasks.

--- /dev/null
+++ b/fakes/workers.py
@@ -0,0 +1,260 @@
+"""Workers that carry out a scheduler's orders in virtual time.
+
+They speak the scheduler's own types, so that tests and experiments drive
+the real decisions without processes or sockets.
+"""
+
+import random
+
+import msgspec
+
+from orioleshore.jobs import calls
+from orioleshore.jobs import ledger
+from orioleshore.jobs import orders
+from orioleshore.jobs import scheduler as scheduling
+from orioleshore.jobs import specs
+from orioleshore.jobs import tuning
+from orioleshore.model import ids
+from orioleshore.model import states
+
+RunKey = tuple[ids.JobId, ids.TaskName, ids.Attempt]
+
+EPOCH = ids.Epoch(7)
+WALL = 1_800_000_000.0
+AT_WORK = 100
+# How long a moved host and one in upkeep are away, in seconds; the
+# figures of the deployments.
+MOVE_S = 1.5
+UPKEEP_S = 2.0
+
+
+class _Run(msgspec.Struct):
+    ends_at: float
+    how: states.RunEnd
+    is_lasting: bool
+
+
+class FakeWorker:
+    """One host with its worker; ``up_at`` is when it next runs one."""
+
+    def __init__(self, host: str, pool: str, size: specs.Resources) -> None:
+        self.host = ids.HostId(host)
+        self.pool = ids.PoolId(pool)
+        self.size = size
+        self.life = 1
+        self.sequence = 0
+        self.up_at = 0.0
+        self.next_beat = 0.0
+        self.is_silent = False
+        self.fails_all = False
+        self.running: dict[RunKey, _Run] = {}
+        self.ended: list[calls.EndReport] = []
+        self.last_number = 0
+
+    @property
+    def name(self) -> ids.WorkerId:
+        return ids.WorkerId(f'{self.host}-{self.life}')
+
+    def restart(self, pool: ids.PoolId, up_at: float) -> None:
+        """End everything; a new life begins later."""
+        self.pool = pool
+        self.life += 1
+        self.sequence = 0
+        self.up_at = up_at
+        self.next_beat = up_at
+        self.running.clear()
+        self.ended.clear()
+        self.last_number = 0
+
+    def end(self, key: RunKey, how: states.RunEnd) -> None:
+        """Let a run end."""
+        del self.running[key]
+        self.last_number += 1
+        self.ended.append(calls.EndReport(self.last_number, *key, how))
+
+    def make_heartbeat(self) -> calls.Heartbeat:
+        """Return what the worker reports now."""
+        self.sequence += 1
+        return calls.Heartbeat(
+            self.name,
+            ids.Incarnation(self.life),
+            self.sequence,
+            self.pool,
+            ids.AvailabilityZone('az-1'),
+            self.host,
+            states.WorkerState.READY,
+            self.size,
+            ('a', 'r1-1'),
+            running=tuple(
+                calls.RunReport(*key, '', AT_WORK if run.is_lasting else 0)
+                for key, run in self.running.items()
+            ),
+            ended=tuple(self.ended),
+        )
+
+
+class FakeFleet:
+    """A scheduler with workers and a platform for their hosts.
+
+    ``durations`` gives the run time in seconds of a task that is started;
+    violations of what must always hold raise AssertionError.
+    """
+
+    def __init__(
+        self,
+        configuration: specs.Configuration,
+        limits: tuning.Tuning | None = None,
+        seed: int = 1,
+    ) -> None:
+        self.now = 1_000.0
+        self.random = random.Random(seed)
+        self.workers: dict[ids.HostId, FakeWorker] = {}
+        self.scheduler = scheduling.Scheduler(
+            ledger.Ledger(),
+            EPOCH,
+            limits or tuning.Tuning(),
+            '',
+            self.now,
+        )
+        self.log: list[ledger.Change] = []
+        self.mean_run_s = 0.6
+        # Standby hosts are off: no worker reports from there.
+        self.standby = {
+            pool.name for pool in configuration.pools if pool.is_standby
+        }
+        self.ask(calls.PutConfiguration(configuration))
+
+    @property
+    def wall(self) -> ids.WallTime:
+        return ids.WallTime(WALL + self.now)
+
+    def ask(self, call: calls.Call):
+        """Return the scheduler's answer to a call."""
+        outcome = self.scheduler.handle(call, self.now, self.wall)
+        self._commit()
+        return outcome
+
+    def fail_over(self) -> None:
+        """Replace the scheduler by one that knows only the log."""
+        book = ledger.Ledger()
+        for change in self.log:
+            ledger.apply_change(change, book)
+        self.scheduler = scheduling.Scheduler(
+            book,
+            ids.Epoch(self.scheduler.epoch + 1),
+            self.scheduler.limits,
+            '',
+            self.now,
+        )
+
+    def add(self, count: int, pool: str, cores: int = 16) -> None:
+        """Add hosts to a pool."""
+        for _ in range(count):
+            host = f'host-{len(self.workers)}'
+            size = specs.Resources(1_000 * cores, 4_096 * cores)
+            worker = FakeWorker(host, pool, size)
+            worker.next_beat = self.now + self.random.random() * 0.1
+            self.workers[worker.host] = worker
+
+    def run(self, seconds: float, step_s: float = 0.05) -> None:
+        """Let time pass."""
+        end = self.now + seconds
+        while self.now < end:
+            self.now += step_s
+            self.step()
+
+    def step(self) -> None:
+        """Carry out what is due now."""
+        for worker in self.workers.values():
+            if worker.pool in self.standby or self.now < worker.up_at:
+                continue
+            self._end_due(worker)
+            if not worker.is_silent and self.now >= worker.next_beat:
+                self.beat(worker)
+        self.scheduler.tick(self.now, self.wall)
+        self._commit()
+        for order in self.scheduler.orders.take_orders():
+            self.carry_out(order)
+        self.check()
+
+    def beat(self, worker: FakeWorker) -> None:
+        """Report, and carry out the answer."""
+        answer = self.ask(worker.make_heartbeat()).unwrap()
+        worker.ended = [
+            end for end in worker.ended if end.number > answer.observed
+        ]
+        for stop in answer.stops:
+            key = (stop.job, stop.task, stop.attempt)
+            if key in worker.running:
+                worker.end(key, states.RunEnd.STOPPED)
+        for start in answer.starts:
+            self._start(worker, start)
+        retry_s = (answer.retry_ms or 1_500) / 1_000.0
+        worker.next_beat = self.now + retry_s
+
+    def carry_out(self, order: orders.Order) -> None:
+        """Act as the platform."""
+        if isinstance(order, orders.ListHosts):
+            self.ask(self._list(order))
+            return
+        worker = self.workers[order.host]
+        accepted = states.HostOrderOutcome.ACCEPTED
+        if isinstance(order, orders.Move):
+            worker.restart(order.pool, self.now + MOVE_S)
+            self.ask(calls.NoteMove(order.host, order.pool, accepted))
+        else:
+            worker.restart(worker.pool, self.now + UPKEEP_S)
+            self.ask(calls.NoteUpkeep(order.wave, order.host, accepted))
+
+    def check(self) -> None:
+        """Check what must hold at any moment."""
+        seen: dict[tuple[ids.JobId, ids.TaskName], ids.HostId] = {}
+        for worker in self.workers.values():
+            for job, task, _ in worker.running:
+                other = seen.setdefault((job, task), worker.host)
+                assert other == worker.host, f'{job}.{task} runs twice'
+
+    def count_running(self, number_of_job: ids.JobId) -> int:
+        """Return how many tasks of a job run."""
+        return sum(
+            key[0] == number_of_job
+            for worker in self.workers.values()
+            for key in worker.running
+        )
+
+    def _commit(self) -> None:
+        self.log += self.scheduler.take_changes()
+
+    def _start(self, worker: FakeWorker, start: calls.StartOrder) -> None:
+        key = (start.job, start.task, start.attempt)
+        step = self.scheduler.jobs[start.job].get_step(start.task)
+        run_s = self.mean_run_s * self.random.uniform(0.5, 1.5)
+        how = states.RunEnd.DONE
+        if worker.fails_all:
+            run_s, how = 0.05, states.RunEnd.FAILED
+        elif step.is_lasting:
+            run_s = float('inf')
+        worker.running[key] = _Run(self.now + run_s, how, step.is_lasting)
+
+    def _end_due(self, worker: FakeWorker) -> None:
+        for key, run in list(worker.running.items()):
+            if self.now >= run.ends_at:
+                worker.end(key, run.how)
+                # Workers report 50 ms after an end.
+                worker.next_beat = min(worker.next_beat, self.now + 0.05)
+
+    def _list(self, order: orders.ListHosts) -> calls.NoteHosts:
+        return calls.NoteHosts(
+            order.asked_at,
+            tuple(
+                calls.HostInfo(
+                    worker.host,
+                    worker.pool,
+                    states.PlatformHostState.UP
+                    if self.now >= worker.up_at
+                    else states.PlatformHostState.MOVING,
+                    worker.size,
+                )
+                for worker in self.workers.values()
+            ),
+        )
--- a/orioleshore/jobs/placement.py
+++ b/orioleshore/jobs/placement.py
@@ -26,6 +26,8 @@
 SUSPECT_FAILURES = 3
 # Time for which a suspect worker gets no task after a further failure.
 SHUN_S = 1.5
+# A lasting task that waits for longer goes to any worker with room.
+SHARE_WAIT_S = 1.0
 # A worker that is silent for this long is not waited for; workers with
 # room report every 0.1 s.
 SILENT_S = 0.4
@@ -55,10 +57,12 @@
 
 def learn_from_end(
     worker: workers.Worker,
+    key: workers.RunKey,
     how: states.RunEnd,
     scheduler: scheduling.Scheduler,
 ) -> None:
     """Count failures of a worker, and keep work off one that fails all."""
+    worker.on_trial.discard(key)
     if how is states.RunEnd.DONE:
         worker.failures_in_row = 0
     if how is not states.RunEnd.FAILED:
@@ -95,7 +99,9 @@
         and group.may_use(worker.name)
         and workers.fits(need, free)
         and _may_take_more(worker, step)
-        and (not step.is_lasting or _may_hold(scheduler, worker, group))
+        and (
+            not step.is_lasting or _may_hold(scheduler, worker, job.job, group)
+        )
     ):
         orders.append(_start(scheduler, worker, job, group))
         free = workers.subtract(free, need)
@@ -107,7 +113,7 @@
 
 
 def _may_take_more(worker: workers.Worker, step: specs.Step) -> bool:
-    if worker.failures_in_row >= SUSPECT_FAILURES and worker.ordered:
+    if worker.failures_in_row >= SUSPECT_FAILURES and worker.on_trial:
         return False
     if not step.is_filler:
         return True
@@ -118,6 +124,7 @@
 def _may_hold(
     scheduler: scheduling.Scheduler,
     worker: workers.Worker,
+    job: ids.JobId,
     group: progress.Group,
 ) -> bool:
     """Return whether a lasting task should go to a worker.
@@ -125,6 +132,8 @@
     Lasting tasks share few workers, so that the others can move to other
     pools, but no worker holds more than half of a step.
     """
+    if scheduler.get_lasting_wait(job) > SHARE_WAIT_S:
+        return True
     half = math.ceil(group.step.tasks / 2)
     if group.workers[worker.name] >= half:
         return False
@@ -134,7 +143,7 @@
     return not any(
         group.workers[other.name] < half
         and group.may_use(other.name)
-        and _is_available(scheduler, other)
+        and is_available(scheduler, other)
         and _holds_lasting(scheduler, other)
         and workers.fits(need, other.get_free())
         for other in scheduler.get_pool_workers(worker.pool)
@@ -142,13 +151,14 @@
     )
 
 
-def _is_available(
+def is_available(
     scheduler: scheduling.Scheduler, worker: workers.Worker
 ) -> bool:
+    """Return whether a worker can be expected to take tasks soon."""
     return (
         worker.state is states.WorkerState.READY
         and not worker.is_cordoned
-        and scheduler.now >= worker.shunned_until
+        and worker.failures_in_row < SUSPECT_FAILURES
         and scheduler.now < worker.heard_at + SILENT_S
     )
 
@@ -187,6 +197,7 @@
     job.start(task, worker.name)
     key = (job.job, task, attempt)
     worker.ordered[key] = workers.get_reserved(group.step)
+    worker.on_trial.add(key)
     return calls.StartOrder(
         job.job, task, attempt, job.record.job.payload, checkpoint
     )
--- a/orioleshore/jobs/pools.py
+++ b/orioleshore/jobs/pools.py
@@ -128,6 +128,9 @@
                 continue
             waiting = scheduler.get_waiting_cpu(pool)
             missing = math.floor(waiting / size + 1 - BORROW_SHARE)
+            if scheduler.get_pool_jobs(pool):
+                members = len(scheduler.get_pool_workers(pool))
+                missing = max(missing, MIN_HOSTS - members)
             missing -= self._count_coming(pool)
             if missing > 0:
                 demand.append((pool, missing))
--- a/orioleshore/jobs/scheduler.py
+++ b/orioleshore/jobs/scheduler.py
@@ -32,8 +32,13 @@
 
 LOG = logging.getLogger(__name__)
 
+# A lasting task that waits for longer is worth a log line; half of what
+# the platform allows from its last run.
+LONG_WAIT_S = 3.0
 JOB_ID_LENGTH = 16
 MS_PER_S = 1_000.0
+# A percentage at which a lasting task is at work.
+AT_WORK = 100
 
 Answer = Result[Any, errors.Failure]
 
@@ -65,6 +70,9 @@
         self.upkeep = upkeep.Upkeep(self)
         self.pools = pools.Pools(self)
         self._changes: list[ledger.Change] = []
+        # Since when lasting jobs lack a task, and those already logged.
+        self._waits_since: dict[ids.JobId, float] = {}
+        self._long_waits: set[ids.JobId] = set()
         # Runs of workers that did not report to this leader yet.
         self._unheard: dict[
             ids.WorkerId, dict[workers.RunKey, specs.Resources]
@@ -94,6 +102,7 @@
         if now >= self.gained_at + self.lease_span_s:
             self._drop_unheard()
         self._forget_jobs()
+        self._note_waiting()
         if not self.orders.is_usable(now):
             return
         is_busy = self.upkeep.is_busy or self.pools.is_busy
@@ -141,7 +150,6 @@
         return sum(
             len(group.waiting) * workers.get_reserved(group.step).cpu_millis
             for job in self.get_pool_jobs(pool)
-            if not job.is_lasting
             for group in job.find_open_groups(self.wall)
         )
 
@@ -254,6 +262,42 @@
         if job is not None:
             self._pools[job.record.pool].pop(name, None)
 
+    def get_lasting_wait(self, name: ids.JobId) -> float:
+        """Return for how long a task of a lasting job waits, in seconds."""
+        return self.now - self._waits_since.get(name, self.now)
+
+    def _note_waiting(self) -> None:
+        """Note since when lasting jobs lack a task, and log long waits."""
+        waits = {}
+        for name, job in self.jobs.items():
+            if not job.is_lasting or not job.find_open_groups(self.wall):
+                continue
+            waits[name] = self._waits_since.get(name, self.now)
+            waited_s = self.now - waits[name]
+            if waited_s >= LONG_WAIT_S and name not in self._long_waits:
+                self._long_waits.add(name)
+                self._log_long_wait(job, waited_s)
+        self._waits_since = waits
+        self._long_waits &= waits.keys()
+
+    def _log_long_wait(
+        self, job: progress.JobProgress, waited_s: float
+    ) -> None:
+        members = self.get_pool_workers(job.record.pool)
+        LOG.warning(
+            logs.format_event(
+                'lasting_task_waits',
+                job=job.job,
+                pool=job.record.pool,
+                waited_s=waited_s,
+                workers=len(members),
+                ready=sum(
+                    placement.is_available(self, worker) for worker in members
+                ),
+                free_cpu=[worker.get_free().cpu_millis for worker in members],
+            )
+        )
+
     def _forget_jobs(self) -> None:
         horizon = self.wall - self.limits.status_s
         for name, record in list(self.book.jobs.items()):
@@ -603,12 +647,22 @@
         (report.job, report.task, report.attempt): report
         for report in call.running
     }
+    worker.on_trial -= {
+        key
+        for key, report in worker.reports.items()
+        if report.progress >= AT_WORK and _is_lasting_run(key, scheduler)
+    }
     worker.listed = {
         key: worker.ordered.get(key) or scheduler.get_reserved(key)
         for key in worker.reports
     }
 
 
+def _is_lasting_run(key: workers.RunKey, scheduler: Scheduler) -> bool:
+    job = scheduler.jobs.get(key[0])
+    return job is not None and job.get_step(key[1]).is_lasting
+
+
 def _take_ends(
     worker: workers.Worker, call: calls.Heartbeat, scheduler: Scheduler
 ) -> int:
@@ -620,7 +674,7 @@
         was_ordered = worker.ordered.pop(key, None) is not None
         worker.rates.pop(key, None)
         if was_ordered:
-            placement.learn_from_end(worker, end.how, scheduler)
+            placement.learn_from_end(worker, key, end.how, scheduler)
         scheduler.end_run(key, end.how, end.checkpoint, worker.name)
     return observed
 
@@ -635,6 +689,7 @@
         if run and run.attempt == key[2] and run.sequence >= worker.sequence:
             continue
         del worker.ordered[key]
+        worker.on_trial.discard(key)
         scheduler.end_run(key, states.RunEnd.LOST, '', worker.name)
 
 
--- a/orioleshore/jobs/workers.py
+++ b/orioleshore/jobs/workers.py
@@ -37,6 +37,8 @@
     rates: dict[RunKey, int] = {}
     # Runs that are stopped so that their tasks run elsewhere.
     evicted: set[RunKey] = set()
+    # Runs that neither ended nor proved that the worker does its work.
+    on_trial: set[RunKey] = set()
     # Ends in a row that were no success, over all jobs.
     failures_in_row: int = 0
     # No tasks are started before this monotonic time.
--- a/orioleshore/platform/front_server.py
+++ b/orioleshore/platform/front_server.py
@@ -36,6 +36,8 @@
         super().__init__('platform-front')
         self._asker = asker
         self._in_flight = 0
+        self._idle = asyncio.Event()
+        self._idle.set()
         self._is_stopping = False
         self.listen(address, web.Server(self._serve))
 
@@ -50,18 +52,25 @@
         ``limit_s`` is the longest time in seconds.
         """
         self._is_stopping = True
-        loop = asyncio.get_running_loop()
-        end = loop.time() + limit_s
-        await asyncio.sleep(min(NOTICE_S, limit_s))
-        while self._in_flight and loop.time() < end:
-            await asyncio.sleep(0.05)
+        notice_s = min(NOTICE_S, limit_s)
+        await asyncio.sleep(notice_s)
+        try:
+            async with asyncio.timeout(limit_s - notice_s):
+                await self._idle.wait()
+        except TimeoutError:
+            LOG.warning(
+                logs.format_event('drain_given_up', in_flight=self._in_flight)
+            )
 
     async def _serve(self, request: web.BaseRequest) -> web.StreamResponse:
         self._in_flight += 1
+        self._idle.clear()
         try:
             response = await self._answer(request)
         finally:
             self._in_flight -= 1
+            if not self._in_flight:
+                self._idle.set()
         if self._is_stopping:
             response.force_close()
         return response
--- a/orioleshore/tests/builders.py
+++ b/orioleshore/tests/builders.py
@@ -1,10 +1,13 @@
 """Builders of test data."""
 
 import random
+from typing import Any
 
 from orioleshore.consensus import events as consensus_events
 from orioleshore.consensus import log
 from orioleshore.consensus import raft
+from orioleshore.jobs import calls
+from orioleshore.jobs import specs
 from orioleshore.membership import detector
 from orioleshore.membership import packing
 from orioleshore.model import announcements
@@ -341,3 +344,80 @@
     return tuple(
         build_job(f'job-{number}', **fields) for number in range(1, count + 1)
     )
+
+
+def build_step(tasks: int = 1, **fields) -> specs.Step:
+    """Return a step of short tasks that need one core each."""
+    defaults: dict[str, Any] = {
+        'need': specs.Resources(1_000, 512),
+        'estimate_ms': 500,
+    }
+    return specs.Step(tasks, **defaults | fields)
+
+
+def build_batch_job(*steps: specs.Step) -> specs.Job:
+    """Return a job of a caller; one step of one task by default."""
+    return specs.Job('payload', steps or (build_step(),))
+
+
+def build_lasting_job(tasks: int = 2, **fields) -> specs.Job:
+    """Return a job whose tasks run until it is cancelled."""
+    return build_batch_job(build_step(tasks, is_lasting=True, **fields))
+
+
+def build_configuration(version: int = 1, **fields) -> specs.Configuration:
+    """Return a configuration of two pools and a standby pool."""
+    queues = tuple(
+        specs.Queue(
+            ids.QueueId(f'queue-{pool}'),
+            'jobs.example',
+            f'/{pool}/',
+            ids.PoolId(pool),
+            max_attempts=2,
+            stretch=1.6,
+            objective_ms=3_600,
+        )
+        for pool in ('red', 'blue')
+    )
+    pools = (
+        specs.Pool(ids.PoolId('red'), True),
+        specs.Pool(ids.PoolId('blue'), True),
+        specs.Pool(ids.PoolId('standby'), True, True),
+    )
+    defaults: dict[str, Any] = {
+        'queues': queues,
+        'pools': pools,
+        'source': b'{}',
+    }
+    return specs.Configuration(ids.Version(version), **defaults | fields)
+
+
+def build_job_id(number: int = 1) -> ids.JobId:
+    """Return the id of a caller's job."""
+    return ids.JobId(f'{number:016x}')
+
+
+def build_submission(
+    number: int = 1, job: specs.Job | None = None, pool: str = 'red'
+) -> calls.SubmitJob:
+    """Return the call that hands a job in."""
+    path = f'/{pool}/{build_job_id(number)}'
+    return calls.SubmitJob('jobs.example', path, job or build_batch_job())
+
+
+def build_heartbeat(
+    worker: str = 'worker-1', sequence: int = 1, **fields
+) -> calls.Heartbeat:
+    """Return a report of a worker of the red pool with 16 cores."""
+    defaults: dict[str, Any] = {
+        'incarnation': ids.Incarnation(1),
+        'pool': ids.PoolId('red'),
+        'zone': ids.AvailabilityZone('az-1'),
+        'host': ids.HostId(f'host-of-{worker}'),
+        'state': states.WorkerState.READY,
+        'capacity': specs.Resources(16_000, 65_536),
+        'labels': ('a', 'r1-1'),
+    }
+    return calls.Heartbeat(
+        worker=ids.WorkerId(worker), sequence=sequence, **defaults | fields
+    )
--- /dev/null
+++ b/orioleshore/tests/test_batch_scheduler.py
@@ -0,0 +1,273 @@
+"""Decisions about callers' jobs, driven with fake workers."""
+
+import pytest
+
+from fakes import workers
+from orioleshore.jobs import calls
+from orioleshore.model import errors
+from orioleshore.model import ids
+from orioleshore.model import states
+from orioleshore.tests import builders
+from orioleshore.tests import support
+
+
+def build_fleet(red: int = 2, blue: int = 0, standby: int = 0):
+    """Return a fleet with hosts in its pools."""
+    fleet = workers.FakeFleet(
+        builders.build_configuration(), seed=support.SEED
+    )
+    fleet.add(red, 'red')
+    fleet.add(blue, 'blue')
+    fleet.add(standby, 'standby')
+    return fleet
+
+
+def get_state(fleet, number: int = 1, pool: str = 'red'):
+    """Return the state of a job as its caller sees it."""
+    path = f'/{pool}/{builders.build_job_id(number)}'
+    return fleet.ask(calls.GetJob('jobs.example', path)).unwrap().state
+
+
+def test_job_runs_its_steps_in_order():
+    """Guards against a step that starts before the steps it follows."""
+    fleet = build_fleet()
+    job = builders.build_batch_job(
+        builders.build_step(3), builders.build_step(2, after=(0,))
+    )
+    fleet.ask(builders.build_submission(job=job))
+    fleet.run(0.3)
+    running = [key[1] for w in fleet.workers.values() for key in w.running]
+    assert sorted(running) == ['0.0.0', '0.0.1', '0.0.2']
+    fleet.run(4.0)
+    assert get_state(fleet) is states.BatchState.COMPLETED
+
+
+def test_job_that_comes_again_stays_one_job():
+    """Guards against work done twice after a lost answer."""
+    fleet = build_fleet()
+    for _ in range(3):
+        assert fleet.ask(builders.build_submission()).is_ok()
+    fleet.run(3.0)
+    assert fleet.ask(builders.build_submission()).is_ok()
+    fleet.run(1.0)
+    started = [c for c in fleet.log if type(c).__name__ == 'TaskStarted']
+    assert len(started) == 1
+
+
+def test_job_fails_after_its_attempts():
+    """Guards against a hopeless job that is tried for ever."""
+    fleet = build_fleet()
+    for worker in fleet.workers.values():
+        worker.fails_all = True
+    fleet.ask(builders.build_submission())
+    fleet.run(8.0)
+    started = [c for c in fleet.log if type(c).__name__ == 'TaskStarted']
+    assert get_state(fleet) is states.BatchState.FAILED
+    assert len(started) == 2
+
+
+def test_cancelled_job_is_stopped_and_starts_nothing():
+    """Guards against tasks that run on after their job was cancelled."""
+    fleet = build_fleet()
+    job = builders.build_lasting_job(4)
+    fleet.ask(builders.build_submission(job=job))
+    fleet.run(1.0)
+    assert fleet.count_running(builders.build_job_id()) == 4
+    path = f'/red/{builders.build_job_id()}'
+    fleet.ask(calls.CancelJob('jobs.example', path))
+    fleet.run(1.0)
+    assert fleet.count_running(builders.build_job_id()) == 0
+    assert get_state(fleet) is states.BatchState.CANCELLED
+
+
+def test_lost_worker_does_not_cause_two_runs():
+    """Guards against a restart before the lease of a silent worker ends."""
+    fleet = build_fleet()
+    fleet.ask(builders.build_submission(job=builders.build_lasting_job(2)))
+    fleet.run(1.0)
+    silent = next(w for w in fleet.workers.values() if w.running)
+    silent.is_silent = True
+    lease_s = fleet.scheduler.limits.lease_ms / 1_000.0
+    fleet.run(lease_s - 0.2)
+    # Its lease ended on its own clock, so it killed what ran.
+    silent.running.clear()
+    fleet.run(1.5)
+    assert fleet.count_running(builders.build_job_id()) == 2
+
+
+def test_new_leader_keeps_runs_that_workers_report():
+    """Guards against tasks that a change of leader starts again."""
+    fleet = build_fleet()
+    fleet.ask(builders.build_submission(job=builders.build_lasting_job(4)))
+    fleet.run(1.0)
+    before = len(fleet.log)
+    fleet.fail_over()
+    fleet.run(6.0)
+    changes = {type(change).__name__ for change in fleet.log[before:]}
+    assert 'TaskStarted' not in changes
+    assert fleet.count_running(builders.build_job_id()) == 4
+
+
+def test_new_leader_hears_worker_of_cancelled_job():
+    """Guards against a scheduler that stops on a run whose job ended.
+
+    A job was cancelled after a change of leader and before the worker
+    that ran it reported to the new one.
+    """
+    fleet = build_fleet()
+    fleet.ask(builders.build_submission(job=builders.build_lasting_job(2)))
+    fleet.run(1.0)
+    fleet.fail_over()
+    path = f'/red/{builders.build_job_id()}'
+    fleet.ask(calls.CancelJob('jobs.example', path))
+    fleet.run(2.0)
+    assert fleet.count_running(builders.build_job_id()) == 0
+
+
+def test_old_heartbeat_grants_nothing():
+    """Guards against a delayed report that is taken for a new one."""
+    fleet = build_fleet(red=0)
+    fleet.ask(builders.build_heartbeat(sequence=5))
+    fleet.ask(builders.build_submission())
+    answer = fleet.ask(builders.build_heartbeat(sequence=4)).unwrap()
+    assert answer.lease_ms == 0
+    assert not answer.starts
+
+
+def test_order_that_was_lost_is_repeated_with_a_higher_attempt():
+    """Guards against a task that waits for ever for a lost answer."""
+    fleet = build_fleet(red=0)
+    fleet.ask(builders.build_submission())
+    first = fleet.ask(builders.build_heartbeat(sequence=1)).unwrap()
+    second = fleet.ask(builders.build_heartbeat(sequence=2)).unwrap()
+    assert [order.attempt for order in first.starts] == [1]
+    assert [order.attempt for order in second.starts] == [2]
+
+
+def test_suspect_worker_still_gets_lasting_tasks():
+    """Guards against lasting tasks that no worker may take.
+
+    Tasks that had failed in a row kept a worker on trial for as long as
+    its lasting tasks ran.
+    """
+    fleet = build_fleet(red=1)
+    fleet.ask(builders.build_submission(job=builders.build_lasting_job(2)))
+    fleet.run(1.0)
+    worker = next(iter(fleet.workers.values()))
+    for number in range(3):
+        fleet.ask(builders.build_submission(number + 10))
+        worker.fails_all = True
+        fleet.run(3.0)
+        worker.fails_all = False
+    fleet.ask(builders.build_submission(2, builders.build_lasting_job(2)))
+    fleet.run(4.0)
+    assert fleet.count_running(builders.build_job_id(2)) == 2
+
+
+def test_pool_that_lost_its_hosts_gets_some_for_lasting_tasks():
+    """Guards against lasting tasks of a pool without hosts."""
+    fleet = build_fleet(red=2, standby=3)
+    fleet.ask(builders.build_submission(job=builders.build_lasting_job(4)))
+    fleet.run(4.0)
+    for worker in fleet.workers.values():
+        if worker.pool == 'red':
+            worker.is_silent = True
+            worker.running.clear()
+    fleet.run(10.0)
+    assert fleet.count_running(builders.build_job_id()) == 4
+
+
+def test_standby_hosts_follow_a_turn_of_demand():
+    """Guards against a turn of demand that waits for its pool alone."""
+    fleet = build_fleet(red=2, blue=2, standby=6)
+    fleet.run(4.0)
+    for number in range(40):
+        fleet.ask(
+            builders.build_submission(
+                number + 1,
+                builders.build_batch_job(builders.build_step(6)),
+            )
+        )
+    fleet.run(6.0)
+    finished = sum(
+        get_state(fleet, number + 1) is states.BatchState.COMPLETED
+        for number in range(40)
+    )
+    # Two hosts alone finish 32 tasks in 0.6 s, 240 in 4.5 s at best.
+    assert finished == 40
+    fleet.run(8.0)
+    off = sum(w.pool == 'standby' for w in fleet.workers.values())
+    assert off == 6
+
+
+@pytest.mark.parametrize('at_once', [1, 3])
+def test_wave_keeps_lasting_steps_within_their_limit(at_once):
+    """Guards against upkeep that takes too much of a step away.
+
+    Two hosts with tasks of one step once evicted one each at a time.
+    """
+    fleet = build_fleet(red=5)
+    job = builders.build_lasting_job(4, max_away=1)
+    fleet.ask(builders.build_submission(job=job))
+    fleet.run(4.0)
+    hosts = tuple(fleet.workers)
+    fleet.ask(calls.OpenWave(ids.WaveId('1'), hosts, 60.0, at_once))
+    name = builders.build_job_id()
+    fewest = 4
+    for _ in range(1_200):
+        fleet.run(0.05)
+        fewest = min(fewest, fleet.count_running(name))
+    wave = fleet.ask(calls.GetWave(ids.WaveId('1'))).unwrap()
+    assert wave.completed
+    assert fewest >= 3
+
+
+def test_wave_is_not_completed_before_each_host_had_its_upkeep():
+    """Guards against a wave that is said to be done too early."""
+    fleet = build_fleet(red=3)
+    fleet.run(4.0)
+    hosts = tuple(fleet.workers)
+    fleet.ask(calls.OpenWave(ids.WaveId('1'), hosts, 60.0, 1))
+    fleet.run(1.0)
+    assert not fleet.ask(calls.GetWave(ids.WaveId('1'))).unwrap().completed
+    fleet.run(30.0)
+    assert fleet.ask(calls.GetWave(ids.WaveId('1'))).unwrap().completed
+
+
+def test_older_configuration_changes_nothing():
+    """Guards against a version that goes back."""
+    fleet = build_fleet()
+    newer = builders.build_configuration(9, source=b'nine')
+    older = builders.build_configuration(5, source=b'five')
+    same = builders.build_configuration(9, source=b'other')
+    for configuration in (newer, older, same):
+        outcome = fleet.ask(calls.PutConfiguration(configuration))
+        assert outcome.is_ok()
+    held = fleet.ask(calls.GetConfiguration()).unwrap()
+    assert held.source == b'nine'
+
+
+@pytest.mark.parametrize(
+    ('call', 'kind'),
+    [
+        (
+            calls.GetJob('jobs.example', '/red/00000000000000ff'),
+            errors.ErrorKind.JOB_UNKNOWN,
+        ),
+        (
+            calls.GetJob('jobs.example', '/green/'),
+            errors.ErrorKind.NOT_FOUND,
+        ),
+        (
+            calls.SubmitJob(
+                'jobs.example', '/red/short', builders.build_batch_job()
+            ),
+            errors.ErrorKind.INVALID_REQUEST,
+        ),
+        (calls.GetWave(ids.WaveId('9')), errors.ErrorKind.NOT_FOUND),
+    ],
+)
+def test_calls_that_name_nothing_are_refused(call, kind):
+    """Guards against an answer that hides a wrong name."""
+    outcome = build_fleet().ask(call)
+    assert outcome.unwrap_err().kind is kind
