--- a/fakes/workers.py
+++ b/fakes/workers.py
@@ -45,6 +45,8 @@
         self.sequence = 0
         self.up_at = 0.0
         self.next_beat = 0.0
+        self.state = states.WorkerState.READY
+        self.labels = ('a', 'r1-1')
         self.is_silent = False
         self.fails_all = False
         self.running: dict[RunKey, _Run] = {}
@@ -82,9 +84,9 @@
             self.pool,
             ids.AvailabilityZone('az-1'),
             self.host,
-            states.WorkerState.READY,
+            self.state,
             self.size,
-            ('a', 'r1-1'),
+            self.labels,
             running=tuple(
                 calls.RunReport(*key, '', AT_WORK if run.is_lasting else 0)
                 for key, run in self.running.items()
@@ -118,6 +120,9 @@
         )
         self.log: list[ledger.Change] = []
         self.mean_run_s = 0.6
+        # Workers that the policy service never approves.
+        self.unapproved: set[ids.WorkerId] = set()
+        self.starts: list[tuple[float, ids.HostId, calls.StartOrder]] = []
         # Standby hosts are off: no worker reports from there.
         self.standby = {
             pool.name for pool in configuration.pools if pool.is_standby
@@ -197,6 +202,9 @@
         if isinstance(order, orders.ListHosts):
             self.ask(self._list(order))
             return
+        if isinstance(order, orders.AskApproval):
+            self.ask(self._approve(order))
+            return
         worker = self.workers[order.host]
         accepted = states.HostOrderOutcome.ACCEPTED
         if isinstance(order, orders.Move):
@@ -227,6 +235,7 @@
 
     def _start(self, worker: FakeWorker, start: calls.StartOrder) -> None:
         key = (start.job, start.task, start.attempt)
+        self.starts.append((self.now, worker.host, start))
         step = self.scheduler.jobs[start.job].get_step(start.task)
         run_s = self.mean_run_s * self.random.uniform(0.5, 1.5)
         how = states.RunEnd.DONE
@@ -243,6 +252,22 @@
                 # Workers report 50 ms after an end.
                 worker.next_beat = min(worker.next_beat, self.now + 0.05)
 
+    def _approve(self, order: orders.AskApproval) -> calls.NoteApprovals:
+        approved = tuple(
+            (name, f'ticket-{name}')
+            for name in order.workers
+            if name not in self.unapproved
+        )
+        return calls.NoteApprovals(
+            order.job,
+            order.occurrence,
+            order.step,
+            order.workers,
+            True,
+            approved,
+            3_000,
+        )
+
     def _list(self, order: orders.ListHosts) -> calls.NoteHosts:
         return calls.NoteHosts(
             order.asked_at,
--- /dev/null
+++ b/orioleshore/jobs/approvals.py
@@ -0,0 +1,129 @@
+"""Which workers a policy service lets run a step, and with which ticket."""
+
+from __future__ import annotations
+
+import logging
+import typing
+
+import msgspec
+
+from orioleshore.jobs import calls
+from orioleshore.jobs import eligibility
+from orioleshore.jobs import orders
+from orioleshore.jobs import progress
+from orioleshore.jobs import workers
+from orioleshore.model import ids
+from orioleshore.telemetry import logs
+
+if typing.TYPE_CHECKING:
+    from orioleshore.jobs import scheduler as scheduling
+
+LOG = logging.getLogger(__name__)
+
+# Most workers named in one call: each adds to the service's time, and
+# more choice than this gains little.
+MAX_WORKERS = 30
+# Calls under way at a time; the service queues 32 for all nodes.
+MAX_CALLS = 8
+# A call that is not answered by then is repeated.
+CALL_TIMEOUT_S = 3.0
+# A ticket is not used in its last part, since an order takes time to
+# arrive.
+TICKET_MARGIN_S = 0.3
+
+StepKey = tuple[ids.JobId, int, int]
+
+
+class _Ticket(msgspec.Struct, frozen=True):
+    text: str
+    until: float
+
+
+class Approvals:
+    """Tickets of the steps that need them; part of the scheduler."""
+
+    def __init__(self, scheduler: scheduling.Scheduler) -> None:
+        self._scheduler = scheduler
+        self._tickets: dict[StepKey, dict[ids.WorkerId, _Ticket]] = {}
+        # Workers that the service did not name for a step; that stands.
+        self._refused: dict[StepKey, set[ids.WorkerId]] = {}
+        self._asked: dict[StepKey, float] = {}
+
+    def get_ticket(
+        self,
+        worker: workers.Worker,
+        job: progress.JobProgress,
+        group: progress.Group,
+    ) -> str | None:
+        """Return a valid ticket, empty where none is needed."""
+        if not job.record.needs_approval:
+            return ''
+        key = (job.job, group.occurrence, group.position)
+        ticket = self._tickets.get(key, {}).get(worker.name)
+        if ticket is None or ticket.until <= self._scheduler.now:
+            return None
+        return ticket.text
+
+    def advance(self) -> None:
+        """Ask about the steps that may start and have no room approved."""
+        scheduler = self._scheduler
+        open_keys = set()
+        for job in scheduler.jobs.values():
+            if not job.record.needs_approval:
+                continue
+            for group in job.find_open_groups(scheduler.wall):
+                key = (job.job, group.occurrence, group.position)
+                open_keys.add(key)
+                self._ask_when_due(key, job)
+        for known in (self._tickets, self._refused, self._asked):
+            for key in known.keys() - open_keys:
+                if key[0] not in scheduler.jobs:
+                    del known[key]
+
+    def note(self, call: calls.NoteApprovals) -> None:
+        """Take the answer of the policy service."""
+        key = (call.job, call.occurrence, call.step)
+        self._asked.pop(key, None)
+        if not call.is_answered:
+            return
+        until = (
+            self._scheduler.now + call.validity_ms / 1_000.0 - TICKET_MARGIN_S
+        )
+        tickets = self._tickets.setdefault(key, {})
+        for name, text in call.approved:
+            tickets[name] = _Ticket(text, until)
+        approved = {name for name, _ in call.approved}
+        refused = set(call.asked) - approved
+        self._refused.setdefault(key, set()).update(refused)
+        LOG.info(
+            logs.format_event(
+                'step_approved',
+                job=call.job,
+                step=call.step,
+                approved=len(approved),
+                refused=len(refused),
+            )
+        )
+
+    def _ask_when_due(self, key: StepKey, job: progress.JobProgress) -> None:
+        scheduler = self._scheduler
+        if scheduler.now < self._asked.get(key, 0.0):
+            return
+        if len(self._asked) >= MAX_CALLS and key not in self._asked:
+            return
+        refused = self._refused.get(key, set())
+        tickets = self._tickets.get(key, {})
+        names = tuple(
+            worker.name
+            for worker in scheduler.get_pool_workers(job.record.pool)
+            if eligibility.is_available(scheduler, worker)
+            and worker.name not in refused
+            and not self._is_valid(tickets.get(worker.name))
+        )[:MAX_WORKERS]
+        if not names:
+            return
+        self._asked[key] = scheduler.now + CALL_TIMEOUT_S
+        scheduler.orders.add(orders.AskApproval(*key, names))
+
+    def _is_valid(self, ticket: _Ticket | None) -> bool:
+        return ticket is not None and ticket.until > self._scheduler.now
--- a/orioleshore/jobs/calls.py
+++ b/orioleshore/jobs/calls.py
@@ -193,6 +193,21 @@
     detail: str = ''
 
 
+class NoteApprovals(_Call, frozen=True):
+    """What the policy service said of a step.
+
+    ``approved`` holds workers with their tickets, of those ``asked``.
+    """
+
+    job: ids.JobId
+    occurrence: int
+    step: int
+    asked: tuple[ids.WorkerId, ...]
+    is_answered: bool
+    approved: tuple[tuple[ids.WorkerId, str], ...] = ()
+    validity_ms: int = 0
+
+
 class HostInfo(msgspec.Struct, frozen=True, array_like=True):
     """One host as the platform lists it."""
 
@@ -228,6 +243,7 @@
     | NoteUpkeep
     | NoteMove
     | NoteHosts
+    | NoteApprovals
 )
 
 # Types of the answers; calls that are missing here are answered with None.
--- /dev/null
+++ b/orioleshore/jobs/gangs.py
@@ -0,0 +1,146 @@
+"""Where all members of a gang start together.
+
+Answers gangs beside other work: members that wait for others hold room
+for nothing, so room for all of them is reserved before the first starts.
+"""
+
+from __future__ import annotations
+
+import logging
+import typing
+
+from orioleshore.jobs import eligibility
+from orioleshore.jobs import progress
+from orioleshore.jobs import specs
+from orioleshore.jobs import workers
+from orioleshore.model import ids
+from orioleshore.telemetry import logs
+
+if typing.TYPE_CHECKING:
+    from orioleshore.jobs import scheduler as scheduling
+
+LOG = logging.getLogger(__name__)
+
+# A plan of which no member started is given up after this time; workers
+# with room report every 0.1 s.
+PLAN_S = 1.0
+
+
+def plan_gangs(scheduler: scheduling.Scheduler) -> None:
+    """Reserve room for gangs that may start, and give up old plans."""
+    for job in list(scheduler.jobs.values()):
+        for group in job.find_open_groups(scheduler.wall):
+            if not group.step.is_gang:
+                continue
+            if group.plan and scheduler.now >= group.plan_until:
+                _give_up(scheduler, job, group)
+            if not group.plan and len(group.waiting) == group.step.tasks:
+                _plan(scheduler, job, group)
+
+
+def find_planned(
+    scheduler: scheduling.Scheduler, worker: workers.Worker
+) -> list[tuple[progress.JobProgress, progress.Group, int]]:
+    """Return the members that are planned on a worker."""
+    found = []
+    for name, task in list(worker.reserved):
+        job = scheduler.jobs.get(name)
+        if job is None:
+            del worker.reserved[name, task]
+            continue
+        _, _, index = specs.parse_task_name(task)
+        found.append((job, job.get_group(task), index))
+    return found
+
+
+def _plan(
+    scheduler: scheduling.Scheduler,
+    job: progress.JobProgress,
+    group: progress.Group,
+) -> None:
+    members = [
+        worker
+        for worker in scheduler.get_pool_workers(job.record.pool)
+        if eligibility.is_available(scheduler, worker)
+        and eligibility.is_allowed(scheduler, worker, job, group)
+    ]
+    racks = sorted({worker.rack for worker in members})
+    # One rack is faster where the step is sensitive, and else no worse.
+    choices = [[w for w in members if w.rack == rack] for rack in racks]
+    for candidates in (*choices, members):
+        chosen = _choose(group, candidates)
+        if chosen is not None:
+            _reserve(scheduler, job, group, chosen)
+            return
+
+
+def _choose(
+    group: progress.Group, candidates: list[workers.Worker]
+) -> list[workers.Worker] | None:
+    """Return a worker for each member, None when the room is too small."""
+    need = workers.get_reserved(group.step)
+    limit = group.step.max_per_worker or group.step.tasks
+    chosen: list[workers.Worker] = []
+    for worker in candidates:
+        free = worker.get_free()
+        count = 0
+        while (
+            len(chosen) < group.step.tasks
+            and count < limit
+            and workers.fits(need, free)
+        ):
+            chosen.append(worker)
+            free = workers.subtract(free, need)
+            count += 1
+    return chosen if len(chosen) == group.step.tasks else None
+
+
+def _reserve(
+    scheduler: scheduling.Scheduler,
+    job: progress.JobProgress,
+    group: progress.Group,
+    chosen: list[workers.Worker],
+) -> None:
+    need = workers.get_reserved(group.step)
+    group.plan_until = scheduler.now + PLAN_S
+    group.plan_attempt = ids.Attempt(1 + _get_last_attempt(job, group))
+    for index, worker in enumerate(chosen):
+        task = specs.make_task_name(group.occurrence, group.position, index)
+        group.plan[index] = worker.name
+        worker.reserved[job.job, task] = need
+    LOG.info(
+        logs.format_event(
+            'gang_planned',
+            job=job.job,
+            step=group.position,
+            attempt=group.plan_attempt,
+            workers=sorted({worker.name for worker in chosen}),
+        )
+    )
+
+
+def _give_up(
+    scheduler: scheduling.Scheduler,
+    job: progress.JobProgress,
+    group: progress.Group,
+) -> None:
+    """Free the room of members that were not started in time."""
+    for index, name in group.plan.items():
+        worker = scheduler.workers.get(name)
+        task = specs.make_task_name(group.occurrence, group.position, index)
+        if worker is not None:
+            worker.reserved.pop((job.job, task), None)
+    group.plan.clear()
+    LOG.info(
+        logs.format_event('gang_given_up', job=job.job, step=group.position)
+    )
+
+
+def _get_last_attempt(job: progress.JobProgress, group: progress.Group) -> int:
+    attempts = [0]
+    for index in range(group.step.tasks):
+        task = specs.make_task_name(group.occurrence, group.position, index)
+        run = job.record.tasks.get(task)
+        if run is not None:
+            attempts.append(run.attempt)
+    return max(attempts)
--- a/orioleshore/jobs/ledger.py
+++ b/orioleshore/jobs/ledger.py
@@ -52,6 +52,7 @@
     state: states.BatchState = states.BatchState.QUEUED
     tasks: dict[ids.TaskName, RunRecord] = {}
     done: int = 0
+    needs_approval: bool = False
     ended_at: ids.WallTime = ids.WallTime(0.0)
 
     @property
@@ -109,6 +110,7 @@
     max_attempts: int
     objective_ms: int
     at: ids.WallTime
+    needs_approval: bool = False
 
 
 class JobCancelled(_Change, frozen=True):
@@ -225,6 +227,7 @@
         change.max_attempts,
         change.objective_ms,
         change.at,
+        needs_approval=change.needs_approval,
     )
 
 
@@ -274,7 +277,7 @@
         _finish_task(record, change, step)
     if change.how is states.RunEnd.FAILED:
         run.failures += 1
-        if run.failures >= record.max_attempts:
+        if _count_failures(record, change, step) >= record.max_attempts:
             _end_job(record, states.BatchState.FAILED, change.at)
 
 
@@ -329,6 +332,22 @@
     return ledger.waves[change.wave].hosts[change.host]
 
 
+def _count_failures(
+    record: JobRecord, change: TaskEnded, step: specs.Step
+) -> int:
+    """Return how often a task failed, or its gang as a whole."""
+    if not step.is_gang:
+        return record.tasks[change.task].failures
+    occurrence, position, _ = specs.parse_task_name(change.task)
+    names = (
+        specs.make_task_name(occurrence, position, index)
+        for index in range(step.tasks)
+    )
+    return sum(
+        record.tasks[name].failures for name in names if name in record.tasks
+    )
+
+
 def _finish_task(
     record: JobRecord, change: TaskEnded, step: specs.Step
 ) -> None:
--- a/orioleshore/jobs/orders.py
+++ b/orioleshore/jobs/orders.py
@@ -47,7 +47,16 @@
     asked_at: float
 
 
-Order = TakeDown | Move | ListHosts
+class AskApproval(msgspec.Struct, frozen=True):
+    """Asks the policy service which workers may run a step."""
+
+    job: ids.JobId
+    occurrence: int
+    step: int
+    workers: tuple[ids.WorkerId, ...]
+
+
+Order = TakeDown | Move | ListHosts | AskApproval
 
 
 class OrderBook:
@@ -84,6 +93,10 @@
         orders, self._orders = self._orders, []
         return orders
 
+    def add(self, order: Order) -> None:
+        """Add an order that needs no lease of a host."""
+        self._orders.append(order)
+
     def is_usable(self, now: float) -> bool:
         """Return whether this leader may give orders about hosts."""
         return now >= self._usable_at
--- a/orioleshore/jobs/placement.py
+++ b/orioleshore/jobs/placement.py
@@ -10,6 +10,8 @@
 import typing
 
 from orioleshore.jobs import calls
+from orioleshore.jobs import eligibility
+from orioleshore.jobs import gangs
 from orioleshore.jobs import ledger
 from orioleshore.jobs import ordering
 from orioleshore.jobs import progress
@@ -21,16 +23,13 @@
 if typing.TYPE_CHECKING:
     from orioleshore.jobs import scheduler as scheduling
 
-# Ends in a row without success after which a worker is tried with one
-# task at a time: a job of its own fault fails on other workers too.
-SUSPECT_FAILURES = 3
 # Time for which a suspect worker gets no task after a further failure.
 SHUN_S = 1.5
 # A lasting task that waits for longer goes to any worker with room.
 SHARE_WAIT_S = 1.0
-# A worker that is silent for this long is not waited for; workers with
-# room report every 0.1 s.
-SILENT_S = 0.4
+MS_PER_S = 1_000.0
+# Longest wait for a rack; half of the objective beyond the work itself.
+MAX_RACK_WAIT_S = 1.8
 # Tasks that may fill the idle processors of one worker at a time.
 MAX_FILLERS = 8
 
@@ -43,10 +42,10 @@
         return []
     if worker.is_cordoned or scheduler.now < worker.shunned_until:
         return []
+    orders = _start_planned(scheduler, worker)
     free = worker.get_free()
     jobs = scheduler.get_pool_jobs(worker.pool)
     jobs.sort(key=lambda job: ordering.get_rank(job, scheduler.wall))
-    orders: list[calls.StartOrder] = []
     for job in jobs:
         if free.cpu_millis <= 0 and free.memory_mb <= 0:
             break
@@ -68,7 +67,7 @@
     if how is not states.RunEnd.FAILED:
         return
     worker.failures_in_row += 1
-    if worker.failures_in_row >= SUSPECT_FAILURES:
+    if worker.failures_in_row >= eligibility.SUSPECT_FAILURES:
         worker.shunned_until = scheduler.now + SHUN_S
 
 
@@ -91,7 +90,11 @@
 ) -> specs.Resources:
     """Start tasks of one group, and return the room that is left."""
     step = group.step
-    if step.is_gang or not _is_allowed(worker, step):
+    if step.is_gang or not eligibility.is_allowed(
+        scheduler, worker, job, group
+    ):
+        return free
+    if not _is_near(scheduler, worker, job, group):
         return free
     need = workers.get_reserved(step)
     while (
@@ -103,17 +106,67 @@
             not step.is_lasting or _may_hold(scheduler, worker, job.job, group)
         )
     ):
-        orders.append(_start(scheduler, worker, job, group))
+        index = group.take()
+        task = specs.make_task_name(group.occurrence, group.position, index)
+        run = job.record.tasks.get(task)
+        attempt = ids.Attempt((run.attempt if run else 0) + 1)
+        orders.append(_start(scheduler, worker, job, group, index, attempt))
         free = workers.subtract(free, need)
     return free
 
 
-def _is_allowed(worker: workers.Worker, step: specs.Step) -> bool:
-    return not step.required_label or step.required_label in worker.labels
+def _is_near(
+    scheduler: scheduling.Scheduler,
+    worker: workers.Worker,
+    job: progress.JobProgress,
+    group: progress.Group,
+) -> bool:
+    """Return whether a worker should take a step that prefers a rack.
+
+    On another rack the tasks take a multiple of their time, so those wait
+    for a while where the rack has workers at all.
+    """
+    step = group.step
+    racks = {step.data_rack} if step.data_rack else set()
+    if step.needs_one_rack and not racks:
+        racks = {
+            scheduler.workers[name].rack
+            for name, count in group.workers.items()
+            if count and name in scheduler.workers
+        }
+    if not racks or worker.rack in racks:
+        return True
+    waited_s = scheduler.wall - group.open_since
+    extra_ms = (scheduler.limits.spread_factor - 1.0) * step.estimate_ms
+    if waited_s >= min(extra_ms / MS_PER_S, MAX_RACK_WAIT_S):
+        return True
+    return not any(
+        other.rack in racks and eligibility.is_available(scheduler, other)
+        for other in scheduler.get_pool_workers(job.record.pool)
+    )
+
+
+def _start_planned(
+    scheduler: scheduling.Scheduler, worker: workers.Worker
+) -> list[calls.StartOrder]:
+    """Start the members of gangs for which room was reserved here."""
+    orders = []
+    for job, group, index in gangs.find_planned(scheduler, worker):
+        group.waiting.remove(index)
+        group.plan.pop(index, None)
+        # The others must follow: a member alone ends after a while.
+        group.plan_until = scheduler.now + scheduler.limits.gang_ms / MS_PER_S
+        orders.append(
+            _start(scheduler, worker, job, group, index, group.plan_attempt)
+        )
+    return orders
 
 
 def _may_take_more(worker: workers.Worker, step: specs.Step) -> bool:
-    if worker.failures_in_row >= SUSPECT_FAILURES and worker.on_trial:
+    if (
+        worker.failures_in_row >= eligibility.SUSPECT_FAILURES
+        and worker.on_trial
+    ):
         return False
     if not step.is_filler:
         return True
@@ -143,7 +196,7 @@
     return not any(
         group.workers[other.name] < half
         and group.may_use(other.name)
-        and is_available(scheduler, other)
+        and eligibility.is_available(scheduler, other)
         and _holds_lasting(scheduler, other)
         and workers.fits(need, other.get_free())
         for other in scheduler.get_pool_workers(worker.pool)
@@ -151,18 +204,6 @@
     )
 
 
-def is_available(
-    scheduler: scheduling.Scheduler, worker: workers.Worker
-) -> bool:
-    """Return whether a worker can be expected to take tasks soon."""
-    return (
-        worker.state is states.WorkerState.READY
-        and not worker.is_cordoned
-        and worker.failures_in_row < SUSPECT_FAILURES
-        and scheduler.now < worker.heard_at + SILENT_S
-    )
-
-
 def _holds_lasting(
     scheduler: scheduling.Scheduler, worker: workers.Worker
 ) -> bool:
@@ -178,11 +219,12 @@
     worker: workers.Worker,
     job: progress.JobProgress,
     group: progress.Group,
+    index: int,
+    attempt: ids.Attempt,
 ) -> calls.StartOrder:
-    index = group.take()
     task = specs.make_task_name(group.occurrence, group.position, index)
     run = job.record.tasks.get(task)
-    attempt = ids.Attempt((run.attempt if run else 0) + 1)
+    worker.reserved.pop((job.job, task), None)
     checkpoint = run.checkpoint if run else ''
     scheduler.record(
         ledger.TaskStarted(
@@ -199,5 +241,10 @@
     worker.ordered[key] = workers.get_reserved(group.step)
     worker.on_trial.add(key)
     return calls.StartOrder(
-        job.job, task, attempt, job.record.job.payload, checkpoint
+        job.job,
+        task,
+        attempt,
+        job.record.job.payload,
+        checkpoint,
+        scheduler.approvals.get_ticket(worker, job, group) or '',
     )
--- a/orioleshore/jobs/progress.py
+++ b/orioleshore/jobs/progress.py
@@ -25,6 +25,12 @@
         self.waiting: list[int] = list(range(step.tasks))
         # Workers of the running tasks, and how many each has.
         self.workers: collections.Counter[ids.WorkerId] = collections.Counter()
+        # Wall time since which tasks may start.
+        self.open_since: ids.WallTime | None = None
+        # Where the members of a gang are to start, until a monotonic time.
+        self.plan: dict[int, ids.WorkerId] = {}
+        self.plan_until = 0.0
+        self.plan_attempt = ids.Attempt(0)
 
     def put_back(self, index: int) -> None:
         """Let a task wait again."""
@@ -72,11 +78,14 @@
 
         ``wall`` is a wall time in seconds; occurrences are due by it.
         """
-        return [
-            group
-            for group in self.groups.values()
-            if group.waiting and self._is_open(group, wall)
-        ]
+        found = []
+        for group in self.groups.values():
+            if not group.waiting or not self._is_open(group, wall):
+                continue
+            if group.open_since is None:
+                group.open_since = wall
+            found.append(group)
+        return found
 
     def get_due_time(self, occurrence: int) -> ids.WallTime:
         """Return the wall time before which an occurrence must not start."""
--- a/orioleshore/jobs/scheduler.py
+++ b/orioleshore/jobs/scheduler.py
@@ -14,7 +14,10 @@
 from result import Result
 
 from orioleshore.jobs import admission
+from orioleshore.jobs import approvals
 from orioleshore.jobs import calls
+from orioleshore.jobs import eligibility
+from orioleshore.jobs import gangs
 from orioleshore.jobs import interference
 from orioleshore.jobs import ledger
 from orioleshore.jobs import orders
@@ -69,6 +72,7 @@
         self.orders = orders.OrderBook(limits, epoch, now)
         self.upkeep = upkeep.Upkeep(self)
         self.pools = pools.Pools(self)
+        self.approvals = approvals.Approvals(self)
         self._changes: list[ledger.Change] = []
         # Since when lasting jobs lack a task, and those already logged.
         self._waits_since: dict[ids.JobId, float] = {}
@@ -103,6 +107,8 @@
             self._drop_unheard()
         self._forget_jobs()
         self._note_waiting()
+        gangs.plan_gangs(self)
+        self.approvals.advance()
         if not self.orders.is_usable(now):
             return
         is_busy = self.upkeep.is_busy or self.pools.is_busy
@@ -191,6 +197,7 @@
                 queue.max_attempts,
                 admission.get_objective_ms(spec, queue),
                 self.wall,
+                queue.needs_approval,
             )
         )
         self._adopt(name, self.book.jobs[name])
@@ -292,7 +299,8 @@
                 waited_s=waited_s,
                 workers=len(members),
                 ready=sum(
-                    placement.is_available(self, worker) for worker in members
+                    eligibility.is_available(self, worker)
+                    for worker in members
                 ),
                 free_cpu=[worker.get_free().cpu_millis for worker in members],
             )
@@ -578,6 +586,12 @@
     return Ok(None)
 
 
+@_handle.register
+def _(call: calls.NoteApprovals, scheduler: Scheduler) -> Answer:
+    scheduler.approvals.note(call)
+    return Ok(None)
+
+
 @_handle.register
 def _(call: calls.LeaveWorker, scheduler: Scheduler) -> Answer:
     worker = scheduler.workers.get(call.worker)
@@ -698,8 +712,13 @@
 ) -> list[calls.StopOrder]:
     """Return orders against runs that should not be on the worker."""
     worker.evicted &= worker.listed.keys()
+    if worker.state is states.WorkerState.DRAINING:
+        # What lasts would be lost when the worker ends; it moves now.
+        worker.evicted |= {
+            key for key in worker.listed if _is_lasting_run(key, scheduler)
+        }
     stops = [calls.StopOrder(*key) for key in worker.evicted]
-    for key in worker.listed:
+    for key in worker.listed.keys() - worker.evicted:
         if key in worker.ordered and key[0] in scheduler.jobs:
             continue
         worker.ordered.pop(key, None)
--- a/orioleshore/jobs/workers.py
+++ b/orioleshore/jobs/workers.py
@@ -34,6 +34,8 @@
     listed: dict[RunKey, specs.Resources] = {}
     reports: dict[RunKey, calls.RunReport] = {}
     ordered: dict[RunKey, specs.Resources] = {}
+    # Room held for members of gangs that are not started yet.
+    reserved: dict[tuple[ids.JobId, ids.TaskName], specs.Resources] = {}
     rates: dict[RunKey, int] = {}
     # Runs that are stopped so that their tasks run elsewhere.
     evicted: set[RunKey] = set()
@@ -56,7 +58,8 @@
         cpu = self.capacity.cpu_millis
         memory = self.capacity.memory_mb
         accelerators = self.capacity.accelerators
-        for need in (self.listed | self.ordered).values():
+        taken = [*(self.listed | self.ordered).values()]
+        for need in (*taken, *self.reserved.values()):
             cpu -= need.cpu_millis
             memory -= need.memory_mb
             accelerators -= need.accelerators
--- a/orioleshore/platform/boot.py
+++ b/orioleshore/platform/boot.py
@@ -41,6 +41,7 @@
     notice_ms: int = 4_500
     early_ms: int = 250
     interference_ms: int = 4_000
+    spread_factor: float = 1.5
     grace_s: float = 6
 
 
@@ -60,6 +61,8 @@
     listen: _Listen = _Listen()
     bounds: _Bounds = _Bounds()
     cloud_api: _CloudApi = _CloudApi()
+    # Address of the policy service, not advice to a person.
+    recommendation: str = ''
 
 
 class Deployment(msgspec.Struct, frozen=True):
@@ -75,6 +78,7 @@
     readiness: str
     control: str
     hosts: str
+    policy: str
     stop_s: float
 
 
@@ -98,6 +102,7 @@
             boot.listen.ready,
             boot.listen.control,
             boot.cloud_api.address,
+            boot.recommendation,
             boot.bounds.grace_s,
         )
     )
@@ -157,6 +162,7 @@
         notice_ms=bounds.notice_ms,
         early_ms=bounds.early_ms,
         interference_ms=bounds.interference_ms,
+        spread_factor=bounds.spread_factor,
     )
 
 
--- a/orioleshore/platform/hosts.py
+++ b/orioleshore/platform/hosts.py
@@ -45,6 +45,12 @@
     capacity: _Room = _Room()
 
 
+class _Advice(msgspec.Struct, frozen=True):
+    # Rows of worker and ticket.
+    approved: tuple[tuple[str, str], ...] = ()
+    validity_ms: int = 0
+
+
 class _Page(msgspec.Struct):
     machines: list[_Machine]
     next_token: str | int | None = None
@@ -54,10 +60,15 @@
     """Carries out orders about hosts, and reports what came of them."""
 
     def __init__(
-        self, address: str, holder: ids.NodeId, jobs: mailbox.Mailbox
+        self,
+        address: str,
+        policy: str,
+        holder: ids.NodeId,
+        jobs: mailbox.Mailbox,
     ) -> None:
         super().__init__(mailbox.Mailbox('platform-hosts', MAILBOX_CAPACITY))
         self._base = f'http://{address}'
+        self._policy = f'http://{policy}'
         self._holder = holder
         self._jobs = jobs
         self._session: aiohttp.ClientSession | None = None
@@ -129,6 +140,27 @@
         LOG.warning(logs.format_event('host_list_failed', error=error))
         return None
 
+    async def ask_policy(self, order: orders.AskApproval) -> _Advice | None:
+        """Return what the policy service approves, None without answer."""
+        step = f'{order.job}.{order.occurrence}.{order.step}'
+        body = {'step': step, 'workers': list(order.workers)}
+        try:
+            async with self._session.post(
+                f'{self._policy}/advise', json=body
+            ) as response:
+                content = await response.read()
+                if response.status == 200:
+                    return msgspec.json.decode(content, type=_Advice)
+                error: object = f'status {response.status}'
+        except (aiohttp.ClientError, TimeoutError, OSError) as failure:
+            error = failure or type(failure).__name__
+        except msgspec.DecodeError as failure:
+            error = failure
+        LOG.warning(
+            logs.format_event('approval_failed', step=step, error=error)
+        )
+        return None
+
     def report(self, call: calls.Call) -> None:
         """Tell the scheduler; it asks again when the report is lost."""
         self._jobs.put(calls.Ask(call, reply.Reply()))
@@ -149,6 +181,23 @@
     client.report(calls.NoteMove(message.host, message.pool, outcome, detail))
 
 
+@_carry_out.register
+async def _(message: orders.AskApproval, client: HostsClient) -> None:
+    advice = await client.ask_policy(message)
+    answer = advice or _Advice()
+    client.report(
+        calls.NoteApprovals(
+            message.job,
+            message.occurrence,
+            message.step,
+            message.workers,
+            advice is not None,
+            answer.approved,
+            answer.validity_ms,
+        )
+    )
+
+
 @_carry_out.register
 async def _(message: orders.ListHosts, client: HostsClient) -> None:
     hosts = await client.list()
--- a/orioleshore/platform/process.py
+++ b/orioleshore/platform/process.py
@@ -133,7 +133,9 @@
         outcome = consensus.load()
         if outcome.is_err():
             return outcome
-        fleet = hosts.HostsClient(deployment.hosts, config.node, jobs.mailbox)
+        fleet = hosts.HostsClient(
+            deployment.hosts, deployment.policy, config.node, jobs.mailbox
+        )
         jobs.set_hosts(fleet.mailbox)
         server = control_server.ControlServer(
             deployment.control,
--- a/orioleshore/tests/test_batch_scheduler.py
+++ b/orioleshore/tests/test_batch_scheduler.py
@@ -1,9 +1,11 @@
 """Decisions about callers' jobs, driven with fake workers."""
 
+import msgspec
 import pytest
 
 from fakes import workers
 from orioleshore.jobs import calls
+from orioleshore.jobs import specs
 from orioleshore.model import errors
 from orioleshore.model import ids
 from orioleshore.model import states
@@ -271,3 +273,89 @@
     """Guards against an answer that hides a wrong name."""
     outcome = build_fleet().ask(call)
     assert outcome.unwrap_err().kind is kind
+
+
+def test_members_of_a_gang_start_together_or_not_at_all():
+    """Guards against members that hold room and wait for the others."""
+    fleet = build_fleet(red=3)
+    need = specs.Resources(9_000, 1_024)
+    gang = builders.build_step(3, is_gang=True, need=need)
+    filler = builders.build_step(1, need=need)
+    fleet.run(1.0)
+    fleet.ask(builders.build_submission(9, builders.build_batch_job(filler)))
+    fleet.run(0.3)
+    fleet.ask(builders.build_submission(1, builders.build_batch_job(gang)))
+    fleet.run(4.0)
+    started = [
+        (time, order)
+        for time, _, order in fleet.starts
+        if order.job == builders.build_job_id(1)
+    ]
+    times = [time for time, _ in started]
+    assert len(started) == 3
+    assert {order.attempt for _, order in started} == {1}
+    gang_s = fleet.scheduler.limits.gang_ms / 1_000.0
+    assert max(times) - min(times) < gang_s
+    assert get_state(fleet) is states.BatchState.COMPLETED
+
+
+def test_gang_larger_than_its_pool_takes_no_room():
+    """Guards against a gang that can never meet and blocks its pool."""
+    fleet = build_fleet(red=1)
+    gang = builders.build_step(
+        3, is_gang=True, need=specs.Resources(9_000, 1_024)
+    )
+    fleet.ask(builders.build_submission(1, builders.build_batch_job(gang)))
+    fleet.run(1.0)
+    fleet.ask(builders.build_submission(2))
+    fleet.run(3.0)
+    assert get_state(fleet, 2) is states.BatchState.COMPLETED
+    assert get_state(fleet, 1) is states.BatchState.QUEUED
+
+
+def test_step_with_a_policy_starts_only_with_a_ticket():
+    """Guards against starts on workers that the policy did not approve."""
+    fleet = build_fleet(red=3)
+    fleet.run(0.5)
+    configuration = builders.build_configuration(2)
+    queues = tuple(
+        msgspec.structs.replace(queue, needs_approval=True)
+        for queue in configuration.queues
+    )
+    fleet.ask(
+        calls.PutConfiguration(builders.build_configuration(2, queues=queues))
+    )
+    names = [worker.name for worker in fleet.workers.values()]
+    fleet.unapproved = set(names[1:])
+    job = builders.build_batch_job(builders.build_step(4))
+    fleet.ask(builders.build_submission(job=job))
+    fleet.run(3.0)
+    assert get_state(fleet) is states.BatchState.COMPLETED
+    assert {order.ticket for _, _, order in fleet.starts} == {
+        f'ticket-{names[0]}'
+    }
+
+
+def test_step_waits_a_while_for_the_rack_of_its_data():
+    """Guards against tasks that run slowly beside a free rack."""
+    fleet = build_fleet(red=2)
+    near, far = fleet.workers.values()
+    near.labels = ('a', 'r1-1')
+    far.labels = ('a', 'r1-2')
+    fleet.run(0.5)
+    step = builders.build_step(10, data_rack='r1-1')
+    fleet.ask(builders.build_submission(job=builders.build_batch_job(step)))
+    fleet.run(0.2)
+    assert {host for _, host, _ in fleet.starts} == {near.host}
+
+
+def test_draining_worker_hands_lasting_tasks_over():
+    """Guards against lasting tasks that end with their worker."""
+    fleet = build_fleet(red=3)
+    fleet.ask(builders.build_submission(job=builders.build_lasting_job(2)))
+    fleet.run(1.0)
+    draining = next(w for w in fleet.workers.values() if w.running)
+    draining.state = states.WorkerState.DRAINING
+    fleet.run(2.0)
+    assert not draining.running
+    assert fleet.count_running(builders.build_job_id()) == 2
