Let control members beyond the seeds join, and pass calls on without a disk

Cause: the group was the three seeds, but the grown deployments bear the loss of two disks, which three copies cannot. Members that are not listed ask the leader; a new one replaces one that is silent; control processes without a disk answer that they do not lead.

--- a/orioleshore/consensus/group.py
+++ b/orioleshore/consensus/group.py
@@ -9,6 +9,9 @@
 from orioleshore.model import errors
 from orioleshore.model import ids
 
+# A member that did not answer for this long may be replaced; above the
+# time that a restart takes.
+SILENT_S = 5.0
 # A learner becomes a voter once it lacks at most this many entries.
 PROMOTE_LAG_ENTRIES = 64
 
@@ -17,6 +20,7 @@
     member: core.Core, request: events.MembersChangeRequested
 ) -> None:
     """Add a learner, remove a member, or both in one entry."""
+    request = _replace_silent(member, request)
     changed = _get_changed(member, request)
     refusal = _find_refusal(member, request, changed)
     if refusal is not None:
@@ -26,6 +30,28 @@
     member.actions.append(events.Accepted(request.token, index, member.term))
 
 
+def _replace_silent(
+    member: core.Core, request: events.MembersChangeRequested
+) -> events.MembersChangeRequested:
+    """Let a new member take the place of one that is not heard of.
+
+    A dead member counts in every quorum, so a group that only grows would
+    bear fewer losses with each replacement of a host. A member that comes
+    back asks to be added again.
+    """
+    if not member.is_leader or request.add is None or request.remove:
+        return request
+    if member.get_member(request.add.name) is not None:
+        return request
+    for voter in member.get_voters():
+        progress = member.progress.get(voter.name)
+        if progress is None or progress.contact == core.NEVER:
+            continue
+        if member.now - progress.contact >= SILENT_S:
+            return msgspec.structs.replace(request, remove=voter.name)
+    return request
+
+
 def maintain(member: core.Core) -> None:
     """Replace members that lost their files, and promote learners."""
     if member.mismatches and _may_change(member):
--- a/orioleshore/consensus/member.py
+++ b/orioleshore/consensus/member.py
@@ -558,6 +558,9 @@
 
     def _get_query_answer(self, query: queries.Query) -> dict[str, Any]:
         content = queries.answer_query(query, self._state)
+        if isinstance(query, queries.GetMembers):
+            members = self._raft.members.members if self._raft.members else ()
+            return {'addresses': [item.address for item in members]}
         if isinstance(query, queries.GetStatus):
             content['group'] = self._get_group_status()
         return content
@@ -720,6 +723,8 @@
             'last_index': self._raft.log.last_index,
             'version': self._state.version,
             'stamp': self._raft.stamp,
+            'is_listed': self._raft.is_listed,
+            'may_found': self._raft.may_found,
             'syncs': self._storage.sync_count,
         }
 
--- a/orioleshore/consensus/raft.py
+++ b/orioleshore/consensus/raft.py
@@ -67,6 +67,18 @@
         """Until when this member leads without further contact."""
         return self._core.get_lease_end()
 
+    @property
+    def is_listed(self) -> bool:
+        """Whether the newest known group has this member in it."""
+        return self._core.get_member(self._core.config.name) is not None
+
+    @property
+    def may_found(self) -> bool:
+        """Whether this member waits for the first election of its group."""
+        return self.members is None and (
+            self._core.config.name in self._core.config.initial
+        )
+
     def get_match_indexes(self) -> dict[ids.NodeId, int]:
         """Return how far each follower follows; empty unless leader."""
         if not self._core.is_leader:
--- /dev/null
+++ b/orioleshore/consensus/redirection.py
@@ -0,0 +1,45 @@
+"""Task of a control process without a disk, which leads nobody."""
+
+import functools
+from typing import Any
+
+from orioleshore.model import errors
+from orioleshore.protocol import messages
+from orioleshore.protocol import transport
+from orioleshore.tasks import mailbox
+from orioleshore.tasks import task
+
+MAILBOX_CAPACITY = 256
+
+
+class RedirectionTask(task.Task):
+    """Answers calls meant for a member, so that callers try the next."""
+
+    def __init__(self, sender: mailbox.Mailbox) -> None:
+        super().__init__(mailbox.Mailbox('redirection', MAILBOX_CAPACITY))
+        self._sender = sender
+
+    async def handle(self, message: messages.Received) -> None:
+        """Answer one call."""
+        answer = _refuse(message.message)
+        header = message.header
+        self._sender.put(
+            transport.SendTo(header.reply_address, answer, header.correlation)
+        )
+
+
+@functools.singledispatch
+def _refuse(message: Any) -> Any:
+    raise TypeError(f'unknown message {type(message).__name__}')
+
+
+@_refuse.register
+def _(message: messages.Propose) -> messages.ProposeReply:
+    kind = errors.ErrorKind.NOT_LEADER.value
+    return messages.ProposeReply(kind, '', (), b'', '')
+
+
+@_refuse.register
+def _(message: messages.Query) -> messages.QueryReply:
+    kind = errors.ErrorKind.NOT_LEADER.value
+    return messages.QueryReply(kind, '', b'', '')
--- a/orioleshore/platform/boot.py
+++ b/orioleshore/platform/boot.py
@@ -116,6 +116,8 @@
         for seed in boot.seeds
     }
     is_control = role is states.Role.CONTROL
+    # A host without a disk holds no state and only passes calls on.
+    is_member = is_control and bool(boot.data_dir)
     own_port = control_port if is_control else first_port + ENTRY_PORT_OFFSET
     name = f'entry-{boot.node_name}'
     if is_control:
@@ -123,15 +125,15 @@
     return {
         'node': name,
         'availability_zone': boot.zone,
-        'roles': [role.value],
-        'data_folder': boot.data_dir if is_control else None,
+        'roles': [states.Role.CONTROL.value if is_member else 'entry'],
+        'data_folder': boot.data_dir if is_member else None,
         'seeds': list(members.values()),
         'addresses': {
             'inner': f'{boot.ip}:{own_port}',
             # Both are served by the adapter.
             'operators': boot.listen.control or None,
-            'callers': boot.listen.front or None,
-            'upstreams': boot.listen.front or None,
+            'callers': boot.listen.front or boot.listen.control,
+            'upstreams': boot.listen.front or boot.listen.control,
         },
         'control': {
             **_CONTROL,
--- a/orioleshore/platform/process.py
+++ b/orioleshore/platform/process.py
@@ -11,7 +11,10 @@
 from result import Result
 
 from orioleshore.consensus import client
+from orioleshore.consensus import discovery
+from orioleshore.consensus import joining as joining_tasks
 from orioleshore.consensus import member
+from orioleshore.consensus import redirection
 from orioleshore.consensus import storage
 from orioleshore.jobs import task as jobs_task
 from orioleshore.model import errors
@@ -45,6 +48,7 @@
         self._tasks: list[task.Task] = []
         self._front: front_server.FrontServer | None = None
         self._calls: client.ControlClient | None = None
+        self._discovery: discovery.DiscoveryTask | None = None
 
     async def run(
         self, deployment: boot.Deployment
@@ -66,10 +70,13 @@
         sender.register(
             self._calls.mailbox, messages.ProposeReply, messages.QueryReply
         )
+        self._discovery = discovery.DiscoveryTask(
+            deployment.settings.seeds, self._calls.mailbox, timers
+        )
         outcome = self._build(deployment, sender, timers)
         if outcome.is_err():
             return outcome
-        for item in outcome.unwrap():
+        for item in (self._discovery, *outcome.unwrap()):
             await item.start()
             self._tasks.append(item)
         LOG.info(
@@ -79,6 +86,8 @@
                 inner=sender.address,
                 control=deployment.control,
                 callers=deployment.callers,
+                seeds=deployment.settings.seeds,
+                folder=deployment.settings.data_folder,
             )
         )
         failed = await self._wait_for_end()
@@ -99,6 +108,8 @@
         timers: service.TimerService,
     ) -> Result[list[task.Task], errors.Failure]:
         if self._role is states.Role.CONTROL:
+            if deployment.settings.data_folder is None:
+                return Ok(self._build_redirection(deployment, sender))
             return self._build_control(deployment, sender, timers)
         asker = asking.Asker(self._calls.mailbox)
         self._front = front_server.FrontServer(deployment.callers, asker)
@@ -141,7 +152,25 @@
             deployment.control,
             asking.Asker(self._calls.mailbox, jobs.mailbox),
         )
-        return Ok([self._calls, consensus, jobs, fleet, server])
+        joining = joining_tasks.JoinTask(
+            config.node,
+            sender.address,
+            consensus.mailbox,
+            self._calls.mailbox,
+            timers,
+        )
+        return Ok([self._calls, consensus, jobs, fleet, joining, server])
+
+    def _build_redirection(
+        self, deployment: boot.Deployment, sender: transport.Transport
+    ) -> list[task.Task]:
+        """Build a process that only passes calls on; it has no disk."""
+        redirecting = redirection.RedirectionTask(sender.mailbox)
+        sender.register(redirecting.mailbox, messages.Propose, messages.Query)
+        server = control_server.ControlServer(
+            deployment.control, asking.Asker(self._calls.mailbox)
+        )
+        return [self._calls, redirecting, server]
 
     def _install_handlers(self) -> None:
         loop = asyncio.get_running_loop()
@@ -160,7 +189,7 @@
             )
             return
         seeds = outcome.unwrap().settings.seeds
-        self._calls.mailbox.put(client.ControlMembers(seeds))
+        self._discovery.mailbox.put(client.ControlMembers(seeds))
         LOG.info(logs.format_event('reloaded', seeds=seeds))
 
     async def _wait_for_end(self) -> task.Task | None:
--- a/orioleshore/state/queries.py
+++ b/orioleshore/state/queries.py
@@ -60,7 +60,11 @@
     demands: tuple[ServiceDemand, ...]
 
 
-Query = GetDocument | GetStatus | GetDump | Explain | ReportDemand
+class GetMembers(_Query, frozen=True):
+    """Ask for the addresses of the control members."""
+
+
+Query = GetDocument | GetStatus | GetDump | Explain | ReportDemand | GetMembers
 
 _DECODER = msgspec.msgpack.Decoder(Query)
 
@@ -133,6 +137,12 @@
     return {}
 
 
+@answer_query.register
+def _(query: GetMembers, state: records.State) -> dict[str, Any]:
+    # The consensus member adds the addresses; the state has none.
+    return {}
+
+
 def get_wave_status(wave: records.WaveRecord) -> dict[str, Any]:
     """Return the progress of a wave in numbers."""
     counts = {state.value: 0 for state in states.WaveHostState}
