--- a/orioleshore/jobs/pools.py
+++ b/orioleshore/jobs/pools.py
@@ -129,8 +129,12 @@
             waiting = scheduler.get_waiting_cpu(pool)
             missing = math.floor(waiting / size + 1 - BORROW_SHARE)
             if scheduler.get_pool_jobs(pool):
-                members = len(scheduler.get_pool_workers(pool))
-                missing = max(missing, MIN_HOSTS - members)
+                # Hosts that are to go down are replaced before they do.
+                usable = sum(
+                    not worker.is_cordoned
+                    for worker in scheduler.get_pool_workers(pool)
+                )
+                missing = max(missing, MIN_HOSTS - usable)
             missing -= self._count_coming(pool)
             if missing > 0:
                 demand.append((pool, missing))
@@ -174,7 +178,8 @@
             if scheduler.get_waiting_cpu(pool):
                 continue
             members = scheduler.get_pool_workers(pool)
-            surplus = len(members) - MIN_HOSTS
+            usable = [w for w in members if not w.is_cordoned]
+            surplus = len(usable) - MIN_HOSTS
             idle = [
                 worker
                 for worker in members
--- a/orioleshore/jobs/task.py
+++ b/orioleshore/jobs/task.py
@@ -11,6 +11,7 @@
 
 from orioleshore.consensus import member
 from orioleshore.jobs import calls
+from orioleshore.jobs import ledger
 from orioleshore.jobs import scheduler
 from orioleshore.jobs import tuning
 from orioleshore.model import errors
@@ -20,6 +21,7 @@
 from orioleshore.tasks import mailbox
 from orioleshore.tasks import reply
 from orioleshore.tasks import task
+from orioleshore.telemetry import latencies
 from orioleshore.telemetry import logs
 from orioleshore.timers import service
 
@@ -65,6 +67,7 @@
         public_address: str,
         consensus: mailbox.Mailbox,
         timers: service.TimerService,
+        recorded: latencies.Latencies,
     ) -> None:
         super().__init__(mailbox.Mailbox('jobs', MAILBOX_CAPACITY))
         self._limits = limits
@@ -77,6 +80,9 @@
         self._in_flight: list[_Waiting] = []
         self._orders: list[Any] = []
         self._is_committing = False
+        self._committing_since = 0.0
+        self._changes: tuple[ledger.Change, ...] = ()
+        self._latencies = recorded
 
     def set_hosts(self, hosts: mailbox.Mailbox) -> None:
         """Name the task that carries out orders about hosts."""
@@ -105,9 +111,19 @@
         if self._scheduler is None:
             ask.answer.resolve(_fail(errors.ErrorKind.NOT_LEADER))
             return
+        if isinstance(ask.call, calls.NoteUpkeep | calls.NoteMove):
+            self._latencies.count(
+                'host_answers_total', outcome=ask.call.outcome.value
+            )
         outcome = self._scheduler.handle(
             ask.call, self._now(), self._timers.clock.get_wall()
         )
+        if outcome.is_err():
+            error = outcome.unwrap_err().kind.value
+            self._latencies.count('refusals_total', error=error)
+        elif isinstance(ask.call, calls.Heartbeat):
+            result = 'taken' if outcome.unwrap().lease_ms else 'ignored'
+            self._latencies.count('heartbeats_total', result=result)
         self._waiting.append(_Waiting(ask.answer, outcome))
 
     def _tick(self) -> None:
@@ -124,6 +140,8 @@
         self._in_flight, self._waiting = self._waiting, []
         self._orders = orders
         self._is_committing = True
+        self._committing_since = self._now()
+        self._changes = changes
         command = None
         if changes:
             command = commands.RecordProgress(
@@ -156,12 +174,20 @@
             self._lose_leadership()
             self._consensus.put(member.ResendState())
             return
+        self._latencies.observe(
+            'commit_seconds', self._now() - self._committing_since
+        )
+        for change in self._changes:
+            _count_change(change, self._latencies)
+        self._changes = ()
         for waiting in self._in_flight:
             waiting.answer.resolve(waiting.outcome)
         self._in_flight = []
         if self._hosts is not None:
             for order in self._orders:
                 self._hosts.put(order)
+                kind = type(order).__name__
+                self._latencies.count('host_orders_total', kind=kind)
         self._orders = []
 
     def _gain_leadership(self, message: member.LeadershipGained) -> None:
@@ -174,6 +200,7 @@
             self._public_address,
             self._now(),
         )
+        self._latencies.count('elections_total')
         LOG.info(
             logs.format_event(
                 'scheduling_started',
@@ -247,6 +274,31 @@
     message.answer.resolve(Ok(owner._get_dump()))
 
 
+@functools.singledispatch
+def _count_change(change: Any, recorded: latencies.Latencies) -> None:
+    """Count a change that was committed; others are not counted."""
+
+
+@_count_change.register
+def _(change: ledger.JobAccepted, recorded: latencies.Latencies) -> None:
+    recorded.count('jobs_total', decision='accepted')
+
+
+@_count_change.register
+def _(change: ledger.JobCancelled, recorded: latencies.Latencies) -> None:
+    recorded.count('jobs_total', decision='cancelled')
+
+
+@_count_change.register
+def _(change: ledger.TaskStarted, recorded: latencies.Latencies) -> None:
+    recorded.count('starts_total')
+
+
+@_count_change.register
+def _(change: ledger.TaskEnded, recorded: latencies.Latencies) -> None:
+    recorded.count('ends_total', how=change.how.value)
+
+
 def _fail(kind: errors.ErrorKind) -> Err[errors.Failure]:
     return Err(
         errors.Failure(kind, 'this member does not lead', retry_after_s=1.0)
--- a/orioleshore/platform/boot.py
+++ b/orioleshore/platform/boot.py
@@ -21,6 +21,9 @@
 CONTROL_PORT_OFFSET = 0
 ENTRY_PORT_OFFSET = 1
 
+# Ports of the metrics, as named in deploy/system.toml.
+METRICS_PORTS = {states.Role.ENTRY: 9464, states.Role.CONTROL: 9465}
+
 # Two rounds of heartbeats fit into one tick of slack on the platform's
 # links, so that an election ends within its bound for configurations.
 _CONTROL = {'tick_s': 0.05, 'heartbeat_s': 0.2, 'election_timeout_s': 0.8}
@@ -79,6 +82,7 @@
     control: str
     hosts: str
     policy: str
+    metrics: str
     stop_s: float
 
 
@@ -103,6 +107,7 @@
             boot.listen.control,
             boot.cloud_api.address,
             boot.recommendation,
+            f'{boot.ip}:{METRICS_PORTS[role]}',
             boot.bounds.grace_s,
         )
     )
--- a/orioleshore/platform/front_server.py
+++ b/orioleshore/platform/front_server.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import logging
+import time
 
 from aiohttp import web
 import msgspec
@@ -12,6 +13,7 @@
 from orioleshore.model import errors
 from orioleshore.platform import asking
 from orioleshore.platform import wire
+from orioleshore.telemetry import latencies
 from orioleshore.telemetry import logs
 
 LOG = logging.getLogger(__name__)
@@ -32,8 +34,14 @@
 class FrontServer(frontend_web.ListeningTask):
     """Owns the connections of callers."""
 
-    def __init__(self, address: str, asker: asking.Asker) -> None:
+    def __init__(
+        self,
+        address: str,
+        asker: asking.Asker,
+        recorded: latencies.Latencies,
+    ) -> None:
         super().__init__('platform-front')
+        self._latencies = recorded
         self._asker = asker
         self._in_flight = 0
         self._idle = asyncio.Event()
@@ -65,8 +73,15 @@
     async def _serve(self, request: web.BaseRequest) -> web.StreamResponse:
         self._in_flight += 1
         self._idle.clear()
+        began = time.monotonic()
         try:
             response = await self._answer(request)
+            self._latencies.observe(
+                'request_seconds',
+                time.monotonic() - began,
+                method=request.method,
+                status=str(response.status),
+            )
         finally:
             self._in_flight -= 1
             if not self._in_flight:
--- /dev/null
+++ b/orioleshore/platform/metrics_server.py
@@ -0,0 +1,23 @@
+"""HTTP server of a process's own metrics."""
+
+from aiohttp import web
+
+from orioleshore.frontends import web as frontend_web
+from orioleshore.platform import asking
+from orioleshore.telemetry import collection
+
+PATH = '/metrics'
+
+
+class MetricsServer(frontend_web.ListeningTask):
+    """Owns the connections of monitoring."""
+
+    def __init__(self, address: str, collector: collection.Collector) -> None:
+        super().__init__('platform-metrics')
+        self._collector = collector
+        self.listen(address, web.Server(self._serve))
+
+    async def _serve(self, request: web.BaseRequest) -> web.StreamResponse:
+        if request.path != PATH:
+            return asking.make_answer()
+        return frontend_web.make_metrics(await self._collector.collect())
--- a/orioleshore/platform/process.py
+++ b/orioleshore/platform/process.py
@@ -25,10 +25,14 @@
 from orioleshore.platform import control_server
 from orioleshore.platform import front_server
 from orioleshore.platform import hosts
+from orioleshore.platform import metrics_server
 from orioleshore.protocol import messages
 from orioleshore.protocol import transport
 from orioleshore.tasks import task
+from orioleshore.telemetry import collection
+from orioleshore.telemetry import latencies
 from orioleshore.telemetry import logs
+from orioleshore.telemetry import readers
 from orioleshore.timers import clock
 from orioleshore.timers import service
 
@@ -49,6 +53,7 @@
         self._front: front_server.FrontServer | None = None
         self._calls: client.ControlClient | None = None
         self._discovery: discovery.DiscoveryTask | None = None
+        self._latencies: latencies.Latencies | None = None
 
     async def run(
         self, deployment: boot.Deployment
@@ -73,10 +78,22 @@
         self._discovery = discovery.DiscoveryTask(
             deployment.settings.seeds, self._calls.mailbox, timers
         )
+        self._latencies = latencies.Latencies(deployment.settings.node)
         outcome = self._build(deployment, sender, timers)
         if outcome.is_err():
             return outcome
-        for item in (self._discovery, *outcome.unwrap()):
+        tasks = [self._discovery, *outcome.unwrap()]
+        collector = collection.Collector(deployment.settings.node)
+        collector.add_latencies(self._latencies)
+        collector.add_value(
+            lambda: dict(sender.counters), readers.read_transport
+        )
+        for item in (sender, *tasks):
+            collector.add_mailbox(item.mailbox)
+        tasks.append(
+            metrics_server.MetricsServer(deployment.metrics, collector)
+        )
+        for item in tasks:
             await item.start()
             self._tasks.append(item)
         LOG.info(
@@ -112,7 +129,9 @@
                 return Ok(self._build_redirection(deployment, sender))
             return self._build_control(deployment, sender, timers)
         asker = asking.Asker(self._calls.mailbox)
-        self._front = front_server.FrontServer(deployment.callers, asker)
+        self._front = front_server.FrontServer(
+            deployment.callers, asker, self._latencies
+        )
         ready = front_server.ReadinessServer(deployment.readiness, self._front)
         return Ok([self._calls, self._front, ready])
 
@@ -136,6 +155,7 @@
             deployment.control,
             consensus.mailbox,
             timers,
+            self._latencies,
         )
         consensus.set_jobs(jobs.mailbox)
         sender.register(
--- a/orioleshore/telemetry/collection.py
+++ b/orioleshore/telemetry/collection.py
@@ -7,6 +7,7 @@
 import orioleshore
 from orioleshore.tasks import mailbox
 from orioleshore.tasks import reply
+from orioleshore.telemetry import latencies
 from orioleshore.telemetry import logs
 from orioleshore.telemetry import metrics
 from orioleshore.telemetry import questions
@@ -24,6 +25,11 @@
         self._mailboxes: list[mailbox.Mailbox] = []
         self._sources: list[tuple[questions.Source, Reader]] = []
         self._values: list[tuple[Callable[[], Any], Reader]] = []
+        self._latencies: latencies.Latencies | None = None
+
+    def add_latencies(self, recorded: latencies.Latencies) -> None:
+        """Include histograms and counters that parts add to."""
+        self._latencies = recorded
 
     def add_mailbox(self, box: mailbox.Mailbox) -> None:
         """Include the length and the drops of a mailbox."""
@@ -77,4 +83,7 @@
                     error=answer.unwrap_err(),
                 )
             )
-        return sheet.render()
+        content = sheet.render()
+        if self._latencies is not None:
+            content += self._latencies.render()
+        return content
--- /dev/null
+++ b/orioleshore/telemetry/latencies.py
@@ -0,0 +1,65 @@
+"""Counters and histograms that parts add to as things happen."""
+
+import aioprometheus
+
+from orioleshore.telemetry import metrics
+
+# Bounds in seconds, from one sync of a fast disk to a caller's deadline.
+BUCKETS_S = (0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1.0, 2.5, 5.0, 10.0)
+
+
+class Latencies:
+    """Histograms and counters of one process; labels are bounded sets."""
+
+    def __init__(self, node: str) -> None:
+        self._registry = aioprometheus.collectors.Registry()
+        labels = {'node': node}
+        self._histograms = {
+            name: aioprometheus.Histogram(
+                metrics.PREFIX + name,
+                text,
+                const_labels=labels,
+                registry=self._registry,
+                buckets=BUCKETS_S,
+            )
+            for name, text in _HISTOGRAMS.items()
+        }
+        self._counters = {
+            name: aioprometheus.Counter(
+                metrics.PREFIX + name,
+                text,
+                const_labels=labels,
+                registry=self._registry,
+            )
+            for name, text in _COUNTERS.items()
+        }
+
+    def observe(self, name: str, seconds: float, **labels: str) -> None:
+        """Add a time to a histogram; raises KeyError for unknown names."""
+        self._histograms[name].observe(labels, seconds)
+
+    def count(self, name: str, by: int = 1, **labels: str) -> None:
+        """Add to a counter; raises KeyError for unknown names."""
+        self._counters[name].add(labels, by)
+
+    def render(self) -> bytes:
+        """Return all values in the text format."""
+        content, _ = aioprometheus.render(self._registry, ['text/plain'])
+        return content
+
+
+_HISTOGRAMS = {
+    'request_seconds': 'Time to answer a caller, by method and outcome',
+    'commit_seconds': 'Time to commit a group of decisions',
+}
+
+_COUNTERS = {
+    'jobs_total': 'Jobs by what was decided about them',
+    'refusals_total': 'Refused requests by kind of error',
+    'starts_total': 'Starts of tasks that were ordered',
+    'ends_total': 'Ends of tasks by how they ended',
+    'heartbeats_total': 'Heartbeats by result',
+    'host_orders_total': 'Orders about hosts by kind',
+    'host_answers_total': 'Answers of the platform by outcome',
+    'elections_total': 'Times that this member began to schedule',
+}
--- a/orioleshore/telemetry/logs.py
+++ b/orioleshore/telemetry/logs.py
@@ -5,6 +5,8 @@
 import sys
 from typing import Any
 
+from orioleshore.telemetry import output
+
 _NEEDS_QUOTES = frozenset(' ="\\\n\r\t')
 _ESCAPES = str.maketrans(
     {'\\': '\\\\', '"': '\\"', '\n': '\\n', '\r': '\\r', '\t': '\\t'}
@@ -65,8 +67,8 @@
 
 
 def configure(node: str, level: str) -> None:
-    """Send all log lines of the process to standard error."""
-    handler = logging.StreamHandler(sys.stderr)
+    """Send all log lines of the process to standard output."""
+    handler = output.BoundedHandler(sys.stdout.fileno())
     handler.setFormatter(KeyValueFormatter(node))
     root = logging.getLogger()
     root.handlers[:] = [handler]
--- /dev/null
+++ b/orioleshore/telemetry/output.py
@@ -0,0 +1,110 @@
+"""Log lines on standard output, bounded in volume, without ever waiting."""
+
+import collections
+import errno
+import logging
+import os
+import time
+
+# Lines of one kind of event that may be written in a second; a busy leader
+# accepts and ends about this many jobs.
+LINES_PER_S = 200
+# Lines that wait for a reader that stopped reading, in bytes.
+BACKLOG_BYTES = 1_048_576
+
+
+class BoundedHandler(logging.Handler):
+    """Writes lines to a descriptor that may refuse to take them.
+
+    What is left out is counted by kind of event and told in a line of its
+    own. Warnings and errors are left out only when the reader stalls.
+    """
+
+    def __init__(self, descriptor: int) -> None:
+        super().__init__()
+        self._descriptor = descriptor
+        os.set_blocking(descriptor, False)
+        self._backlog: collections.deque[bytes] = collections.deque()
+        self._backlog_bytes = 0
+        self._second = 0
+        self._written: collections.Counter[str] = collections.Counter()
+        self._left_out: collections.Counter[str] = collections.Counter()
+        self._total_left_out = 0
+
+    @property
+    def left_out(self) -> int:
+        """Return how many lines were left out since the start."""
+        return self._total_left_out
+
+    def emit(self, record: logging.LogRecord) -> None:
+        """Write a line, or count it as left out."""
+        event = _get_event(record.getMessage())
+        self._begin_second(record)
+        is_free = record.levelno < logging.WARNING
+        if is_free and self._written[event] >= LINES_PER_S:
+            self._leave_out(event)
+            return
+        self._written[event] += 1
+        self._put(self.format(record), event)
+
+    def _begin_second(self, record: logging.LogRecord) -> None:
+        second = int(time.monotonic())
+        if second == self._second:
+            return
+        self._second = second
+        self._written.clear()
+        if not self._left_out:
+            return
+        counts = ','.join(
+            f'{event}:{count}'
+            for event, count in sorted(self._left_out.items())
+        )
+        self._left_out.clear()
+        summary = logging.LogRecord(
+            __name__,
+            logging.WARNING,
+            record.pathname,
+            0,
+            f'event=lines_left_out counts={counts}',
+            None,
+            None,
+        )
+        self._put(self.format(summary), 'lines_left_out')
+
+    def _put(self, line: str, event: str) -> None:
+        data = line.encode('utf-8', 'replace') + b'\n'
+        if self._backlog_bytes + len(data) > BACKLOG_BYTES:
+            self._leave_out(event)
+        else:
+            self._backlog.append(data)
+            self._backlog_bytes += len(data)
+        self._flush()
+
+    def _flush(self) -> None:
+        while self._backlog:
+            data = self._backlog[0]
+            try:
+                count = os.write(self._descriptor, data)
+            except OSError as error:
+                # A reader that stalls, or is gone, must not stop the
+                # process; what waits is written with a later line.
+                if error.errno in (errno.EPIPE, errno.EBADF):
+                    self._backlog.clear()
+                    self._backlog_bytes = 0
+                return
+            self._backlog_bytes -= count
+            if count < len(data):
+                self._backlog[0] = data[count:]
+                return
+            self._backlog.popleft()
+
+    def _leave_out(self, event: str) -> None:
+        self._left_out[event] += 1
+        self._total_left_out += 1
+
+
+def _get_event(message: str) -> str:
+    """Return the kind of event that a line is about."""
+    if not message.startswith('event='):
+        return 'message'
+    return message[6:].partition(' ')[0]
--- a/scripts/check_dist.py
+++ b/scripts/check_dist.py
@@ -116,7 +116,10 @@
     """Run a process for some seconds; returns its resident megabytes."""
     with log.open('wb') as output:
         process = subprocess.Popen(
-            [*COMMAND, 'run', path], env=environment, stderr=output
+            [*COMMAND, 'run', path],
+            env=environment,
+            stdout=output,
+            stderr=output,
         )
     try:
         _watch(process, log)
