--- a/orioleshore/jobs/scheduler.py
+++ b/orioleshore/jobs/scheduler.py
@@ -314,6 +314,18 @@
 
     # Workers.
 
+    def is_plausible(self, name: ids.JobId, task: ids.TaskName) -> bool:
+        """Return whether a job has such a task, or is not known."""
+        record = self.book.jobs.get(name)
+        if record is None:
+            return True
+        occurrence, position, index = specs.parse_task_name(task)
+        return (
+            occurrence < record.job.occurrence_count
+            and position < len(record.job.steps)
+            and index < record.job.steps[position].tasks
+        )
+
     def get_reserved(self, key: workers.RunKey) -> specs.Resources:
         """Return what a run takes of its worker, by its job's steps."""
         record = self.book.jobs.get(key[0])
@@ -660,6 +672,7 @@
     worker.reports = {
         (report.job, report.task, report.attempt): report
         for report in call.running
+        if scheduler.is_plausible(report.job, report.task)
     }
     worker.on_trial -= {
         key
@@ -685,6 +698,8 @@
     for end in call.ended:
         observed = max(observed, end.number)
         key = (end.job, end.task, end.attempt)
+        if not scheduler.is_plausible(end.job, end.task):
+            continue
         was_ordered = worker.ordered.pop(key, None) is not None
         worker.rates.pop(key, None)
         if was_ordered:
--- a/orioleshore/platform/wire.py
+++ b/orioleshore/platform/wire.py
@@ -4,6 +4,7 @@
 raise msgspec.ValidationError or msgspec.DecodeError.
 """
 
+import re
 from typing import Any
 
 import msgspec
@@ -83,6 +84,23 @@
     gpus: int = 0
 
 
+class _RunRow(msgspec.Struct, array_like=True):
+    task: str
+    attempt: int
+    checkpoint: str
+    percent: int | float
+    # Tail in milliseconds where the task serves, else processors in use.
+    figure: int | float = 0
+
+
+class _EndRow(msgspec.Struct, array_like=True):
+    number: int
+    task: str
+    attempt: int
+    how: states.RunEnd
+    checkpoint: str
+
+
 class _BeatBody(msgspec.Struct):
     service: str
     zone: str
@@ -93,9 +111,9 @@
     machine: str = ''
     capacity: _RoomBody = _RoomBody()
     labels: tuple[str, ...] = ()
-    remaining_ms: float = 0
-    running: tuple[tuple, ...] = ()
-    finished: tuple[tuple, ...] = ()
+    remaining_ms: int | float = 0
+    running: tuple[_RunRow, ...] = ()
+    finished: tuple[_EndRow, ...] = ()
 
 
 class _WaveBody(msgspec.Struct):
@@ -106,9 +124,11 @@
     cap: int = 1
 
 
+# Occurrence, step and index.
+_TASK_NAME = re.compile(r'^\d+\.\d+\.\d+$', re.ASCII)
 _JOB = msgspec.json.Decoder(_JobBody)
 _CONFIG = msgspec.json.Decoder(_ConfigBody)
-_BEAT = msgspec.json.Decoder(_BeatBody, strict=False)
+_BEAT = msgspec.json.Decoder(_BeatBody)
 _WAVE = msgspec.json.Decoder(_WaveBody)
 _STATES = {state.value: state for state in states.WorkerState}
 
@@ -288,6 +308,8 @@
 
 def _split(name: str) -> tuple[ids.JobId, ids.TaskName]:
     job, _, task = name.partition('.')
+    if not _TASK_NAME.match(task):
+        raise msgspec.ValidationError(f'malformed task name {name!r}')
     return ids.JobId(job), ids.TaskName(task)
 
 
@@ -295,25 +317,27 @@
     return f'{job}.{task}'
 
 
-def _make_run(row: tuple) -> calls.RunReport:
-    # [task, attempt, checkpoint, percent, tail or processors]
-    job, task = _split(row[0])
-    figure = row[4] if len(row) > 4 else 0.0
+def _make_run(row: _RunRow) -> calls.RunReport:
+    job, task = _split(row.task)
     return calls.RunReport(
-        job, task, ids.Attempt(row[1]), row[2], int(row[3]), float(figure)
+        job,
+        task,
+        ids.Attempt(row.attempt),
+        row.checkpoint,
+        int(row.percent),
+        float(row.figure),
     )
 
 
-def _make_end(row: tuple) -> calls.EndReport:
-    # [number, task, attempt, how, checkpoint]
-    job, task = _split(row[1])
+def _make_end(row: _EndRow) -> calls.EndReport:
+    job, task = _split(row.task)
     return calls.EndReport(
-        row[0],
+        row.number,
         job,
         task,
-        ids.Attempt(row[2]),
-        states.RunEnd(row[3]),
-        row[4],
+        ids.Attempt(row.attempt),
+        row.how,
+        row.checkpoint,
     )
 
 
--- /dev/null
+++ b/orioleshore/tests/test_platform_wire.py
@@ -0,0 +1,192 @@
+"""Bodies of the platform's interface: what is read, refused and written."""
+
+import json
+
+from hypothesis import given
+from hypothesis import settings as hypothesis_settings
+from hypothesis import strategies
+import msgspec
+import pytest
+
+from orioleshore.jobs import calls
+from orioleshore.model import ids
+from orioleshore.model import states
+from orioleshore.platform import wire
+
+READ_ERRORS = (msgspec.DecodeError, ValueError)
+TASK = '5c0e7a21d94b36f8.0.1.17'
+
+
+def make_beat(**fields) -> dict:
+    """Return a worker's report as the platform sends it."""
+    return {
+        'service': 'red',
+        'address': '10.128.0.9:8080',
+        'zone': 'az-1',
+        'version': 'v1',
+        'slots': 8,
+        'state': 'ready',
+        'cold_left_ms': 0,
+        'capacity': {'cpus': 16_000, 'mem_mb': 32_768, 'gpus': 0},
+        'labels': ['a', 'r1-3'],
+        'timestamp_ms': 482_113,
+        'sequence': 4,
+        'born': 1_772_447_999_000,
+        'machine': 'm-1',
+        'running': [[TASK, 2, 'saved', 41]],
+        'finished': [[58, '5c0e7a21d94b36f8.0.1.9', 1, 'done', '']],
+    } | fields
+
+
+def make_configuration(**fields) -> dict:
+    """Return a configuration as the operator sends it."""
+    route = {
+        'name': 'r-1',
+        'host': 'jobs.example',
+        'path_prefix': '/red/',
+        'type': 'non_idempotent',
+        'timeout_ms': 3_000,
+        'slo_ms': 3_600,
+        'priority': 1,
+        'service': 'red',
+        'max_attempts': 4,
+        'stretch_factor': 1.6,
+    }
+    service = {'name': 'red', 'preconditions': True, 'standby': False}
+    return {
+        'version': 7,
+        'routes': [route],
+        'services': [service],
+        'limits': {},
+    } | fields
+
+
+def test_heartbeat_is_read():
+    """Guards against a field that is taken for another one."""
+    beat = wire.decode_heartbeat('i-1', json.dumps(make_beat()).encode())
+    assert beat.worker == 'i-1'
+    assert beat.incarnation == 1_772_447_999_000
+    assert beat.host == 'm-1'
+    assert beat.capacity.cpu_millis == 16_000
+    assert beat.running[0].task == '0.1.17'
+    assert beat.running[0].progress == 41
+    assert beat.ended[0].how is states.RunEnd.DONE
+
+
+@pytest.mark.parametrize(
+    'fields',
+    [
+        {'state': 'confused'},
+        {'sequence': 'four'},
+        {'service': 7},
+        {'running': [[TASK]]},
+        {'running': [['no-task', 1, '', 0]]},
+        {'finished': [[1, TASK, 1, 'vanished', '']]},
+    ],
+)
+def test_heartbeat_of_another_writer_is_refused(fields):
+    """Guards against a report that is half understood."""
+    body = json.dumps(make_beat(**fields)).encode()
+    with pytest.raises(READ_ERRORS):
+        wire.decode_heartbeat('i-1', body)
+
+
+def test_orders_are_written_as_workers_read_them():
+    """Guards against rows whose parts are in another order."""
+    job = ids.JobId('5c0e7a21d94b36f8')
+    task = ids.TaskName('0.1.18')
+    answer = calls.HeartbeatAnswer(
+        58,
+        ids.Epoch(7),
+        4_000,
+        (calls.StartOrder(job, task, ids.Attempt(1), 'text'),),
+        (calls.StopOrder(job, task, ids.Attempt(2)),),
+        (calls.RateOrder(job, task, ids.Attempt(2), 40),),
+        200,
+        '10.0.0.4:8080',
+    )
+    assert json.loads(wire.encode_heartbeat_answer(answer)) == {
+        'heartbeat_url': '10.0.0.4:8080',
+        'hold_ms': 4_000,
+        'observed': 58,
+        'fencing_token': 7,
+        'retry_ms': 200,
+        'start': [['5c0e7a21d94b36f8.0.1.18', 1, 'text', '']],
+        'stop': [['5c0e7a21d94b36f8.0.1.18', 2]],
+        'rate_limit': [['5c0e7a21d94b36f8.0.1.18', 2, 40]],
+    }
+
+
+def test_answer_without_a_lease_grants_nothing():
+    """Guards against a lease that an old heartbeat extends."""
+    answer = calls.HeartbeatAnswer(0, ids.Epoch(7), 0)
+    assert json.loads(wire.encode_heartbeat_answer(answer)) == {}
+
+
+def test_configuration_is_read_and_kept_as_sent():
+    """Guards against a read that returns other content than was sent."""
+    body = json.dumps(make_configuration()).encode()
+    found = wire.decode_configuration(body)
+    assert found.version == 7
+    assert found.source == body
+    assert found.queues[0].objective_ms == 3_600
+    assert found.pools[0].guards_capacity
+
+
+def make_route(**fields) -> dict:
+    """Return a route that differs from the valid one."""
+    return make_configuration()['routes'][0] | fields
+
+
+@pytest.mark.parametrize(
+    'fields',
+    [
+        {'routes': [make_route(service='green')]},
+        {'routes': [make_route(timeout_ms=0)]},
+        {'routes': [make_route(), make_route(name='r-2')]},
+        {'version': 0},
+        {'routes': 'none'},
+    ],
+)
+def test_invalid_configuration_is_refused(fields):
+    """Guards against a configuration whose parts do not fit."""
+    body = json.dumps(make_configuration(**fields)).encode()
+    with pytest.raises(READ_ERRORS):
+        wire.decode_configuration(body)
+
+
+def test_configuration_that_was_cut_short_is_refused():
+    """Guards against the first part of a document that takes effect."""
+    body = json.dumps(make_configuration()).encode()
+    with pytest.raises(READ_ERRORS):
+        wire.decode_configuration(body[:-5])
+
+
+JSON = strategies.recursive(
+    strategies.none()
+    | strategies.booleans()
+    | strategies.integers()
+    | strategies.floats(allow_nan=False)
+    | strategies.text(max_size=8),
+    lambda inner: (
+        strategies.lists(inner, max_size=5)
+        | strategies.dictionaries(strategies.text(max_size=8), inner)
+    ),
+    max_leaves=12,
+)
+
+
+@hypothesis_settings(max_examples=200, derandomize=True, deadline=None)
+@given(
+    name=strategies.sampled_from(sorted(make_beat())),
+    value=JSON,
+    cut=strategies.integers(0, 40),
+)
+def test_damaged_heartbeats_raise_only_read_errors(name, value, cut):
+    """Guards against a report that stops the process."""
+    text = json.dumps(make_beat(**{name: value}))
+    body = text[: len(text) - cut].encode()
+    try:
+        wire.decode_heartbeat('i-1', body)
+    except READ_ERRORS:
+        return
