Test the platform's roles as real processes with stand-ins

A worker, the platform's list of hosts and callers speak the protocol against three members and an entry host: end to end, a killed leader, a lost disk, a refused configuration, an orderly stop.

--- /dev/null
+++ b/fakes/platform_fleet.py
@@ -0,0 +1,258 @@
+"""Real processes of the platform's two roles, on loopback addresses.
+
+Each process gets a settings file as the platform writes it, and an
+address of its own, so that all use the same ports.
+"""
+
+import asyncio
+import json
+import os
+import pathlib
+import signal
+import socket
+import subprocess
+import sys
+
+import aiohttp
+from aiohttp import web
+
+ROOT = pathlib.Path(__file__).resolve().parent.parent
+HEARTBEAT_S = 0.2
+
+
+def _find_free_ports(count: int) -> int:
+    """Return the first of some ports that are free on loopback."""
+    while True:
+        with socket.socket() as probe:
+            probe.bind(('127.0.0.1', 0))
+            first = probe.getsockname()[1]
+        if first + count < 32_768 or first + count > 61_000:
+            if first + count <= 65_535:
+                return first
+            continue
+        return first
+
+
+class PlatformFleet:
+    """Starts, signals and stops processes; only its own, by their ids."""
+
+    def __init__(self, folder: pathlib.Path, members: int = 3) -> None:
+        self._folder = folder
+        # One address for each process, in a part of loopback that depends
+        # on this process, so that two runs do not meet.
+        block = 16 + os.getpid() % 200
+        part = (os.getpid() // 200) % 250
+        self._prefix = f'127.{block}.{part}'
+        self._port = _find_free_ports(8)
+        self._members = members
+        self.processes: dict[str, subprocess.Popen] = {}
+
+    def get_address(self, name: str) -> str:
+        """Return the IP number of a process."""
+        kind, _, number = name.partition('-')
+        base = 10 if kind == 'control' else 50
+        return f'{self._prefix}.{base + int(number)}'
+
+    def get_url(self, name: str) -> str:
+        """Return the base URL for workers and operators, or callers."""
+        offset = 4 if name.startswith('control') else 5
+        return f'http://{self.get_address(name)}:{self._port + offset}'
+
+    def get_ready_url(self, name: str) -> str:
+        """Return where the balancer asks."""
+        return f'http://{self.get_address(name)}:{self._port + 6}/ready'
+
+    def get_metrics_url(self, name: str) -> str:
+        """Return where monitoring asks."""
+        port = 9465 if name.startswith('control') else 9464
+        return f'http://{self.get_address(name)}:{port}/metrics'
+
+    @property
+    def control_names(self) -> list[str]:
+        return [f'control-{number}' for number in range(self._members)]
+
+    @property
+    def cloud_address(self) -> str:
+        return f'{self._prefix}.9:{self._port + 7}'
+
+    def start(self, name: str, bootstrap: bool = True) -> None:
+        """Start one process."""
+        path = self._write_settings(name, bootstrap)
+        log = (self._folder / f'{name}.log').open('ab')
+        self.processes[name] = subprocess.Popen(
+            [
+                sys.executable,
+                '-m',
+                'orioleshore.platform',
+                name.partition('-')[0],
+            ],
+            cwd=ROOT,
+            env=os.environ | {'ORIOLESHORE_SETTINGS': str(path)},
+            stdout=log,
+            stderr=log,
+        )
+        log.close()
+
+    def start_all(self) -> None:
+        """Start the members and one entry host."""
+        for name in (*self.control_names, 'entry-0'):
+            self.start(name)
+
+    def signal(self, name: str, number: signal.Signals) -> None:
+        """Send a signal to a process of this fleet."""
+        self.processes[name].send_signal(number)
+
+    def kill(self, name: str) -> None:
+        """Kill a process and wait for its end."""
+        self.processes[name].kill()
+        self.processes[name].wait(10)
+
+    def stop_all(self) -> None:
+        """End all processes that still run."""
+        for process in self.processes.values():
+            if process.poll() is None:
+                process.send_signal(signal.SIGCONT)
+                process.kill()
+            process.wait(10)
+
+    def read_log(self, name: str) -> str:
+        """Return what a process wrote."""
+        return (self._folder / f'{name}.log').read_text('utf-8')
+
+    def _write_settings(self, name: str, bootstrap: bool) -> pathlib.Path:
+        address = self.get_address(name)
+        is_control = name.startswith('control')
+        seeds = [
+            f'{self.get_address(seed)}:{self._port + 4}'
+            for seed in self.control_names
+        ]
+        data = self._folder / f'data-{name}'
+        if is_control:
+            data.mkdir(exist_ok=True)
+        listen = (
+            f'control = "{address}:{self._port + 4}"'
+            if is_control
+            else f'front = "{address}:{self._port + 5}"\n'
+            f'ready = "{address}:{self._port + 6}"'
+        )
+        text = f"""
+node_name = "{name}"
+ip = "{address}"
+zone = "az-1"
+port_range = [{self._port}, {self._port + 3}]
+seeds = {json.dumps(seeds)}
+bootstrap = {str(bootstrap).lower()}
+data_dir = "{data if is_control else ''}"
+[listen]
+{listen}
+[cloud_api]
+address = "{self.cloud_address}"
+"""
+        path = self._folder / f'{name}.toml'
+        path.write_text(text, encoding='utf-8')
+        return path
+
+
+class Runner:
+    """A worker that reports by HTTP and runs what it is told.
+
+    ``starts`` counts the starts of each task, over all its lives.
+    """
+
+    def __init__(
+        self, fleet: PlatformFleet, name: str, service: str, run_s: float
+    ) -> None:
+        self._fleet = fleet
+        self._name = name
+        self._service = service
+        self._run_s = run_s
+        self._sequence = 0
+        self._number = 0
+        self._running: dict[tuple[str, int], float] = {}
+        self._ended: list[list] = []
+        self._position = 0
+        self.starts: dict[str, int] = {}
+        self.done: set[str] = set()
+        self.answered = 0
+
+    async def run(self) -> None:
+        """Report until cancelled."""
+        timeout = aiohttp.ClientTimeout(total=1.0)
+        async with aiohttp.ClientSession(timeout=timeout) as session:
+            while True:
+                await self._report(session)
+                await asyncio.sleep(HEARTBEAT_S)
+
+    async def _report(self, session: aiohttp.ClientSession) -> None:
+        now = asyncio.get_running_loop().time()
+        for key, ends_at in list(self._running.items()):
+            if now >= ends_at:
+                del self._running[key]
+                self._number += 1
+                self.done.add(key[0])
+                self._ended.append([self._number, *key, 'done', ''])
+        self._sequence += 1
+        body = {
+            'service': self._service,
+            'zone': 'az-1',
+            'state': 'ready',
+            'sequence': self._sequence,
+            'born': 1,
+            'machine': f'm-{self._name}',
+            'capacity': {'cpus': 4_000, 'mem_mb': 8_192},
+            'labels': ['a', 'r1-1'],
+            'running': [[*key, '', 0] for key in self._running],
+            'finished': self._ended,
+        }
+        names = self._fleet.control_names
+        name = names[self._position % len(names)]
+        url = f'{self._fleet.get_url(name)}/instances/{self._name}'
+        try:
+            async with session.put(url, json=body) as response:
+                if response.status != 200:
+                    self._position += 1
+                    return
+                self._obey(await response.json())
+        except (aiohttp.ClientError, TimeoutError, OSError):
+            self._position += 1
+
+    def _obey(self, answer: dict) -> None:
+        self.answered += 1
+        now = asyncio.get_running_loop().time()
+        observed = answer.get('observed', 0)
+        self._ended = [end for end in self._ended if end[0] > observed]
+        for task, attempt in answer.get('stop', ()):
+            self._running.pop((task, attempt), None)
+        for task, attempt, *_ in answer.get('start', ()):
+            self.starts[task] = self.starts.get(task, 0) + 1
+            self._running[task, attempt] = now + self._run_s
+
+
+class Cloud:
+    """The platform's list of hosts; it accepts every order about them."""
+
+    def __init__(self, fleet: PlatformFleet) -> None:
+        self._fleet = fleet
+        self.upkeeps: list[str] = []
+        self._runner: web.AppRunner | None = None
+
+    async def start(self) -> None:
+        """Listen on loopback."""
+        app = web.Application()
+        app.router.add_get('/machines', self._list)
+        app.router.add_post('/machine-upkeep', self._take_down)
+        self._runner = web.AppRunner(app, access_log=None)
+        await self._runner.setup()
+        host, _, port = self._fleet.cloud_address.partition(':')
+        await web.TCPSite(self._runner, host, int(port)).start()
+
+    async def stop(self) -> None:
+        """Close the socket."""
+        await self._runner.cleanup()
+
+    async def _list(self, request: web.Request) -> web.Response:
+        return web.json_response({'machines': [], 'next_token': None})
+
+    async def _take_down(self, request: web.Request) -> web.Response:
+        self.upkeeps.append((await request.json())['machine'])
+        return web.json_response({})
--- /dev/null
+++ b/orioleshore/tests/test_platform_processes.py
@@ -0,0 +1,242 @@
+"""The platform's two roles as real processes, met by its protocol."""
+
+import asyncio
+import contextlib
+import signal
+
+import aiohttp
+
+from fakes import platform_fleet
+from orioleshore.tests import support
+
+CONFIGURATION = {
+    'version': 3,
+    'routes': [
+        {
+            'name': 'r-1',
+            'host': 'jobs.example',
+            'path_prefix': '/red/',
+            'timeout_ms': 3_000,
+            'slo_ms': 3_600,
+            'service': 'red',
+            'max_attempts': 2,
+            'stretch_factor': 1.6,
+        }
+    ],
+    'services': [{'name': 'red', 'preconditions': True}],
+    'limits': {},
+}
+JOB = {
+    'spec': 'text',
+    'steps': [
+        {'replicas': 3, 'cpus': 500, 'mem_mb': 64, 'estimate_ms': 300},
+        {'replicas': 2, 'cpus': 500, 'mem_mb': 64, 'after': [0]},
+    ],
+}
+HOST = {'Host': 'jobs.example', 'Timeout-Ms': '3000'}
+JOB_ID = '5c0e7a21d94b36f8'
+
+
+@contextlib.asynccontextmanager
+async def run_fleet(folder):
+    """Yield a fleet with one worker, the platform and an HTTP session."""
+    fleet = platform_fleet.PlatformFleet(folder)
+    cloud = platform_fleet.Cloud(fleet)
+    runner = platform_fleet.Runner(fleet, 'i-1', 'red', 0.4)
+    await cloud.start()
+    fleet.start_all()
+    working = asyncio.create_task(runner.run())
+    timeout = aiohttp.ClientTimeout(total=3.0)
+    try:
+        async with aiohttp.ClientSession(timeout=timeout) as session:
+            yield fleet, runner, session
+    finally:
+        working.cancel()
+        await asyncio.gather(working, return_exceptions=True)
+        fleet.stop_all()
+        await cloud.stop()
+
+
+async def request(session, method, url, **options):
+    """Return status and body of one request, 0 when there is no answer."""
+    try:
+        async with session.request(method, url, **options) as response:
+            return response.status, await response.read()
+    except (aiohttp.ClientError, TimeoutError, OSError):
+        return 0, b''
+
+
+async def put_configuration(fleet, session, content, names=None):
+    """Send a configuration to one node after the other until it is taken."""
+
+    async def is_taken() -> bool:
+        for name in names or fleet.control_names:
+            url = f'{fleet.get_url(name)}/config'
+            status, _ = await request(session, 'PUT', url, json=content)
+            if status == 200:
+                return True
+        return False
+
+    await wait_for(is_taken, 'configuration is acknowledged')
+
+
+async def wait_for(check, what):
+    """Wait until a coroutine function returns true."""
+    for _ in range(200):
+        if await check():
+            return
+        await asyncio.sleep(0.1)
+    raise AssertionError(f'not seen in time: {what}')
+
+
+def make_state_check(fleet, session, state):
+    """Return a check that the job is shown in a state."""
+    url = f'{fleet.get_url("entry-0")}/red/{JOB_ID}'
+
+    async def check() -> bool:
+        status, body = await request(session, 'GET', url, headers=HOST)
+        return status == 200 and state.encode() in body
+
+    return check
+
+
+def test_job_is_served_from_end_to_end(tmp_path):
+    """Guards against a path that works only inside one process."""
+
+    async def serve():
+        async with run_fleet(tmp_path) as (fleet, runner, session):
+            await put_configuration(fleet, session, CONFIGURATION)
+            url = f'{fleet.get_url("entry-0")}/red/{JOB_ID}'
+            for _ in range(2):
+                status, _ = await request(
+                    session, 'POST', url, headers=HOST, json=JOB
+                )
+                assert status == 200
+            check = make_state_check(fleet, session, 'completed')
+            await wait_for(check, 'job is completed')
+            assert sorted(runner.starts.values()) == [1] * 5
+            status, text = await request(
+                session, 'GET', fleet.get_metrics_url('entry-0')
+            )
+            assert status == 200
+            assert b'orioleshore_request_seconds_bucket' in text
+            missing = f'{fleet.get_url("entry-0")}/green/{JOB_ID}'
+            status, _ = await request(session, 'GET', missing, headers=HOST)
+            assert status == 404
+
+    support.run(serve())
+
+
+def test_nothing_acknowledged_is_lost_with_the_leader(tmp_path):
+    """Guards against work that only the leader knew of."""
+
+    async def serve():
+        async with run_fleet(tmp_path) as (fleet, runner, session):
+            await put_configuration(fleet, session, CONFIGURATION)
+            url = f'{fleet.get_url("entry-0")}/red/{JOB_ID}'
+            status, _ = await request(
+                session, 'POST', url, headers=HOST, json=JOB
+            )
+            assert status == 200
+            leader = find_leader(fleet)
+            fleet.kill(leader)
+            check = make_state_check(fleet, session, 'completed')
+            await wait_for(check, 'job is completed under a new leader')
+            assert max(runner.starts.values()) == 1
+            others = [n for n in fleet.control_names if n != leader]
+
+            async def is_kept() -> bool:
+                config = f'{fleet.get_url(others[0])}/config'
+                status, body = await request(session, 'GET', config)
+                return status == 200 and b'"version":3' in body.replace(
+                    b' ', b''
+                )
+
+            await wait_for(is_kept, 'configuration is read back')
+
+    support.run(serve())
+
+
+def test_invalid_configuration_is_refused_and_not_in_force(tmp_path):
+    """Guards against a part of a refused document that takes effect."""
+
+    async def serve():
+        async with run_fleet(tmp_path) as (fleet, _, session):
+            await put_configuration(fleet, session, CONFIGURATION)
+            broken = CONFIGURATION | {'version': 9, 'services': []}
+            url = f'{fleet.get_url("control-0")}/config'
+            status, _ = await request(session, 'PUT', url, json=broken)
+            assert status == 400
+
+            async def is_old() -> bool:
+                status, body = await request(session, 'GET', url)
+                return status == 200 and b'"version": 3' in body
+
+            await wait_for(is_old, 'old version is in force')
+
+    support.run(serve())
+
+
+def test_entry_host_stops_without_cutting_anyone_off(tmp_path):
+    """Guards against a stop that the balancer does not notice in time."""
+
+    async def serve():
+        async with run_fleet(tmp_path) as (fleet, _, session):
+            await put_configuration(fleet, session, CONFIGURATION)
+            ready = fleet.get_ready_url('entry-0')
+            assert (await request(session, 'GET', ready))[0] == 200
+            fleet.signal('entry-0', signal.SIGTERM)
+
+            async def is_not_ready() -> bool:
+                return (await request(session, 'GET', ready))[0] == 503
+
+            await wait_for(is_not_ready, 'balancer is told')
+            url = f'{fleet.get_url("entry-0")}/red/'
+            status, _ = await request(session, 'GET', url, headers=HOST)
+            assert status == 200
+            process = fleet.processes['entry-0']
+
+            async def is_gone() -> bool:
+                return process.poll() is not None
+
+            await wait_for(is_gone, 'process ended')
+            assert process.returncode == 0
+
+    support.run(serve())
+
+
+def test_member_that_lost_its_disk_is_taken_in_again(tmp_path):
+    """Guards against a member that founds a new group on an empty disk."""
+
+    async def serve():
+        async with run_fleet(tmp_path) as (fleet, _, session):
+            await put_configuration(fleet, session, CONFIGURATION)
+            lost = find_leader(fleet)
+            fleet.kill(lost)
+            for path in (tmp_path / f'data-{lost}').iterdir():
+                path.unlink()
+            fleet.start(lost, bootstrap=False)
+            newer = CONFIGURATION | {'version': 4}
+            await put_configuration(fleet, session, newer)
+
+            async def is_newest() -> bool:
+                url = f'{fleet.get_url(lost)}/config'
+                status, body = await request(session, 'GET', url)
+                return status == 200 and b'"version": 4' in body
+
+            await wait_for(is_newest, 'replaced member serves reads')
+            others = [n for n in fleet.control_names if n != lost]
+            fleet.kill(others[0])
+            await wait_for(is_newest, 'replaced member counts in the quorum')
+
+    support.run(serve())
+
+
+def find_leader(fleet) -> str:
+    """Return the member whose scheduler runs, by its log."""
+    for name in fleet.control_names:
+        lines = fleet.read_log(name).splitlines()
+        marks = [line for line in lines if 'event=scheduling_st' in line]
+        if marks and 'event=scheduling_started' in marks[-1]:
+            return name
+    raise AssertionError('no member leads')
