--- a/fakes/workers.py
+++ b/fakes/workers.py
@@ -141,6 +141,7 @@
 
     def fail_over(self) -> None:
         """Replace the scheduler by one that knows only the log."""
+        self._commit()
         book = ledger.Ledger()
         for change in self.log:
             ledger.apply_change(change, book)
--- a/orioleshore/consensus/member.py
+++ b/orioleshore/consensus/member.py
@@ -904,7 +904,8 @@
 @_perform.register
 def _(action: events.Apply, member: MemberTask) -> None:
     member._apply(action.entries)
-    if member._leads and any(
+    # Later changes of the group in the same term find the tasks at work.
+    if (member._leads and not member._is_managing) and any(
         entry.kind != events.EntryKind.COMMAND
         and entry.term == member._raft.term
         for entry in action.entries
--- a/orioleshore/jobs/ledger.py
+++ b/orioleshore/jobs/ledger.py
@@ -90,6 +90,8 @@
     configuration: specs.Configuration = specs.Configuration()
     jobs: dict[ids.JobId, JobRecord] = {}
     waves: dict[ids.WaveId, WaveRecord] = {}
+    # When a host was last the subject of an order to the platform.
+    ordered_at: dict[ids.HostId, ids.WallTime] = {}
 
 
 class _Change(
@@ -193,6 +195,13 @@
     host: ids.HostId
 
 
+class HostOrdered(_Change, frozen=True):
+    """The platform is about to be asked something about a host."""
+
+    host: ids.HostId
+    at: ids.WallTime
+
+
 Change = (
     JobAccepted
     | JobCancelled
@@ -205,6 +214,7 @@
     | UpkeepWithdrawn
     | UpkeepBegun
     | UpkeepFinished
+    | HostOrdered
 )
 
 
@@ -323,6 +333,11 @@
     record.back = True
 
 
+@apply_change.register
+def _(change: HostOrdered, ledger: Ledger) -> None:
+    ledger.ordered_at[change.host] = change.at
+
+
 def count_tasks(job: specs.Job) -> int:
     """Return how many tasks must be done before the job is completed."""
     return job.occurrence_count * sum(step.tasks for step in job.steps)
--- a/orioleshore/jobs/orders.py
+++ b/orioleshore/jobs/orders.py
@@ -1,12 +1,15 @@
 """Orders to the platform about hosts, one at a time for each host.
 
-The platform accepts orders of one holder with one fencing token; a new
-leader waits until the lease of the one before is over. An order without
-an answer may have been carried out and is repeated.
+The platform accepts orders of one holder with one fencing token. A new
+leader waits with a host until the lease of the one before is over, if
+that one gave an order about it just now. An order without an answer may
+have been carried out and is repeated.
 """
 
 from __future__ import annotations
 
+from collections.abc import Callable
+
 import msgspec
 
 from orioleshore.jobs import calls
@@ -17,6 +20,9 @@
 MS_PER_S = 1_000.0
 # Pause before the platform is asked again after a refusal or silence.
 RETRY_S = 0.7
+# Clocks of two hosts may differ by this much; the platform's may jump by
+# seconds.
+CLOCK_SLACK_S = 3.0
 # The list of hosts is read this often while orders are under way or
 # hosts are missing, and otherwise to find hosts that came or went.
 LIST_BUSY_S = 1.0
@@ -63,11 +69,15 @@
     """Orders under way, and the newest list of hosts."""
 
     def __init__(
-        self, limits: tuning.Tuning, epoch: ids.Epoch, gained_at: float
+        self,
+        limits: tuning.Tuning,
+        epoch: ids.Epoch,
+        record: Callable[[ids.HostId], None],
     ) -> None:
         self._limits = limits
         self._epoch = epoch
-        self._usable_at = gained_at + limits.host_lease_ms / MS_PER_S
+        # Notes an order in the log before it is given.
+        self._record = record
         self._orders: list[Order] = []
         # Hosts about which the platform is being asked, with the time at
         # which the answer counts as lost.
@@ -97,9 +107,20 @@
         """Add an order that needs no lease of a host."""
         self._orders.append(order)
 
-    def is_usable(self, now: float) -> bool:
-        """Return whether this leader may give orders about hosts."""
-        return now >= self._usable_at
+    def wait_for_leases(
+        self,
+        ordered_at: dict[ids.HostId, ids.WallTime],
+        now: float,
+        wall: ids.WallTime,
+    ) -> None:
+        """Leave hosts alone that the leader before gave orders about.
+
+        The wall times are those of another host, whose clock may differ.
+        """
+        lease_s = self._limits.host_lease_ms / MS_PER_S
+        for host, at in ordered_at.items():
+            if abs(wall - at) < lease_s + CLOCK_SLACK_S:
+                self._retry_at[host] = now + lease_s
 
     def may_ask(self, host: ids.HostId, now: float) -> bool:
         """Return whether no order for a host is under way or refused."""
@@ -153,4 +174,5 @@
         self._orders.append(ListHosts(now))
 
     def _ask(self, host: ids.HostId, now: float) -> None:
+        self._record(host)
         self._asked[host] = now + self._limits.host_call_ms / MS_PER_S
--- a/orioleshore/jobs/scheduler.py
+++ b/orioleshore/jobs/scheduler.py
@@ -69,11 +69,12 @@
         self.gained_at = now
         self.workers: dict[ids.WorkerId, workers.Worker] = {}
         self.jobs: dict[ids.JobId, progress.JobProgress] = {}
-        self.orders = orders.OrderBook(limits, epoch, now)
+        self.orders = orders.OrderBook(limits, epoch, self._record_order)
         self.upkeep = upkeep.Upkeep(self)
         self.pools = pools.Pools(self)
         self.approvals = approvals.Approvals(self)
         self._changes: list[ledger.Change] = []
+        self._has_looked_at_leases = False
         # Since when lasting jobs lack a task, and those already logged.
         self._waits_since: dict[ids.JobId, float] = {}
         self._long_waits: set[ids.JobId] = set()
@@ -109,8 +110,9 @@
         self._note_waiting()
         gangs.plan_gangs(self)
         self.approvals.advance()
-        if not self.orders.is_usable(now):
-            return
+        if not self._has_looked_at_leases:
+            self._has_looked_at_leases = True
+            self.orders.wait_for_leases(self.book.ordered_at, now, wall)
         is_busy = self.upkeep.is_busy or self.pools.is_busy
         self.orders.list_when_due(now, is_busy)
         self.upkeep.advance()
@@ -127,6 +129,9 @@
         lease_s = self.limits.lease_ms / MS_PER_S
         return lease_s * (1.0 + tuning.WORKER_CLOCK_DRIFT)
 
+    def _record_order(self, host: ids.HostId) -> None:
+        self.record(ledger.HostOrdered(host, self.wall))
+
     def record(self, change: ledger.Change) -> None:
         """Apply a change here and note it for the log."""
         ledger.apply_change(change, self.book)
--- a/orioleshore/tests/test_batch_scheduler.py
+++ b/orioleshore/tests/test_batch_scheduler.py
@@ -359,3 +359,23 @@
     fleet.run(2.0)
     assert not draining.running
     assert fleet.count_running(builders.build_job_id()) == 2
+
+
+def test_new_leader_leaves_hosts_alone_that_were_just_ordered():
+    """Guards against two holders that take turns within a lease.
+
+    A new leader once left all hosts alone, also in a turn of demand.
+    """
+    fleet = build_fleet(red=2, blue=2, standby=2)
+    fleet.run(1.0)
+    host, other = (
+        w.host for w in fleet.workers.values() if w.pool == 'standby'
+    )
+    fleet.scheduler.orders.move(host, ids.PoolId('red'), fleet.now)
+    fleet.fail_over()
+    fleet.scheduler.tick(fleet.now, fleet.wall)
+    scheduled = fleet.scheduler.orders
+    lease_s = fleet.scheduler.limits.host_lease_ms / 1_000.0
+    assert scheduled.may_ask(other, fleet.now)
+    assert not scheduled.may_ask(host, fleet.now + lease_s - 0.1)
+    assert scheduled.may_ask(host, fleet.now + lease_s + 0.1)
--- a/orioleshore/tests/test_platform_processes.py
+++ b/orioleshore/tests/test_platform_processes.py
@@ -211,7 +211,7 @@
     async def serve():
         async with run_fleet(tmp_path) as (fleet, _, session):
             await put_configuration(fleet, session, CONFIGURATION)
-            lost = find_leader(fleet)
+            lost = find_follower(fleet)
             fleet.kill(lost)
             for path in (tmp_path / f'data-{lost}').iterdir():
                 path.unlink()
@@ -226,17 +226,40 @@
 
             await wait_for(is_newest, 'replaced member serves reads')
             others = [n for n in fleet.control_names if n != lost]
+            leader = find_leader(fleet)
+            others.remove(leader)
+
+            async def is_voter() -> bool:
+                lines = fleet.read_log(leader).splitlines()
+                changes = [line for line in lines if 'members_ch' in line]
+                # It was taken out and put back: a learner, then a voter.
+                return len(changes) >= 3 and changes[-1].endswith(
+                    changes[0].partition(' voters=')[2]
+                )
+
+            await wait_for(is_voter, 'replaced member votes again')
             fleet.kill(others[0])
             await wait_for(is_newest, 'replaced member counts in the quorum')
+            # Changes of the group once made the leader's scheduler start
+            # anew, which forgot all workers and failed waiting calls.
+            text = fleet.read_log(leader)
+            assert text.count('event=scheduling_started') == 1
 
     support.run(serve())
 
 
+def find_follower(fleet) -> str:
+    """Return a member that does not lead."""
+    leader = find_leader(fleet)
+    return next(name for name in fleet.control_names if name != leader)
+
+
 def find_leader(fleet) -> str:
     """Return the member whose scheduler runs, by its log."""
     for name in fleet.control_names:
         lines = fleet.read_log(name).splitlines()
         marks = [line for line in lines if 'event=scheduling_st' in line]
-        if marks and 'event=scheduling_started' in marks[-1]:
+        is_up = fleet.processes[name].poll() is None
+        if is_up and marks and 'event=scheduling_started' in marks[-1]:
             return name
     raise AssertionError('no member leads')
