Refuse at once what cannot be of use, and tell callers when room is expected

A queue that asks more than its pool and all standby hosts hold for long filled the backlog with jobs whose results would come too late. Run times are learned; a refused caller is told a time after all who were refused before it.

--- a/orioleshore/jobs/admission.py
+++ b/orioleshore/jobs/admission.py
@@ -1,8 +1,10 @@
 """Whether a job is taken in, or refused at once.
 
-Answers the load in which a queue asks more than its pool holds: a job
-that could only be served long after its objective is refused before it
-runs, with the time after which room is expected.
+Answers the load in which a queue asks for longer than its turn more than
+its pool and all standby hosts hold: a job that could be completed only
+when its result has no use any more is refused before it runs, with the
+time after which room is expected. Run times are learned, since declared
+ones are far off.
 """
 
 from __future__ import annotations
@@ -10,11 +12,57 @@
 import typing
 
 from orioleshore.jobs import specs
+from orioleshore.jobs import workers
 from orioleshore.model import errors
+from orioleshore.model import ids
 
 if typing.TYPE_CHECKING:
     from orioleshore.jobs import scheduler as scheduling
 
+MS_PER_S = 1_000.0
+# A result that comes later than this many objectives has no use; agreed
+# with the callers.
+USELESS_FACTOR = 3.0
+# Weight of the newest run in the learned run time.
+LEARNING_RATE = 0.05
+# Longest time for which a caller is sent away; demand changes with each
+# turn, so a longer forecast means little.
+MAX_DELAY_S = 30.0
+
+
+class Promises:
+    """Room that refused callers were told to come back for."""
+
+    def __init__(self) -> None:
+        self._until: dict[ids.PoolId, float] = {}
+
+    def add(self, pool: ids.PoolId, earliest: float, work_s: float) -> float:
+        """Return when to come back, after all who were told before.
+
+        ``earliest`` is a monotonic time, ``work_s`` how long the pool
+        works on what the caller wants.
+        """
+        until = max(earliest, self._until.get(pool, 0.0)) + work_s
+        until = min(until, earliest + MAX_DELAY_S)
+        self._until[pool] = until
+        return until
+
+
+class RunTimes:
+    """Learned run time of a pool's tasks, in seconds."""
+
+    def __init__(self) -> None:
+        self._means: dict[ids.PoolId, float] = {}
+
+    def learn(self, pool: ids.PoolId, seconds: float) -> None:
+        """Take the run time of one task that was done."""
+        mean = self._means.get(pool, seconds)
+        self._means[pool] = mean + LEARNING_RATE * (seconds - mean)
+
+    def get_mean(self, pool: ids.PoolId, declared_s: float) -> float:
+        """Return the mean run time; the declared one before any is known."""
+        return self._means.get(pool, declared_s)
+
 
 def get_objective_ms(job: specs.Job, queue: specs.Queue) -> int:
     """Return the time in which a job should be completed."""
@@ -23,13 +71,105 @@
 
 
 def find_refusal(
-    scheduler: scheduling.Scheduler, job: specs.Job, queue: specs.Queue
+    scheduler: scheduling.Scheduler,
+    job: specs.Job,
+    queue: specs.Queue,
 ) -> errors.Failure | None:
     """Return why a job is refused, None when it is taken in."""
     problem = _find_problem(job)
     if problem:
         return errors.Failure(errors.ErrorKind.INVALID_REQUEST, problem)
-    return None
+    if not _fits_anywhere(scheduler, job):
+        return errors.Failure(
+            errors.ErrorKind.DEADLINE_UNREACHABLE,
+            'no host has the room that a task needs',
+            retry_after_s=USELESS_FACTOR
+            * get_objective_ms(job, queue)
+            / MS_PER_S,
+        )
+    if job.is_lasting or job.occurrences:
+        return None
+    return _find_overload(scheduler, job, queue)
+
+
+def get_expected_wait(
+    scheduler: scheduling.Scheduler, pool: ids.PoolId, declared_s: float
+) -> float:
+    """Return the time in which a pool works its backlog off, in seconds."""
+    capacity = _get_capacity(scheduler, pool)
+    if not capacity:
+        # Without any host known nothing can be said about the time.
+        return 0.0
+    mean_s = scheduler.run_times.get_mean(pool, declared_s)
+    backlog = sum(
+        group.undone * workers.get_reserved(group.step).cpu_millis
+        for job in scheduler.get_pool_jobs(pool)
+        if not job.is_lasting
+        for group in job.groups.values()
+    )
+    return backlog * mean_s / capacity
+
+
+def _find_overload(
+    scheduler: scheduling.Scheduler,
+    job: specs.Job,
+    queue: specs.Queue,
+) -> errors.Failure | None:
+    declared_s = max(step.estimate_ms for step in job.steps) / MS_PER_S
+    wait_s = get_expected_wait(scheduler, queue.pool, declared_s)
+    useful_s = USELESS_FACTOR * get_objective_ms(job, queue) / MS_PER_S
+    if wait_s <= useful_s:
+        return None
+    work_s = (
+        _get_work(job)
+        * scheduler.run_times.get_mean(queue.pool, declared_s)
+        / _get_capacity(scheduler, queue.pool)
+    )
+    earliest = scheduler.now + wait_s - useful_s
+    come_back = scheduler.promises.add(queue.pool, earliest, work_s)
+    return errors.Failure(
+        errors.ErrorKind.OVERLOADED,
+        f'the backlog takes {wait_s:.1f} s, the result is of use for '
+        f'{useful_s:.1f} s',
+        retry_after_s=come_back - scheduler.now,
+    )
+
+
+def _get_work(job: specs.Job) -> int:
+    """Return the processors that all tasks reserve, in thousandths."""
+    return sum(
+        step.tasks * workers.get_reserved(step).cpu_millis
+        for step in job.steps
+    )
+
+
+def _get_capacity(scheduler: scheduling.Scheduler, pool: ids.PoolId) -> int:
+    """Return processors for the pool's backlog, in thousandths."""
+    own = scheduler.get_pool_workers(pool)
+    capacity = sum(worker.capacity.cpu_millis for worker in own)
+    standby = sum(
+        info.capacity.cpu_millis
+        for info in scheduler.orders.hosts.values()
+        if scheduler.is_standby(info.pool)
+    )
+    lasting = sum(
+        need.cpu_millis
+        for worker in own
+        for key, need in worker.ordered.items()
+        if scheduler.is_lasting_run(key)
+    )
+    return max(0, capacity + standby - lasting)
+
+
+def _fits_anywhere(scheduler: scheduling.Scheduler, job: specs.Job) -> bool:
+    sizes = [worker.capacity for worker in scheduler.workers.values()]
+    sizes += [info.capacity for info in scheduler.orders.hosts.values()]
+    if not sizes:
+        return True
+    return all(
+        any(workers.fits(workers.get_reserved(step), size) for size in sizes)
+        for step in job.steps
+    )
 
 
 def _find_problem(job: specs.Job) -> str:
--- a/orioleshore/jobs/placement.py
+++ b/orioleshore/jobs/placement.py
@@ -207,11 +207,7 @@
 def _holds_lasting(
     scheduler: scheduling.Scheduler, worker: workers.Worker
 ) -> bool:
-    for key in worker.ordered:
-        job = scheduler.jobs.get(key[0])
-        if job is not None and job.get_step(key[1]).is_lasting:
-            return True
-    return False
+    return any(scheduler.is_lasting_run(key) for key in worker.ordered)
 
 
 def _start(
@@ -240,6 +236,7 @@
     key = (job.job, task, attempt)
     worker.ordered[key] = workers.get_reserved(group.step)
     worker.on_trial.add(key)
+    worker.began_at[key] = scheduler.now
     return calls.StartOrder(
         job.job,
         task,
--- a/orioleshore/jobs/scheduler.py
+++ b/orioleshore/jobs/scheduler.py
@@ -73,6 +73,8 @@
         self.upkeep = upkeep.Upkeep(self)
         self.pools = pools.Pools(self)
         self.approvals = approvals.Approvals(self)
+        self.run_times = admission.RunTimes()
+        self.promises = admission.Promises()
         self._changes: list[ledger.Change] = []
         self._has_looked_at_leases = False
         # Since when lasting jobs lack a task, and those already logged.
@@ -319,6 +321,22 @@
 
     # Workers.
 
+    def is_lasting_run(self, key: workers.RunKey) -> bool:
+        """Return whether a run is one of a lasting task."""
+        job = self.jobs.get(key[0])
+        return job is not None and job.get_step(key[1]).is_lasting
+
+    def learn_run_time(
+        self,
+        worker: workers.Worker,
+        key: workers.RunKey,
+        how: states.RunEnd,
+    ) -> None:
+        """Learn from a run that was done how long the pool's runs take."""
+        began = worker.began_at.pop(key, None)
+        if began is not None and how is states.RunEnd.DONE:
+            self.run_times.learn(worker.pool, self.now - began)
+
     def is_plausible(self, name: ids.JobId, task: ids.TaskName) -> bool:
         """Return whether a job has such a task, or is not known."""
         record = self.book.jobs.get(name)
@@ -682,7 +700,7 @@
     worker.on_trial -= {
         key
         for key, report in worker.reports.items()
-        if report.progress >= AT_WORK and _is_lasting_run(key, scheduler)
+        if report.progress >= AT_WORK and scheduler.is_lasting_run(key)
     }
     worker.listed = {
         key: worker.ordered.get(key) or scheduler.get_reserved(key)
@@ -690,11 +708,6 @@
     }
 
 
-def _is_lasting_run(key: workers.RunKey, scheduler: Scheduler) -> bool:
-    job = scheduler.jobs.get(key[0])
-    return job is not None and job.get_step(key[1]).is_lasting
-
-
 def _take_ends(
     worker: workers.Worker, call: calls.Heartbeat, scheduler: Scheduler
 ) -> int:
@@ -708,6 +721,7 @@
         was_ordered = worker.ordered.pop(key, None) is not None
         worker.rates.pop(key, None)
         if was_ordered:
+            scheduler.learn_run_time(worker, key, end.how)
             placement.learn_from_end(worker, key, end.how, scheduler)
         scheduler.end_run(key, end.how, end.checkpoint, worker.name)
     return observed
@@ -724,6 +738,7 @@
             continue
         del worker.ordered[key]
         worker.on_trial.discard(key)
+        worker.began_at.pop(key, None)
         scheduler.end_run(key, states.RunEnd.LOST, '', worker.name)
 
 
@@ -735,7 +750,7 @@
     if worker.state is states.WorkerState.DRAINING:
         # What lasts would be lost when the worker ends; it moves now.
         worker.evicted |= {
-            key for key in worker.listed if _is_lasting_run(key, scheduler)
+            key for key in worker.listed if scheduler.is_lasting_run(key)
         }
     stops = [calls.StopOrder(*key) for key in worker.evicted]
     for key in worker.listed.keys() - worker.evicted:
--- a/orioleshore/jobs/workers.py
+++ b/orioleshore/jobs/workers.py
@@ -36,6 +36,8 @@
     ordered: dict[RunKey, specs.Resources] = {}
     # Room held for members of gangs that are not started yet.
     reserved: dict[tuple[ids.JobId, ids.TaskName], specs.Resources] = {}
+    # Monotonic times at which runs were ordered.
+    began_at: dict[RunKey, float] = {}
     rates: dict[RunKey, int] = {}
     # Runs that are stopped so that their tasks run elsewhere.
     evicted: set[RunKey] = set()
