--- a/orioleshore/jobs/placement.py
+++ b/orioleshore/jobs/placement.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import logging
 import math
 import typing
 
@@ -19,10 +20,13 @@
 from orioleshore.jobs import workers
 from orioleshore.model import ids
 from orioleshore.model import states
+from orioleshore.telemetry import logs
 
 if typing.TYPE_CHECKING:
     from orioleshore.jobs import scheduler as scheduling
 
+LOG = logging.getLogger(__name__)
+
 # Time for which a suspect worker gets no task after a further failure.
 SHUN_S = 1.5
 # A lasting task that waits for longer goes to any worker with room.
@@ -67,8 +71,18 @@
     if how is not states.RunEnd.FAILED:
         return
     worker.failures_in_row += 1
-    if worker.failures_in_row >= eligibility.SUSPECT_FAILURES:
-        worker.shunned_until = scheduler.now + SHUN_S
+    if worker.failures_in_row < eligibility.SUSPECT_FAILURES:
+        return
+    worker.shunned_until = scheduler.now + SHUN_S
+    LOG.warning(
+        logs.format_event(
+            'worker_suspected',
+            worker=worker.name,
+            host=worker.host,
+            failures_in_row=worker.failures_in_row,
+            shunned_s=SHUN_S,
+        )
+    )
 
 
 def get_retry_ms(
@@ -97,6 +111,7 @@
     if not _is_near(scheduler, worker, job, group):
         return free
     need = workers.get_reserved(step)
+    started = []
     while (
         group.waiting
         and group.may_use(worker.name)
@@ -111,7 +126,21 @@
         run = job.record.tasks.get(task)
         attempt = ids.Attempt((run.attempt if run else 0) + 1)
         orders.append(_start(scheduler, worker, job, group, index, attempt))
+        started.append(f'{task}/{attempt}')
         free = workers.subtract(free, need)
+    if started:
+        LOG.info(
+            logs.format_event(
+                'tasks_started',
+                job=job.job,
+                worker=worker.name,
+                tasks=started,
+                waited_s=scheduler.wall - group.open_since,
+                still_waiting=len(group.waiting),
+                free_cpu=free.cpu_millis,
+                heartbeat=worker.sequence,
+            )
+        )
     return free
 
 
--- a/orioleshore/tests/test_batch_scheduler.py
+++ b/orioleshore/tests/test_batch_scheduler.py
@@ -349,6 +349,80 @@
     assert {host for _, host, _ in fleet.starts} == {near.host}
 
 
+def test_occurrences_start_at_their_times():
+    """Guards against a scheduled run that comes early or never."""
+    fleet = build_fleet()
+    fleet.run(0.5)
+    first_s = 2.0
+    job = msgspec.structs.replace(
+        builders.build_batch_job(),
+        occurrences=3,
+        first_due_ms=int((fleet.wall + first_s) * 1_000),
+        interval_ms=1_500,
+    )
+    began = fleet.now
+    fleet.ask(builders.build_submission(job=job))
+    fleet.run(9.0)
+    times = [time - began for time, _, _ in fleet.starts]
+    assert len(times) == 3
+    for number, time in enumerate(times):
+        due_s = first_s + 1.5 * number
+        assert due_s - 0.01 <= time <= due_s + 0.3
+    assert get_state(fleet) is states.BatchState.COMPLETED
+
+
+def test_checkpoint_is_carried_to_the_next_attempt():
+    """Guards against saved work that is done again."""
+    fleet = build_fleet(red=0)
+    step = builders.build_step(saves_progress=True)
+    fleet.ask(builders.build_submission(job=builders.build_batch_job(step)))
+    fleet.ask(builders.build_heartbeat(sequence=1))
+    key = (builders.build_job_id(), ids.TaskName('0.0.0'), ids.Attempt(1))
+    end = calls.EndReport(1, *key, states.RunEnd.STOPPED, 'saved-41')
+    beat = builders.build_heartbeat(sequence=2, ended=(end,))
+    (again,) = fleet.ask(beat).unwrap().starts
+    assert again.attempt == 2
+    assert again.checkpoint == 'saved-41'
+
+
+def test_label_decides_which_worker_runs_a_step():
+    """Guards against a start on a worker without the label."""
+    fleet = build_fleet(red=2)
+    first, second = fleet.workers.values()
+    first.labels = ('a', 'r1-1')
+    second.labels = ('b', 'r1-1')
+    step = builders.build_step(4, required_label='b')
+    fleet.ask(builders.build_submission(job=builders.build_batch_job(step)))
+    fleet.run(3.0)
+    assert {host for _, host, _ in fleet.starts} == {second.host}
+
+
+def test_filling_tasks_are_paused_beside_a_slow_serving_task():
+    """Guards against fillers that keep a tail above its target."""
+    fleet = build_fleet(red=0)
+    serving = builders.build_lasting_job(1, tail_target_ms=100)
+    filling = builders.build_batch_job(builders.build_step(is_filler=True))
+    fleet.ask(builders.build_submission(1, serving))
+    fleet.ask(builders.build_submission(2, filling))
+    fleet.ask(builders.build_heartbeat(sequence=1))
+    keys = [
+        (builders.build_job_id(number), ids.TaskName('0.0.0'), ids.Attempt(1))
+        for number in (1, 2)
+    ]
+
+    def report(sequence: int, tail_ms: float):
+        running = (
+            calls.RunReport(*keys[0], '', 100, tail_ms),
+            calls.RunReport(*keys[1], '', 0, 1.0),
+        )
+        beat = builders.build_heartbeat(sequence=sequence, running=running)
+        return fleet.ask(beat).unwrap().rates
+
+    assert [order.percent for order in report(2, 95.0)] == [0]
+    assert not report(3, 95.0)
+    assert [order.percent for order in report(4, 20.0)] == [10]
+
+
 def test_draining_worker_hands_lasting_tasks_over():
     """Guards against lasting tasks that end with their worker."""
     fleet = build_fleet(red=3)
