--- /dev/null
+++ b/bench/load.py
@@ -0,0 +1,298 @@
+"""Experiment: jobs, hosts and waves in virtual time, policy by policy.
+
+Drives the real decisions with fake workers through a scenario in YAML and
+prints one row for each policy and seed::
+
+    python -m bench.load bench/scenarios/association.yaml --seeds 3
+
+Times are seconds of the scenario; nothing here waits or listens.
+"""
+
+import argparse
+import collections
+import pathlib
+import random
+import statistics
+
+import msgspec
+import yaml
+
+from fakes import workers
+from orioleshore.jobs import calls
+from orioleshore.jobs import specs
+from orioleshore.model import ids
+from orioleshore.model import states
+
+STEP_S = 0.05
+
+
+class Turns(msgspec.Struct, frozen=True):
+    """Demand by turns: one queue asks ``high``, the others ``low``.
+
+    Both are jobs a second; a turn lasts ``period_s`` seconds.
+    """
+
+    period_s: float
+    high: float
+    low: float
+
+
+class Scenario(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """Hosts, demand and a wave; ``cores`` is that of a host."""
+
+    pools: dict[str, int]
+    standby: int
+    cores: int
+    turns: Turns
+    tasks: tuple[int, int]
+    task_cores: tuple[float, float]
+    run_s: float
+    objective_ms: int
+    lasting_tasks: int
+    length_s: float
+    wave_hosts: int = 0
+    wave_at_once: int = 1
+    greys: int = 0
+
+
+class Outcome(msgspec.Struct):
+    """What callers and operators got."""
+
+    handed_in: int = 0
+    refused: int = 0
+    in_time: int = 0
+    late: int = 0
+    open: int = 0
+    host_seconds: float = 0.0
+    moves: int = 0
+    lasting_share: float = 0.0
+    wave_s: float | None = None
+    delays: list[float] = []
+
+
+class Experiment:
+    """One run of a scenario under one policy."""
+
+    def __init__(self, scenario: Scenario, policy: str, seed: int) -> None:
+        self._scenario = scenario
+        self._random = random.Random(seed)
+        self._fleet = workers.FakeFleet(
+            _make_configuration(scenario), seed=seed
+        )
+        for pool, count in scenario.pools.items():
+            self._fleet.add(count, pool, scenario.cores)
+        self._fleet.add(scenario.standby, 'standby', scenario.cores)
+        self._fleet.mean_run_s = scenario.run_s
+        self._number = 0
+        self._begun: dict[ids.JobId, float] = {}
+        self._outcome = Outcome()
+        _POLICIES[policy](self._fleet)
+
+    def run(self) -> Outcome:
+        """Play the scenario, then let what was accepted end."""
+        self._fleet.run(5.0)
+        self._hand_in_lasting()
+        self._fleet.run(2.0)
+        self._break_some()
+        began = self._fleet.now
+        opened = self._open_wave()
+        lasting = []
+        while self._fleet.now < began + self._scenario.length_s:
+            self._hand_in(self._fleet.now - began)
+            self._step()
+            lasting.append(self._get_lasting_share())
+            self._watch_wave(opened)
+        for _ in range(int(20.0 / STEP_S)):
+            self._step()
+            self._watch_wave(opened)
+        self._outcome.open = len(self._begun)
+        self._outcome.lasting_share = statistics.fmean(lasting)
+        self._outcome.moves = sum(
+            isinstance(change, _HOST_ORDER) for change in self._fleet.log
+        )
+        return self._outcome
+
+    def _step(self) -> None:
+        fleet = self._fleet
+        fleet.now += STEP_S
+        fleet.step()
+        self._outcome.host_seconds += STEP_S * sum(
+            worker.pool != 'standby' for worker in fleet.workers.values()
+        )
+        for name, began in list(self._begun.items()):
+            record = fleet.scheduler.book.jobs.get(name)
+            if record is None or not record.is_ended:
+                continue
+            del self._begun[name]
+            self._note_end(record.state, fleet.now - began)
+
+    def _note_end(self, state: states.BatchState, delay_s: float) -> None:
+        self._outcome.delays.append(delay_s)
+        objective_s = self._scenario.objective_ms / 1_000.0
+        if state is states.BatchState.COMPLETED and delay_s <= objective_s:
+            self._outcome.in_time += 1
+        else:
+            self._outcome.late += 1
+
+    def _hand_in(self, elapsed_s: float) -> None:
+        turns = self._scenario.turns
+        pools = list(self._scenario.pools)
+        active = pools[int(elapsed_s / turns.period_s) % len(pools)]
+        for pool in pools:
+            rate = turns.high if pool == active else turns.low
+            if self._random.random() < rate * STEP_S:
+                self._submit(pool, self._make_job())
+
+    def _make_job(self) -> specs.Job:
+        low, high = self._scenario.tasks
+        cores = self._random.uniform(*self._scenario.task_cores)
+        step = specs.Step(
+            self._random.randint(low, high),
+            specs.Resources(int(1_000 * cores), 1_024),
+            int(1_000 * self._scenario.run_s),
+        )
+        return specs.Job('', (step,))
+
+    def _submit(self, pool: str, job: specs.Job) -> ids.JobId:
+        self._number += 1
+        name = ids.JobId(f'{self._number:016x}')
+        self._outcome.handed_in += 1
+        answer = self._fleet.ask(
+            calls.SubmitJob('jobs.example', f'/{pool}/{name}', job)
+        )
+        if answer.is_err():
+            self._outcome.refused += 1
+        else:
+            self._begun[name] = self._fleet.now
+        return name
+
+    def _hand_in_lasting(self) -> None:
+        step = specs.Step(
+            self._scenario.lasting_tasks,
+            specs.Resources(1_500, 1_024),
+            is_lasting=True,
+            max_away=1,
+        )
+        self._lasting = []
+        for pool in self._scenario.pools:
+            name = self._submit(pool, specs.Job('', (step,)))
+            self._begun.pop(name, None)
+            self._outcome.handed_in -= 1
+            self._lasting.append(name)
+
+    def _get_lasting_share(self) -> float:
+        wanted = self._scenario.lasting_tasks * len(self._lasting)
+        running = sum(self._fleet.count_running(n) for n in self._lasting)
+        return running / wanted if wanted else 1.0
+
+    def _break_some(self) -> None:
+        hosts = sorted(self._fleet.workers)
+        for host in self._random.sample(hosts, self._scenario.greys):
+            self._fleet.workers[host].fails_all = True
+
+    def _open_wave(self) -> float:
+        hosts = sorted(self._fleet.workers)
+        chosen = self._random.sample(hosts, self._scenario.wave_hosts)
+        if chosen:
+            self._fleet.ask(
+                calls.OpenWave(
+                    ids.WaveId('1'),
+                    tuple(chosen),
+                    self._scenario.length_s,
+                    self._scenario.wave_at_once,
+                )
+            )
+        return self._fleet.now
+
+    def _watch_wave(self, opened: float) -> None:
+        if self._outcome.wave_s is not None or not self._scenario.wave_hosts:
+            return
+        wave = self._fleet.ask(calls.GetWave(ids.WaveId('1'))).unwrap()
+        if wave.completed:
+            self._outcome.wave_s = self._fleet.now - opened
+
+
+def _make_configuration(scenario: Scenario) -> specs.Configuration:
+    queues = tuple(
+        specs.Queue(
+            ids.QueueId(f'queue-{pool}'),
+            'jobs.example',
+            f'/{pool}/',
+            ids.PoolId(pool),
+            max_attempts=3,
+            stretch=0.0,
+            objective_ms=scenario.objective_ms,
+        )
+        for pool in scenario.pools
+    )
+    pools = [specs.Pool(ids.PoolId(pool), True) for pool in scenario.pools]
+    pools.append(specs.Pool(ids.PoolId('standby'), True, True))
+    return specs.Configuration(ids.Version(1), queues, tuple(pools), b'{}')
+
+
+def _use_product(fleet: workers.FakeFleet) -> None:
+    """Leave the product's decisions as they are."""
+
+
+def _fix_pools(fleet: workers.FakeFleet) -> None:
+    """Never move a host."""
+    fleet.scheduler.pools.advance = lambda: None
+
+
+def _accept_all(fleet: workers.FakeFleet) -> None:
+    """Refuse nothing for the length of the backlog."""
+    fleet.scheduler.run_times.get_mean = lambda pool, declared_s: 0.0
+
+
+_HOST_ORDER = workers.ledger.HostOrdered
+_POLICIES = {
+    'product': _use_product,
+    'fixed-pools': _fix_pools,
+    'accept-all': _accept_all,
+}
+
+
+def read_scenario(path: str) -> Scenario:
+    """Load a scenario; raises msgspec.ValidationError if it is wrong."""
+    text = pathlib.Path(path).read_text(encoding='utf-8')
+    return msgspec.convert(yaml.safe_load(text), Scenario)
+
+
+def format_row(policy: str, seed: int, outcome: Outcome) -> str:
+    """Return one line of the table."""
+    delays = sorted(outcome.delays) or [0.0]
+    p95 = delays[int(0.95 * (len(delays) - 1))]
+    wave = '-' if outcome.wave_s is None else f'{outcome.wave_s:.1f}'
+    return (
+        f'{policy:12} {seed:4} {outcome.handed_in:6} {outcome.refused:7} '
+        f'{outcome.in_time:7} {outcome.late:5} {outcome.open:5} '
+        f'{statistics.median(delays):6.2f} {p95:6.2f} '
+        f'{outcome.host_seconds:8.0f} {outcome.moves:6} '
+        f'{outcome.lasting_share:7.3f} {wave:>6}'
+    )
+
+
+def main() -> None:
+    """Play a scenario under each policy and print a table."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument('scenario')
+    parser.add_argument('--seeds', type=int, default=2)
+    parser.add_argument('--policy', choices=sorted(_POLICIES), action='append')
+    arguments = parser.parse_args()
+    scenario = read_scenario(arguments.scenario)
+    print(
+        'policy       seed handed refused in_time  late  open '
+        'p50 s  p95 s host_s   orders lasting wave_s'
+    )
+    totals: collections.Counter[str] = collections.Counter()
+    for policy in arguments.policy or sorted(_POLICIES):
+        for seed in range(1, arguments.seeds + 1):
+            outcome = Experiment(scenario, policy, seed).run()
+            totals[policy] += outcome.in_time
+            print(format_row(policy, seed, outcome), flush=True)
+    for policy, in_time in sorted(totals.items()):
+        print(f'{policy}: {in_time} jobs in time')
+
+
+if __name__ == '__main__':
+    main()
