Take whole entries behind a torn one for a torn tail

Only a mark behind the damage proves that the bytes before it were synced. The test failed for all six cases before; flipped bits in synced records stay damage.

--- a/orioleshore/consensus/records.py
+++ b/orioleshore/consensus/records.py
@@ -1,5 +1,6 @@
 """Checksummed, versioned records of the files in a data folder."""
 
+import collections.abc
 import enum
 import struct
 import zlib
@@ -60,14 +61,16 @@
     return Record(record_type, version, payload, end)
 
 
-def has_record_after(data: bytes, offset: int) -> bool:
-    """Return whether a whole record starts anywhere behind an offset."""
+def find_records(
+    data: bytes, offset: int
+) -> collections.abc.Iterator[tuple[int, Record]]:
+    """Yield each whole record that starts behind an offset."""
     position = data.find(MAGIC, offset + 1)
     while position >= 0:
-        if read_record(data, position) is not None:
-            return True
+        record = read_record(data, position)
+        if record is not None:
+            yield position, record
         position = data.find(MAGIC, position + 1)
-    return False
 
 
 def _get_checksum(record_type: int, version: int, payload: bytes) -> int:
--- a/orioleshore/consensus/segments.py
+++ b/orioleshore/consensus/segments.py
@@ -72,12 +72,26 @@
 
 
 def _check_tail(data: bytes, segment: Segment) -> Result[Segment, Problem]:
-    """Accept a torn tail; anything else is damage."""
-    if records.has_record_after(data, segment.length):
+    """Accept a torn tail; anything else is damage.
+
+    After a loss of power each write since the last sync is present, torn
+    or missing by itself, so whole entries may follow a torn one. Only a
+    mark proves that what stands before it was synced.
+    """
+    if _has_mark_after(data, segment.length):
         return _fail_damaged(f'the record at byte {segment.length} is damaged')
     return Ok(segment)
 
 
+def _has_mark_after(data: bytes, offset: int) -> bool:
+    for position, record in records.find_records(data, offset):
+        if record.record_type != records.RecordType.SYNCED:
+            continue
+        if _OFFSET.unpack(record.payload) == (position,):
+            return True
+    return False
+
+
 def _take_record(
     record: records.Record, segment: Segment
 ) -> Result[None, Problem]:
--- a/orioleshore/tests/test_storage.py
+++ b/orioleshore/tests/test_storage.py
@@ -10,6 +10,7 @@
 from orioleshore.consensus import events
 from orioleshore.consensus import files
 from orioleshore.consensus import records
+from orioleshore.consensus import segments
 from orioleshore.consensus import storage
 from orioleshore.model import errors
 from orioleshore.tests import builders
@@ -142,6 +143,33 @@
     assert load_indexes(tmp_path) == [1, 2, 3]
 
 
+@pytest.mark.parametrize('lost', ['mark', 'first', 'both'])
+@pytest.mark.parametrize('how', ['torn', 'missing'])
+def test_unsynced_writes_are_lost_one_by_one(tmp_path, lost, how):
+    """Guards against a loss of power that is taken for damage.
+
+    Writes since the last sync are lost independently: whole entries may
+    follow a mark or an entry that was torn. Nothing synced is cut off.
+    """
+    segment = fill(tmp_path)
+    synced = segment.read_bytes()
+    mark = len(synced) - records.HEADER_BYTES - 8
+    group = [
+        segments.pack_entry(builders.build_entry(index)) for index in (4, 5)
+    ]
+    content = bytearray(synced + b''.join(group))
+    lost_parts = []
+    if lost in ('mark', 'both'):
+        lost_parts.append((mark, len(synced)))
+    if lost in ('first', 'both'):
+        lost_parts.append((len(synced), len(synced) + len(group[0])))
+    for start, end in lost_parts:
+        half = (start + end) // 2 if how == 'torn' else start
+        content[half:end] = bytes(end - half)
+    segment.write_bytes(content)
+    assert load_indexes(tmp_path) == [1, 2, 3]
+
+
 def test_flipped_bit_in_single_records_is_damage(tmp_path):
     """Guards against a wrong stamp or state after damage of a file."""
     fill(tmp_path)
