--- a/orioleshore/consensus/client.py
+++ b/orioleshore/consensus/client.py
@@ -148,6 +148,11 @@
         if pending is None:
             return
         message = received.message
+        if _is_open(pending.call.request, message.error_kind):
+            # Jobs are known by their ids, so a copy changes nothing more.
+            self._leader = ''
+            pending.retry_at = self._now() + 2 * TICK_S
+            return
         if message.error_kind in _NOT_ACCEPTED:
             self._leader = message.leader
             # Without a known leader, give an election some time.
@@ -197,6 +202,14 @@
     return Ok(messages.Query(type(request).__name__, queries.encode(request)))
 
 
+def _is_open(request: Any, error_kind: str) -> bool:
+    """Return whether a call about jobs lost its leader on the way."""
+    return (
+        job_calls.is_call(request)
+        and error_kind == errors.ErrorKind.CHANGE_UNKNOWN.value
+    )
+
+
 def _is_change(request: Any) -> bool:
     return requests.is_request(request) or isinstance(
         request, job_calls.CHANGING
--- a/orioleshore/platform/asking.py
+++ b/orioleshore/platform/asking.py
@@ -13,6 +13,9 @@
 from orioleshore.tasks import mailbox
 from orioleshore.tasks import reply
 
+_ELSEWHERE = frozenset(
+    {errors.ErrorKind.NOT_LEADER, errors.ErrorKind.CHANGE_UNKNOWN}
+)
 JSON_TYPE = 'application/json'
 
 
@@ -73,6 +76,8 @@
 
 
 def _is_elsewhere(outcome: Result) -> bool:
-    if outcome.is_ok():
-        return False
-    return outcome.unwrap_err().kind is errors.ErrorKind.NOT_LEADER
+    """Return whether another member has to answer the call.
+
+    Calls are idempotent, so one whose leader was lost is asked again.
+    """
+    return outcome.is_err() and outcome.unwrap_err().kind in _ELSEWHERE
--- /dev/null
+++ b/orioleshore/tests/test_control_client.py
@@ -0,0 +1,92 @@
+"""Calls that find the leader, and what becomes of them when it is lost."""
+
+import pytest
+
+from orioleshore.consensus import client
+from orioleshore.jobs import calls
+from orioleshore.model import errors
+from orioleshore.protocol import messages
+from orioleshore.tasks import mailbox
+from orioleshore.tasks import reply
+from orioleshore.tests import builders
+from orioleshore.tests import support
+from orioleshore.timers import clock
+from orioleshore.timers import service
+
+HEADER = messages.Header('control-1', 1, 1, '127.0.0.1:1')
+REFUSED = errors.ErrorKind.OVERLOADED.value
+UNKNOWN = errors.ErrorKind.CHANGE_UNKNOWN.value
+
+
+class Caller:
+    """A client with a test clock; ``sent`` holds what it sends."""
+
+    def __init__(self) -> None:
+        self.clock = clock.ManualClock()
+        self.sent = mailbox.Mailbox('sent', 64)
+        self.timers = service.TimerService(self.clock)
+        self.client = client.ControlClient(
+            ('127.0.0.1:1', '127.0.0.1:2'), self.sent, self.timers
+        )
+        self.answer: reply.Reply = reply.Reply()
+
+    async def call(self, request: calls.Call) -> None:
+        """Send a call."""
+        await self.client.handle(client.Call(request, self.answer, 2.0))
+
+    async def receive(self, error_kind: str) -> None:
+        """Let the member answer with an error."""
+        answer = messages.QueryReply(error_kind, '', b'', '')
+        await self.client.handle(messages.Received(HEADER, answer))
+
+    async def advance(self, seconds: float) -> None:
+        """Let time pass."""
+        self.clock.advance(seconds)
+        self.timers.fire_due()
+        while (message := self.client.mailbox.get_nowait()) is not None:
+            await self.client.handle(message)
+
+
+def test_call_that_lost_its_leader_is_sent_again():
+    """Guards against callers who have to try again at each election."""
+
+    async def check():
+        caller = Caller()
+        await caller.call(builders.build_submission())
+        assert len(caller.sent) == 1
+        await caller.receive(UNKNOWN)
+        assert not caller.answer.is_done
+        await caller.advance(0.2)
+        assert len(caller.sent) == 2
+
+    support.run(check())
+
+
+@pytest.mark.parametrize(('copies', 'kind'), [(1, REFUSED), (2, UNKNOWN)])
+def test_refusal_is_passed_on_only_when_no_copy_may_run(copies, kind):
+    """Guards against "not run" for a job of which a copy was sent before."""
+
+    async def check():
+        caller = Caller()
+        await caller.call(builders.build_submission())
+        for _ in range(copies - 1):
+            await caller.advance(0.6)
+        assert len(caller.sent) == copies
+        await caller.receive(REFUSED)
+        failure = (await caller.answer.wait()).unwrap_err()
+        assert failure.kind.value == kind
+
+    support.run(check())
+
+
+def test_call_without_an_answer_is_unknown_not_refused():
+    """Guards against "not run" for a job that a lost member accepted."""
+
+    async def check():
+        caller = Caller()
+        await caller.call(builders.build_submission())
+        await caller.advance(2.5)
+        failure = (await caller.answer.wait()).unwrap_err()
+        assert failure.kind is errors.ErrorKind.CHANGE_UNKNOWN
+
+    support.run(check())
