Start runs that stand still elsewhere

Cause: a worker that hangs reports and looks healthy, and its runs were waited for until their job was cancelled. A run without progress for 1.6 s is stopped and counts against its worker. Tests: a hanging worker, and one that is only slow.

--- a/fakes/workers.py
+++ b/fakes/workers.py
@@ -29,6 +29,7 @@
 
 
 class _Run(msgspec.Struct):
+    began_at: float
     ends_at: float
     how: states.RunEnd
     is_lasting: bool
@@ -49,6 +50,8 @@
         self.labels = ('a', 'r1-1')
         self.is_silent = False
         self.fails_all = False
+        # Everything that runs stands still.
+        self.hangs = False
         self.running: dict[RunKey, _Run] = {}
         self.ended: list[calls.EndReport] = []
         self.last_number = 0
@@ -74,7 +77,14 @@
         self.last_number += 1
         self.ended.append(calls.EndReport(self.last_number, *key, how))
 
-    def make_heartbeat(self) -> calls.Heartbeat:
+    def _get_progress(self, run: _Run, now: float) -> int:
+        if self.hangs:
+            return 0
+        if run.is_lasting:
+            return AT_WORK
+        return int(100 * (now - run.began_at) / (run.ends_at - run.began_at))
+
+    def make_heartbeat(self, now: float) -> calls.Heartbeat:
         """Return what the worker reports now."""
         self.sequence += 1
         return calls.Heartbeat(
@@ -88,7 +98,7 @@
             self.size,
             self.labels,
             running=tuple(
-                calls.RunReport(*key, '', AT_WORK if run.is_lasting else 0)
+                calls.RunReport(*key, '', self._get_progress(run, now))
                 for key, run in self.running.items()
             ),
             ended=tuple(self.ended),
@@ -185,7 +195,7 @@
 
     def beat(self, worker: FakeWorker) -> None:
         """Report, and carry out the answer."""
-        answer = self.ask(worker.make_heartbeat()).unwrap()
+        answer = self.ask(worker.make_heartbeat(self.now)).unwrap()
         worker.ended = [
             end for end in worker.ended if end.number > answer.observed
         ]
@@ -244,11 +254,13 @@
             run_s, how = 0.05, states.RunEnd.FAILED
         elif step.is_lasting:
             run_s = float('inf')
-        worker.running[key] = _Run(self.now + run_s, how, step.is_lasting)
+        worker.running[key] = _Run(
+            self.now, self.now + run_s, how, step.is_lasting
+        )
 
     def _end_due(self, worker: FakeWorker) -> None:
         for key, run in list(worker.running.items()):
-            if self.now >= run.ends_at:
+            if self.now >= run.ends_at and not worker.hangs:
                 worker.end(key, run.how)
                 # Workers report 50 ms after an end.
                 worker.next_beat = min(worker.next_beat, self.now + 0.05)
--- a/orioleshore/jobs/placement.py
+++ b/orioleshore/jobs/placement.py
@@ -68,8 +68,14 @@
     worker.on_trial.discard(key)
     if how is states.RunEnd.DONE:
         worker.failures_in_row = 0
-    if how is not states.RunEnd.FAILED:
-        return
+    if how is states.RunEnd.FAILED:
+        learn_from_stall(worker, scheduler)
+
+
+def learn_from_stall(
+    worker: workers.Worker, scheduler: scheduling.Scheduler
+) -> None:
+    """Count a run that failed or stood still against its worker."""
     worker.failures_in_row += 1
     if worker.failures_in_row < eligibility.SUSPECT_FAILURES:
         return
--- a/orioleshore/jobs/scheduler.py
+++ b/orioleshore/jobs/scheduler.py
@@ -25,6 +25,7 @@
 from orioleshore.jobs import pools
 from orioleshore.jobs import progress
 from orioleshore.jobs import specs
+from orioleshore.jobs import stalls
 from orioleshore.jobs import tuning
 from orioleshore.jobs import upkeep
 from orioleshore.jobs import workers
@@ -658,6 +659,9 @@
     _update(worker, call, scheduler)
     observed = _take_ends(worker, call, scheduler)
     _find_lost_runs(worker, scheduler)
+    for key in stalls.find_stalled(scheduler, worker):
+        worker.evicted.add(key)
+        placement.learn_from_stall(worker, scheduler)
     starts = placement.choose_starts(scheduler, worker)
     return Ok(
         calls.HeartbeatAnswer(
--- /dev/null
+++ b/orioleshore/jobs/stalls.py
@@ -0,0 +1,79 @@
+"""Which runs stand still and should be started elsewhere.
+
+Answers workers that report and look healthy while what they run makes no
+progress: such a run would be waited for without end.
+"""
+
+from __future__ import annotations
+
+import logging
+import typing
+
+from orioleshore.jobs import workers
+from orioleshore.telemetry import logs
+
+if typing.TYPE_CHECKING:
+    from orioleshore.jobs import scheduler as scheduling
+
+LOG = logging.getLogger(__name__)
+
+# Time without progress after which a run is stopped. The slowest workers
+# seen take 8 times as long, at which a task of 10 s still gains a percent
+# in less.
+STALL_S = 1.6
+# A lasting task that is not at work for this long starts elsewhere; its
+# start takes up to a second.
+LASTING_STALL_S = 2.5
+# A percentage at which a lasting task is at work.
+AT_WORK = 100
+
+
+def find_stalled(
+    scheduler: scheduling.Scheduler, worker: workers.Worker
+) -> list[workers.RunKey]:
+    """Return the runs of a worker that make no progress.
+
+    Called with each heartbeat; the progress before is kept with the
+    worker.
+    """
+    seen = {}
+    stalled = []
+    for key, report in worker.reports.items():
+        if key not in worker.ordered or not _is_watched(scheduler, key):
+            continue
+        before = worker.progress.get(key)
+        is_same = before is not None and before[0] == report.progress
+        since = before[1] if is_same else scheduler.now
+        seen[key] = (report.progress, since)
+        is_lasting = scheduler.is_lasting_run(key)
+        if is_lasting and report.progress >= AT_WORK:
+            continue
+        limit_s = LASTING_STALL_S if is_lasting else STALL_S
+        if scheduler.now - since >= limit_s and key not in worker.evicted:
+            stalled.append(key)
+    worker.progress = seen
+    for key in stalled:
+        LOG.warning(
+            logs.format_event(
+                'run_stalled',
+                job=key[0],
+                task=key[1],
+                attempt=key[2],
+                worker=worker.name,
+                progress=seen[key][0],
+                unchanged_s=scheduler.now - seen[key][1],
+            )
+        )
+    return stalled
+
+
+def _is_watched(scheduler: scheduling.Scheduler, key: workers.RunKey) -> bool:
+    """Return whether a run must make progress at its worker.
+
+    Members of a gang wait for the others, and filling tasks are paused.
+    """
+    job = scheduler.jobs.get(key[0])
+    if job is None:
+        return False
+    step = job.get_step(key[1])
+    return not step.is_gang and not step.is_filler
--- a/orioleshore/jobs/workers.py
+++ b/orioleshore/jobs/workers.py
@@ -41,6 +41,8 @@
     rates: dict[RunKey, int] = {}
     # Runs that are stopped so that their tasks run elsewhere.
     evicted: set[RunKey] = set()
+    # Progress of runs in percent, with the time of its last change.
+    progress: dict[RunKey, tuple[int, float]] = {}
     # Runs that neither ended nor proved that the worker does its work.
     on_trial: set[RunKey] = set()
     # Ends in a row that were no success, over all jobs.
--- a/orioleshore/tests/test_batch_scheduler.py
+++ b/orioleshore/tests/test_batch_scheduler.py
@@ -349,6 +349,31 @@
     assert {host for _, host, _ in fleet.starts} == {near.host}
 
 
+def test_runs_that_stand_still_start_elsewhere():
+    """Guards against jobs that wait for a worker that hangs."""
+    fleet = build_fleet(red=2)
+    hanging = next(iter(fleet.workers.values()))
+    hanging.hangs = True
+    for number in range(1, 5):
+        job = builders.build_batch_job(builders.build_step(4))
+        fleet.ask(builders.build_submission(number, job))
+    fleet.run(8.0)
+    for number in range(1, 5):
+        assert get_state(fleet, number) is states.BatchState.COMPLETED
+    # The worker is tried again with one task at a time.
+    assert len(hanging.running) <= 1
+
+
+def test_slow_runs_are_not_taken_for_stalled():
+    """Guards against work thrown away on a worker that is only slow."""
+    fleet = build_fleet(red=1)
+    fleet.mean_run_s = 8.0
+    fleet.ask(builders.build_submission())
+    fleet.run(14.0)
+    assert len(fleet.starts) == 1
+    assert get_state(fleet) is states.BatchState.COMPLETED
+
+
 def test_occurrences_start_at_their_times():
     """Guards against a scheduled run that comes early or never."""
     fleet = build_fleet()
