--- a/orioleshore/jobs/admission.py
+++ b/orioleshore/jobs/admission.py
@@ -9,6 +9,7 @@
 
 from __future__ import annotations
 
+import collections
 import typing
 
 from orioleshore.jobs import specs
@@ -23,6 +24,9 @@
 # A result that comes later than this many objectives has no use; agreed
 # with the callers.
 USELESS_FACTOR = 3.0
+# Runs that must be seen before a mean says something; run times spread
+# by a half of their mean.
+MIN_RUNS = 20
 # Weight of the newest run in the learned run time.
 LEARNING_RATE = 0.05
 # Longest time for which a caller is sent away; demand changes with each
@@ -53,15 +57,19 @@
 
     def __init__(self) -> None:
         self._means: dict[ids.PoolId, float] = {}
+        self._counts: collections.Counter[ids.PoolId] = collections.Counter()
 
     def learn(self, pool: ids.PoolId, seconds: float) -> None:
         """Take the run time of one task that was done."""
         mean = self._means.get(pool, seconds)
+        self._counts[pool] += 1
         self._means[pool] = mean + LEARNING_RATE * (seconds - mean)
 
-    def get_mean(self, pool: ids.PoolId, declared_s: float) -> float:
-        """Return the mean run time; the declared one before any is known."""
-        return self._means.get(pool, declared_s)
+    def get_mean(self, pool: ids.PoolId) -> float | None:
+        """Return the mean run time, None before enough runs were seen."""
+        if self._counts[pool] < MIN_RUNS:
+            return None
+        return self._means[pool]
 
 
 def get_objective_ms(job: specs.Job, queue: specs.Queue) -> int:
@@ -93,14 +101,13 @@
 
 
 def get_expected_wait(
-    scheduler: scheduling.Scheduler, pool: ids.PoolId, declared_s: float
+    scheduler: scheduling.Scheduler, pool: ids.PoolId, mean_s: float
 ) -> float:
     """Return the time in which a pool works its backlog off, in seconds."""
     capacity = _get_capacity(scheduler, pool)
     if not capacity:
         # Without any host known nothing can be said about the time.
         return 0.0
-    mean_s = scheduler.run_times.get_mean(pool, declared_s)
     backlog = sum(
         group.undone * workers.get_reserved(group.step).cpu_millis
         for job in scheduler.get_pool_jobs(pool)
@@ -115,16 +122,15 @@
     job: specs.Job,
     queue: specs.Queue,
 ) -> errors.Failure | None:
-    declared_s = max(step.estimate_ms for step in job.steps) / MS_PER_S
-    wait_s = get_expected_wait(scheduler, queue.pool, declared_s)
+    mean_s = scheduler.run_times.get_mean(queue.pool)
+    if mean_s is None or not scheduler.has_heard_all:
+        # A new leader knows neither its room nor how long tasks take.
+        return None
+    wait_s = get_expected_wait(scheduler, queue.pool, mean_s)
     useful_s = USELESS_FACTOR * get_objective_ms(job, queue) / MS_PER_S
     if wait_s <= useful_s:
         return None
-    work_s = (
-        _get_work(job)
-        * scheduler.run_times.get_mean(queue.pool, declared_s)
-        / _get_capacity(scheduler, queue.pool)
-    )
+    work_s = _get_work(job) * mean_s / _get_capacity(scheduler, queue.pool)
     earliest = scheduler.now + wait_s - useful_s
     come_back = scheduler.promises.add(queue.pool, earliest, work_s)
     return errors.Failure(
--- a/orioleshore/jobs/placement.py
+++ b/orioleshore/jobs/placement.py
@@ -127,7 +127,9 @@
             not step.is_lasting or _may_hold(scheduler, worker, job.job, group)
         )
     ):
-        index = group.take()
+        index = _take_index(scheduler, worker, job, group)
+        if index is None:
+            break
         task = specs.make_task_name(group.occurrence, group.position, index)
         run = job.record.tasks.get(task)
         attempt = ids.Attempt((run.attempt if run else 0) + 1)
@@ -197,6 +199,36 @@
     return orders
 
 
+def _take_index(
+    scheduler: scheduling.Scheduler,
+    worker: workers.Worker,
+    job: progress.JobProgress,
+    group: progress.Group,
+) -> int | None:
+    """Take the first waiting task that did not just fail on a worker.
+
+    A worker that fails all it starts would use up a task's attempts.
+    """
+    for index in sorted(group.waiting):
+        task = specs.make_task_name(group.occurrence, group.position, index)
+        run = job.record.tasks.get(task)
+        failed_here = run and run.failures and run.worker == worker.name
+        if failed_here and _has_other(scheduler, worker):
+            continue
+        group.waiting.remove(index)
+        return index
+    return None
+
+
+def _has_other(
+    scheduler: scheduling.Scheduler, worker: workers.Worker
+) -> bool:
+    return any(
+        other is not worker and eligibility.is_available(scheduler, other)
+        for other in scheduler.get_pool_workers(worker.pool)
+    )
+
+
 def _may_take_more(worker: workers.Worker, step: specs.Step) -> bool:
     if (
         worker.failures_in_row >= eligibility.SUSPECT_FAILURES
--- a/orioleshore/jobs/progress.py
+++ b/orioleshore/jobs/progress.py
@@ -1,7 +1,6 @@
 """Which tasks of a job may start now, derived from its record."""
 
 import collections
-import heapq
 
 from orioleshore.jobs import ledger
 from orioleshore.jobs import specs
@@ -21,7 +20,6 @@
         self.position = position
         self.step = step
         self.undone = step.tasks
-        # Lowest index first, so that restarts of early tasks come first.
         self.waiting: list[int] = list(range(step.tasks))
         # Workers of the running tasks, and how many each has.
         self.workers: collections.Counter[ids.WorkerId] = collections.Counter()
@@ -34,11 +32,7 @@
 
     def put_back(self, index: int) -> None:
         """Let a task wait again."""
-        heapq.heappush(self.waiting, index)
-
-    def take(self) -> int:
-        """Return the first waiting task."""
-        return heapq.heappop(self.waiting)
+        self.waiting.append(index)
 
     def may_use(self, worker: ids.WorkerId) -> bool:
         """Return whether the step's limit leaves room on a worker."""
@@ -137,7 +131,6 @@
         if run.stage is states.RunStage.WAITING:
             return
         group.waiting.remove(index)
-        heapq.heapify(group.waiting)
         if run.stage is states.RunStage.DONE:
             group.undone -= 1
             return
--- a/orioleshore/jobs/scheduler.py
+++ b/orioleshore/jobs/scheduler.py
@@ -135,6 +135,13 @@
     def _record_order(self, host: ids.HostId) -> None:
         self.record(ledger.HostOrdered(host, self.wall))
 
+    @property
+    def has_heard_all(self) -> bool:
+        """Whether each worker that still runs has reported by now."""
+        return self.now >= self.gained_at + self.lease_span_s and (
+            self.orders.listed_at >= self.gained_at
+        )
+
     def record(self, change: ledger.Change) -> None:
         """Apply a change here and note it for the log."""
         ledger.apply_change(change, self.book)
--- a/orioleshore/tests/test_batch_scheduler.py
+++ b/orioleshore/tests/test_batch_scheduler.py
@@ -364,6 +364,18 @@
     assert len(hanging.running) <= 1
 
 
+def test_failed_task_is_tried_on_another_worker():
+    """Guards against a worker that uses up all attempts of a job."""
+    fleet = build_fleet(red=3)
+    failing = next(iter(fleet.workers.values()))
+    failing.fails_all = True
+    for number in range(1, 13):
+        fleet.ask(builders.build_submission(number))
+    fleet.run(8.0)
+    for number in range(1, 13):
+        assert get_state(fleet, number) is states.BatchState.COMPLETED
+
+
 def test_slow_runs_are_not_taken_for_stalled():
     """Guards against work thrown away on a worker that is only slow."""
     fleet = build_fleet(red=1)
