--- /dev/null
+++ b/orioleshore/jobs/handlers.py
@@ -0,0 +1,230 @@
+"""Decisions about each kind of call."""
+
+from __future__ import annotations
+
+import functools
+import logging
+import typing
+
+from result import Err
+from result import Ok
+
+from orioleshore.jobs import admission
+from orioleshore.jobs import answers
+from orioleshore.jobs import calls
+from orioleshore.jobs import ledger
+from orioleshore.jobs import reports
+from orioleshore.model import errors
+from orioleshore.model import ids
+from orioleshore.model import states
+from orioleshore.telemetry import logs
+
+if typing.TYPE_CHECKING:
+    from orioleshore.jobs import scheduler as scheduling
+
+LOG = logging.getLogger(__name__)
+
+JOB_ID_LENGTH = 16
+
+
+def is_job_id(text: str) -> bool:
+    """Return whether a text has the form of a job's id."""
+    return len(text) == JOB_ID_LENGTH and all(
+        char in '0123456789abcdefABCDEF' for char in text
+    )
+
+
+@functools.singledispatch
+def handle(
+    call: typing.Any, scheduler: scheduling.Scheduler
+) -> answers.Answer:
+    """Decide about one call; ``scheduler`` holds what is known."""
+    raise TypeError(f'unknown call {type(call).__name__}')
+
+
+@handle.register(calls.SubmitJob)
+def _(
+    call: calls.SubmitJob, scheduler: scheduling.Scheduler
+) -> answers.Answer:
+    target = scheduler.find_target(call.host, call.path)
+    if target.is_err():
+        return target
+    queue, name = target.unwrap()
+    if not is_job_id(name):
+        return answers.fail(
+            errors.ErrorKind.INVALID_REQUEST, 'malformed job id'
+        )
+    if name in scheduler.book.jobs:
+        return Ok(None)
+    refusal = admission.find_refusal(scheduler, call.job, queue)
+    if refusal is not None:
+        LOG.info(
+            logs.format_event(
+                'job_refused',
+                job=name,
+                queue=queue.name,
+                error=refusal.kind,
+                reason=refusal.message,
+                retry_after_s=refusal.retry_after_s,
+            )
+        )
+        return Err(refusal)
+    scheduler.accept(name, call.job, queue)
+    LOG.info(
+        logs.format_event(
+            'job_accepted',
+            job=name,
+            queue=queue.name,
+            pool=queue.pool,
+            tasks=ledger.count_tasks(call.job),
+            lasting=call.job.is_lasting,
+            objective_ms=scheduler.book.jobs[name].objective_ms,
+            version=scheduler.book.configuration.version,
+        )
+    )
+    return Ok(None)
+
+
+@handle.register(calls.GetJob)
+def _(call: calls.GetJob, scheduler: scheduling.Scheduler) -> answers.Answer:
+    target = scheduler.find_target(call.host, call.path)
+    if target.is_err():
+        return target
+    queue, name = target.unwrap()
+    if not name:
+        waiting = sum(
+            record.state is states.BatchState.QUEUED
+            and record.host == queue.host
+            and record.prefix == queue.prefix
+            for record in scheduler.book.jobs.values()
+        )
+        return Ok(calls.QueueStatus(waiting))
+    record = scheduler.book.jobs.get(name)
+    if record is None:
+        return answers.fail(errors.ErrorKind.JOB_UNKNOWN, 'no such job')
+    return Ok(calls.JobStatus(record.state))
+
+
+@handle.register(calls.CancelJob)
+def _(
+    call: calls.CancelJob, scheduler: scheduling.Scheduler
+) -> answers.Answer:
+    target = scheduler.find_target(call.host, call.path)
+    if target.is_err():
+        return target
+    _, name = target.unwrap()
+    record = scheduler.book.jobs.get(name)
+    if record is None:
+        return answers.fail(errors.ErrorKind.JOB_UNKNOWN, 'no such job')
+    if not record.is_ended:
+        scheduler.cancel(name)
+        LOG.info(logs.format_event('job_cancelled', job=name))
+    return Ok(None)
+
+
+@handle.register(calls.PutConfiguration)
+def _(
+    call: calls.PutConfiguration, scheduler: scheduling.Scheduler
+) -> answers.Answer:
+    held = scheduler.book.configuration.version
+    given = call.configuration.version
+    if given > held:
+        scheduler.record(ledger.ConfigurationChanged(call.configuration))
+    LOG.info(
+        logs.format_event(
+            'configuration_received',
+            version=given,
+            held=held,
+            in_force=max(given, held),
+            queues=len(call.configuration.queues),
+        )
+    )
+    return Ok(None)
+
+
+@handle.register(calls.GetConfiguration)
+def _(
+    call: calls.GetConfiguration, scheduler: scheduling.Scheduler
+) -> answers.Answer:
+    if not scheduler.book.configuration.version:
+        return answers.fail(errors.ErrorKind.NOT_READY, 'no configuration yet')
+    return Ok(scheduler.book.configuration)
+
+
+@handle.register(calls.OpenWave)
+def _(call: calls.OpenWave, scheduler: scheduling.Scheduler) -> answers.Answer:
+    if call.wave not in scheduler.book.waves:
+        scheduler.record(
+            ledger.WaveOpened(
+                call.wave,
+                call.hosts,
+                call.at_once,
+                scheduler.wall,
+                ids.WallTime(scheduler.wall + call.duration_s),
+            )
+        )
+        LOG.info(
+            logs.format_event(
+                'wave_opened',
+                wave=call.wave,
+                hosts=len(call.hosts),
+                at_once=call.at_once,
+                duration_s=call.duration_s,
+            )
+        )
+    return Ok(None)
+
+
+@handle.register(calls.GetWave)
+def _(call: calls.GetWave, scheduler: scheduling.Scheduler) -> answers.Answer:
+    record = scheduler.book.waves.get(call.wave)
+    if record is None:
+        return answers.fail(errors.ErrorKind.NOT_FOUND, 'no such wave')
+    return Ok(calls.WaveStatus(record.is_completed))
+
+
+@handle.register(calls.NoteUpkeep)
+def _(
+    call: calls.NoteUpkeep, scheduler: scheduling.Scheduler
+) -> answers.Answer:
+    scheduler.upkeep.note_outcome(call)
+    return Ok(None)
+
+
+@handle.register(calls.NoteMove)
+def _(call: calls.NoteMove, scheduler: scheduling.Scheduler) -> answers.Answer:
+    scheduler.pools.note_outcome(call)
+    return Ok(None)
+
+
+@handle.register(calls.NoteHosts)
+def _(
+    call: calls.NoteHosts, scheduler: scheduling.Scheduler
+) -> answers.Answer:
+    scheduler.orders.note_hosts(call)
+    return Ok(None)
+
+
+@handle.register(calls.NoteApprovals)
+def _(
+    call: calls.NoteApprovals, scheduler: scheduling.Scheduler
+) -> answers.Answer:
+    scheduler.approvals.note(call)
+    return Ok(None)
+
+
+@handle.register(calls.LeaveWorker)
+def _(
+    call: calls.LeaveWorker, scheduler: scheduling.Scheduler
+) -> answers.Answer:
+    worker = scheduler.workers.get(call.worker)
+    if worker is not None:
+        scheduler.leave(worker)
+    return Ok(None)
+
+
+@handle.register(calls.Heartbeat)
+def _(
+    call: calls.Heartbeat, scheduler: scheduling.Scheduler
+) -> answers.Answer:
+    return reports.answer_heartbeat(call, scheduler)
--- a/orioleshore/jobs/placement.py
+++ b/orioleshore/jobs/placement.py
@@ -174,7 +174,7 @@
     if not racks or worker.rack in racks:
         return True
     waited_s = scheduler.wall - group.open_since
-    extra_ms = (scheduler.limits.spread_factor - 1.0) * step.estimate_ms
+    extra_ms = (scheduler.limits.remote_factor - 1.0) * step.estimate_ms
     if waited_s >= min(extra_ms / MS_PER_S, MAX_RACK_WAIT_S):
         return True
     return not any(
--- /dev/null
+++ b/orioleshore/jobs/reports.py
@@ -0,0 +1,184 @@
+"""Reports of workers: what they prove, and which orders answer them."""
+
+from __future__ import annotations
+
+import logging
+import typing
+
+from result import Ok
+
+from orioleshore.jobs import answers
+from orioleshore.jobs import calls
+from orioleshore.jobs import interference
+from orioleshore.jobs import placement
+from orioleshore.jobs import stalls
+from orioleshore.jobs import workers
+from orioleshore.model import states
+from orioleshore.telemetry import logs
+
+if typing.TYPE_CHECKING:
+    from orioleshore.jobs import scheduler as scheduling
+
+LOG = logging.getLogger(__name__)
+
+
+def answer_heartbeat(
+    call: calls.Heartbeat, scheduler: scheduling.Scheduler
+) -> answers.Answer:
+    """Learn from a worker's report, and return its orders."""
+    worker = scheduler.workers.get(call.worker)
+    if worker is None or worker.incarnation < call.incarnation:
+        worker = scheduler.add_worker(call)
+    elif (
+        worker.incarnation > call.incarnation
+        or call.sequence <= worker.sequence
+    ):
+        # An old heartbeat says nothing about now, and grants nothing.
+        LOG.info(
+            logs.format_event(
+                'heartbeat_ignored',
+                worker=call.worker,
+                incarnation=call.incarnation,
+                sequence=call.sequence,
+                newest=worker.sequence,
+            )
+        )
+        return Ok(calls.HeartbeatAnswer(0, scheduler.epoch, 0))
+    _update(worker, call, scheduler)
+    observed = _take_ends(worker, call, scheduler)
+    _find_lost_runs(worker, scheduler)
+    for key in stalls.find_stalled(scheduler, worker):
+        worker.evicted.add(key)
+        placement.learn_from_stall(worker, scheduler)
+    starts = placement.choose_starts(scheduler, worker)
+    return Ok(
+        calls.HeartbeatAnswer(
+            observed,
+            scheduler.epoch,
+            scheduler.limits.lease_ms,
+            tuple(starts),
+            tuple(_find_stops(worker, scheduler)),
+            tuple(_set_rates(worker, scheduler)),
+            placement.get_retry_ms(scheduler, worker),
+            scheduler.leader,
+        )
+    )
+
+
+def _update(
+    worker: workers.Worker,
+    call: calls.Heartbeat,
+    scheduler: scheduling.Scheduler,
+) -> None:
+    if worker.state is not call.state:
+        LOG.info(
+            logs.format_event(
+                'worker_state',
+                worker=worker.name,
+                state=call.state,
+                remaining_ms=call.remaining_ms,
+            )
+        )
+    if worker.state is not states.WorkerState.DRAINING:
+        worker.state = call.state
+    worker.sequence = call.sequence
+    worker.capacity = call.capacity
+    worker.pool = call.pool
+    worker.heard_at = scheduler.now
+    worker.lease_end = scheduler.now + scheduler.lease_span_s
+    worker.reports = {
+        (report.job, report.task, report.attempt): report
+        for report in call.running
+        if scheduler.is_plausible(report.job, report.task)
+    }
+    worker.on_trial -= {
+        key
+        for key, report in worker.reports.items()
+        if report.progress >= workers.AT_WORK and scheduler.is_lasting_run(key)
+    }
+    worker.listed = {
+        key: worker.ordered.get(key) or scheduler.get_reserved(key)
+        for key in worker.reports
+    }
+
+
+def _take_ends(
+    worker: workers.Worker,
+    call: calls.Heartbeat,
+    scheduler: scheduling.Scheduler,
+) -> int:
+    """Note all ends that a heartbeat lists, and return the last number."""
+    observed = 0
+    for end in call.ended:
+        observed = max(observed, end.number)
+        key = (end.job, end.task, end.attempt)
+        if not scheduler.is_plausible(end.job, end.task):
+            continue
+        was_ordered = worker.ordered.pop(key, None) is not None
+        worker.rates.pop(key, None)
+        if was_ordered:
+            scheduler.learn_run_time(worker, key, end.how)
+            placement.learn_from_end(worker, key, end.how, scheduler)
+        scheduler.end_run(key, end.how, end.checkpoint, worker.name)
+    return observed
+
+
+def _find_lost_runs(
+    worker: workers.Worker, scheduler: scheduling.Scheduler
+) -> None:
+    """End runs whose order did not arrive at the worker."""
+    for key in list(worker.ordered):
+        if key in worker.listed:
+            continue
+        job = scheduler.jobs.get(key[0])
+        run = job and job.record.tasks.get(key[1])
+        if run and run.attempt == key[2] and run.sequence >= worker.sequence:
+            continue
+        del worker.ordered[key]
+        worker.on_trial.discard(key)
+        worker.began_at.pop(key, None)
+        scheduler.end_run(key, states.RunEnd.LOST, '', worker.name)
+
+
+def _find_stops(
+    worker: workers.Worker, scheduler: scheduling.Scheduler
+) -> list[calls.StopOrder]:
+    """Return orders against runs that should not be on the worker."""
+    worker.evicted &= worker.listed.keys()
+    if worker.state is states.WorkerState.DRAINING:
+        # What lasts would be lost when the worker ends; it moves now.
+        worker.evicted |= {
+            key for key in worker.listed if scheduler.is_lasting_run(key)
+        }
+    stops = [calls.StopOrder(*key) for key in worker.evicted]
+    for key in worker.listed.keys() - worker.evicted:
+        if key in worker.ordered and key[0] in scheduler.jobs:
+            continue
+        worker.ordered.pop(key, None)
+        stops.append(calls.StopOrder(*key))
+    return stops
+
+
+def _set_rates(
+    worker: workers.Worker, scheduler: scheduling.Scheduler
+) -> list[calls.RateOrder]:
+    """Return new rates for the filling tasks of a worker."""
+    fillers = []
+    worst = 0.0
+    for key, report in worker.reports.items():
+        job = scheduler.jobs.get(key[0])
+        if job is None:
+            continue
+        step = job.get_step(key[1])
+        if step.is_filler:
+            fillers.append(key)
+        elif step.tail_target_ms:
+            worst = max(worst, report.figure / step.tail_target_ms)
+    rates = []
+    for key in fillers:
+        current = worker.rates.get(key, interference.FULL_PERCENT)
+        rate = interference.get_rate(current, worst)
+        if rate != current:
+            worker.rates[key] = rate
+            rates.append(calls.RateOrder(*key, rate))
+    return rates
--- a/orioleshore/jobs/scheduler.py
+++ b/orioleshore/jobs/scheduler.py
@@ -5,27 +5,23 @@
 fails, the whole scheduler is thrown away and built anew from the log.
 """
 
-import functools
 import logging
-from typing import Any
 
-from result import Err
 from result import Ok
 from result import Result
 
 from orioleshore.jobs import admission
+from orioleshore.jobs import answers
 from orioleshore.jobs import approvals
 from orioleshore.jobs import calls
 from orioleshore.jobs import eligibility
 from orioleshore.jobs import gangs
-from orioleshore.jobs import interference
+from orioleshore.jobs import handlers
 from orioleshore.jobs import ledger
 from orioleshore.jobs import orders
-from orioleshore.jobs import placement
 from orioleshore.jobs import pools
 from orioleshore.jobs import progress
 from orioleshore.jobs import specs
-from orioleshore.jobs import stalls
 from orioleshore.jobs import tuning
 from orioleshore.jobs import upkeep
 from orioleshore.jobs import workers
@@ -39,12 +35,7 @@
 # A lasting task that waits for longer is worth a log line; half of what
 # the platform allows from its last run.
 LONG_WAIT_S = 3.0
-JOB_ID_LENGTH = 16
 MS_PER_S = 1_000.0
-# A percentage at which a lasting task is at work.
-AT_WORK = 100
-
-Answer = Result[Any, errors.Failure]
 
 
 class Scheduler:
@@ -94,11 +85,11 @@
 
     def handle(
         self, call: calls.Call, now: float, wall: ids.WallTime
-    ) -> Answer:
+    ) -> answers.Answer:
         """Decide about a call."""
         self.now = now
         self.wall = wall
-        return _handle(call, self)
+        return handlers.handle(call, self)
 
     def tick(self, now: float, wall: ids.WallTime) -> None:
         """Give up workers whose leases ended, and advance upkeep."""
@@ -189,10 +180,12 @@
     ) -> Result[tuple[specs.Queue, ids.JobId], errors.Failure]:
         """Return queue and job that a path names; the job may be empty."""
         if not self.book.configuration.version:
-            return _fail(errors.ErrorKind.NOT_READY, 'no configuration yet')
+            return answers.fail(
+                errors.ErrorKind.NOT_READY, 'no configuration yet'
+            )
         queue = specs.find_queue(self.book.configuration, host, path)
         if queue is None:
-            return _fail(
+            return answers.fail(
                 errors.ErrorKind.NOT_FOUND, f'no queue for {host}{path}'
             )
         return Ok((queue, ids.JobId(path[len(queue.prefix) :])))
@@ -460,338 +453,3 @@
             )
             for key in runs:
                 self.end_run(key, states.RunEnd.LOST, '', worker)
-
-
-def _fail(
-    kind: errors.ErrorKind, message: str, retry_after_s: float | None = None
-) -> Err[errors.Failure]:
-    return Err(errors.Failure(kind, message, retry_after_s=retry_after_s))
-
-
-def is_job_id(text: str) -> bool:
-    """Return whether a text has the form of a job's id."""
-    return len(text) == JOB_ID_LENGTH and all(
-        char in '0123456789abcdefABCDEF' for char in text
-    )
-
-
-@functools.singledispatch
-def _handle(call: Any, scheduler: Scheduler) -> Answer:
-    raise TypeError(f'unknown call {type(call).__name__}')
-
-
-@_handle.register
-def _(call: calls.SubmitJob, scheduler: Scheduler) -> Answer:
-    target = scheduler.find_target(call.host, call.path)
-    if target.is_err():
-        return target
-    queue, name = target.unwrap()
-    if not is_job_id(name):
-        return _fail(errors.ErrorKind.INVALID_REQUEST, 'malformed job id')
-    if name in scheduler.book.jobs:
-        return Ok(None)
-    refusal = admission.find_refusal(scheduler, call.job, queue)
-    if refusal is not None:
-        LOG.info(
-            logs.format_event(
-                'job_refused',
-                job=name,
-                queue=queue.name,
-                error=refusal.kind,
-                reason=refusal.message,
-                retry_after_s=refusal.retry_after_s,
-            )
-        )
-        return Err(refusal)
-    scheduler.accept(name, call.job, queue)
-    LOG.info(
-        logs.format_event(
-            'job_accepted',
-            job=name,
-            queue=queue.name,
-            pool=queue.pool,
-            tasks=ledger.count_tasks(call.job),
-            lasting=call.job.is_lasting,
-            objective_ms=scheduler.book.jobs[name].objective_ms,
-            version=scheduler.book.configuration.version,
-        )
-    )
-    return Ok(None)
-
-
-@_handle.register
-def _(call: calls.GetJob, scheduler: Scheduler) -> Answer:
-    target = scheduler.find_target(call.host, call.path)
-    if target.is_err():
-        return target
-    queue, name = target.unwrap()
-    if not name:
-        waiting = sum(
-            record.state is states.BatchState.QUEUED
-            and record.host == queue.host
-            and record.prefix == queue.prefix
-            for record in scheduler.book.jobs.values()
-        )
-        return Ok(calls.QueueStatus(waiting))
-    record = scheduler.book.jobs.get(name)
-    if record is None:
-        return _fail(errors.ErrorKind.JOB_UNKNOWN, 'no such job')
-    return Ok(calls.JobStatus(record.state))
-
-
-@_handle.register
-def _(call: calls.CancelJob, scheduler: Scheduler) -> Answer:
-    target = scheduler.find_target(call.host, call.path)
-    if target.is_err():
-        return target
-    _, name = target.unwrap()
-    record = scheduler.book.jobs.get(name)
-    if record is None:
-        return _fail(errors.ErrorKind.JOB_UNKNOWN, 'no such job')
-    if not record.is_ended:
-        scheduler.cancel(name)
-        LOG.info(logs.format_event('job_cancelled', job=name))
-    return Ok(None)
-
-
-@_handle.register
-def _(call: calls.PutConfiguration, scheduler: Scheduler) -> Answer:
-    held = scheduler.book.configuration.version
-    given = call.configuration.version
-    if given > held:
-        scheduler.record(ledger.ConfigurationChanged(call.configuration))
-    LOG.info(
-        logs.format_event(
-            'configuration_received',
-            version=given,
-            held=held,
-            in_force=max(given, held),
-            queues=len(call.configuration.queues),
-        )
-    )
-    return Ok(None)
-
-
-@_handle.register
-def _(call: calls.GetConfiguration, scheduler: Scheduler) -> Answer:
-    if not scheduler.book.configuration.version:
-        return _fail(errors.ErrorKind.NOT_READY, 'no configuration yet')
-    return Ok(scheduler.book.configuration)
-
-
-@_handle.register
-def _(call: calls.OpenWave, scheduler: Scheduler) -> Answer:
-    if call.wave not in scheduler.book.waves:
-        scheduler.record(
-            ledger.WaveOpened(
-                call.wave,
-                call.hosts,
-                call.at_once,
-                scheduler.wall,
-                ids.WallTime(scheduler.wall + call.duration_s),
-            )
-        )
-        LOG.info(
-            logs.format_event(
-                'wave_opened',
-                wave=call.wave,
-                hosts=len(call.hosts),
-                at_once=call.at_once,
-                duration_s=call.duration_s,
-            )
-        )
-    return Ok(None)
-
-
-@_handle.register
-def _(call: calls.GetWave, scheduler: Scheduler) -> Answer:
-    record = scheduler.book.waves.get(call.wave)
-    if record is None:
-        return _fail(errors.ErrorKind.NOT_FOUND, 'no such wave')
-    return Ok(calls.WaveStatus(record.is_completed))
-
-
-@_handle.register
-def _(call: calls.NoteUpkeep, scheduler: Scheduler) -> Answer:
-    scheduler.upkeep.note_outcome(call)
-    return Ok(None)
-
-
-@_handle.register
-def _(call: calls.NoteMove, scheduler: Scheduler) -> Answer:
-    scheduler.pools.note_outcome(call)
-    return Ok(None)
-
-
-@_handle.register
-def _(call: calls.NoteHosts, scheduler: Scheduler) -> Answer:
-    scheduler.orders.note_hosts(call)
-    return Ok(None)
-
-
-@_handle.register
-def _(call: calls.NoteApprovals, scheduler: Scheduler) -> Answer:
-    scheduler.approvals.note(call)
-    return Ok(None)
-
-
-@_handle.register
-def _(call: calls.LeaveWorker, scheduler: Scheduler) -> Answer:
-    worker = scheduler.workers.get(call.worker)
-    if worker is not None:
-        scheduler.leave(worker)
-    return Ok(None)
-
-
-@_handle.register
-def _(call: calls.Heartbeat, scheduler: Scheduler) -> Answer:
-    worker = scheduler.workers.get(call.worker)
-    if worker is None or worker.incarnation < call.incarnation:
-        worker = scheduler.add_worker(call)
-    elif (
-        worker.incarnation > call.incarnation
-        or call.sequence <= worker.sequence
-    ):
-        # An old heartbeat says nothing about now, and grants nothing.
-        LOG.info(
-            logs.format_event(
-                'heartbeat_ignored',
-                worker=call.worker,
-                incarnation=call.incarnation,
-                sequence=call.sequence,
-                newest=worker.sequence,
-            )
-        )
-        return Ok(calls.HeartbeatAnswer(0, scheduler.epoch, 0))
-    _update(worker, call, scheduler)
-    observed = _take_ends(worker, call, scheduler)
-    _find_lost_runs(worker, scheduler)
-    for key in stalls.find_stalled(scheduler, worker):
-        worker.evicted.add(key)
-        placement.learn_from_stall(worker, scheduler)
-    starts = placement.choose_starts(scheduler, worker)
-    return Ok(
-        calls.HeartbeatAnswer(
-            observed,
-            scheduler.epoch,
-            scheduler.limits.lease_ms,
-            tuple(starts),
-            tuple(_find_stops(worker, scheduler)),
-            tuple(_set_rates(worker, scheduler)),
-            placement.get_retry_ms(scheduler, worker),
-            scheduler.leader,
-        )
-    )
-
-
-def _update(
-    worker: workers.Worker, call: calls.Heartbeat, scheduler: Scheduler
-) -> None:
-    if worker.state is not call.state:
-        LOG.info(
-            logs.format_event(
-                'worker_state',
-                worker=worker.name,
-                state=call.state,
-                remaining_ms=call.remaining_ms,
-            )
-        )
-    if worker.state is not states.WorkerState.DRAINING:
-        worker.state = call.state
-    worker.sequence = call.sequence
-    worker.capacity = call.capacity
-    worker.pool = call.pool
-    worker.heard_at = scheduler.now
-    worker.lease_end = scheduler.now + scheduler.lease_span_s
-    worker.reports = {
-        (report.job, report.task, report.attempt): report
-        for report in call.running
-        if scheduler.is_plausible(report.job, report.task)
-    }
-    worker.on_trial -= {
-        key
-        for key, report in worker.reports.items()
-        if report.progress >= AT_WORK and scheduler.is_lasting_run(key)
-    }
-    worker.listed = {
-        key: worker.ordered.get(key) or scheduler.get_reserved(key)
-        for key in worker.reports
-    }
-
-
-def _take_ends(
-    worker: workers.Worker, call: calls.Heartbeat, scheduler: Scheduler
-) -> int:
-    """Note all ends that a heartbeat lists, and return the last number."""
-    observed = 0
-    for end in call.ended:
-        observed = max(observed, end.number)
-        key = (end.job, end.task, end.attempt)
-        if not scheduler.is_plausible(end.job, end.task):
-            continue
-        was_ordered = worker.ordered.pop(key, None) is not None
-        worker.rates.pop(key, None)
-        if was_ordered:
-            scheduler.learn_run_time(worker, key, end.how)
-            placement.learn_from_end(worker, key, end.how, scheduler)
-        scheduler.end_run(key, end.how, end.checkpoint, worker.name)
-    return observed
-
-
-def _find_lost_runs(worker: workers.Worker, scheduler: Scheduler) -> None:
-    """End runs whose order did not arrive at the worker."""
-    for key in list(worker.ordered):
-        if key in worker.listed:
-            continue
-        job = scheduler.jobs.get(key[0])
-        run = job and job.record.tasks.get(key[1])
-        if run and run.attempt == key[2] and run.sequence >= worker.sequence:
-            continue
-        del worker.ordered[key]
-        worker.on_trial.discard(key)
-        worker.began_at.pop(key, None)
-        scheduler.end_run(key, states.RunEnd.LOST, '', worker.name)
-
-
-def _find_stops(
-    worker: workers.Worker, scheduler: Scheduler
-) -> list[calls.StopOrder]:
-    """Return orders against runs that should not be on the worker."""
-    worker.evicted &= worker.listed.keys()
-    if worker.state is states.WorkerState.DRAINING:
-        # What lasts would be lost when the worker ends; it moves now.
-        worker.evicted |= {
-            key for key in worker.listed if scheduler.is_lasting_run(key)
-        }
-    stops = [calls.StopOrder(*key) for key in worker.evicted]
-    for key in worker.listed.keys() - worker.evicted:
-        if key in worker.ordered and key[0] in scheduler.jobs:
-            continue
-        worker.ordered.pop(key, None)
-        stops.append(calls.StopOrder(*key))
-    return stops
-
-
-def _set_rates(
-    worker: workers.Worker, scheduler: Scheduler
-) -> list[calls.RateOrder]:
-    """Return new rates for the filling tasks of a worker."""
-    fillers = []
-    worst = 0.0
-    for key, report in worker.reports.items():
-        job = scheduler.jobs.get(key[0])
-        if job is None:
-            continue
-        step = job.get_step(key[1])
-        if step.is_filler:
-            fillers.append(key)
-        elif step.tail_target_ms:
-            worst = max(worst, report.figure / step.tail_target_ms)
-    rates = []
-    for key in fillers:
-        current = worker.rates.get(key, interference.FULL_PERCENT)
-        rate = interference.get_rate(current, worst)
-        if rate != current:
-            worker.rates[key] = rate
-            rates.append(calls.RateOrder(*key, rate))
-    return rates
--- a/orioleshore/jobs/stalls.py
+++ b/orioleshore/jobs/stalls.py
@@ -24,8 +24,6 @@
 # A lasting task that is not at work for this long starts elsewhere; its
 # start takes up to a second.
 LASTING_STALL_S = 2.5
-# A percentage at which a lasting task is at work.
-AT_WORK = 100
 
 
 def find_stalled(
@@ -46,7 +44,7 @@
         since = before[1] if is_same else scheduler.now
         seen[key] = (report.progress, since)
         is_lasting = scheduler.is_lasting_run(key)
-        if is_lasting and report.progress >= AT_WORK:
+        if is_lasting and report.progress >= workers.AT_WORK:
             continue
         limit_s = LASTING_STALL_S if is_lasting else STALL_S
         if scheduler.now - since >= limit_s and key not in worker.evicted:
--- a/orioleshore/jobs/tuning.py
+++ b/orioleshore/jobs/tuning.py
@@ -37,7 +37,7 @@
     notice_ms: int = 4_500
     # Tasks away from their data or rack take this many times as long; from
     # the bounds.
-    spread_factor: float = 1.5
+    remote_factor: float = 1.5
     # Tolerance of the platform for starts ahead of their due time.
     early_ms: int = 250
     # A call to the platform that got no answer by then counts as lost.
--- a/orioleshore/jobs/upkeep.py
+++ b/orioleshore/jobs/upkeep.py
@@ -30,8 +30,6 @@
 CORDON_S = 2.0
 # Share of a wave's time after which hosts are taken without that wait.
 HURRY_SHARE = 0.7
-# A percentage at which a lasting task is at work.
-AT_WORK = 100
 
 
 class _Cordon(msgspec.Struct):
@@ -320,7 +318,7 @@
             run = job.record.tasks[task]
             key = (job.job, task, run.attempt)
             report = holder.reports.get(key)
-            if report is None or report.progress < AT_WORK:
+            if report is None or report.progress < workers.AT_WORK:
                 continue
             if key in holder.evicted:
                 continue
--- a/orioleshore/jobs/workers.py
+++ b/orioleshore/jobs/workers.py
@@ -7,6 +7,9 @@
 from orioleshore.model import ids
 from orioleshore.model import states
 
+# Progress in percent at which a lasting task is at work.
+AT_WORK = 100
+
 # A run of a job, by its task and attempt.
 RunKey = tuple[ids.JobId, ids.TaskName, ids.Attempt]
 
--- a/orioleshore/platform/boot.py
+++ b/orioleshore/platform/boot.py
@@ -169,7 +169,7 @@
         notice_ms=bounds.notice_ms,
         early_ms=bounds.early_ms,
         interference_ms=bounds.interference_ms,
-        spread_factor=bounds.spread_factor,
+        remote_factor=bounds.spread_factor,
     )
 
 
