Add a randomized soak of the platform's processes

Kills, pauses, orderly stops, lost disks, reloads and a proxy before the entry host; checks from what callers and workers see. Not covered: proxies between members, clocks, failing disks.

--- a/fakes/platform_fleet.py
+++ b/fakes/platform_fleet.py
@@ -58,6 +58,16 @@
         offset = 4 if name.startswith('control') else 5
         return f'http://{self.get_address(name)}:{self._port + offset}'
 
+    def get_endpoint(self, name: str) -> tuple[str, int]:
+        """Return address and port of the base URL."""
+        offset = 4 if name.startswith('control') else 5
+        return self.get_address(name), self._port + offset
+
+    def wipe(self, name: str) -> None:
+        """Empty the disk of a member that does not run."""
+        for path in (self._folder / f'data-{name}').iterdir():
+            path.unlink()
+
     def get_ready_url(self, name: str) -> str:
         """Return where the balancer asks."""
         return f'http://{self.get_address(name)}:{self._port + 6}/ready'
@@ -153,15 +163,52 @@
         return path
 
 
+class Registry:
+    """What all workers together run; finds tasks that run twice."""
+
+    def __init__(self) -> None:
+        self.starts: dict[str, int] = {}
+        self.problems: list[str] = []
+        self._running: dict[str, str] = {}
+        self._done: set[str] = set()
+
+    def start(self, task: str, worker: str) -> None:
+        """Note a start."""
+        self.starts[task] = self.starts.get(task, 0) + 1
+        if task in self._done:
+            self.problems.append(f'{task} started after its end was noted')
+        if task in self._running:
+            other = self._running[task]
+            self.problems.append(f'{task} runs on {other} and {worker}')
+        self._running[task] = worker
+
+    def end(self, task: str) -> None:
+        """Note that a run is over."""
+        self._running.pop(task, None)
+
+    def observe(self, task: str, how: str) -> None:
+        """Note that the system has recorded an end."""
+        if how == 'done':
+            self._done.add(task)
+
+
 class Runner:
     """A worker that reports by HTTP and runs what it is told.
 
-    ``starts`` counts the starts of each task, over all its lives.
+    It kills what runs when its lease ends, as a worker does. ``starts``
+    counts the starts of each task.
     """
 
     def __init__(
-        self, fleet: PlatformFleet, name: str, service: str, run_s: float
+        self,
+        fleet: PlatformFleet,
+        name: str,
+        service: str,
+        run_s: float,
+        registry: Registry | None = None,
     ) -> None:
+        self._registry = registry or Registry()
+        self._lease_end = 0.0
         self._fleet = fleet
         self._name = name
         self._service = service
@@ -172,7 +219,6 @@
         self._ended: list[list] = []
         self._position = 0
         self.starts: dict[str, int] = {}
-        self.done: set[str] = set()
         self.answered = 0
 
     async def run(self) -> None:
@@ -187,10 +233,9 @@
         now = asyncio.get_running_loop().time()
         for key, ends_at in list(self._running.items()):
             if now >= ends_at:
-                del self._running[key]
-                self._number += 1
-                self.done.add(key[0])
-                self._ended.append([self._number, *key, 'done', ''])
+                self._end(key, 'done')
+            elif now >= self._lease_end:
+                self._end(key, 'lapsed')
         self._sequence += 1
         body = {
             'service': self._service,
@@ -212,18 +257,33 @@
                 if response.status != 200:
                     self._position += 1
                     return
-                self._obey(await response.json())
+                self._obey(await response.json(), now)
         except (aiohttp.ClientError, TimeoutError, OSError):
             self._position += 1
 
-    def _obey(self, answer: dict) -> None:
+    def _end(self, key: tuple[str, int], how: str) -> None:
+        del self._running[key]
+        self._registry.end(key[0])
+        self._number += 1
+        self._ended.append([self._number, *key, how, ''])
+
+    def _obey(self, answer: dict, sent_at: float) -> None:
         self.answered += 1
         now = asyncio.get_running_loop().time()
+        if 'hold_ms' not in answer:
+            return
+        lease_end = sent_at + answer['hold_ms'] / 1_000.0
+        self._lease_end = max(self._lease_end, lease_end)
         observed = answer.get('observed', 0)
+        for end in self._ended:
+            if end[0] <= observed:
+                self._registry.observe(end[1], end[3])
         self._ended = [end for end in self._ended if end[0] > observed]
         for task, attempt in answer.get('stop', ()):
-            self._running.pop((task, attempt), None)
+            if (task, attempt) in self._running:
+                self._end((task, attempt), 'stopped')
         for task, attempt, *_ in answer.get('start', ()):
+            self._registry.start(task, self._name)
             self.starts[task] = self.starts.get(task, 0) + 1
             self._running[task, attempt] = now + self._run_s
 
--- /dev/null
+++ b/fakes/proxy.py
@@ -0,0 +1,97 @@
+"""A loopback TCP proxy that delays, resets, silences or cuts connections."""
+
+import asyncio
+import contextlib
+import enum
+
+CHUNK_BYTES = 65_536
+DELAY_S = 0.3
+
+
+class Fault(enum.Enum):
+    """What the proxy does with the bytes that pass it."""
+
+    NONE = 'none'
+    DELAY = 'delay'
+    # Open connections end with a reset; new ones too.
+    RESET = 'reset'
+    # Bytes vanish in both directions, without any sign.
+    SILENCE = 'silence'
+    # Requests arrive, answers vanish.
+    ONE_WAY = 'one_way'
+
+
+class Proxy:
+    """Passes connections on to one address."""
+
+    def __init__(self, host: str, target: tuple[str, int]) -> None:
+        self.fault = Fault.NONE
+        self._host = host
+        self._target = target
+        self._server: asyncio.Server | None = None
+        self._writers: set[asyncio.StreamWriter] = set()
+
+    @property
+    def url(self) -> str:
+        port = self._server.sockets[0].getsockname()[1]
+        return f'http://{self._host}:{port}'
+
+    async def start(self) -> None:
+        """Listen on a port that the kernel chooses."""
+        self._server = await asyncio.start_server(self._serve, self._host, 0)
+
+    async def stop(self) -> None:
+        """Close all connections."""
+        self._server.close()
+        self._abort()
+
+    def set_fault(self, fault: Fault) -> None:
+        """Begin or end a fault; a reset hits open connections at once."""
+        self.fault = fault
+        if fault is Fault.RESET:
+            self._abort()
+
+    def _abort(self) -> None:
+        for writer in self._writers:
+            writer.transport.abort()
+
+    async def _serve(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        self._writers.add(writer)
+        inner = None
+        try:
+            if self.fault is Fault.RESET:
+                return
+            inner_reader, inner = await asyncio.open_connection(*self._target)
+            self._writers.add(inner)
+            await asyncio.gather(
+                self._copy(reader, inner, is_answer=False),
+                self._copy(inner_reader, writer, is_answer=True),
+            )
+        except OSError:
+            # The target is down, or the fault ended the connection.
+            return
+        finally:
+            for end in (writer, inner):
+                if end is not None:
+                    self._writers.discard(end)
+                    end.transport.abort()
+
+    async def _copy(
+        self,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+        is_answer: bool,
+    ) -> None:
+        while data := await reader.read(CHUNK_BYTES):
+            if self.fault is Fault.DELAY:
+                await asyncio.sleep(DELAY_S)
+            is_lost = self.fault is Fault.SILENCE or (
+                self.fault is Fault.ONE_WAY and is_answer
+            )
+            if not is_lost:
+                writer.write(data)
+                await writer.drain()
+        with contextlib.suppress(OSError):
+            writer.write_eof()
