--- a/scripts/soak.py
+++ b/scripts/soak.py
@@ -75,7 +75,13 @@
         self.faults: collections.Counter[str] = collections.Counter()
 
     async def run(self) -> None:
-        """Play the faults, then wait until everything is completed."""
+        """Play the faults, then wait until everything is completed.
+
+        A stop from outside ends the processes that the soak started.
+        """
+        loop = asyncio.get_running_loop()
+        playing = asyncio.current_task()
+        loop.add_signal_handler(signal.SIGTERM, playing.cancel)
         self._entry = proxy.Proxy(
             '127.0.0.1', self._fleet.get_endpoint('entry-0')
         )
@@ -263,7 +269,10 @@
     """Play one seed, and keep its logs if a promise was broken."""
     folder = pathlib.Path(tempfile.mkdtemp(prefix=f'soak-{seed}-'))
     soak = Soak(seed, seconds, folder)
-    asyncio.run(soak.run())
+    try:
+        asyncio.run(soak.run())
+    except asyncio.CancelledError:
+        sys.exit(f'seed {seed}: stopped')
     verdict = 'ok' if not soak.problems else 'BROKEN'
     print(
         f'seed {seed}: {verdict}, {len(soak.accepted)} accepted, '
