--- a/bench/load.py
+++ b/bench/load.py
@@ -10,6 +10,7 @@
 
 import argparse
 import collections
+import logging
 import pathlib
 import random
 import statistics
@@ -140,7 +141,9 @@
         active = pools[int(elapsed_s / turns.period_s) % len(pools)]
         for pool in pools:
             rate = turns.high if pool == active else turns.low
-            if self._random.random() < rate * STEP_S:
+            whole, rest = divmod(rate * STEP_S, 1.0)
+            count = int(whole) + (self._random.random() < rest)
+            for _ in range(count):
                 self._submit(pool, self._make_job())
 
     def _make_job(self) -> specs.Job:
@@ -279,6 +282,8 @@
     parser.add_argument('--seeds', type=int, default=2)
     parser.add_argument('--policy', choices=sorted(_POLICIES), action='append')
     arguments = parser.parse_args()
+    # The decisions log for operators; here only the table is of interest.
+    logging.getLogger().addHandler(logging.NullHandler())
     scenario = read_scenario(arguments.scenario)
     print(
         'policy       seed handed refused in_time  late  open '
--- /dev/null
+++ b/orioleshore/tests/test_load.py
@@ -0,0 +1,52 @@
+"""The experiment on load: scenarios are read, and policies differ."""
+
+import pathlib
+
+import msgspec
+import pytest
+
+from bench import load
+from orioleshore.tests import support
+
+ROOT = pathlib.Path(load.__file__).parent / 'scenarios'
+
+# One queue asks three times what its two hosts hold.
+TURN = load.Scenario(
+    pools={'red': 2, 'blue': 2},
+    standby=6,
+    cores=16,
+    turns=load.Turns(period_s=6.0, high=16.0, low=0.2),
+    tasks=(4, 8),
+    task_cores=(1.0, 1.5),
+    run_s=0.8,
+    objective_ms=4_600,
+    lasting_tasks=2,
+    length_s=12.0,
+)
+
+
+@pytest.mark.parametrize('path', sorted(ROOT.glob('*.yaml')))
+def test_scenarios_can_be_read(path):
+    """Guards against a scenario that lags behind the tool."""
+    assert load.read_scenario(str(path)).length_s > 0
+
+
+def test_misspelt_scenario_is_refused(tmp_path):
+    """Guards against a setting that is silently left out."""
+    text = (ROOT / 'association.yaml').read_text('utf-8')
+    path = tmp_path / 'wrong.yaml'
+    path.write_text(text + 'hosts: 3\n', 'utf-8')
+    with pytest.raises(msgspec.ValidationError):
+        load.read_scenario(str(path))
+
+
+def test_hosts_that_follow_demand_serve_more_in_time():
+    """Guards against a turn of demand that only its own pool serves."""
+    outcomes = {
+        policy: load.Experiment(TURN, policy, support.SEED).run()
+        for policy in ('product', 'fixed-pools')
+    }
+    product, fixed = outcomes['product'], outcomes['fixed-pools']
+    assert product.handed_in == fixed.handed_in
+    assert product.in_time >= 0.9 * product.handed_in
+    assert fixed.in_time <= 0.7 * fixed.handed_in
