--- a/orioleshore/tests/test_telemetry_metrics.py
+++ b/orioleshore/tests/test_telemetry_metrics.py
@@ -11,6 +11,7 @@
 from orioleshore.tasks import mailbox
 from orioleshore.telemetry import collection
 from orioleshore.telemetry import dumps
+from orioleshore.telemetry import latencies
 from orioleshore.telemetry import metrics
 from orioleshore.telemetry import questions
 from orioleshore.tests import support
@@ -150,3 +151,21 @@
         line for line in capfd.readouterr().err.splitlines() if line[:1] == '{'
     ]
     assert json.loads(lines[0])['node'] == 'entry-1'
+
+
+def test_operations_page_lists_exactly_the_recorded_metrics():
+    """Guards against a metric that an operator does not find."""
+    page = pathlib.Path(__file__).parents[2] / 'docs' / 'OPERATIONS.md'
+    rows = page.read_text('utf-8').splitlines()
+    listed = {
+        row.split('`')[1].removeprefix(metrics.PREFIX)
+        for row in rows
+        if row.startswith(f'| `{metrics.PREFIX}')
+    }
+    text = latencies.Latencies('node-1').render().decode()
+    recorded = {
+        line.split()[2].removeprefix(metrics.PREFIX)
+        for line in text.splitlines()
+        if line.startswith('# HELP ')
+    }
+    assert listed == recorded
