--- a/orioleshore/jobs/reports.py
+++ b/orioleshore/jobs/reports.py
@@ -27,12 +27,13 @@
 ) -> answers.Answer:
     """Learn from a worker's report, and return its orders."""
     worker = scheduler.workers.get(call.worker)
-    if worker is None or worker.incarnation < call.incarnation:
-        worker = scheduler.add_worker(call)
-    elif (
-        worker.incarnation > call.incarnation
-        or call.sequence <= worker.sequence
-    ):
+    is_known = worker is not None
+    is_old = scheduler.has_newer_life(call) or (
+        is_known
+        and worker.incarnation == call.incarnation
+        and call.sequence <= worker.sequence
+    )
+    if is_old:
         # An old heartbeat says nothing about now, and grants nothing.
         LOG.info(
             logs.format_event(
@@ -40,10 +41,12 @@
                 worker=call.worker,
                 incarnation=call.incarnation,
                 sequence=call.sequence,
-                newest=worker.sequence,
+                newest=worker.sequence if is_known else None,
             )
         )
         return Ok(calls.HeartbeatAnswer(0, scheduler.epoch, 0))
+    if not is_known or worker.incarnation < call.incarnation:
+        worker = scheduler.add_worker(call)
     _update(worker, call, scheduler)
     observed = _take_ends(worker, call, scheduler)
     _find_lost_runs(worker, scheduler)
--- a/orioleshore/jobs/scheduler.py
+++ b/orioleshore/jobs/scheduler.py
@@ -360,6 +360,21 @@
             return specs.Resources()
         return workers.get_reserved(record.job.steps[position])
 
+    def has_newer_life(self, beat: calls.Heartbeat) -> bool:
+        """Return whether the worker or its host has begun anew since.
+
+        A report that was held up by a partition may arrive after its
+        worker has ended and another one runs on the host.
+        """
+        return any(
+            other.incarnation > beat.incarnation
+            and (
+                other.name == beat.worker
+                or (bool(beat.host) and other.host == beat.host)
+            )
+            for other in self.workers.values()
+        )
+
     def add_worker(self, beat: calls.Heartbeat) -> workers.Worker:
         """Begin to know a worker, or a new life of one."""
         old = self.workers.get(beat.worker)
--- a/orioleshore/tests/test_batch_scheduler.py
+++ b/orioleshore/tests/test_batch_scheduler.py
@@ -136,6 +136,27 @@
     assert not answer.starts
 
 
+def test_heartbeat_of_an_earlier_life_of_the_host_grants_nothing():
+    """Guards against a dead worker that is taken for its host's present one.
+
+    Seen as AVAIL on trouble-1 of the Association: a frozen member passed
+    on an old report when it woke up, and the host was taken down since
+    that worker ran nothing.
+    """
+    fleet = build_fleet(red=0)
+    host = ids.HostId('host-1')
+    newer = builders.build_heartbeat(
+        'worker-2', host=host, incarnation=ids.Incarnation(2)
+    )
+    fleet.ask(newer)
+    older = builders.build_heartbeat('worker-1', sequence=9, host=host)
+    fleet.ask(builders.build_submission())
+    answer = fleet.ask(older).unwrap()
+    assert answer.lease_ms == 0
+    assert not answer.starts
+    assert list(fleet.scheduler.workers) == ['worker-2']
+
+
 def test_order_that_was_lost_is_repeated_with_a_higher_attempt():
     """Guards against a task that waits for ever for a lost answer."""
     fleet = build_fleet(red=0)
