--- a/orioleshore/cli/commands.py
+++ b/orioleshore/cli/commands.py
@@ -15,7 +15,7 @@
 from result import Result
 import yaml
 
-from orioleshore import settings
+from orioleshore import settings_file
 from orioleshore.cli import output
 from orioleshore.cli import remote
 from orioleshore.frontends import submission
@@ -123,7 +123,7 @@
         # The other commands do not need what a running process imports.
         from orioleshore.roles import runner
 
-        return settings.read_settings(self.argument('settings')).and_then(
+        return settings_file.read_settings(self.argument('settings')).and_then(
             runner.run
         )
 
@@ -138,7 +138,7 @@
 
     def execute_command(self) -> Result[Any, errors.Failure]:
         """Return the settings with all defaults."""
-        return settings.read_settings(self.argument('settings')).map(
+        return settings_file.read_settings(self.argument('settings')).map(
             msgspec.to_builtins
         )
 
--- a/orioleshore/platform/__main__.py
+++ b/orioleshore/platform/__main__.py
@@ -1,5 +1,6 @@
 """Runs one role on the platform: ``python -m orioleshore.platform ROLE``."""
 
+import importlib
 import os
 import sys
 
@@ -13,6 +14,12 @@
 SETTINGS_VARIABLE = 'ORIOLESHORE_SETTINGS'
 # One for the sync of the log, one for snapshots.
 THREADS = 2
+# Imported only for the role that runs: start-up takes processor time that
+# a host needs to serve again after a power loss.
+_ROLES = {
+    states.Role.ENTRY: 'orioleshore.platform.entry_role',
+    states.Role.CONTROL: 'orioleshore.platform.control_role',
+}
 
 
 def main(arguments: list[str]) -> int:
@@ -27,10 +34,11 @@
     deployment = outcome.unwrap()
     config = deployment.settings
     logs.configure(config.node, config.log_level)
+    build = importlib.import_module(_ROLES[role]).build
     with aiomisc.entrypoint(
         pool_size=THREADS, log_config=False, catch_signals=()
     ) as loop:
-        running = process.PlatformProcess(path, role)
+        running = process.PlatformProcess(path, role, build)
         ended = loop.run_until_complete(running.run(deployment))
     if ended.is_err():
         sys.stderr.write(f'{ended.unwrap_err()}\n')
--- a/orioleshore/platform/process.py
+++ b/orioleshore/platform/process.py
@@ -1,30 +1,23 @@
 """One process on the platform: its tasks, its start and its stop."""
 
 import asyncio
+from collections.abc import Callable
 import logging
-import random
 import signal
 import time
+from typing import Protocol
 
+import msgspec
 from result import Err
 from result import Ok
 from result import Result
 
 from orioleshore.consensus import client
 from orioleshore.consensus import discovery
-from orioleshore.consensus import joining as joining_tasks
-from orioleshore.consensus import member
-from orioleshore.consensus import redirection
-from orioleshore.consensus import storage
-from orioleshore.jobs import task as jobs_task
 from orioleshore.model import errors
 from orioleshore.model import ids
 from orioleshore.model import states
-from orioleshore.platform import asking
 from orioleshore.platform import boot
-from orioleshore.platform import control_server
-from orioleshore.platform import front_server
-from orioleshore.platform import hosts
 from orioleshore.platform import metrics_server
 from orioleshore.protocol import messages
 from orioleshore.protocol import transport
@@ -42,18 +35,44 @@
 FAREWELL_S = 0.7
 
 
+class Wiring(msgspec.Struct, frozen=True):
+    """What the tasks of a role are connected to."""
+
+    deployment: boot.Deployment
+    transport: transport.Transport
+    timers: service.TimerService
+    control: client.ControlClient
+    latencies: latencies.Latencies
+
+
+class Drainable(Protocol):
+    """A server that finishes what it has begun before a stop."""
+
+    async def drain(self, limit_s: float) -> None:
+        """Serve for at most ``limit_s`` seconds more."""
+
+
+class RoleTasks(msgspec.Struct, frozen=True):
+    """The tasks of a role in the order of their start."""
+
+    tasks: list[task.Task]
+    draining: Drainable | None = None
+
+
+Builder = Callable[[Wiring], Result[RoleTasks, errors.Failure]]
+
+
 class PlatformProcess:
     """Owns the tasks of one role on the platform."""
 
-    def __init__(self, path: str, role: states.Role) -> None:
+    def __init__(self, path: str, role: states.Role, build: Builder) -> None:
         self._path = path
         self._role = role
+        self._build = build
         self._stopping = asyncio.Event()
         self._tasks: list[task.Task] = []
-        self._front: front_server.FrontServer | None = None
-        self._calls: client.ControlClient | None = None
+        self._draining: Drainable | None = None
         self._discovery: discovery.DiscoveryTask | None = None
-        self._latencies: latencies.Latencies | None = None
 
     async def run(
         self, deployment: boot.Deployment
@@ -69,30 +88,25 @@
         )
         await sender.start()
         self._tasks = [sender]
-        self._calls = client.ControlClient(
+        calls = client.ControlClient(
             deployment.settings.seeds, sender.mailbox, timers
         )
         sender.register(
-            self._calls.mailbox, messages.ProposeReply, messages.QueryReply
+            calls.mailbox, messages.ProposeReply, messages.QueryReply
         )
         self._discovery = discovery.DiscoveryTask(
-            deployment.settings.seeds, self._calls.mailbox, timers
+            deployment.settings.seeds, calls.mailbox, timers
+        )
+        recorded = latencies.Latencies(deployment.settings.node)
+        outcome = self._build(
+            Wiring(deployment, sender, timers, calls, recorded)
         )
-        self._latencies = latencies.Latencies(deployment.settings.node)
-        outcome = self._build(deployment, sender, timers)
         if outcome.is_err():
             return outcome
-        tasks = [self._discovery, *outcome.unwrap()]
-        collector = collection.Collector(deployment.settings.node)
-        collector.add_latencies(self._latencies)
-        collector.add_value(
-            lambda: dict(sender.counters), readers.read_transport
-        )
-        for item in (sender, *tasks):
-            collector.add_mailbox(item.mailbox)
-        tasks.append(
-            metrics_server.MetricsServer(deployment.metrics, collector)
-        )
+        built = outcome.unwrap()
+        self._draining = built.draining
+        tasks = [self._discovery, calls, *built.tasks]
+        tasks.append(_make_metrics_server(deployment, sender, recorded, tasks))
         for item in tasks:
             await item.start()
             self._tasks.append(item)
@@ -118,80 +132,6 @@
             )
         )
 
-    def _build(
-        self,
-        deployment: boot.Deployment,
-        sender: transport.Transport,
-        timers: service.TimerService,
-    ) -> Result[list[task.Task], errors.Failure]:
-        if self._role is states.Role.CONTROL:
-            if deployment.settings.data_folder is None:
-                return Ok(self._build_redirection(deployment, sender))
-            return self._build_control(deployment, sender, timers)
-        asker = asking.Asker(self._calls.mailbox)
-        self._front = front_server.FrontServer(
-            deployment.callers, asker, self._latencies
-        )
-        ready = front_server.ReadinessServer(deployment.readiness, self._front)
-        return Ok([self._calls, self._front, ready])
-
-    def _build_control(
-        self,
-        deployment: boot.Deployment,
-        sender: transport.Transport,
-        timers: service.TimerService,
-    ) -> Result[list[task.Task], errors.Failure]:
-        config = deployment.settings
-        consensus = member.MemberTask(
-            config,
-            sender.address,
-            sender.mailbox,
-            timers,
-            storage.Storage(config.data_folder),
-            random.Random(),
-        )
-        jobs = jobs_task.JobsTask(
-            deployment.limits,
-            deployment.control,
-            consensus.mailbox,
-            timers,
-            self._latencies,
-        )
-        consensus.set_jobs(jobs.mailbox)
-        sender.register(
-            consensus.mailbox, *member.RAFT_MESSAGES, *member.CALL_MESSAGES
-        )
-        outcome = consensus.load()
-        if outcome.is_err():
-            return outcome
-        fleet = hosts.HostsClient(
-            deployment.hosts, deployment.policy, config.node, jobs.mailbox
-        )
-        jobs.set_hosts(fleet.mailbox)
-        server = control_server.ControlServer(
-            deployment.control,
-            asking.Asker(self._calls.mailbox, jobs.mailbox),
-        )
-        joining = joining_tasks.JoinTask(
-            config.node,
-            sender.address,
-            consensus.mailbox,
-            self._calls.mailbox,
-            timers,
-        )
-        return Ok([self._calls, consensus, jobs, fleet, joining, server])
-
-    def _build_redirection(
-        self, deployment: boot.Deployment, sender: transport.Transport
-    ) -> list[task.Task]:
-        """Build a process that only passes calls on; it has no disk."""
-        redirecting = redirection.RedirectionTask(sender.mailbox)
-        sender.register(redirecting.mailbox, messages.Propose, messages.Query)
-        server = control_server.ControlServer(
-            deployment.control, asking.Asker(self._calls.mailbox)
-        )
-        return [self._calls, redirecting, server]
-
     def _install_handlers(self) -> None:
         loop = asyncio.get_running_loop()
         for number in (signal.SIGTERM, signal.SIGINT):
@@ -226,8 +166,22 @@
 
     async def _stop(self, limit_s: float) -> None:
         LOG.info(logs.format_event('stopping'))
-        if self._front is not None:
-            await self._front.drain(limit_s - FAREWELL_S)
+        if self._draining is not None:
+            await self._draining.drain(limit_s - FAREWELL_S)
         for item in reversed(self._tasks):
             await item.stop()
         LOG.info(logs.format_event('stopped'))
+
+
+def _make_metrics_server(
+    deployment: boot.Deployment,
+    sender: transport.Transport,
+    recorded: latencies.Latencies,
+    tasks: list[task.Task],
+) -> metrics_server.MetricsServer:
+    collector = collection.Collector(deployment.settings.node)
+    collector.add_latencies(recorded)
+    collector.add_value(lambda: dict(sender.counters), readers.read_transport)
+    for item in (sender, *tasks):
+        collector.add_mailbox(item.mailbox)
+    return metrics_server.MetricsServer(deployment.metrics, collector)
--- a/orioleshore/settings.py
+++ b/orioleshore/settings.py
@@ -1,4 +1,4 @@
-"""Settings of a process: defaults, loading and checks."""
+"""Settings of a process: defaults and checks."""
 
 import ipaddress
 import os
@@ -10,7 +10,6 @@
 from result import Err
 from result import Ok
 from result import Result
-import yaml
 
 from orioleshore.model import checks
 from orioleshore.model import documents
@@ -139,21 +138,6 @@
         return role in self.roles
 
 
-def read_settings(path: str) -> Result[Settings, errors.Failure]:
-    """Load and check a file; all problems are reported at once.
-
-    Fails with ``INVALID_SETTINGS``.
-    """
-    try:
-        text = pathlib.Path(path).read_text(encoding='utf-8')
-        loaded = yaml.safe_load(text)
-    except (OSError, UnicodeDecodeError, yaml.YAMLError) as error:
-        return _fail(path, [f'cannot be read: {error}'])
-    if not isinstance(loaded, dict):
-        return _fail(path, ['$: expected a mapping of settings'])
-    return check_settings(loaded, path)
-
-
 def check_settings(
     loaded: dict[str, Any], path: str
 ) -> Result[Settings, errors.Failure]:
@@ -165,11 +149,11 @@
         merge_defaults(loaded, DEFAULT_SETTINGS), Settings
     )
     if outcome.is_err():
-        return _fail(path, outcome.unwrap_err())
+        return make_failure(path, outcome.unwrap_err())
     settings = outcome.unwrap()
     problems = find_problems(settings)
     if problems:
-        return _fail(path, problems)
+        return make_failure(path, problems)
     return Ok(settings)
 
 
@@ -288,7 +272,8 @@
     return []
 
 
-def _fail(path: str, problems: list[str]) -> Err[errors.Failure]:
+def make_failure(path: str, problems: list[str]) -> Err[errors.Failure]:
+    """Return the failure of a settings file, with all its problems."""
     return Err(
         errors.Failure(
             errors.ErrorKind.INVALID_SETTINGS,
--- /dev/null
+++ b/orioleshore/settings_file.py
@@ -0,0 +1,26 @@
+"""Settings in the project's own format, a YAML file."""
+
+import pathlib
+
+from result import Result
+import yaml
+
+from orioleshore import settings
+from orioleshore.model import errors
+
+
+def read_settings(path: str) -> Result[settings.Settings, errors.Failure]:
+    """Load and check a file; all problems are reported at once.
+
+    Fails with ``INVALID_SETTINGS``.
+    """
+    try:
+        text = pathlib.Path(path).read_text(encoding='utf-8')
+        loaded = yaml.safe_load(text)
+    except (OSError, UnicodeDecodeError, yaml.YAMLError) as error:
+        return settings.make_failure(path, [f'cannot be read: {error}'])
+    if not isinstance(loaded, dict):
+        return settings.make_failure(
+            path, ['$: expected a mapping of settings']
+        )
+    return settings.check_settings(loaded, path)
--- a/orioleshore/tests/support.py
+++ b/orioleshore/tests/support.py
@@ -14,6 +14,7 @@
 
 from fakes import entry_hosts
 from orioleshore import settings
+from orioleshore import settings_file
 from orioleshore.roles import process
 from scripts import fleet
 
@@ -139,7 +140,9 @@
         }
         path = self.folder / f'{name}.yaml'
         path.write_text(yaml.safe_dump(content), 'utf-8')
-        running = process.Process(settings.read_settings(str(path)).unwrap())
+        running = process.Process(
+            settings_file.read_settings(str(path)).unwrap()
+        )
         (await running.start()).unwrap()
         self.processes[name] = running
         return running
--- /dev/null
+++ b/orioleshore/tests/test_platform_start.py
@@ -0,0 +1,73 @@
+"""What a process on the platform loads before it serves.
+
+After a power loss all processes start at once on small hosts, and callers
+wait until the slowest needed one serves.
+"""
+
+import os
+import pathlib
+import subprocess
+import sys
+import tomllib
+
+import aiohttp
+import pytest
+
+ROOT = pathlib.Path(__file__).parents[2]
+# Where this test's environment keeps its libraries.
+LIBRARIES = str(pathlib.Path(aiohttp.__file__).parents[1])
+
+
+def read_roles():
+    deploy = tomllib.loads((ROOT / 'deploy' / 'system.toml').read_text())
+    return deploy['roles']
+
+
+def list_modules(code, env):
+    """Run code as the platform starts a process; return what it loaded."""
+    script = f'{code}\nimport sys\nprint(*sys.modules)'
+    done = subprocess.run(
+        [sys.executable, '-S', '-c', script],
+        env={'PYTHONPATH': LIBRARIES, 'PATH': os.environ['PATH'], **env},
+        cwd=ROOT,
+        capture_output=True,
+        text=True,
+        check=True,
+    )
+    return set(done.stdout.split())
+
+
+def test_entry_loads_nothing_of_other_roles():
+    """Guards against imports that make each entry host start late."""
+    loaded = list_modules('import orioleshore.platform.entry_role', {})
+    assert 'orioleshore.platform.entry_role' in loaded
+    assert not loaded & {
+        'yaml',
+        'cleo',
+        'orioleshore.consensus.member',
+        'orioleshore.consensus.storage',
+        'orioleshore.jobs.scheduler',
+        'orioleshore.platform.control_role',
+    }
+
+
+@pytest.mark.parametrize('role', ['entry', 'control'])
+def test_role_starts_without_packages_of_the_host(role):
+    """Guards against a start that reads what the host has installed."""
+    words = read_roles()[role]['run'].split()
+    assert words[:4] == ['python3', '-S', '-m', 'orioleshore.platform']
+    loaded = list_modules(f'import orioleshore.platform.{role}_role', {})
+    assert 'site' not in loaded
+    assert 'yaml' not in loaded
+
+
+@pytest.mark.parametrize('role', ['entry', 'control'])
+def test_role_reads_no_certificates(role):
+    """Guards against 66 ms and 5 MB for certificates that nobody uses."""
+    env = read_roles()[role]['env']
+    code = (
+        'import aiohttp.connector as connector\n'
+        'context = connector._SSL_CONTEXT_VERIFIED\n'
+        'assert context.cert_store_stats()["x509"] == 0\n'
+    )
+    assert 'aiohttp.connector' in list_modules(code, env)
--- a/orioleshore/tests/test_settings.py
+++ b/orioleshore/tests/test_settings.py
@@ -6,6 +6,7 @@
 import yaml
 
 from orioleshore import settings
+from orioleshore import settings_file
 from orioleshore.model import checks
 from orioleshore.model import errors
 
@@ -28,7 +29,7 @@
 def read(folder, content):
     path = folder / 'settings.yaml'
     path.write_text(yaml.safe_dump(content), 'utf-8')
-    return settings.read_settings(str(path))
+    return settings_file.read_settings(str(path))
 
 
 def test_valid_settings_get_defaults(tmp_path):
