Count hosts by what arrives and how long the backlog takes

Ruled out: fewer hosts alone. The plain rate overshoots, since one large job looks like a rate.

Change: needed hosts are those for the rate of arrivals less one standard error, for the backlog within 1.5 s, for what lasts and what runs on. A pool that needed fewer for 1 s gives its least loaded hosts no new work. Lasting tasks do not wait for a second host where there is none.

--- a/orioleshore/jobs/placement.py
+++ b/orioleshore/jobs/placement.py
@@ -250,31 +250,39 @@
     """Return whether a lasting task should go to a worker.
 
     Lasting tasks share few workers, so that the others can move to other
-    pools, but no worker holds more than half of a step.
+    pools. A worker holds more than half of a step only where no other can
+    take it.
     """
     if scheduler.get_lasting_wait(job) > SHARE_WAIT_S:
         return True
     half = math.ceil(group.step.tasks / 2)
+    others = [
+        other
+        for other in _find_others(scheduler, worker, group)
+        if group.workers[other.name] < half
+    ]
     if group.workers[worker.name] >= half:
-        return False
-    if _holds_lasting(scheduler, worker):
+        return not others
+    if scheduler.holds_lasting(worker):
         return True
+    return not any(scheduler.holds_lasting(other) for other in others)
+
+
+def _find_others(
+    scheduler: scheduling.Scheduler,
+    worker: workers.Worker,
+    group: progress.Group,
+) -> list[workers.Worker]:
+    """Return other workers that could take a task of a group now."""
     need = workers.get_reserved(group.step)
-    return not any(
-        group.workers[other.name] < half
+    return [
+        other
+        for other in scheduler.get_pool_workers(worker.pool)
+        if other is not worker
         and group.may_use(other.name)
         and eligibility.is_available(scheduler, other)
-        and _holds_lasting(scheduler, other)
         and workers.fits(need, other.get_free())
-        for other in scheduler.get_pool_workers(worker.pool)
-        if other is not worker
-    )
-
-
-def _holds_lasting(
-    scheduler: scheduling.Scheduler, worker: workers.Worker
-) -> bool:
-    return any(scheduler.is_lasting_run(key) for key in worker.ordered)
+    ]
 
 
 def _start(
--- a/orioleshore/jobs/pools.py
+++ b/orioleshore/jobs/pools.py
@@ -1,19 +1,20 @@
 """How many hosts each pool has, and which hosts move.
 
 Answers queues whose demand rises by turns to several times what their
-pool holds, and is a twentieth in between: hosts follow the waiting work,
-first those that are switched off, then idle ones of other pools. A host
-without work goes to a standby pool after a pause, since each move takes
-seconds and the next turn may need it again.
+pool holds, and is a twentieth in between: hosts follow the need of each
+pool, first those that are switched off, then idle ones of other pools. A
+pool that needed fewer hosts for a while empties the least loaded ones, so
+that scattered small work does not keep all of them up.
 """
 
 from __future__ import annotations
 
 import logging
-import math
 import typing
 
 from orioleshore.jobs import calls
+from orioleshore.jobs import demand
+from orioleshore.jobs import specs
 from orioleshore.jobs import workers
 from orioleshore.model import ids
 from orioleshore.model import states
@@ -24,18 +25,9 @@
 
 LOG = logging.getLogger(__name__)
 
-# Waiting work, as a share of what one host runs at a time, from which a
-# host is worth its move.
-BORROW_SHARE = 0.5
 # A host without work for this long may go to a pool that lacks hosts;
 # above the time between two heartbeats.
 SPARE_AFTER_S = 0.3
-# A host without work for this long is switched off. A move back takes
-# 1.5 s, so shorter pauses are not worth it.
-IDLE_S = 2.5
-# Hosts that each pool keeps: one may be lost, the other takes the first
-# work of a new turn.
-MIN_HOSTS = 2
 # A host that was moved but is not heard of counts as on its way for this
 # long; several times the platform's time for a move.
 ARRIVAL_S = 6.0
@@ -51,6 +43,9 @@
         self._idle_since: dict[ids.HostId, float] = {}
         # Where an order under way sends a host.
         self._targets: dict[ids.HostId, ids.PoolId] = {}
+        # Hosts that get no new work, so that they can be switched off.
+        self._retiring: dict[ids.HostId, ids.WorkerId] = {}
+        self._needs = demand.Needs()
 
     @property
     def is_busy(self) -> bool:
@@ -61,15 +56,28 @@
         """Order the moves that the demand calls for now."""
         self._forget_arrived()
         self._note_idle()
-        demand = self._find_demand()
-        free = self._find_free() if demand else []
-        for pool, missing in demand:
-            chosen = [host for host, home in free if home != pool][:missing]
+        self._note_needs()
+        missing = self._find_missing()
+        free = self._find_free() if missing else []
+        for pool, count in missing:
+            chosen = [host for host, home in free if home != pool][:count]
             free = [item for item in free if item[0] not in chosen]
             for host in chosen:
                 self._move(host, pool)
+        self._retire_surplus()
         self._switch_off()
 
+    def note_accepted(self, pool: ids.PoolId, job: specs.Job) -> None:
+        """Learn of work that was accepted for a pool."""
+        size = self._get_host_size()
+        if size is None or job.is_lasting or job.occurrences:
+            return
+        hosts = sum(
+            step.tasks * demand.get_host_share(step, size)
+            for step in job.steps
+        )
+        self._needs.note_arrival(pool, hosts, self._scheduler.now)
+
     def note_outcome(self, call: calls.NoteMove) -> None:
         """Learn what the platform said about the move of a host."""
         scheduler = self._scheduler
@@ -118,40 +126,75 @@
                 )
         self._idle_since = idle
 
-    def _find_demand(self) -> list[tuple[ids.PoolId, int]]:
-        """Return pools that lack hosts, the most pressing first."""
+    def _note_needs(self) -> None:
         scheduler = self._scheduler
         size = self._get_host_size()
-        demand = []
         for pool in scheduler.get_pools():
-            if scheduler.is_standby(pool) or not size:
+            if scheduler.is_standby(pool) or size is None:
                 continue
-            waiting = scheduler.get_waiting_cpu(pool)
-            missing = math.floor(waiting / size + 1 - BORROW_SHARE)
-            if scheduler.get_pool_jobs(pool):
-                # Hosts that are to go down are replaced before they do.
-                usable = sum(
-                    not worker.is_cordoned
-                    for worker in scheduler.get_pool_workers(pool)
-                )
-                missing = max(missing, MIN_HOSTS - usable)
+            load = demand.measure_load(scheduler, pool, size)
+            mean_s = scheduler.run_times.get_mean(pool)
+            self._needs.note(pool, load, mean_s, scheduler.now)
+
+    def _find_missing(self) -> list[tuple[ids.PoolId, int]]:
+        """Return pools that lack hosts, the most pressing first.
+
+        Hosts that are being emptied take work again before others come.
+        """
+        scheduler = self._scheduler
+        found = []
+        for pool in scheduler.get_pools():
+            if scheduler.is_standby(pool):
+                continue
+            if not scheduler.get_pool_jobs(pool):
+                continue
+            # Hosts that are to go down are replaced before they do.
+            usable = len(self._find_usable(pool))
+            missing = self._needs.get_hosts(pool) - usable
             missing -= self._count_coming(pool)
+            missing -= self._keep_retiring(pool, missing)
             if missing > 0:
-                demand.append((pool, missing))
-        demand.sort(key=lambda item: -item[1])
-        return demand
+                found.append((pool, missing))
+        found.sort(key=lambda item: -item[1])
+        return found
+
+    def _find_usable(self, pool: ids.PoolId) -> list[workers.Worker]:
+        return [
+            worker
+            for worker in self._scheduler.get_pool_workers(pool)
+            if not worker.is_cordoned
+            and worker.state is states.WorkerState.READY
+        ]
+
+    def _keep_retiring(self, pool: ids.PoolId, missing: int) -> int:
+        """Let retiring hosts work again; return how many could."""
+        kept = 0
+        for host, name in list(self._retiring.items()):
+            worker = self._scheduler.workers.get(name)
+            if worker is None or host in self._targets:
+                del self._retiring[host]
+                continue
+            if kept >= missing or worker.pool != pool:
+                continue
+            del self._retiring[host]
+            if not self._scheduler.upkeep.is_due(host):
+                worker.is_cordoned = False
+                kept += 1
+        return kept
 
     def _count_coming(self, pool: ids.PoolId) -> int:
         arriving = [target for target, _ in self._arriving.values()]
         return [*arriving, *self._targets.values()].count(pool)
 
-    def _get_host_size(self) -> int:
-        """Return the processors of a typical host, in thousandths."""
-        sizes = [
-            worker.capacity.cpu_millis
-            for worker in self._scheduler.workers.values()
-        ]
-        return sorted(sizes)[len(sizes) // 2] if sizes else 0
+    def _get_host_size(self) -> specs.Resources | None:
+        """Return the room of a typical host, None while none is known."""
+        sizes = sorted(
+            (worker.capacity for worker in self._scheduler.workers.values()),
+            key=lambda size: size.cpu_millis,
+        )
+        if not sizes or not sizes[len(sizes) // 2].cpu_millis:
+            return None
+        return sizes[len(sizes) // 2]
 
     def _find_free(self) -> list[tuple[ids.HostId, ids.PoolId]]:
         """Return hosts that may move now, with their present pools."""
@@ -164,31 +207,66 @@
             and self._find_worker(host) is None
             and self._may_move(host)
         ]
-        free += [
-            (worker.host, worker.pool)
-            for worker in self._find_spare(SPARE_AFTER_S)
-        ]
+        free += [(worker.host, worker.pool) for worker in self._find_spare()]
         return free
 
-    def _find_spare(self, idle_s: float) -> list[workers.Worker]:
+    def _find_spare(self) -> list[workers.Worker]:
         """Return workers without work that their pools can do without."""
         scheduler = self._scheduler
         spare = []
         for pool in scheduler.get_pools():
-            if scheduler.get_waiting_cpu(pool):
+            if self._needs.is_waiting(pool):
                 continue
             members = scheduler.get_pool_workers(pool)
-            usable = [w for w in members if not w.is_cordoned]
-            surplus = len(usable) - MIN_HOSTS
+            surplus = len(self._find_usable(pool))
+            surplus -= self._needs.get_hosts(pool)
+            surplus += sum(w.host in self._retiring for w in members)
             idle = [
                 worker
                 for worker in members
-                if self._is_idle(worker, idle_s)
+                if self._is_idle(worker, SPARE_AFTER_S)
                 and self._may_move(worker.host)
             ]
             spare += idle[: max(0, surplus)]
         return spare
 
+    def _retire_surplus(self) -> None:
+        """Give hosts that a pool did not need for a while no new work.
+
+        A new leader first hears of all runs, or it would take busy hosts.
+        """
+        scheduler = self._scheduler
+        if not self._find_standby() or not scheduler.has_heard_all:
+            return
+        for pool in scheduler.get_pools():
+            held = self._needs.get_held_hosts(pool, scheduler.now)
+            if held is None or scheduler.is_standby(pool):
+                continue
+            usable = self._find_usable(pool)
+            candidates = [
+                worker
+                for worker in usable
+                if self._may_move(worker.host)
+                and not scheduler.holds_lasting(worker)
+            ]
+            candidates.sort(key=lambda worker: len(worker.ordered))
+            for worker in candidates[: max(0, len(usable) - held)]:
+                self._retire(worker, len(usable), held)
+
+    def _retire(self, worker: workers.Worker, have: int, held: int) -> None:
+        worker.is_cordoned = True
+        self._retiring[worker.host] = worker.name
+        LOG.info(
+            logs.format_event(
+                'host_retiring',
+                host=worker.host,
+                pool=worker.pool,
+                runs=len(worker.ordered),
+                hosts=have,
+                needed=held,
+            )
+        )
+
     def _is_idle(self, worker: workers.Worker, idle_s: float) -> bool:
         since = self._idle_since.get(worker.host)
         return since is not None and self._scheduler.now >= since + idle_s
@@ -203,23 +281,33 @@
             and not scheduler.upkeep.is_due(host)
         )
 
-    def _switch_off(self) -> None:
+    def _find_standby(self) -> ids.PoolId | None:
         scheduler = self._scheduler
-        standby = [
-            pool
-            for pool in scheduler.get_pools()
-            if scheduler.is_standby(pool)
-        ]
-        if not standby:
+        for pool in scheduler.get_pools():
+            if scheduler.is_standby(pool):
+                return pool
+        return None
+
+    def _switch_off(self) -> None:
+        """Move hosts that were emptied to a standby pool."""
+        standby = self._find_standby()
+        if standby is None:
             return
-        for worker in self._find_spare(IDLE_S):
-            self._move(worker.host, standby[0])
+        for host in list(self._retiring):
+            worker = self._find_worker(host)
+            if (
+                worker is not None
+                and self._is_idle(worker, SPARE_AFTER_S)
+                and self._may_move(host)
+            ):
+                self._move(host, standby)
 
     def _move(self, host: ids.HostId, pool: ids.PoolId) -> None:
         scheduler = self._scheduler
         worker = self._find_worker(host)
         if worker is not None:
             worker.is_cordoned = True
+        self._retiring.pop(host, None)
         self._targets[host] = pool
         scheduler.orders.move(host, pool, scheduler.now)
         LOG.info(
@@ -228,7 +316,8 @@
                 host=host,
                 pool=pool,
                 from_pool=worker.pool if worker else None,
-                waiting_cpu=scheduler.get_waiting_cpu(pool),
+                startable=self._needs.get_load(pool).startable,
+                needed=self._needs.get_hosts(pool),
             )
         )
 
--- a/orioleshore/jobs/scheduler.py
+++ b/orioleshore/jobs/scheduler.py
@@ -157,13 +157,9 @@
             for pool in self.book.configuration.pools
         )
 
-    def get_waiting_cpu(self, pool: ids.PoolId) -> int:
-        """Return what the open tasks of a pool lack, in thousandths."""
-        return sum(
-            len(group.waiting) * workers.get_reserved(group.step).cpu_millis
-            for job in self.get_pool_jobs(pool)
-            for group in job.find_open_groups(self.wall)
-        )
+    def holds_lasting(self, worker: workers.Worker) -> bool:
+        """Return whether a lasting task was ordered on a worker."""
+        return any(self.is_lasting_run(key) for key in worker.ordered)
 
     def is_without_batch(self, worker: workers.Worker) -> bool:
         """Return whether only lasting tasks run on a worker."""
@@ -209,6 +205,7 @@
             )
         )
         self._adopt(name, self.book.jobs[name])
+        self.pools.note_accepted(queue.pool, spec)
 
     def cancel(self, name: ids.JobId) -> None:
         """Cancel a job; its runs are stopped by the next heartbeats."""
--- a/orioleshore/tests/test_design.py
+++ b/orioleshore/tests/test_design.py
@@ -41,6 +41,7 @@
     'jobs/interference.py',
     'jobs/orders.py',
     'jobs/upkeep.py',
+    'jobs/demand.py',
     'jobs/pools.py',
     'jobs/stalls.py',
     'state/machine.py',
