Bound the lease by what workers accept, and drop limits that nothing uses

The platform's longest lease was read and not used: a deployment with a shorter one would have made the leader wait for runs that had ended.

--- a/orioleshore/platform/boot.py
+++ b/orioleshore/platform/boot.py
@@ -40,11 +40,7 @@
     hold_max_ms: int = 6_000
     status_s: float = 120
     lease_ms: int = 3_000
-    stop_timeout_ms: int = 900
     gang_timeout_ms: int = 3_000
-    notice_ms: int = 4_500
-    early_ms: int = 250
-    interference_ms: int = 4_000
     spread_factor: float = 1.5
     grace_s: float = 6
 
@@ -162,14 +158,11 @@
 
 def _get_limits(bounds: _Bounds) -> tuning.Tuning:
     return tuning.Tuning(
-        max_lease_ms=bounds.hold_max_ms,
+        # Workers shorten longer leases to this bound.
+        lease_ms=min(tuning.Tuning().lease_ms, bounds.hold_max_ms),
         status_s=bounds.status_s,
         host_lease_ms=bounds.lease_ms,
-        stop_ms=bounds.stop_timeout_ms,
         gang_ms=bounds.gang_timeout_ms,
-        notice_ms=bounds.notice_ms,
-        early_ms=bounds.early_ms,
-        interference_ms=bounds.interference_ms,
         remote_factor=bounds.spread_factor,
     )
 
--- a/orioleshore/tests/builders.py
+++ b/orioleshore/tests/builders.py
@@ -421,3 +421,22 @@
     return calls.Heartbeat(
         worker=ids.WorkerId(worker), sequence=sequence, **defaults | fields
     )
+
+
+def build_boot_file(**bounds: float) -> str:
+    """Return the platform's settings file of an entry host."""
+    lines = [f'{name} = {value}' for name, value in bounds.items()]
+    return '\n'.join(
+        [
+            'node_name = "edge-1"',
+            'ip = "127.0.0.1"',
+            'zone = "az-1"',
+            'port_range = [7060, 7075]',
+            'seeds = ["127.0.0.1:8623"]',
+            '[listen]',
+            'front = "127.0.0.1:8624"',
+            'ready = "127.0.0.1:8622"',
+            '[bounds]',
+            *lines,
+        ]
+    )
