End a process whose task failed without a drain

Ruled out: the platform's restart, which comes at once. Change: only a planned stop drains. The test failed before.

--- a/fakes/platform_fleet.py
+++ b/fakes/platform_fleet.py
@@ -20,7 +20,7 @@
 HEARTBEAT_S = 0.2
 
 
-def _find_free_ports(count: int) -> int:
+def find_free_ports(count: int) -> int:
     """Return the first of some ports that are free on loopback."""
     while True:
         with socket.socket() as probe:
@@ -43,7 +43,7 @@
         block = 16 + os.getpid() % 200
         part = (os.getpid() // 200) % 250
         self._prefix = f'127.{block}.{part}'
-        self._port = _find_free_ports(8)
+        self._port = find_free_ports(8)
         self._members = members
         self.processes: dict[str, subprocess.Popen] = {}
 
--- a/orioleshore/platform/process.py
+++ b/orioleshore/platform/process.py
@@ -122,7 +122,9 @@
             )
         )
         failed = await self._wait_for_end()
-        await self._stop(deployment.stop_s)
+        if failed is None:
+            await self._drain(deployment.stop_s - FAREWELL_S)
+        await self._stop()
         await timers.stop()
         if failed is None:
             return Ok(None)
@@ -164,10 +166,17 @@
         failed = [item for item in self._tasks if item.failed.is_set()]
         return failed[0] if failed else None
 
-    async def _stop(self, limit_s: float) -> None:
+    async def _drain(self, limit_s: float) -> None:
+        """Finish what is under way before a planned stop.
+
+        After a failure of a task nothing can be finished, and the next
+        start must not wait.
+        """
         LOG.info(logs.format_event('stopping'))
         if self._draining is not None:
-            await self._draining.drain(limit_s - FAREWELL_S)
+            await self._draining.drain(limit_s)
+
+    async def _stop(self) -> None:
         for item in reversed(self._tasks):
             await item.stop()
         LOG.info(logs.format_event('stopped'))
--- a/orioleshore/tests/builders.py
+++ b/orioleshore/tests/builders.py
@@ -423,19 +423,21 @@
     )
 
 
-def build_boot_file(**bounds: float) -> str:
+def build_boot_file(
+    ip: str = '127.0.0.1', port: int = 7_060, **bounds: float
+) -> str:
     """Return the platform's settings file of an entry host."""
     lines = [f'{name} = {value}' for name, value in bounds.items()]
     return '\n'.join(
         [
             'node_name = "edge-1"',
-            'ip = "127.0.0.1"',
+            f'ip = "{ip}"',
             'zone = "az-1"',
-            'port_range = [7060, 7075]',
-            'seeds = ["127.0.0.1:8623"]',
+            f'port_range = [{port}, {port + 7}]',
+            f'seeds = ["{ip}:{port + 2}"]',
             '[listen]',
-            'front = "127.0.0.1:8624"',
-            'ready = "127.0.0.1:8622"',
+            f'front = "{ip}:{port + 3}"',
+            f'ready = "{ip}:{port + 4}"',
             '[bounds]',
             *lines,
         ]
--- a/orioleshore/tests/test_platform_boot.py
+++ b/orioleshore/tests/test_platform_boot.py
@@ -3,12 +3,18 @@
 import pathlib
 
 import pytest
+from result import Ok
 
+from fakes import platform_fleet
 from orioleshore.jobs import tuning
 from orioleshore.model import errors
 from orioleshore.model import states
 from orioleshore.platform import boot
+from orioleshore.platform import process
+from orioleshore.tasks import mailbox
+from orioleshore.tasks import task
 from orioleshore.tests import builders
+from orioleshore.tests import support
 
 
 def read(folder: pathlib.Path, text: str):
@@ -40,3 +46,48 @@
     """Guards against a process that starts with half of its settings."""
     failure = read(tmp_path, text).unwrap_err()
     assert failure.kind is errors.ErrorKind.INVALID_SETTINGS
+
+
+class FailingTask(task.Task):
+    """Fails with its first message."""
+
+    def __init__(self) -> None:
+        super().__init__(mailbox.Mailbox('failing', 1))
+        self.mailbox.put('anything')
+
+    async def handle(self, message) -> None:
+        raise OSError('no space left on device')
+
+
+class SlowDrain:
+    """Takes all the time that it is given, and notes that it ran."""
+
+    def __init__(self) -> None:
+        self.limits_s: list[float] = []
+
+    async def drain(self, limit_s: float) -> None:
+        self.limits_s.append(limit_s)
+
+
+def test_process_whose_task_failed_ends_without_a_drain(tmp_path):
+    """Guards against 5 s without a member whose disk is full.
+
+    Seen on grown Sakdina: the lead was to be handed over by the task that
+    had just failed.
+    """
+    address = platform_fleet.PlatformFleet(tmp_path).get_address('entry-1')
+    port = platform_fleet.find_free_ports(8)
+    text = builders.build_boot_file(address, port, grace_s=6)
+    deployment = read(tmp_path, text).unwrap()
+    draining = SlowDrain()
+
+    def build(wiring):
+        return Ok(process.RoleTasks([FailingTask()], draining))
+
+    async def check():
+        running = process.PlatformProcess('', states.Role.ENTRY, build)
+        ended = await running.run(deployment)
+        assert ended.unwrap_err().kind is errors.ErrorKind.INTERNAL
+
+    support.run(check())
+    assert not draining.limits_s
