--- a/orioleshore/membership/packing.py
+++ b/orioleshore/membership/packing.py
@@ -1,11 +1,16 @@
 """Conversion between peers and the rumours that carry them."""
 
+import logging
+
 import msgspec
 
 from orioleshore.model import announcements
 from orioleshore.model import ids
 from orioleshore.model import states
 from orioleshore.protocol import messages
+from orioleshore.telemetry import logs
+
+LOG = logging.getLogger(__name__)
 
 # Kinds of rumours; the numbers travel between processes.
 PEER_RUMOUR = 1
@@ -66,8 +71,12 @@
             continue
         try:
             peers.append(_unpack_peer(rumour))
-        except (msgspec.MsgspecError, ValueError):
-            continue
+        except (msgspec.MsgspecError, ValueError) as error:
+            LOG.warning(
+                logs.format_event(
+                    'rumour_unreadable', subject=rumour.subject, error=error
+                )
+            )
     return tuple(peers)
 
 
--- a/orioleshore/tests/test_membership_detector.py
+++ b/orioleshore/tests/test_membership_detector.py
@@ -245,7 +245,7 @@
     assert found not in detector.handle(event, 1_000.0)
 
 
-def test_unreadable_rumours_are_skipped():
+def test_unreadable_rumours_are_skipped_and_logged(caplog):
     """Guards against newer states and kinds, and endless incarnations."""
     good = packing.pack_peer(builders.build_peer())
     newer = messages.Rumour(1, 'node-2', 1, 'resting', good.data)
@@ -254,3 +254,10 @@
     far = messages.Rumour(1, 'node-1', 2**63 - 1, 'dead', good.data)
     peers = packing.unpack_peers((newer, other, broken, far, good))
     assert peers == (builders.build_peer(),)
+    # Another kind is no fault; the others are named with what is wrong.
+    lines = [record.getMessage() for record in caplog.records]
+    assert [line.split()[1] for line in lines] == [
+        'subject=node-2',
+        'subject=node-4',
+        'subject=node-1',
+    ]
