--- a/orioleshore/consensus/storage.py
+++ b/orioleshore/consensus/storage.py
@@ -28,6 +28,7 @@
 _TEMPORARY_NAME = re.compile(r'^(FORMAT|identity|(log|snapshot)-\d{20})\.tmp$')
 
 StorageError = files.StorageError
+DiskFullError = files.DiskFullError
 
 
 class StoredState(msgspec.Struct):
@@ -42,7 +43,9 @@
     """The data folder of one member.
 
     ``write`` and ``save_snapshot`` return once everything is synced. They
-    raise StorageError on failure; every further call then fails as well.
+    raise DiskFullError if the disk has no room: nothing is stored then, and
+    the call may be repeated. They raise StorageError on any other failure;
+    every further call then fails as well.
     """
 
     def __init__(
@@ -56,8 +59,14 @@
         self._lock_descriptor: int | None = None
         self._segment_descriptor: int | None = None
         self._segment_length = 0
+        # Whether bytes of a failed write may follow the complete records.
+        self._has_partial_record = False
         self._hard_state = events.HardState()
 
+    @property
+    def segment_bytes(self) -> int:
+        return self._segment_length
+
     @property
     def sync_count(self) -> int:
         return self._folder.sync_count
@@ -70,14 +79,17 @@
         """Lock the folder and load its contents.
 
         Fails with ``FOLDER_IN_USE``, ``FORMAT_UNSUPPORTED``,
-        ``STORAGE_DAMAGED`` or ``STORAGE_FAILED``.
+        ``STORAGE_DAMAGED``, ``STORAGE_FAILED``, or ``STORAGE_FULL`` if the
+        call may be repeated once the disk has room.
         """
         try:
             outcome = self._open_folder()
         except OSError as error:
+            kind = errors.ErrorKind.STORAGE_FAILED
+            if files.is_disk_full(error):
+                kind = errors.ErrorKind.STORAGE_FULL
             outcome = _build_failure(
-                errors.ErrorKind.STORAGE_FAILED,
-                f'{self._path}: {error.strerror or error}',
+                kind, f'{self._path}: {error.strerror or error}'
             )
         except StorageError as error:
             outcome = Err(error.failure)
@@ -256,7 +268,7 @@
             return outcome
         segment = outcome.unwrap()
         self._hard_state = segment.hard_state
-        self._open_segment(name, segment.length)
+        self._open_segment(name, segment.length, has_torn_tail=True)
         self._remove_older_files(index)
         return Ok(StoredState(segment.hard_state, segment.log, stamp))
 
@@ -303,7 +315,9 @@
             return self._build_segment_failure(name, outcome.unwrap_err())
         return outcome
 
-    def _open_segment(self, name: str, length: int) -> None:
+    def _open_segment(
+        self, name: str, length: int, has_torn_tail: bool = False
+    ) -> None:
         """Open a segment for appending after its last complete record.
 
         An earlier run may have written records without a sync, so they are
@@ -311,22 +325,41 @@
         """
         if self._segment_descriptor is not None:
             os.close(self._segment_descriptor)
-        self._segment_descriptor = os.open(
-            self._path / name, os.O_WRONLY | os.O_APPEND | os.O_CLOEXEC
-        )
-        os.ftruncate(self._segment_descriptor, length)
+            self._segment_descriptor = None
+        self._segment_descriptor = self._folder.open_for_append(name)
         self._segment_length = length
-        self._sync_segment()
+        self._has_partial_record = has_torn_tail
+        self._remove_partial_record()
+        self._folder.sync(self._segment_descriptor)
+        self._write_sync_mark()
 
     def _append_data(self, data: bytes) -> None:
+        self._remove_partial_record()
+        self._has_partial_record = True
         self._folder.write(self._segment_descriptor, data)
+        self._folder.sync(self._segment_descriptor)
+        self._has_partial_record = False
         self._segment_length += len(data)
-        self._sync_segment()
+        self._write_sync_mark()
 
-    def _sync_segment(self) -> None:
-        self._folder.sync(self._segment_descriptor)
+    def _remove_partial_record(self) -> None:
+        """Cut the segment back to the end of its last complete record."""
+        if not self._has_partial_record:
+            return
+        self._folder.truncate(self._segment_descriptor, self._segment_length)
+        self._has_partial_record = False
+
+    def _write_sync_mark(self) -> None:
+        """Write a sync mark; on a full disk, the mark is left out.
+
+        The records before the mark are synced, with or without it.
+        """
         mark = segments.pack_sync_mark(self._segment_length)
-        self._folder.write(self._segment_descriptor, mark)
+        try:
+            self._folder.write(self._segment_descriptor, mark)
+        except DiskFullError:
+            self._has_partial_record = True
+            return
         self._segment_length += len(mark)
 
     def _remove_older_files(self, index: int) -> None:
--- a/orioleshore/model/errors.py
+++ b/orioleshore/model/errors.py
@@ -55,6 +55,7 @@
     INVALID_SETTINGS = 'invalid_settings'
     STORAGE_DAMAGED = 'storage_damaged'
     STORAGE_FAILED = 'storage_failed'
+    STORAGE_FULL = 'storage_full'
     FOLDER_IN_USE = 'folder_in_use'
     FORMAT_UNSUPPORTED = 'format_unsupported'
     INTERNAL = 'internal'
@@ -144,6 +145,7 @@
     ErrorKind.INVALID_SETTINGS: Answer(500, _NO, False, EXIT_INVALID),
     ErrorKind.STORAGE_DAMAGED: Answer(500, _NO, False, EXIT_STORAGE),
     ErrorKind.STORAGE_FAILED: Answer(500, _UNKNOWN, False, EXIT_STORAGE),
+    ErrorKind.STORAGE_FULL: Answer(503, _NO, True, EXIT_STORAGE),
     ErrorKind.FOLDER_IN_USE: Answer(500, _NO, False, EXIT_STORAGE),
     ErrorKind.FORMAT_UNSUPPORTED: Answer(500, _NO, False, EXIT_STORAGE),
     ErrorKind.INTERNAL: Answer(500, _UNKNOWN, False, EXIT_FAULT),
--- a/orioleshore/tests/test_storage.py
+++ b/orioleshore/tests/test_storage.py
@@ -26,16 +26,20 @@
     """Fails or crashes at one of its calls, counted from 1.
 
     A crash simulates a power loss: files are truncated to their synced length.
+    A write to a full disk stores half of its bytes.
     """
 
     def __init__(self, fail_at: int = 0, crash_at: int = 0) -> None:
         self.call_count = 0
         self.fail_at = fail_at
         self.crash_at = crash_at
+        self.error_code = errno.EIO
+        self.is_full = False
         self.synced: dict[str, int] = {}
 
     def create(self, path):
         self._count_call()
+        self._check_space()
         return super().create(path)
 
     def write(self, descriptor, data):
@@ -43,6 +47,9 @@
         size = os.fstat(descriptor).st_size
         self.synced.setdefault(path, size)
         self._count_call()
+        if self.is_full:
+            super().write(descriptor, data[: len(data) // 2])
+        self._check_space()
         super().write(descriptor, data)
 
     def sync(self, descriptor):
@@ -64,13 +71,17 @@
     def _count_call(self) -> None:
         self.call_count += 1
         if self.call_count == self.fail_at:
-            raise OSError(errno.ENOSPC, os.strerror(errno.ENOSPC))
+            raise OSError(self.error_code, os.strerror(self.error_code))
         if self.call_count == self.crash_at:
             for path, length in self.synced.items():
                 if pathlib.Path(path).is_file():
                     os.truncate(path, length)
             raise Crash
 
+    def _check_space(self) -> None:
+        if self.is_full:
+            raise OSError(errno.ENOSPC, os.strerror(errno.ENOSPC))
+
 
 def open_folder(folder, operations: files.FileOperations | None = None):
     """Open a data folder; return the storage and its stored state."""
@@ -268,11 +279,127 @@
             store.write(HARD_STATE, (builders.build_entry(index),))
         failure = caught.value.failure
         assert failure.kind is errors.ErrorKind.STORAGE_FAILED
-        assert 'No space left' in failure.message
+        assert 'Input/output error' in failure.message
     store.close()
     assert load_indexes(tmp_path)[:3] == [1, 2, 3]
 
 
+def test_write_to_full_disk_may_be_repeated(tmp_path):
+    """Guards against a member that a full disk stops for good.
+
+    The first part of a record that was written before the disk was full must
+    not stay in front of the next record.
+    """
+    segment = write_entries(tmp_path)
+    operations = FailingFileOperations()
+    store, outcome = open_folder(tmp_path, operations)
+    outcome.unwrap()
+    operations.is_full = True
+    for _ in range(3):
+        with pytest.raises(files.DiskFullError) as caught:
+            store.write(HARD_STATE, (builders.build_entry(4),))
+        failure = caught.value.failure
+        assert failure.kind is errors.ErrorKind.STORAGE_FULL
+    operations.is_full = False
+    store.write(events.HardState(2, None), (builders.build_entry(4),))
+    store.close()
+    assert load_indexes(segment.parent) == [1, 2, 3, 4]
+    assert load_folder(tmp_path).unwrap().hard_state.term == 2
+
+
+def test_sync_mark_without_room_does_not_fail_the_write(tmp_path):
+    """Guards against a synced write that is reported as failed.
+
+    The sync mark is the third call of a write. Its first half must not stay
+    in front of the next record.
+    """
+    write_entries(tmp_path)
+    operations = FailingFileOperations()
+    store, outcome = open_folder(tmp_path, operations)
+    outcome.unwrap()
+    operations.error_code = errno.ENOSPC
+    operations.fail_at = operations.call_count + 3
+    for index in (4, 5):
+        store.write(HARD_STATE, (builders.build_entry(index),))
+    store.close()
+    assert load_indexes(tmp_path) == [1, 2, 3, 4, 5]
+
+
+def test_sync_without_room_is_final(tmp_path):
+    """Guards against a repeated sync that hides dropped data.
+
+    A file system that allocates late reports a full disk at the sync.
+    """
+    write_entries(tmp_path)
+    operations = FailingFileOperations()
+    store, outcome = open_folder(tmp_path, operations)
+    outcome.unwrap()
+    operations.error_code = errno.ENOSPC
+    operations.fail_at = operations.call_count + 2
+    for _ in range(2):
+        with pytest.raises(files.StorageError) as caught:
+            store.write(HARD_STATE, (builders.build_entry(4),))
+        failure = caught.value.failure
+        assert failure.kind is errors.ErrorKind.STORAGE_FAILED
+
+
+def test_folder_on_full_disk_is_opened(tmp_path):
+    """Guards against a member that ends again and again on a full disk."""
+    write_entries(tmp_path)
+    operations = FailingFileOperations()
+    operations.is_full = True
+    store, outcome = open_folder(tmp_path, operations)
+    assert outcome.unwrap().log.last_index == 3
+    operations.is_full = False
+    store.write(HARD_STATE, (builders.build_entry(4),))
+    store.close()
+    assert load_indexes(tmp_path) == [1, 2, 3, 4]
+
+
+def test_first_start_on_full_disk_may_be_repeated(tmp_path):
+    """Guards against a new member that a full disk stops for good."""
+    operations = FailingFileOperations()
+    operations.is_full = True
+    store, outcome = open_folder(tmp_path, operations)
+    assert outcome.unwrap_err().kind is errors.ErrorKind.STORAGE_FULL
+    operations.is_full = False
+    assert store.open().unwrap().log.is_blank
+    store.close()
+
+
+def test_disk_full_at_any_call_of_snapshot_loses_nothing(tmp_path):
+    """Guards against entries lost because a snapshot found no room.
+
+    The member goes on with the segment that it has, and repeats the snapshot.
+    """
+    write_entries(tmp_path / 'start')
+    outcomes = set()
+    for fail_at in range(1, 14):
+        folder = tmp_path / f'full-{fail_at}'
+        shutil.copytree(tmp_path / 'start', folder)
+        operations = FailingFileOperations()
+        operations.error_code = errno.ENOSPC
+        store = storage.Storage(str(folder), operations)
+        store.open().unwrap()
+        operations.call_count, operations.fail_at = 0, fail_at
+        snapshot = (build_snapshot(2), (builders.build_entry(3),))
+        try:
+            store.save_snapshot(*snapshot)
+            outcomes.add('saved')
+        except files.DiskFullError:
+            outcomes.add('full')
+            store.write(HARD_STATE, (builders.build_entry(4),))
+            entries = tuple(builders.build_entry(index) for index in (3, 4))
+            store.save_snapshot(build_snapshot(2), entries)
+        except files.StorageError:
+            outcomes.add('failed')
+        store.close()
+        loaded = load_folder(folder).unwrap()
+        assert loaded.log.last_index in (3, 4), fail_at
+        assert loaded.hard_state == HARD_STATE
+    assert outcomes == {'saved', 'full', 'failed'}
+
+
 def test_crash_at_any_call_of_snapshot_loses_nothing(tmp_path):
     """Guards against lost entries while a snapshot replaces the log."""
     write_entries(tmp_path / 'start')
