--- a/orioleshore/consensus/core.py
+++ b/orioleshore/consensus/core.py
@@ -57,10 +57,12 @@
 
     ``in_flight_index`` is the last index of the batch that is not yet
     acknowledged, ``last_contact`` the time at which the leader sent the last
-    round that the follower acknowledged.
+    round that the follower acknowledged, ``tracked_since`` the time at which
+    the leader began to wait for acknowledgements.
     """
 
     stamp: str
+    tracked_since: float = NEVER
     match_index: int = 0
     next_index: int = 1
     last_contact: float = NEVER
@@ -133,6 +135,9 @@
         # Stamps of replaced data folders. Replies that were sent from such a
         # folder and arrive late must not restore its stamp.
         self.retired_stamps: set[str] = set()
+        # While the disk is full, this member neither campaigns nor answers
+        # other members.
+        self.is_storage_blocked = False
         self.reset_election_timer()
 
     @property
@@ -275,7 +280,9 @@
             progress = previous_progress.get(member.name)
             if progress is None or progress.stamp != member.stamp:
                 progress = Progress(
-                    member.stamp, next_index=self.log.last_index + 1
+                    member.stamp,
+                    tracked_since=self.now,
+                    next_index=self.log.last_index + 1,
                 )
             self.progress[member.name] = progress
 
@@ -306,6 +313,17 @@
         )
         return last_contact + LEASE_FRACTION * self.config.election_timeout_s
 
+    def get_silence_s(self, name: ids.NodeId) -> float:
+        """Return the seconds since a follower was in contact.
+
+        A leader that has not heard from it counts from its own election.
+        """
+        progress = self.progress.get(name)
+        if progress is None:
+            return 0.0
+        heard_at = max(progress.last_contact, progress.tracked_since)
+        return self.now - heard_at
+
     # Actions.
 
     def persist_state(self, entries: tuple[messages.Entry, ...]) -> None:
--- a/orioleshore/consensus/group.py
+++ b/orioleshore/consensus/group.py
@@ -9,9 +9,15 @@
 from orioleshore.model import errors
 from orioleshore.model import ids
 
-# Seconds without contact after which a new member may replace a voter; more
+# Election timeouts without contact after which a learner may take the place of
+# a voter. A voter that was only paused or restarted becomes a learner and
+# returns to the list of voters later, so this need not be longer.
+REPLACE_AFTER_TIMEOUTS = 3.0
+# Seconds without contact after which a new member replaces a learner; more
 # than a restart takes.
-UNREACHABLE_AFTER_S = 5.0
+FORGET_AFTER_S = 5.0
+# With fewer voters, none can be demoted without losing the fault tolerance.
+MIN_REDUCIBLE_VOTERS = 4
 # A learner is promoted to voter once it lacks at most this many entries.
 MAX_PROMOTION_LAG_ENTRIES = 64
 
@@ -20,44 +26,54 @@
     member: core.Core, request: events.MembersChangeRequested
 ) -> None:
     """Append an entry that adds a learner, removes a member, or both."""
-    request = _replace_unreachable_voter(member, request)
+    request = _replace_silent_learner(member, request)
     changed = _get_changed_members(member, request)
     refusal = _find_refusal(member, request, changed)
     if refusal is not None:
         member.actions.append(refusal)
         return
+    if request.add is not None:
+        # The member asks for itself, so its data folder is in use again.
+        member.retired_stamps.discard(request.add.stamp)
     index = _append_members(member, changed)
     member.actions.append(events.Accepted(request.token, index, member.term))
 
 
-def _replace_unreachable_voter(
+def _replace_silent_learner(
     member: core.Core, request: events.MembersChangeRequested
 ) -> events.MembersChangeRequested:
-    """Turn an addition into the replacement of an unreachable voter.
+    """Turn an addition into the replacement of a learner that is gone.
 
-    A dead voter still counts towards the quorum size, so a group that only
-    grows would tolerate fewer failures with each replaced host. A removed
-    member that comes back requests to join again.
+    Otherwise the list would grow with each replaced host. A removed member
+    that comes back requests to join again.
     """
     if not member.is_leader or request.add is None or request.remove:
         return request
     if member.get_member(request.add.name) is not None:
         return request
-    for voter in member.get_voters():
-        progress = member.progress.get(voter.name)
-        if progress is None or progress.last_contact == core.NEVER:
-            continue
-        if member.now - progress.last_contact >= UNREACHABLE_AFTER_S:
-            return msgspec.structs.replace(request, remove=voter.name)
+    for listed in member.get_members():
+        silence_s = member.get_silence_s(listed.name)
+        if not listed.voter and silence_s >= FORGET_AFTER_S:
+            return msgspec.structs.replace(request, remove=listed.name)
     return request
 
 
 def maintain_members(member: core.Core) -> None:
-    """Demote members that lost their data folder, and promote learners."""
-    if member.mismatched_stamps and _can_change_members(member):
-        _demote_mismatched_member(member)
-    if _can_change_members(member):
-        _promote_learner(member)
+    """Keep an odd number of reachable voters with their listed folders.
+
+    An even number tolerates no more failures than one voter fewer, but needs
+    a larger quorum, so one learner is kept as a spare voter. Each step is one
+    entry, and the next one follows its commit.
+    """
+    for step in (
+        _demote_mismatched_member,
+        _promote_learner,
+        _demote_unreachable_voter,
+        _demote_surplus_voter,
+    ):
+        if not _can_change_members(member):
+            return
+        step(member)
 
 
 def _find_refusal(
@@ -133,22 +149,96 @@
 
 
 def _demote_mismatched_member(member: core.Core) -> None:
+    """Demote a member that lost its data folder; list its new one."""
+    if not member.mismatched_stamps:
+        return
     name, stamp = member.mismatched_stamps.popitem()
     listed = member.get_member(name)
     if listed is None or listed.stamp == stamp:
         return
     learner = msgspec.structs.replace(listed, stamp=stamp, voter=False)
-    changed = _replace_member(member, learner)
+    _append_when_reachable(member, _replace_member(member, learner))
+
+
+def _promote_learner(member: core.Core) -> None:
+    """Promote a learner if that leads to an odd number of voters.
+
+    Two learners are promoted one after the other.
+    """
+    ready = _get_ready_learners(member)
+    has_odd_voters = len(member.get_voters()) % 2 == 1
+    if not ready or (has_odd_voters and len(ready) == 1):
+        return
+    voter = msgspec.structs.replace(ready[0], voter=True)
+    _append_members(member, _replace_member(member, voter))
+
+
+def _demote_unreachable_voter(member: core.Core) -> None:
+    """Demote a silent voter if a learner can take its place.
+
+    The learner is promoted next. A voter that is gone still counts towards
+    the quorum size, so a group that kept it would tolerate fewer failures.
+    """
+    silent = _get_silent_voters(member)
+    has_even_voters = len(member.get_voters()) % 2 == 0
+    if not silent or not (has_even_voters or _get_ready_learners(member)):
+        return
+    _demote_voter(member, silent[0])
+
+
+def _demote_surplus_voter(member: core.Core) -> None:
+    """Demote one of an even number of voters if no learner can be promoted."""
+    voters = member.get_voters()
+    if len(voters) < MIN_REDUCIBLE_VOTERS or len(voters) % 2 == 1:
+        return
+    if any(
+        _is_in_contact(member, m) for m in member.get_members() if not m.voter
+    ):
+        # A learner that is catching up will make the number odd.
+        return
+    _demote_voter(member, _get_others(member, voters)[-1])
+
+
+def _demote_voter(member: core.Core, voter: events.Member) -> None:
+    learner = msgspec.structs.replace(voter, voter=False)
+    _append_when_reachable(member, _replace_member(member, learner))
+
+
+def _append_when_reachable(
+    member: core.Core, changed: list[events.Member]
+) -> None:
     if _has_reachable_quorum(member, changed):
         _append_members(member, changed)
 
 
-def _promote_learner(member: core.Core) -> None:
-    for listed in member.get_members():
-        if not listed.voter and _has_caught_up(member, listed.name):
-            voter = msgspec.structs.replace(listed, voter=True)
-            _append_members(member, _replace_member(member, voter))
-            return
+def _get_silent_voters(member: core.Core) -> list[events.Member]:
+    """Return the unreachable voters, the longest silent one first."""
+    voters = _get_others(member, member.get_voters())
+    silent = [voter for voter in voters if not _is_in_contact(member, voter)]
+    return sorted(
+        silent,
+        key=lambda voter: member.get_silence_s(voter.name),
+        reverse=True,
+    )
+
+
+def _get_ready_learners(member: core.Core) -> list[events.Member]:
+    return [
+        listed
+        for listed in member.get_members()
+        if not listed.voter and _has_caught_up(member, listed.name)
+    ]
+
+
+def _get_others(
+    member: core.Core, listed: list[events.Member]
+) -> list[events.Member]:
+    return [other for other in listed if other.name != member.config.name]
+
+
+def _is_in_contact(member: core.Core, listed: events.Member) -> bool:
+    limit_s = REPLACE_AFTER_TIMEOUTS * member.config.election_timeout_s
+    return member.get_silence_s(listed.name) < limit_s
 
 
 def _has_caught_up(member: core.Core, name: ids.NodeId) -> bool:
--- a/orioleshore/consensus/requests.py
+++ b/orioleshore/consensus/requests.py
@@ -15,21 +15,26 @@
 class ChangeMembers(msgspec.Struct, frozen=True, tag=True):
     """Adds the member at ``address``, removes one, or both in one step.
 
-    The added member may have any data folder; it becomes a voter once it has
-    caught up with the log. ``add`` and ``remove`` name the same member if its
-    host was replaced.
+    The added member may have any data folder, whose stamp it gives if it asks
+    for itself. It becomes a voter once it has caught up with the log and the
+    group needs one. ``add`` and ``remove`` name the same member if its host
+    was replaced.
     """
 
     add: ids.NodeId | None = None
     address: str = ''
     remove: ids.NodeId | None = None
+    stamp: str = ''
 
     @property
     def added_member(self) -> events.Member | None:
-        """The learner to add; its first reply to the leader has its stamp."""
+        """The learner to add.
+
+        Without a stamp, its first reply to the leader gives it.
+        """
         if self.add is None:
             return None
-        return events.Member(self.add, self.address, '', False)
+        return events.Member(self.add, self.address, self.stamp, False)
 
     def is_in_force(self, members: events.Members | None) -> bool:
         """Return whether the members already match this request."""
