--- a/orioleshore/consensus/elections.py
+++ b/orioleshore/consensus/elections.py
@@ -77,7 +77,7 @@
     if not followers:
         return
     successor = max(
-        followers, key=lambda name: member.progress[name].match_index
+        followers, key=lambda name: _get_successor_rank(member, name)
     )
     member.step_down()
     release = messages.Release(member.term, successor)
@@ -85,6 +85,29 @@
         member.send_message(name, release)
 
 
+def suspend_member(member: core.Core) -> None:
+    """Stop taking part in the group while nothing can be persisted.
+
+    The leadership is transferred, because the leader's own entries would only
+    be stored by the others.
+    """
+    member.is_storage_blocked = True
+    transfer_leadership(member)
+    if member.is_leader:
+        member.step_down()
+    elif member.role is not states.RaftRole.FOLLOWER:
+        # The own vote of a candidate may not be stored.
+        member.change_role(states.RaftRole.FOLLOWER, None)
+
+
+def resume_member(member: core.Core) -> None:
+    """Take part in the group again, first as a follower."""
+    member.is_storage_blocked = False
+    # Another leader may have been elected meanwhile, and its next heartbeat
+    # prevents an election.
+    member.reset_election_timer()
+
+
 def handle_release(
     member: core.Core, sender: ids.NodeId, release: messages.Release
 ) -> None:
@@ -124,6 +147,14 @@
     _count_vote(member, sender, vote)
 
 
+def _get_successor_rank(
+    member: core.Core, name: ids.NodeId
+) -> tuple[int, float]:
+    """Rank a follower by its log, then by how recently it answered."""
+    progress = member.progress[name]
+    return progress.match_index, progress.last_contact
+
+
 def _start_pre_vote(member: core.Core) -> None:
     member.change_role(states.RaftRole.PRE_CANDIDATE, None)
     request = messages.PreVote(
--- a/orioleshore/consensus/events.py
+++ b/orioleshore/consensus/events.py
@@ -95,6 +95,14 @@
     """Leadership is to be transferred, because the process will stop."""
 
 
+class StorageBlocked(msgspec.Struct, frozen=True):
+    """The disk has no room, so nothing can be persisted for now."""
+
+
+class StorageResumed(msgspec.Struct, frozen=True):
+    """All that waited for room on the disk is synced."""
+
+
 class Persisted(msgspec.Struct, frozen=True):
     """All entries up to ``index`` of ``term`` are synced to disk."""
 
@@ -114,6 +122,9 @@
     | ProposeRequested
     | ReadRequested
     | MembersChangeRequested
+    | LeadershipTransferRequested
+    | StorageBlocked
+    | StorageResumed
     | Persisted
     | SnapshotTaken
 )
--- a/orioleshore/consensus/member.py
+++ b/orioleshore/consensus/member.py
@@ -45,6 +45,10 @@
 # Messages handled with one sync; bounds the time that one batch takes.
 MAX_BATCH_MESSAGES = 256
 MAX_PEER_ADDRESSES = 64
+# Seconds between attempts to write while the disk is full.
+WRITE_RETRY_S = 0.2
+# Seconds until a snapshot that found no room on the disk is repeated.
+SNAPSHOT_RETRY_S = 2.0
 
 TICK = ids.TimerId('consensus-tick')
 
@@ -189,6 +193,11 @@
         self._is_manager_behind = False
         self._peer_states: dict[ids.NodeId, states.PeerState] = {}
         self._failure: errors.Failure | None = None
+        # What waits for room on the disk, in order. While there is any, the
+        # member takes no part in the group.
+        self._unwritten: list[events.Action] = []
+        self._write_retry_at = 0.0
+        self._snapshot_retry_at = 0.0
 
     @property
     def failure(self) -> errors.Failure | None:
@@ -259,6 +268,7 @@
             message = self.mailbox.get_nowait()
         while actions:
             actions = await self._perform_actions(actions)
+        await self._write_waiting_when_due()
         if self._is_manager_behind and self._is_leader:
             self._start_leader_tasks()
         await self._take_snapshot_when_due()
@@ -284,7 +294,10 @@
         if has_snapshot:
             return await self._perform_in_order(actions)
         rest = self._send_appends_early(actions, persists)
-        await self._write_persists(persists)
+        try:
+            await self._write_persists(persists)
+        except storage.DiskFullError as error:
+            return self._suspend(rest, error)
         for action in rest:
             _perform_action(action, self)
         return self._confirm_persisted(persists)
@@ -317,15 +330,79 @@
         self, actions: list[events.Action]
     ) -> list[events.Action]:
         following: list[events.Action] = []
+        for position, action in enumerate(actions):
+            try:
+                following += await self._perform_stored_action(action)
+            except storage.DiskFullError as error:
+                return following + self._suspend(actions[position:], error)
+        return following
+
+    async def _perform_stored_action(
+        self, action: events.Action
+    ) -> list[events.Action]:
+        """Perform an action, which may need a sync of its own."""
+        if isinstance(action, events.Persist):
+            await self._write_persists([action])
+            return self._confirm_persisted([action])
+        if isinstance(action, events.InstallSnapshot):
+            await self._install_snapshot(action.snapshot)
+        else:
+            _perform_action(action, self)
+        return []
+
+    # Full disk.
+
+    def _suspend(
+        self, actions: list[events.Action], error: storage.DiskFullError
+    ) -> list[events.Action]:
+        """Leave the group until the disk has room.
+
+        ``actions`` are those that were not performed. Messages among them may
+        depend on what is not stored, and are dropped: the protocol repeats
+        them. Entries behind a snapshot are applied after it.
+        """
+        LOG.error(
+            logs.format_event(
+                'disk_full',
+                error=error.failure.message,
+                was_leader=self._is_leader,
+                term=self._raft.term,
+            )
+        )
+        self._write_retry_at = self._get_now() + WRITE_RETRY_S
         for action in actions:
-            if isinstance(action, events.Persist):
-                await self._write_persists([action])
-                following += self._confirm_persisted([action])
-            elif isinstance(action, events.InstallSnapshot):
-                await self._install_snapshot(action.snapshot)
+            if isinstance(action, events.Send):
+                continue
+            if self._has_to_wait(action):
+                self._unwritten.append(action)
             else:
                 _perform_action(action, self)
-        return following
+        return self._handle_event(events.StorageBlocked())
+
+    def _has_to_wait(self, action: events.Action) -> bool:
+        if isinstance(action, events.Persist | events.InstallSnapshot):
+            return True
+        return isinstance(action, events.Apply) and any(
+            isinstance(waiting, events.InstallSnapshot)
+            for waiting in self._unwritten
+        )
+
+    async def _write_waiting_when_due(self) -> None:
+        """Write what waits for room; return to the group once all is."""
+        if not self._unwritten or self._get_now() < self._write_retry_at:
+            return
+        waiting, self._unwritten = _merge_persists(self._unwritten), []
+        for position, action in enumerate(waiting):
+            try:
+                # A suspended member reacts to nothing, so there are no
+                # resulting actions.
+                await self._perform_stored_action(action)
+            except storage.DiskFullError:
+                self._unwritten = waiting[position:]
+                self._write_retry_at = self._get_now() + WRITE_RETRY_S
+                return
+        self._handle_event(events.StorageResumed())
+        LOG.info(logs.format_event('disk_has_room', term=self._raft.term))
 
     async def _write_persists(self, persists: list[events.Persist]) -> None:
         entries: list[messages.Entry] = []
@@ -345,10 +422,16 @@
         return self._handle_event(events.Persisted(last.index, last.term))
 
     async def _call_storage(self, function, *arguments) -> None:
-        """Run a blocking call in a thread; a failure stops the process."""
+        """Run a blocking call in a thread.
+
+        A full disk is reported to the caller, any other failure stops the
+        process.
+        """
         started_at = self._timers.clock.get_monotonic()
         try:
             await aiomisc.threaded(function)(*arguments)
+        except storage.DiskFullError:
+            raise
         except storage.StorageError as error:
             self._failure = error.failure
             raise
@@ -375,10 +458,7 @@
         )
 
     async def _take_snapshot_when_due(self) -> None:
-        entries_since_snapshot = (
-            self._applied_index - self._raft.log.snapshot_index
-        )
-        if entries_since_snapshot < self._config.control.snapshot_entries:
+        if not self._is_snapshot_due():
             return
         snapshot = events.Snapshot(
             ids.LogIndex(self._applied_index),
@@ -389,7 +469,19 @@
         rest = self._raft.log.get_entries(
             self._applied_index + 1, self._raft.log.last_index
         )
-        await self._call_storage(self._storage.save_snapshot, snapshot, rest)
+        try:
+            await self._call_storage(
+                self._storage.save_snapshot, snapshot, rest
+            )
+        except storage.DiskFullError as error:
+            # The log goes on in its segment until there is room.
+            self._snapshot_retry_at = self._get_now() + SNAPSHOT_RETRY_S
+            LOG.warning(
+                logs.format_event(
+                    'snapshot_postponed', error=error.failure.message
+                )
+            )
+            return
         LOG.info(
             logs.format_event(
                 'snapshot_taken',
@@ -400,6 +492,17 @@
         for action in self._handle_event(events.SnapshotTaken(snapshot)):
             _perform_action(action, self)
 
+    def _is_snapshot_due(self) -> bool:
+        """Return whether the log is long or large enough to be compacted."""
+        if self._unwritten or self._get_now() < self._snapshot_retry_at:
+            return False
+        entry_count = self._applied_index - self._raft.log.snapshot_index
+        limits = self._config.control
+        return entry_count >= limits.snapshot_entries or (
+            entry_count > 0
+            and self._storage.segment_bytes >= limits.snapshot_bytes
+        )
+
     # Calls from other processes.
 
     def _add_call(
@@ -758,6 +861,7 @@
             'is_listed': self._raft.is_listed,
             'may_found': self._raft.can_bootstrap,
             'syncs': self._storage.sync_count,
+            'is_disk_full': bool(self._unwritten),
         }
 
     def get_metrics(self) -> dict[str, Any]:
@@ -1000,6 +1104,22 @@
     )
 
 
+def _merge_persists(actions: list[events.Action]) -> list[events.Action]:
+    """Merge writes that follow each other, so that one sync covers them."""
+    merged: list[events.Action] = []
+    for action in actions:
+        previous = merged[-1] if merged else None
+        if isinstance(action, events.Persist) and isinstance(
+            previous, events.Persist
+        ):
+            merged[-1] = events.Persist(
+                action.hard_state, (*previous.entries, *action.entries)
+            )
+        else:
+            merged.append(action)
+    return merged
+
+
 def _build_failure(
     kind: errors.ErrorKind, message: str
 ) -> Err[errors.Failure]:
--- a/orioleshore/consensus/raft.py
+++ b/orioleshore/consensus/raft.py
@@ -111,6 +111,8 @@
 
 @_handle_event.register
 def _(event: events.Tick, member: core.Core) -> None:
+    if member.is_storage_blocked:
+        return
     if not member.is_leader:
         elections.campaign_when_due(member)
         return
@@ -120,6 +122,10 @@
 
 @_handle_event.register
 def _(event: events.MessageReceived, member: core.Core) -> None:
+    if member.is_storage_blocked:
+        # Most replies would have to be persisted first. Senders repeat their
+        # messages, so all of them may be dropped.
+        return
     _handle_message(event.message, member, event.sender)
 
 
@@ -143,6 +149,16 @@
     elections.transfer_leadership(member)
 
 
+@_handle_event.register
+def _(event: events.StorageBlocked, member: core.Core) -> None:
+    elections.suspend_member(member)
+
+
+@_handle_event.register
+def _(event: events.StorageResumed, member: core.Core) -> None:
+    elections.resume_member(member)
+
+
 @_handle_event.register
 def _(event: events.Persisted, member: core.Core) -> None:
     replication.handle_persisted(member, event)
--- a/orioleshore/settings.py
+++ b/orioleshore/settings.py
@@ -37,6 +37,7 @@
         'heartbeat_s': 0.2,
         'election_timeout_s': 0.9,
         'snapshot_entries': 1_000,
+        'snapshot_bytes': 16_777_216,
         'platform': None,
         'proving_s': 30.0,
     },
@@ -85,6 +86,8 @@
 
     ``initial_members`` maps the name of each initial member to its inner
     address. ``platform`` is the base URL of the platform's interface.
+    A snapshot replaces the log after ``snapshot_entries`` entries or
+    ``snapshot_bytes`` bytes, which bounds the size of the data folder.
     A host that returns counts as serving after ``proving_s`` seconds.
     """
 
@@ -93,6 +96,7 @@
     heartbeat_s: Positive
     election_timeout_s: Positive
     snapshot_entries: PositiveCount
+    snapshot_bytes: PositiveCount
     platform: str | None
     proving_s: Positive
 
