--- a/orioleshore/frontends/web.py
+++ b/orioleshore/frontends/web.py
@@ -14,6 +14,10 @@
 
 MAILBOX_CAPACITY = 16
 
+# Seconds for which a planned stop waits for requests in flight; as long as a
+# call of the control members may take.
+SHUTDOWN_TIMEOUT_S = 5.0
+
 ERROR_HEADER = 'Orioleshore-Error'
 RAN_HEADER = 'Orioleshore-Ran'
 REQUEST_HEADER = 'Orioleshore-Request'
@@ -87,10 +91,15 @@
     async def start(self) -> None:
         """Listen; port 0 is replaced by the port that the kernel assigned."""
         if isinstance(self._app, web.Server):
-            self._runner = web.ServerRunner(self._app)
+            self._runner = web.ServerRunner(
+                self._app, shutdown_timeout=SHUTDOWN_TIMEOUT_S
+            )
         else:
             self._runner = web.AppRunner(
-                self._app, access_log=None, **self._options
+                self._app,
+                access_log=None,
+                shutdown_timeout=SHUTDOWN_TIMEOUT_S,
+                **self._options,
             )
         await self._runner.setup()
         host, port = settings.parse_address(self._address)
--- a/orioleshore/platform/__main__.py
+++ b/orioleshore/platform/__main__.py
@@ -9,6 +9,7 @@
 from orioleshore.model import states
 from orioleshore.platform import boot
 from orioleshore.platform import process
+from orioleshore.tasks import shutdown
 from orioleshore.telemetry import logs
 
 SETTINGS_VARIABLE = 'ORIOLESHORE_SETTINGS'
@@ -40,9 +41,8 @@
     ) as loop:
         platform_process = process.PlatformProcess(path, role, build)
         run_outcome = loop.run_until_complete(platform_process.run(deployment))
-    if run_outcome.is_err():
-        sys.stderr.write(f'{run_outcome.unwrap_err()}\n')
-        return run_outcome.unwrap_err().answer.exit_code
+        if run_outcome.is_err():
+            shutdown.exit_after_failure(run_outcome.unwrap_err())
     return 0
 
 
--- a/orioleshore/platform/control_role.py
+++ b/orioleshore/platform/control_role.py
@@ -1,5 +1,6 @@
 """The tasks of the control role, on hosts with and without a disk."""
 
+import functools
 import random
 
 from result import Ok
@@ -7,6 +8,7 @@
 
 from orioleshore.consensus import handover
 from orioleshore.consensus import joining as joining_tasks
+from orioleshore.consensus import loading
 from orioleshore.consensus import member
 from orioleshore.consensus import redirection
 from orioleshore.consensus import storage
@@ -53,9 +55,6 @@
     peer_transport.register(
         consensus.mailbox, *member.RAFT_MESSAGES, *member.CALL_MESSAGES
     )
-    outcome = consensus.load()
-    if outcome.is_err():
-        return outcome
     hosts_client = hosts.HostsClient(
         deployment.hosts_address,
         deployment.policy_address,
@@ -77,7 +76,13 @@
         dependencies.timers,
     )
     tasks = [consensus, jobs, hosts_client, join_task, server]
-    return Ok(process.RoleTasks(tasks, handover.Handover(consensus.mailbox)))
+    return Ok(
+        process.RoleTasks(
+            tasks,
+            handover.Handover(consensus.mailbox),
+            functools.partial(loading.load_member, consensus),
+        )
+    )
 
 
 def _build_redirection(
--- a/orioleshore/platform/process.py
+++ b/orioleshore/platform/process.py
@@ -1,6 +1,7 @@
 """One process on the platform: its tasks, its start and its stop."""
 
 import asyncio
+from collections.abc import Awaitable
 from collections.abc import Callable
 import logging
 import signal
@@ -21,6 +22,7 @@
 from orioleshore.platform import metrics_server
 from orioleshore.protocol import messages
 from orioleshore.protocol import transport
+from orioleshore.tasks import shutdown
 from orioleshore.tasks import task
 from orioleshore.telemetry import collection
 from orioleshore.telemetry import latencies
@@ -53,11 +55,17 @@
         """Continue to serve for at most ``limit_s`` seconds."""
 
 
+# Receives the event that requests a stop.
+Loader = Callable[[asyncio.Event], Awaitable[Result[None, errors.Failure]]]
+
+
 class RoleTasks(msgspec.Struct, frozen=True):
     """The tasks of a role in their start order."""
 
     tasks: list[task.Task]
     drainable: Drainable | None = None
+    # Opens the data folder before the tasks start.
+    load: Loader | None = None
 
 
 RoleBuilder = Callable[[Dependencies], Result[RoleTasks, errors.Failure]]
@@ -109,6 +117,11 @@
         if outcome.is_err():
             return outcome
         role_tasks = outcome.unwrap()
+        if role_tasks.load is not None:
+            loaded = await role_tasks.load(self._stop_requested)
+            if loaded.is_err():
+                await shutdown.abort_tasks(self._tasks)
+                return loaded
         self._drainable = role_tasks.drainable
         tasks = [self._discovery, control_client, *role_tasks.tasks]
         tasks.append(
@@ -129,17 +142,17 @@
             )
         )
         failed = await self._wait_for_stop_or_failure()
-        if failed is None:
-            await self._drain_tasks(deployment.stop_s - SHUTDOWN_RESERVE_S)
+        if failed is not None:
+            await shutdown.abort_tasks(self._tasks)
+            return Err(
+                errors.Failure(
+                    errors.ErrorKind.INTERNAL, f'task {failed.name!r} failed'
+                )
+            )
+        await self._drain_tasks(deployment.stop_s - SHUTDOWN_RESERVE_S)
         await self._stop_tasks()
         await timers.stop()
-        if failed is None:
-            return Ok(None)
-        return Err(
-            errors.Failure(
-                errors.ErrorKind.INTERNAL, f'task {failed.name!r} failed'
-            )
-        )
+        return Ok(None)
 
     def _install_signal_handlers(self) -> None:
         loop = asyncio.get_running_loop()
@@ -174,11 +187,7 @@
         return failed[0] if failed else None
 
     async def _drain_tasks(self, limit_s: float) -> None:
-        """Finish work in progress before a planned stop.
-
-        Not called after the failure of a task: the work may not be able to
-        finish, and waiting would delay the restart.
-        """
+        """Finish work in progress before a planned stop."""
         LOG.info(logs.format_event('stopping'))
         if self._drainable is not None:
             await self._drainable.drain(limit_s)
--- a/orioleshore/roles/control.py
+++ b/orioleshore/roles/control.py
@@ -1,12 +1,12 @@
 """Tasks of a control member."""
 
+import asyncio
 import random
 
-from result import Err
-from result import Ok
 from result import Result
 
 from orioleshore import settings
+from orioleshore.consensus import loading
 from orioleshore.consensus import member
 from orioleshore.consensus import storage
 from orioleshore.fleet import manager
@@ -89,10 +89,11 @@
     def addresses(self) -> dict[str, str]:
         return {'operators': self._operators.address}
 
-    def load(self) -> Result[None, errors.Failure]:
+    async def load(
+        self, stop_requested: asyncio.Event
+    ) -> Result[None, errors.Failure]:
         """Load the data folder; fails with an error kind of the storage."""
-        outcome = self._member.load()
-        return Ok(None) if outcome.is_ok() else Err(outcome.unwrap_err())
+        return await loading.load_member(self._member, stop_requested)
 
     def _connect_tasks(
         self, peer_transport: transport.Transport, dumper: dumps.Dumper
--- a/orioleshore/roles/process.py
+++ b/orioleshore/roles/process.py
@@ -28,6 +28,7 @@
 from orioleshore.roles import entry
 from orioleshore.state import subscriber
 from orioleshore.tasks import reply
+from orioleshore.tasks import shutdown
 from orioleshore.tasks import task
 from orioleshore.telemetry import collection
 from orioleshore.telemetry import dumps
@@ -92,7 +93,7 @@
         self._tasks = [self._transport]
         tasks = self._build_tasks()
         if self._control is not None:
-            outcome = self._control.load()
+            outcome = await self._control.load(self._stop_requested)
             if outcome.is_err():
                 return outcome
         for item in (self._transport, *tasks):
@@ -106,6 +107,9 @@
     async def run(self) -> Result[None, errors.Failure]:
         """Run until a stop is requested or a task fails."""
         outcome = await self._wait_for_stop_or_failure()
+        if outcome.is_err():
+            await shutdown.abort_tasks(self._tasks)
+            return outcome
         await self.stop()
         return outcome
 
@@ -113,7 +117,7 @@
         """Finish work in progress, then stop all tasks."""
         self._stop_requested.set()
         LOG.info(logs.format_event('stopping'))
-        if self._entry is not None and not self._find_failed_task():
+        if self._entry is not None:
             await self._entry.drain()
         if self._gossip is not None:
             self._gossip.mailbox.put(gossip.Leave())
--- a/orioleshore/roles/runner.py
+++ b/orioleshore/roles/runner.py
@@ -6,6 +6,7 @@
 from orioleshore import settings
 from orioleshore.model import errors
 from orioleshore.roles import process
+from orioleshore.tasks import shutdown
 from orioleshore.telemetry import logs
 
 # One thread syncs the log, the others look up names and write snapshots.
@@ -18,14 +19,11 @@
     with aiomisc.entrypoint(
         pool_size=THREADS, log_config=False, catch_signals=()
     ) as loop:
-        return loop.run_until_complete(_start_and_run(config))
-
-
-async def _start_and_run(
-    config: settings.Settings,
-) -> Result[None, errors.Failure]:
-    role_process = process.Process(config)
-    outcome = await role_process.start()
-    if outcome.is_err():
+        role_process = process.Process(config)
+        outcome = loop.run_until_complete(role_process.start())
+        if outcome.is_err():
+            return outcome
+        outcome = loop.run_until_complete(role_process.run())
+        if outcome.is_err():
+            shutdown.exit_after_failure(outcome.unwrap_err())
         return outcome
-    return await role_process.run()
--- a/orioleshore/tasks/task.py
+++ b/orioleshore/tasks/task.py
@@ -58,6 +58,11 @@
             self._loop_task = None
         await self.close()
 
+    def abort(self) -> None:
+        """Handle no further message; ``stop`` still has to be called."""
+        if self._loop_task is not None:
+            self._loop_task.cancel()
+
     async def _run_loop(self) -> None:
         try:
             while True:
