--- a/orioleshore/consensus/member.py
+++ b/orioleshore/consensus/member.py
@@ -17,6 +17,7 @@
 from orioleshore.consensus import raft
 from orioleshore.consensus import requests
 from orioleshore.consensus import storage
+from orioleshore.consensus import suspension
 from orioleshore.jobs import calls as job_calls
 from orioleshore.jobs import ledger
 from orioleshore.membership import events as membership_events
@@ -357,9 +358,7 @@
     ) -> list[events.Action]:
         """Leave the group until the disk has room.
 
-        ``actions`` are those that were not performed. Messages among them may
-        depend on what is not stored, and are dropped: the protocol repeats
-        them. Entries behind a snapshot are applied after it.
+        ``actions`` are those that were not performed.
         """
         LOG.error(
             logs.format_event(
@@ -370,28 +369,17 @@
             )
         )
         self._write_retry_at = self._get_now() + WRITE_RETRY_S
-        for action in actions:
-            if isinstance(action, events.Send):
-                continue
-            if self._has_to_wait(action):
-                self._unwritten.append(action)
-            else:
-                _perform_action(action, self)
+        self._unwritten, ready = suspension.split_actions(actions)
+        for action in ready:
+            _perform_action(action, self)
         return self._handle_event(events.StorageBlocked())
 
-    def _has_to_wait(self, action: events.Action) -> bool:
-        if isinstance(action, events.Persist | events.InstallSnapshot):
-            return True
-        return isinstance(action, events.Apply) and any(
-            isinstance(waiting, events.InstallSnapshot)
-            for waiting in self._unwritten
-        )
-
     async def _write_waiting_when_due(self) -> None:
         """Write what waits for room; return to the group once all is."""
         if not self._unwritten or self._get_now() < self._write_retry_at:
             return
-        waiting, self._unwritten = _merge_persists(self._unwritten), []
+        waiting = suspension.merge_persists(self._unwritten)
+        self._unwritten = []
         for position, action in enumerate(waiting):
             try:
                 # A suspended member reacts to nothing, so there are no
@@ -1104,22 +1092,6 @@
     )
 
 
-def _merge_persists(actions: list[events.Action]) -> list[events.Action]:
-    """Merge writes that follow each other, so that one sync covers them."""
-    merged: list[events.Action] = []
-    for action in actions:
-        previous = merged[-1] if merged else None
-        if isinstance(action, events.Persist) and isinstance(
-            previous, events.Persist
-        ):
-            merged[-1] = events.Persist(
-                action.hard_state, (*previous.entries, *action.entries)
-            )
-        else:
-            merged.append(action)
-    return merged
-
-
 def _build_failure(
     kind: errors.ErrorKind, message: str
 ) -> Err[errors.Failure]:
--- a/orioleshore/tests/builders.py
+++ b/orioleshore/tests/builders.py
@@ -231,6 +231,18 @@
     )
 
 
+def build_leader(now: float = 110.0) -> raft.Raft:
+    """Return the member m0 of ``build_raft`` as leader, elected by m1."""
+    member = build_raft()
+    member.handle(consensus_events.Tick(), now)
+    for reply in (messages.PreVoteReply, messages.VoteReply):
+        vote = reply(member.term, True, 'm1-0', False)
+        member.handle(
+            consensus_events.MessageReceived(ids.NodeId('m1'), vote), now
+        )
+    return member
+
+
 def build_claim(**fields) -> commands.ClaimRequest:
     """Return a claim of the idempotency key for the first request."""
     defaults = {
--- a/orioleshore/tests/consensus_simulation.py
+++ b/orioleshore/tests/consensus_simulation.py
@@ -10,6 +10,7 @@
 from orioleshore.consensus import events
 from orioleshore.consensus import log
 from orioleshore.consensus import raft
+from orioleshore.consensus import suspension
 from orioleshore.model import ids
 from orioleshore.model import states
 from orioleshore.protocol import messages
@@ -51,6 +52,7 @@
     """One member with its disk, its clock and its mailbox.
 
     ``unsynced`` holds the writes of the sync in progress, None between syncs.
+    ``unwritten`` holds what waits for room while the disk is full.
     """
 
     def __init__(
@@ -64,6 +66,9 @@
         self.raft: raft.Raft | None = None
         self.mailbox: list[events.Event] = []
         self.unsynced: list[events.Persist] | None = None
+        self.unwritten: list[events.Action] = []
+        self.is_full = False
+        self.is_gone = False
         self.paused_until = 0.0
         self.applied: list[bytes] = []
         self.applied_index = 0
@@ -112,6 +117,7 @@
         node.generation += 1
         node.mailbox = []
         node.unsynced = None
+        node.unwritten = []
         node.applied, node.applied_index = [], 0
         if node.disk.snapshot is not None:
             self._restore_snapshot(node, node.disk.snapshot)
@@ -145,6 +151,11 @@
         self.crash(node)
         node.disk = Disk(f'{node.name}-{node.generation}')
 
+    def remove_for_good(self, node: Node) -> None:
+        """Stop a member that never starts again."""
+        self.crash(node)
+        node.is_gone = True
+
     def pause(self, node: Node, seconds: float) -> None:
         """Pause a member for some time."""
         node.paused_until = self.now + seconds
@@ -164,7 +175,8 @@
         self.loss_rate = 0.0
         for node in self.nodes.values():
             node.paused_until = min(node.paused_until, self.now)
-            if node.raft is None:
+            node.is_full = False
+            if node.raft is None and not node.is_gone:
                 self.start(node)
 
     # Requests.
@@ -208,7 +220,7 @@
 
     def take_snapshot(self, node: Node) -> None:
         """Compact the log of a member up to its applied index."""
-        if node.raft is None or node.unsynced is not None:
+        if node.raft is None or node.unsynced is not None or node.is_full:
             return
         index = node.applied_index
         if index <= node.raft.log.snapshot_index:
@@ -262,6 +274,7 @@
         if node.raft is None:
             return
         self._schedule(TICK_S, self._fire_tick, node)
+        self._write_waiting(node)
         # As with the real timer service, at most one tick waits in a mailbox.
         if not any(isinstance(e, events.Tick) for e in node.mailbox):
             self.deliver(node, events.Tick())
@@ -327,25 +340,51 @@
             rest,
         )
 
-    def _finish_sync(self, node: Node, actions: list[events.Action]) -> None:
-        node.unsynced = None
-        following: list[events.Action] = []
-        for action in actions:
+    def _suspend(self, node: Node, actions: list[events.Action]) -> None:
+        node.unwritten, ready = suspension.split_actions(actions)
+        self._perform_in_order(node, ready)
+        following = self._handle_event(node, events.StorageBlocked())
+        self._perform_in_order(node, following)
+
+    def _write_waiting(self, node: Node) -> None:
+        if not node.unwritten or node.is_full:
+            return
+        waiting, node.unwritten = node.unwritten, []
+        for action in suspension.merge_persists(waiting):
             if isinstance(action, events.Persist):
                 node.disk.write(action)
-        self._perform_in_order(node, actions)
+                self._confirm_persisted(node, [action])
+            else:
+                self._perform_in_order(node, [action])
+        self._handle_event(node, events.StorageResumed())
+
+    def _confirm_persisted(
+        self, node: Node, actions: list[events.Action]
+    ) -> list[events.Action]:
         entries = [
             entry
             for action in actions
             if isinstance(action, events.Persist)
             for entry in action.entries
         ]
-        if entries:
-            last = entries[-1]
-            following = self._handle_event(
-                node, events.Persisted(last.index, last.term)
-            )
-        self._perform_actions(node, following)
+        if not entries:
+            return []
+        last = entries[-1]
+        return self._handle_event(
+            node, events.Persisted(last.index, last.term)
+        )
+
+    def _finish_sync(self, node: Node, actions: list[events.Action]) -> None:
+        node.unsynced = None
+        if node.is_full:
+            self._suspend(node, actions)
+            self._process_mailbox(node)
+            return
+        for action in actions:
+            if isinstance(action, events.Persist):
+                node.disk.write(action)
+        self._perform_in_order(node, actions)
+        self._perform_actions(node, self._confirm_persisted(node, actions))
         self._process_mailbox(node)
 
     def _install_snapshot(self, node: Node, snapshot: events.Snapshot) -> None:
@@ -453,10 +492,14 @@
         listed = leader.raft.members.members
         for member in listed:
             node = self.nodes[member.name]
+            if node.is_gone:
+                assert not member.voter, f'{node.name} is gone and votes'
+                continue
             assert node.applied == leader.applied, f'{node.name} differs'
             assert member.stamp == node.disk.stamp
         voters = [member.name for member in listed if member.voter]
-        odd_count = len(listed) - (len(listed) % 2 == 0)
-        assert len(voters) == odd_count, f'{voters} of {len(listed)} vote'
+        alive = [m for m in listed if not self.nodes[m.name].is_gone]
+        odd_count = len(alive) - (len(alive) % 2 == 0)
+        assert len(voters) == odd_count, f'{voters} of {len(alive)} vote'
         missing = set(self.acknowledged.values()) - set(leader.applied)
         assert not missing, f'acknowledged and lost: {sorted(missing)[:5]}'
--- a/orioleshore/tests/test_consensus_schedules.py
+++ b/orioleshore/tests/test_consensus_schedules.py
@@ -33,6 +33,8 @@
         group.loss_rate = group.random.choice((0.0, 0.05, 0.3))
     elif choice < 0.74:
         group.transfer_leadership(node)
+    elif choice < 0.82:
+        node.is_full = True
     else:
         group.heal()
 
