--- a/orioleshore/cli/commands.py
+++ b/orioleshore/cli/commands.py
@@ -23,6 +23,7 @@
 from orioleshore.model import documents
 from orioleshore.model import errors
 from orioleshore.model import ids
+from orioleshore.model import numbers
 from orioleshore.state import operations
 from orioleshore.state import queries
 
@@ -239,14 +240,15 @@
             return self.send_request('GET', '/v1/document').map(
                 lambda content: content['version']
             )
-        if not text.isdigit():
+        number = numbers.parse_count(text)
+        if number is None:
             return Err(
                 errors.Failure(
                     errors.ErrorKind.INVALID_REQUEST,
                     f'--base-version: expected a number, got {text!r}',
                 )
             )
-        return Ok(int(text))
+        return Ok(number)
 
 
 class ShowCommand(_RemoteCommand):
--- a/orioleshore/consensus/client.py
+++ b/orioleshore/consensus/client.py
@@ -197,9 +197,14 @@
     request: Any,
 ) -> Result[messages.Propose | messages.Query, errors.Failure]:
     if job_calls.is_call(request):
-        return Ok(
-            messages.Query(job_calls.SUBJECT, job_calls.encode_call(request))
-        )
+        try:
+            data = job_calls.encode_call(request)
+        except (OverflowError, ValueError) as error:
+            # Callers choose names and numbers; some fit no message.
+            return Err(
+                errors.Failure(errors.ErrorKind.INVALID_REQUEST, str(error))
+            )
+        return Ok(messages.Query(job_calls.SUBJECT, data))
     if requests.is_request(request):
         return requests.encode(request).map(messages.Propose)
     return Ok(
@@ -244,7 +249,17 @@
 
 @_handle_message.register
 def _(message: messages.Received, client: ControlClient) -> None:
-    _handle_reply(message.message, client, message)
+    try:
+        _handle_reply(message.message, client, message)
+    except (msgspec.DecodeError, ValueError) as error:
+        # The call is sent again, like one without a reply.
+        LOG.warning(
+            logs.format_event(
+                'control_reply_unreadable',
+                sender=message.header.sender,
+                error=error,
+            )
+        )
 
 
 @functools.singledispatch
--- a/orioleshore/consensus/member.py
+++ b/orioleshore/consensus/member.py
@@ -18,6 +18,7 @@
 from orioleshore.consensus import requests
 from orioleshore.consensus import storage
 from orioleshore.consensus import suspension
+from orioleshore.consensus import validation
 from orioleshore.jobs import calls as job_calls
 from orioleshore.jobs import ledger
 from orioleshore.membership import events as membership_events
@@ -806,7 +807,14 @@
                 ),
             )
             return
-        call = job_calls.decode_call(received.message.parameters)
+        try:
+            call = job_calls.decode_call(received.message.parameters)
+        except msgspec.DecodeError as error:
+            failure = _build_failure(
+                errors.ErrorKind.PROTOCOL_ERROR, str(error)
+            )
+            self._send_reply(header, self._pack_query_reply(failure))
+            return
         answer: reply.Reply = reply.Reply()
         answer.add_callback(
             lambda outcome: self._send_jobs_answer(header, outcome)
@@ -916,7 +924,10 @@
     member._pending_calls[token] = _LocalCall(message.answer)
     if message.command is None:
         return member._handle_event(events.ReadRequested(token))
-    data = requests.encode(message.command)
+    try:
+        data = requests.encode(message.command)
+    except (OverflowError, ValueError) as error:
+        data = _build_failure(errors.ErrorKind.INVALID_REQUEST, str(error))
     if data.is_err():
         member._answer_call(token, data)
         return []
@@ -948,6 +959,17 @@
     message: Any, member: MemberTask, received: messages.Received
 ) -> list[events.Action]:
     """Handle a message of another process; the default is a Raft message."""
+    problem = validation.find_problem(message)
+    if problem:
+        LOG.warning(
+            logs.format_event(
+                'peer_message_malformed',
+                sender=received.header.sender,
+                kind=type(message).__name__,
+                problem=problem,
+            )
+        )
+        return []
     member._store_peer_address(received.header)
     return member._handle_event(
         events.MessageReceived(received.header.sender, message)
@@ -985,7 +1007,7 @@
         return []
     try:
         query = queries.decode_query(message.parameters)
-    except msgspec.ValidationError as error:
+    except msgspec.DecodeError as error:
         failure = _build_failure(errors.ErrorKind.PROTOCOL_ERROR, str(error))
         member._send_reply(received.header, member._pack_query_reply(failure))
         return []
--- a/orioleshore/consensus/snapshots.py
+++ b/orioleshore/consensus/snapshots.py
@@ -1,11 +1,16 @@
 """Encoding of snapshots and their transfer to a follower in chunks."""
 
+import logging
+
 import msgspec
 
 from orioleshore.consensus import core
 from orioleshore.consensus import events
 from orioleshore.model import ids
 from orioleshore.protocol import messages
+from orioleshore.telemetry import logs
+
+LOG = logging.getLogger(__name__)
 
 
 def encode_snapshot(snapshot: events.Snapshot) -> bytes:
@@ -64,7 +69,7 @@
         incoming.data += chunk.data
         if chunk.done:
             member.incoming_snapshot = None
-            return decode_snapshot(bytes(incoming.data))
+            return _decode_complete_snapshot(incoming)
     reply = messages.SnapshotReply(
         member.term,
         chunk.last_index,
@@ -75,6 +80,24 @@
     return None
 
 
+def _decode_complete_snapshot(
+    incoming: core.IncomingSnapshot,
+) -> events.Snapshot | None:
+    """Decode a received snapshot; return None if it is damaged.
+
+    The leader then sends it again from its start.
+    """
+    try:
+        return decode_snapshot(bytes(incoming.data))
+    except msgspec.DecodeError as error:
+        LOG.error(
+            logs.format_event(
+                'snapshot_unreadable', leader=incoming.leader, error=error
+            )
+        )
+        return None
+
+
 def _is_same_snapshot(
     chunk: messages.SnapshotChunk,
     incoming: core.IncomingSnapshot,
--- a/orioleshore/frontends/access.py
+++ b/orioleshore/frontends/access.py
@@ -33,7 +33,7 @@
         for operator, path in self._token_files.items():
             expected = _read_token(path)
             if expected and hmac.compare_digest(
-                expected.encode(), token.encode()
+                expected.encode(), token.encode('utf-8', 'replace')
             ):
                 return operator
         return None
@@ -46,7 +46,11 @@
 
     def is_form_token_valid(self, operator: str, token: str) -> bool:
         """Return whether the token of a form belongs to this operator."""
-        return hmac.compare_digest(self.get_form_token(operator), token)
+        # Texts with other characters than ASCII cannot be compared.
+        return hmac.compare_digest(
+            self.get_form_token(operator).encode(),
+            token.encode('utf-8', 'replace'),
+        )
 
 
 def _parse_token(header: str) -> str:
--- a/orioleshore/frontends/callers.py
+++ b/orioleshore/frontends/callers.py
@@ -22,6 +22,7 @@
 from orioleshore.model import documents
 from orioleshore.model import errors
 from orioleshore.model import ids
+from orioleshore.model import numbers
 from orioleshore.model import states
 from orioleshore.routing import dispatcher
 from orioleshore.routing import events
@@ -479,12 +480,13 @@
     text = request.headers.get(DEADLINE_HEADER)
     if text is None:
         return Ok(service.limits.default_deadline_s)
-    if not text.isdigit() or not 0 < int(text) <= MAX_DEADLINE_MS:
+    deadline_ms = numbers.parse_count(text)
+    if deadline_ms is None or not 0 < deadline_ms <= MAX_DEADLINE_MS:
         return _make_error(
             errors.ErrorKind.INVALID_REQUEST,
             f'{DEADLINE_HEADER} must be a number from 1 to {MAX_DEADLINE_MS}',
         )
-    return Ok(int(text) / 1000)
+    return Ok(deadline_ms / 1000)
 
 
 def _parse_priority(
--- a/orioleshore/frontends/operators.py
+++ b/orioleshore/frontends/operators.py
@@ -20,6 +20,7 @@
 from orioleshore.model import changes
 from orioleshore.model import errors
 from orioleshore.model import ids
+from orioleshore.model import numbers
 from orioleshore.state import operations
 from orioleshore.state import queries
 from orioleshore.tasks import mailbox
@@ -312,7 +313,8 @@
 
 
 def _parse_number(text: str) -> int | str:
-    return int(text) if text.isdigit() else text
+    number = numbers.parse_count(text)
+    return text if number is None else number
 
 
 def _make_failure_page(failure: errors.Failure) -> web.Response:
--- a/orioleshore/frontends/upstreams.py
+++ b/orioleshore/frontends/upstreams.py
@@ -15,6 +15,7 @@
 from orioleshore.model import checks
 from orioleshore.model import errors
 from orioleshore.model import ids
+from orioleshore.model import numbers
 from orioleshore.model import states
 from orioleshore.routing import dispatcher
 from orioleshore.routing import upstreams
@@ -50,7 +51,8 @@
 
     async def _handle_departure(self, request: web.Request) -> web.Response:
         text = request.query.get('incarnation', '')
-        if not text.isdigit():
+        incarnation = numbers.parse_count(text)
+        if incarnation is None:
             return _make_failure_response(
                 'the query parameter incarnation must be a number'
             )
@@ -61,7 +63,7 @@
                 'availability_zone': '',
                 'slots': 1,
                 'connections': 1,
-                'incarnation': int(text),
+                'incarnation': incarnation,
             }
         )
         if outcome.is_err():
@@ -94,9 +96,10 @@
         ipaddress.ip_address(host.strip('[]'))
     except ValueError:
         return _make_error(f'$.address: {host!r} is not an IP address')
-    if not port.isdigit() or not 0 < int(port) <= 65_535:
+    number = numbers.parse_count(port)
+    if number is None or not 0 < number <= 65_535:
         return _make_error(f'$.address: {port!r} is not a port number')
-    address = ids.UpstreamId(f'{host}:{int(port)}')
+    address = ids.UpstreamId(f'{host}:{number}')
     return Ok(msgspec.structs.replace(upstream, address=address))
 
 
--- a/orioleshore/jobs/calls.py
+++ b/orioleshore/jobs/calls.py
@@ -281,6 +281,12 @@
     answer: reply.Reply
 
 
+def get_source(call: Call) -> str:
+    """Return the worker or the path that a call comes from."""
+    name = getattr(call, 'worker', None) or getattr(call, 'path', '')
+    return f'{type(call).__name__} {name}'
+
+
 def is_call(value: Any) -> bool:
     """Return whether a value is a call to the scheduler."""
     return isinstance(value, Call)
--- a/orioleshore/model/ids.py
+++ b/orioleshore/model/ids.py
@@ -1,7 +1,14 @@
 """Types of identifiers, counters and times."""
 
+from typing import Annotated
 from typing import NewType
 
+import msgspec
+
+# Nine digits fit every counter of the callers' interface.
+_NUMBER = '(0|[1-9][0-9]{0,8})'
+TASK_NAME_PATTERN = rf'{_NUMBER}\.{_NUMBER}\.{_NUMBER}'
+
 NodeId = NewType('NodeId', str)
 HostId = NewType('HostId', str)
 PoolId = NewType('PoolId', str)
@@ -24,10 +31,13 @@
 
 # A queue is named in the document. A worker is one incarnation of an
 # upstream that runs tasks. A task name is "occurrence.step.index" within
-# its job.
+# its job; decoders refuse any other text.
 QueueId = NewType('QueueId', str)
 WorkerId = NewType('WorkerId', str)
-TaskName = NewType('TaskName', str)
+TaskName = NewType(
+    'TaskName',
+    Annotated[str, msgspec.Meta(pattern=rf'\A{TASK_NAME_PATTERN}\Z')],
+)
 # The address that an upstream announces, "IP:port".
 UpstreamId = NewType('UpstreamId', str)
 
--- a/orioleshore/platform/control_server.py
+++ b/orioleshore/platform/control_server.py
@@ -39,7 +39,12 @@
     ) -> web.StreamResponse:
         try:
             return await self._route_request(request)
-        except (msgspec.DecodeError, ValueError, TypeError) as error:
+        except (
+            msgspec.DecodeError,
+            OverflowError,
+            TypeError,
+            ValueError,
+        ) as error:
             LOG.warning(
                 logs.format_event(
                     'request_unreadable',
@@ -82,9 +87,13 @@
         self, request: web.BaseRequest, worker: str
     ) -> web.StreamResponse:
         if request.method == 'DELETE':
-            call = calls.LeaveWorker(ids.WorkerId(worker))
+            call = calls.LeaveWorker(wire.decode_worker_name(worker))
             outcome = await self._forwarder.forward(call, WORKER_TIMEOUT_S)
             return forwarding.make_response(outcome, _encode_empty)
+        if request.method != 'PUT':
+            return forwarding.make_refusal(
+                errors.ErrorKind.NOT_FOUND, 'no such call'
+            )
         heartbeat = wire.decode_heartbeat(worker, await request.read())
         outcome = await self._forwarder.forward(heartbeat, WORKER_TIMEOUT_S)
         return forwarding.make_response(outcome, wire.encode_heartbeat_answer)
--- a/orioleshore/platform/front_server.py
+++ b/orioleshore/platform/front_server.py
@@ -11,6 +11,7 @@
 from orioleshore.frontends import web as frontend_web
 from orioleshore.jobs import calls
 from orioleshore.model import errors
+from orioleshore.model import numbers
 from orioleshore.platform import forwarding
 from orioleshore.platform import wire
 from orioleshore.telemetry import latencies
@@ -99,7 +100,7 @@
         path = request.path
         try:
             call = await self._make_call(request, host, path)
-        except (msgspec.DecodeError, ValueError) as error:
+        except (msgspec.DecodeError, OverflowError, ValueError) as error:
             return self._refuse_request(request, str(error))
         if call is None:
             return self._refuse_request(request, f'method {request.method}')
@@ -173,8 +174,8 @@
 
 
 def _get_timeout(request: web.BaseRequest) -> float:
-    text = request.headers.get('Timeout-Ms', '')
+    timeout_ms = numbers.parse_count(request.headers.get('Timeout-Ms', ''))
     timeout_s = DEFAULT_TIMEOUT_S
-    if text.isdigit():
-        timeout_s = int(text) / MS_PER_S
+    if timeout_ms is not None:
+        timeout_s = timeout_ms / MS_PER_S
     return min(MAX_TIMEOUT_S, TIMEOUT_SHARE * timeout_s)
--- a/orioleshore/platform/hosts.py
+++ b/orioleshore/platform/hosts.py
@@ -14,6 +14,7 @@
 from orioleshore.jobs import orders
 from orioleshore.jobs import specs
 from orioleshore.model import ids
+from orioleshore.model import numbers
 from orioleshore.model import states
 from orioleshore.tasks import mailbox
 from orioleshore.tasks import reply
@@ -214,7 +215,9 @@
 
 @_execute_order.register
 async def _(message: orders.TakeDown, client: HostsClient) -> None:
-    wave = int(message.wave) if message.wave.isdigit() else message.wave
+    # The platform wants its own type of name back.
+    number = numbers.parse_count(message.wave)
+    wave = message.wave if number is None else number
     outcome, detail = await client.post_order(
         '/machine-upkeep',
         {'machine': message.host, 'wave': wave},
--- a/orioleshore/platform/wire.py
+++ b/orioleshore/platform/wire.py
@@ -4,7 +4,7 @@
 decoded raise msgspec.ValidationError or msgspec.DecodeError.
 """
 
-import re
+from typing import Annotated
 from typing import Any
 
 import msgspec
@@ -14,14 +14,18 @@
 from orioleshore.model import ids
 from orioleshore.model import states
 
+# Larger numbers fit no message between processes.
+_MAX_NUMBER = 2**63 - 1
+_Number = Annotated[int, msgspec.Meta(ge=-_MAX_NUMBER, le=_MAX_NUMBER)]
+
 
 class _StepBody(msgspec.Struct):
-    replicas: int = 1
-    cpus: int = 0
-    mem_mb: int = 0
-    gpus: int = 0
-    estimate_ms: int = 0
-    after: tuple[int, ...] = ()
+    replicas: _Number = 1
+    cpus: _Number = 0
+    mem_mb: _Number = 0
+    gpus: _Number = 0
+    estimate_ms: _Number = 0
+    after: tuple[_Number, ...] = ()
     saves_progress: bool = False
     gang: bool = False
     # The tasks run slowly when they are spread over racks.
@@ -31,27 +35,27 @@
     # The rack that stores the input data.
     affinity: str = ''
     # Maximum number of tasks of the step on one worker, not a label.
-    anti_affinity: int = 0
+    anti_affinity: _Number = 0
     # Several copies of a task may run at the same time.
     speculative: bool = False
     long_running: bool = False
     image: str = ''
     # Target of the tail latency.
-    target_ms: int = 0
+    target_ms: _Number = 0
     # A flag, not a ratio: the tasks use only CPU that others leave idle.
     fill_ratio: bool | int | float = False
     # Maximum number of unavailable tasks.
-    may_miss: int = 0
+    may_miss: _Number = 0
 
 
 class _JobBody(msgspec.Struct):
     # Opaque text that is sent to the worker, not a specification of the job.
     spec: str
     steps: tuple[_StepBody, ...]
-    start_time_ms: int = 0
-    interval_ms: int = 0
+    start_time_ms: _Number = 0
+    interval_ms: _Number = 0
     # Number of all occurrences, the first one included.
-    repeat_count: int = 0
+    repeat_count: _Number = 0
 
 
 class _RouteBody(msgspec.Struct):
@@ -59,12 +63,12 @@
     host: str
     path_prefix: str
     service: str
-    timeout_ms: int
+    timeout_ms: _Number
     # Part of a job's time objective that is added to its stretched longest
     # chain; not an indicator.
-    slo_ms: int = 0
-    priority: int = 0
-    max_attempts: int = 1
+    slo_ms: _Number = 0
+    priority: _Number = 0
+    max_attempts: _Number = 1
     stretch_factor: float = 1.0
     # If set, workers need the approval of the policy service.
     recommendation: Any = None
@@ -78,30 +82,36 @@
 
 
 class _ConfigBody(msgspec.Struct):
-    version: int
+    version: _Number
     routes: tuple[_RouteBody, ...]
     services: tuple[_ServiceBody, ...]
 
 
 class _CapacityBody(msgspec.Struct, frozen=True):
-    cpus: int = 0
-    mem_mb: int = 0
-    gpus: int = 0
+    cpus: _Number = 0
+    mem_mb: _Number = 0
+    gpus: _Number = 0
+
+
+# The id of a job and the name of its task, "job.occurrence.step.index".
+_FullTaskName = Annotated[
+    str, msgspec.Meta(pattern=rf'\A[^.]+\.{ids.TASK_NAME_PATTERN}\Z')
+]
 
 
 class _RunRow(msgspec.Struct, array_like=True):
-    task: str
-    attempt: int
+    task: _FullTaskName
+    attempt: _Number
     checkpoint: str
-    percent: int | float
+    percent: _Number | float
     # Tail latency in milliseconds of a serving task, else processors in use.
-    figure: int | float = 0
+    figure: _Number | float = 0
 
 
 class _EndRow(msgspec.Struct, array_like=True):
-    number: int
-    task: str
-    attempt: int
+    number: _Number
+    task: _FullTaskName
+    attempt: _Number
     how: states.RunEnd
     checkpoint: str
 
@@ -110,13 +120,13 @@
     service: str
     zone: str
     state: str
-    sequence: int
+    sequence: _Number
     # Unix time of the worker's start in milliseconds, its incarnation.
-    born: int = 0
+    born: _Number = 0
     machine: str = ''
     capacity: _CapacityBody = _CapacityBody()
     labels: tuple[str, ...] = ()
-    remaining_ms: int | float = 0
+    remaining_ms: _Number | float = 0
     running: tuple[_RunRow, ...] = ()
     finished: tuple[_EndRow, ...] = ()
 
@@ -126,11 +136,9 @@
     machines: tuple[str, ...]
     duration_s: float
     # Maximum number of machines that may be down for the wave at a time.
-    cap: int = 1
+    cap: _Number = 1
 
 
-# Occurrence, step and index of a task.
-_TASK_NAME = re.compile(r'^\d+\.\d+\.\d+$', re.ASCII)
 _JOB_DECODER = msgspec.json.Decoder(_JobBody)
 _CONFIG_DECODER = msgspec.json.Decoder(_ConfigBody)
 _HEARTBEAT_DECODER = msgspec.json.Decoder(_HeartbeatBody)
@@ -176,6 +184,13 @@
     )
 
 
+def decode_worker_name(text: str) -> ids.WorkerId:
+    """Return the name of a worker from the path of its calls."""
+    if not text or not text.isascii():
+        raise msgspec.ValidationError(f'malformed worker name {text!r}')
+    return ids.WorkerId(text)
+
+
 def decode_heartbeat(worker: str, body: bytes) -> calls.Heartbeat:
     """Return the heartbeat of a worker."""
     content = _HEARTBEAT_DECODER.decode(body)
@@ -185,7 +200,7 @@
     if not content.service:
         raise msgspec.ValidationError('the service has no name')
     return calls.Heartbeat(
-        ids.WorkerId(worker),
+        decode_worker_name(worker),
         ids.Incarnation(content.born),
         content.sequence,
         ids.PoolId(content.service),
@@ -317,8 +332,6 @@
 
 def _split_task_name(name: str) -> tuple[ids.JobId, ids.TaskName]:
     job, _, task = name.partition('.')
-    if not _TASK_NAME.match(task):
-        raise msgspec.ValidationError(f'malformed task name {name!r}')
     return ids.JobId(job), ids.TaskName(task)
 
 
--- a/orioleshore/settings.py
+++ b/orioleshore/settings.py
@@ -15,6 +15,7 @@
 from orioleshore.model import documents
 from orioleshore.model import errors
 from orioleshore.model import ids
+from orioleshore.model import numbers
 from orioleshore.model import states
 
 # Times in seconds, sizes in bytes. A settings file overrides individual keys.
@@ -181,9 +182,10 @@
     """
     host, _, port = text.rpartition(':')
     number = ipaddress.ip_address(host.strip('[]'))
-    if not port.isdigit() or int(port) > 65_535:
+    port_number = numbers.parse_count(port)
+    if port_number is None or port_number > 65_535:
         raise ValueError(f'{port!r} is not a port')
-    return str(number), int(port)
+    return str(number), port_number
 
 
 def find_problems(settings: Settings) -> list[str]:
--- a/orioleshore/state/subscriber.py
+++ b/orioleshore/state/subscriber.py
@@ -167,9 +167,20 @@
 
     def _handle_update(self, received: messages.Received) -> None:
         update = received.message
-        edits = msgspec.msgpack.decode(
-            update.edits, type=tuple[changes.Edit, ...]
-        )
+        try:
+            edits = msgspec.msgpack.decode(
+                update.edits, type=tuple[changes.Edit, ...]
+            )
+        except msgspec.DecodeError as error:
+            # Without a report, the sender repeats the update.
+            LOG.warning(
+                logs.format_event(
+                    'update_unreadable',
+                    sender=received.header.sender,
+                    error=error,
+                )
+            )
+            return
         is_applied = self._configuration.apply_update(
             update.from_version, update.to_version, edits, update.full
         )
--- a/orioleshore/tests/builders.py
+++ b/orioleshore/tests/builders.py
@@ -5,9 +5,12 @@
 
 from orioleshore.consensus import events as consensus_events
 from orioleshore.consensus import log
+from orioleshore.consensus import member
 from orioleshore.consensus import raft
 from orioleshore.jobs import calls
 from orioleshore.jobs import specs
+from orioleshore.jobs import task as jobs_task
+from orioleshore.jobs import tuning
 from orioleshore.membership import detector
 from orioleshore.membership import packing
 from orioleshore.model import announcements
@@ -21,6 +24,13 @@
 from orioleshore.state import machine
 from orioleshore.state import operations
 from orioleshore.state import records
+from orioleshore.tasks import mailbox
+from orioleshore.telemetry import latencies
+from orioleshore.timers import clock
+from orioleshore.timers import service
+
+# A task as the platform names it in a heartbeat.
+REPORTED_TASK = '5c0e7a21d94b36f8.0.1.17'
 
 NOW = ids.WallTime(1_800_000_000.0)
 
@@ -437,6 +447,80 @@
     )
 
 
+def build_heartbeat_body(**fields) -> dict:
+    """Return the fields of a worker's heartbeat."""
+    return {
+        'service': 'red',
+        'address': '10.128.0.9:8080',
+        'zone': 'az-1',
+        'version': 'v1',
+        'slots': 8,
+        'state': 'ready',
+        'cold_left_ms': 0,
+        'capacity': {'cpus': 16_000, 'mem_mb': 32_768, 'gpus': 0},
+        'labels': ['a', 'r1-3'],
+        'timestamp_ms': 482_113,
+        'sequence': 4,
+        'born': 1_772_447_999_000,
+        'machine': 'm-1',
+        'running': [[REPORTED_TASK, 2, 'saved', 41]],
+        'finished': [[58, '5c0e7a21d94b36f8.0.1.9', 1, 'done', '']],
+    } | fields
+
+
+def build_configuration_body(**fields) -> dict:
+    """Return the fields of a configuration as the operator sends it."""
+    route = {
+        'name': 'r-1',
+        'host': 'jobs.example',
+        'path_prefix': '/red/',
+        'type': 'non_idempotent',
+        'timeout_ms': 3_000,
+        'slo_ms': 3_600,
+        'priority': 1,
+        'service': 'red',
+        'max_attempts': 4,
+        'stretch_factor': 1.6,
+    }
+    service = {'name': 'red', 'preconditions': True, 'standby': False}
+    return {
+        'version': 7,
+        'routes': [route],
+        'services': [service],
+        'limits': {},
+    } | fields
+
+
+def build_jobs_task() -> tuple[jobs_task.JobsTask, mailbox.Mailbox]:
+    """Return the task of the scheduler and the mailbox of its member."""
+    consensus: mailbox.Mailbox = mailbox.Mailbox('consensus', 100)
+    task = jobs_task.JobsTask(
+        tuning.SchedulerLimits(),
+        '10.0.0.4:8080',
+        consensus,
+        service.TimerService(clock.ManualClock()),
+        latencies.Recorder('control-1'),
+    )
+    return task, consensus
+
+
+async def start_leading(task: jobs_task.JobsTask) -> None:
+    """Let the task schedule with one queue configured."""
+    state = records.State()
+    state.ledger.configuration = build_configuration()
+    await task.handle(
+        member.LeadershipGained(ids.Epoch(1), records.encode_state(state))
+    )
+
+
+def take_messages(inbox: mailbox.Mailbox) -> list[Any]:
+    """Remove and return all messages of a mailbox."""
+    taken = []
+    while len(inbox):
+        taken.append(inbox.get_nowait())
+    return taken
+
+
 def build_boot_file(
     ip: str = '127.0.0.1', port: int = 7_060, **bounds: float
 ) -> str:
--- /dev/null
+++ b/orioleshore/tests/test_malformed.py
@@ -0,0 +1,340 @@
+"""Malformed input at each boundary: refused or dropped, and nothing else.
+
+The examples are valid bodies with some values replaced by others that have
+the wrong type, size or form. The environment variable
+``ORIOLESHORE_FUZZ_EXAMPLES`` sets the number of examples.
+"""
+
+import asyncio
+import json
+import os
+
+from hypothesis import HealthCheck
+from hypothesis import given
+from hypothesis import settings as hypothesis_settings
+from hypothesis import strategies
+import msgspec
+import pytest
+from result import Ok
+
+from fakes import workers
+from orioleshore.consensus import client
+from orioleshore.consensus import events
+from orioleshore.consensus import member
+from orioleshore.consensus import validation
+from orioleshore.frontends import access
+from orioleshore.jobs import calls
+from orioleshore.jobs import ledger
+from orioleshore.jobs import scheduler
+from orioleshore.model import errors
+from orioleshore.model import numbers
+from orioleshore.platform import wire
+from orioleshore.protocol import codec
+from orioleshore.protocol import messages
+from orioleshore.state import commands
+from orioleshore.tasks import reply
+from orioleshore.tests import builders
+from orioleshore.tests import support
+
+EXAMPLES = int(os.environ.get('ORIOLESHORE_FUZZ_EXAMPLES', '150'))
+REFUSALS = (msgspec.DecodeError, ValueError)
+FUZZ = hypothesis_settings(
+    max_examples=EXAMPLES,
+    deadline=None,
+    derandomize=True,
+    suppress_health_check=list(HealthCheck),
+)
+ODD_VALUES = strategies.sampled_from(
+    [
+        None,
+        True,
+        0,
+        -1,
+        1.5,
+        -0.0,
+        1e308,
+        2**31,
+        2**63 - 1,
+        2**64,
+        10**400,
+        '',
+        'abc',
+        '²',
+        'x' * 5_000,
+        '\u0000',
+        '\ud800',
+        '0.0.0',
+        f'{builders.build_job_id()}.abc',
+        f'{builders.build_job_id()}.-1.0.0',
+        f'{builders.build_job_id()}.0.0.0\n',
+        f'{builders.build_job_id()}.0.0.' + '9' * 30,
+        [],
+        {},
+        [[]],
+        [[1, 2, 3, 4, 5]],
+    ]
+)
+
+
+def list_places(value, path=()):
+    """Return the paths of all values inside a JSON value."""
+    places = [path] if path else []
+    items = ()
+    if isinstance(value, dict):
+        items = value.items()
+    elif isinstance(value, list):
+        items = enumerate(value)
+    for key, item in items:
+        places += list_places(item, (*path, key))
+    return places
+
+
+def replace_value(value, path, replacement):
+    """Return a copy of a JSON value with the value at a path replaced."""
+    if not path:
+        return replacement
+    copied = value.copy()
+    copied[path[0]] = replace_value(value[path[0]], path[1:], replacement)
+    return copied
+
+
+@strategies.composite
+def draw_body(draw, bodies):
+    """Draw a body with one to three odd values, encoded as JSON."""
+    body = draw(strategies.sampled_from(bodies))
+    for _ in range(draw(strategies.integers(1, 3))):
+        places = list_places(body)
+        if not places:
+            break
+        place = draw(strategies.sampled_from(places))
+        body = replace_value(body, place, draw(ODD_VALUES))
+    return json.dumps(body).encode()
+
+
+def build_bodies():
+    """Return valid bodies with the function that decodes each."""
+    name = builders.build_job_id()
+    step = {'replicas': 2, 'cpus': 100, 'mem_mb': 64, 'after': []}
+    lasting = {**step, 'long_running': True, 'may_miss': 1}
+    return {
+        'job': [{'spec': 'x', 'steps': [step, lasting], 'repeat_count': 0}],
+        'heartbeat': [
+            builders.build_heartbeat_body(
+                running=[[f'{name}.0.0.0', 1, '', 41, 3]],
+                finished=[[1, f'{name}.0.0.1', 1, 'done', '']],
+            )
+        ],
+        'configuration': [builders.build_configuration_body()],
+        'wave': [{'wave': 1, 'machines': ['m-1'], 'duration_s': 5, 'cap': 1}],
+    }
+
+
+BODIES = build_bodies()
+DECODERS = {
+    'job': lambda body: builders.build_submission(job=wire.decode_job(body)),
+    'heartbeat': lambda body: wire.decode_heartbeat('i-1', body),
+    'configuration': lambda body: calls.PutConfiguration(
+        wire.decode_configuration(body)
+    ),
+    'wave': wire.decode_wave,
+}
+
+
+def build_fleet() -> workers.FakeFleet:
+    """Return a fleet that runs one job."""
+    fleet = workers.FakeFleet(
+        builders.build_configuration(), seed=support.SEED
+    )
+    fleet.add_hosts(2, 'red')
+    job = builders.build_batch_job(builders.build_step(2))
+    fleet.call_scheduler(builders.build_submission(job=job))
+    fleet.run(0.3)
+    return fleet
+
+
+@pytest.mark.parametrize('kind', list(BODIES))
+def test_scheduler_survives_malformed_bodies(kind):
+    """Guards against one message that takes down each leader in turn.
+
+    A worker repeats a heartbeat to each next leader, and a change that is
+    stored is applied by all members.
+    """
+    fleet = build_fleet()
+
+    @FUZZ
+    @given(draw_body(BODIES[kind]))
+    def check(body):
+        try:
+            call = DECODERS[kind](body)
+        except REFUSALS:
+            return
+        outcome = fleet.call_scheduler(
+            calls.decode_call(calls.encode_call(call))
+        )
+        if outcome.is_ok():
+            calls.encode_answer(outcome.unwrap())
+        fleet.run(0.2)
+
+    check()
+    changes = tuple(fleet.log)
+    command = commands.RecordProgress(time=1.0, epoch=1, changes=changes)
+    data = msgspec.msgpack.encode(command)
+    assert msgspec.msgpack.decode(data, type=commands.Command) == command
+
+
+@pytest.mark.parametrize('task', ['abc', '-1.0.0', '0.0', '0.0.0\n', '٠.0.0'])
+def test_heartbeat_with_malformed_task_name_is_refused(task):
+    """Guards against a task name of a known job that no index fits.
+
+    Front ends of other builds may send what this one refuses.
+    """
+    for heartbeat in (
+        builders.build_heartbeat(
+            running=(calls.RunReport(builders.build_job_id(), task, 1),)
+        ),
+        builders.build_heartbeat(
+            ended=(
+                calls.EndReport(1, builders.build_job_id(), task, 1, 'done'),
+            )
+        ),
+    ):
+        with pytest.raises(msgspec.ValidationError):
+            calls.decode_call(calls.encode_call(heartbeat))
+
+
+def test_call_that_cannot_be_encoded_is_refused():
+    """Guards against a control client that fails on a worker's name.
+
+    A path may hold bytes that are no UTF-8, and numbers of any size.
+    """
+    for call in (
+        calls.LeaveWorker('i-\udcff'),
+        builders.build_heartbeat(sequence=2**70),
+    ):
+        assert client._encode_request(call).is_err()
+
+
+@FUZZ
+@given(
+    strategies.sampled_from(
+        [
+            messages.Vote(2, 9, 1, 'm0-0'),
+            messages.Append(1, 1, 1, (messages.Entry(2, 1, 1, b'x'),), 1, 1),
+            messages.SnapshotChunk(1, 8, 1, 0, b'1234', True),
+            messages.Query('jobs', b'x'),
+            messages.Propose(b'x'),
+        ]
+    ),
+    strategies.integers(0, 400),
+    strategies.binary(min_size=1, max_size=4),
+)
+def test_damaged_frame_is_decoded_or_refused(message, position, damage):
+    """Guards against a frame of a peer that fails the transport."""
+    header = messages.Header('m0', 1, 1, '127.0.0.1:1')
+    frame = bytearray(codec.encode(header, message))
+    position %= len(frame)
+    frame[position : position + len(damage)] = damage
+    codec.decode(bytes(frame))
+
+
+def test_stored_change_with_malformed_task_name_is_refused():
+    """Guards against a change that every member fails to apply."""
+    change = ledger.TaskStarted(builders.build_job_id(), 'abc', 1, 'i-1', 1, 1)
+    command = commands.RecordProgress(time=1.0, epoch=1, changes=(change,))
+    data = msgspec.msgpack.encode(command)
+    with pytest.raises(msgspec.ValidationError):
+        msgspec.msgpack.decode(data, type=commands.Command)
+
+
+@pytest.mark.parametrize(
+    'message',
+    [
+        messages.Append(1, -1, 1, (), 1, 1),
+        messages.Append(1, 1, 1, (messages.Entry(4, 1, 1, b''),), 1, 1),
+        messages.Append(1, 1, 1, (messages.Entry(2, 9, 1, b''),), 1, 1),
+        messages.Append(1, 1, 1, (messages.Entry(2, 1, 7, b''),), 1, 1),
+        messages.Append(1, 1, 1, (messages.Entry(2, 1, 3, b'x'),), 1, 1),
+        messages.Vote(-2, 9, 1, 'm0-0'),
+        messages.SnapshotChunk(1, 8, 1, -4, b'', False),
+    ],
+)
+def test_malformed_message_of_a_member_is_found(message):
+    """Guards against a faulty peer that fails each member it talks to."""
+    assert validation.find_problem(message)
+    good = messages.Append(1, 1, 1, (messages.Entry(2, 1, 1, b''),), 1, 1)
+    assert not validation.find_problem(good)
+
+
+def test_damaged_snapshot_is_requested_again():
+    """Guards against a follower that fails on a snapshot of its leader."""
+    follower = builders.build_raft('m1')
+    chunk = messages.SnapshotChunk(1, 8, 1, 0, b'no snapshot', True)
+    follower.handle(events.MessageReceived('m0', chunk), 110.0)
+    assert follower.log.snapshot is None
+
+
+@pytest.mark.parametrize('text', ['²', '٣', '-1', '1.0', '', '9' * 5_000])
+def test_text_that_is_no_count_is_refused(text):
+    """Guards against digits that ``int`` refuses."""
+    assert numbers.parse_count(text) is None
+    assert numbers.parse_count('0815') == 815
+
+
+def test_form_token_with_other_characters_is_refused():
+    """Guards against a comparison that raises TypeError."""
+    authenticator = access.Authenticator({})
+    assert not authenticator.is_form_token_valid('alice', 'tökén\ud800')
+
+
+def test_call_that_raises_is_refused_and_others_go_on(monkeypatch):
+    """Guards against a call that ends each leader in turn.
+
+    The scheduler may be half changed by the call, so its state is requested
+    again, and only once the commit in progress has ended.
+    """
+    task, consensus = builders.build_jobs_task()
+    outcomes = []
+
+    def send(call):
+        answer = reply.Reply()
+        answer.add_callback(outcomes.append)
+        task.mailbox.put(calls.CallRequest(call, answer))
+
+    async def handle_next():
+        await task.handle(task.mailbox.get_nowait())
+        # Callbacks of answers run in the next round of the event loop.
+        await asyncio.sleep(0)
+
+    def raise_error(self, call, now, wall_time):
+        raise RuntimeError('a bug')
+
+    async def check():
+        await builders.start_leading(task)
+        send(builders.build_submission())
+        await handle_next()
+        (commit,) = builders.take_messages(consensus)
+        with monkeypatch.context() as patch:
+            patch.setattr(scheduler.Scheduler, 'handle', raise_error)
+            for _ in range(2):
+                send(builders.build_heartbeat())
+                await handle_next()
+        assert [o.unwrap_err().kind for o in outcomes] == [
+            errors.ErrorKind.INTERNAL,
+            errors.ErrorKind.NOT_LEADER,
+        ]
+        assert not builders.take_messages(consensus)
+        commit.answer.resolve(Ok(None))
+        await asyncio.sleep(0)
+        await handle_next()
+        assert outcomes[-1].is_ok()
+        (resend,) = builders.take_messages(consensus)
+        assert isinstance(resend, member.ResendState)
+        await builders.start_leading(task)
+        for call in (builders.build_heartbeat(), builders.build_submission(2)):
+            send(call)
+        await handle_next()
+        (failure,) = outcomes[3:]
+        assert failure.unwrap_err().kind is errors.ErrorKind.INTERNAL
+        assert len(builders.take_messages(consensus)) == 1
+
+    support.run(check())
--- a/orioleshore/tests/test_platform_wire.py
+++ b/orioleshore/tests/test_platform_wire.py
@@ -12,59 +12,16 @@
 from orioleshore.model import ids
 from orioleshore.model import states
 from orioleshore.platform import wire
+from orioleshore.tests import builders
 
 DECODE_ERRORS = (msgspec.DecodeError, ValueError)
-TASK = '5c0e7a21d94b36f8.0.1.17'
-
-
-def make_heartbeat(**fields) -> dict:
-    """Return the fields of a worker's heartbeat."""
-    return {
-        'service': 'red',
-        'address': '10.128.0.9:8080',
-        'zone': 'az-1',
-        'version': 'v1',
-        'slots': 8,
-        'state': 'ready',
-        'cold_left_ms': 0,
-        'capacity': {'cpus': 16_000, 'mem_mb': 32_768, 'gpus': 0},
-        'labels': ['a', 'r1-3'],
-        'timestamp_ms': 482_113,
-        'sequence': 4,
-        'born': 1_772_447_999_000,
-        'machine': 'm-1',
-        'running': [[TASK, 2, 'saved', 41]],
-        'finished': [[58, '5c0e7a21d94b36f8.0.1.9', 1, 'done', '']],
-    } | fields
-
-
-def make_configuration(**fields) -> dict:
-    """Return the fields of a configuration as the operator sends it."""
-    route = {
-        'name': 'r-1',
-        'host': 'jobs.example',
-        'path_prefix': '/red/',
-        'type': 'non_idempotent',
-        'timeout_ms': 3_000,
-        'slo_ms': 3_600,
-        'priority': 1,
-        'service': 'red',
-        'max_attempts': 4,
-        'stretch_factor': 1.6,
-    }
-    service = {'name': 'red', 'preconditions': True, 'standby': False}
-    return {
-        'version': 7,
-        'routes': [route],
-        'services': [service],
-        'limits': {},
-    } | fields
+TASK = builders.REPORTED_TASK
 
 
 def test_heartbeat_is_decoded():
     """Guards against fields that are decoded as other fields."""
     heartbeat = wire.decode_heartbeat(
-        'i-1', json.dumps(make_heartbeat()).encode()
+        'i-1', json.dumps(builders.build_heartbeat_body()).encode()
     )
     assert heartbeat.worker == 'i-1'
     assert heartbeat.incarnation == 1_772_447_999_000
@@ -88,7 +45,7 @@
 )
 def test_malformed_heartbeat_is_refused(fields):
     """Guards against a heartbeat that is accepted in part."""
-    body = json.dumps(make_heartbeat(**fields)).encode()
+    body = json.dumps(builders.build_heartbeat_body(**fields)).encode()
     with pytest.raises(DECODE_ERRORS):
         wire.decode_heartbeat('i-1', body)
 
@@ -127,7 +84,7 @@
 
 def test_configuration_is_decoded_and_its_source_kept():
     """Guards against a configuration that is returned with changes."""
-    body = json.dumps(make_configuration()).encode()
+    body = json.dumps(builders.build_configuration_body()).encode()
     found = wire.decode_configuration(body)
     assert found.version == 7
     assert found.source == body
@@ -137,7 +94,7 @@
 
 def make_route(**fields) -> dict:
     """Return a valid route with some fields replaced."""
-    return make_configuration()['routes'][0] | fields
+    return builders.build_configuration_body()['routes'][0] | fields
 
 
 @pytest.mark.parametrize(
@@ -152,14 +109,14 @@
 )
 def test_invalid_configuration_is_refused(fields):
     """Guards against a configuration with inconsistent parts."""
-    body = json.dumps(make_configuration(**fields)).encode()
+    body = json.dumps(builders.build_configuration_body(**fields)).encode()
     with pytest.raises(DECODE_ERRORS):
         wire.decode_configuration(body)
 
 
 def test_truncated_configuration_is_refused():
     """Guards against a document of which only the first part arrived."""
-    body = json.dumps(make_configuration()).encode()
+    body = json.dumps(builders.build_configuration_body()).encode()
     with pytest.raises(DECODE_ERRORS):
         wire.decode_configuration(body[:-5])
 
@@ -180,13 +137,13 @@
 
 @hypothesis_settings(max_examples=200, derandomize=True, deadline=None)
 @given(
-    name=strategies.sampled_from(sorted(make_heartbeat())),
+    name=strategies.sampled_from(sorted(builders.build_heartbeat_body())),
     value=JSON,
     cut=strategies.integers(0, 40),
 )
 def test_damaged_heartbeats_raise_only_decode_errors(name, value, cut):
     """Guards against a heartbeat that stops the process."""
-    text = json.dumps(make_heartbeat(**{name: value}))
+    text = json.dumps(builders.build_heartbeat_body(**{name: value}))
     body = text[: len(text) - cut].encode()
     try:
         wire.decode_heartbeat('i-1', body)
