--- a/orioleshore/jobs/task.py
+++ b/orioleshore/jobs/task.py
@@ -31,6 +31,10 @@
 TICK = ids.TimerId('jobs-tick')
 # Interval at which leases and waves are checked; well below their timeouts.
 TICK_S = 0.1
+# Seconds for which calls of a source are refused after one of them failed. A
+# worker repeats its heartbeat, and each failure costs a rebuild.
+FAILED_SOURCE_PAUSE_S = 30.0
+MAX_FAILED_SOURCES = 1_024
 
 
 class _Committed(msgspec.Struct, frozen=True):
@@ -82,6 +86,10 @@
         self._orders: list[Any] = []
         self._is_committing = False
         self._committing_since = 0.0
+        # True after a call failed, until the scheduler is rebuilt from the
+        # log.
+        self._is_rebuilding = False
+        self._failed_sources: dict[str, float] = {}
         self._changes: tuple[ledger.Change, ...] = ()
         self._latencies = recorder
 
@@ -109,7 +117,7 @@
         return self._timers.clock.get_monotonic()
 
     def _handle_call(self, request: calls.CallRequest) -> None:
-        if self._scheduler is None:
+        if self._scheduler is None or self._is_rebuilding:
             request.answer.resolve(
                 _build_not_leader_error(errors.ErrorKind.NOT_LEADER)
             )
@@ -118,9 +126,19 @@
             self._latencies.count(
                 'host_answers_total', outcome=request.call.outcome.value
             )
-        outcome = self._scheduler.handle(
-            request.call, self._get_monotonic(), self._timers.clock.get_wall()
-        )
+        source = calls.get_source(request.call)
+        if self._get_monotonic() < self._failed_sources.get(source, 0.0):
+            request.answer.resolve(_build_failed_call_error())
+            return
+        try:
+            outcome = self._scheduler.handle(
+                request.call,
+                self._get_monotonic(),
+                self._timers.clock.get_wall(),
+            )
+        except Exception:
+            self._fail_call(request, source)
+            return
         if outcome.is_err():
             error = outcome.unwrap_err().kind.value
             self._latencies.count('refusals_total', error=error)
@@ -129,8 +147,37 @@
             self._latencies.count('heartbeats_total', result=result)
         self._pending.append(_PendingAnswer(request.answer, outcome))
 
+    def _fail_call(self, request: calls.CallRequest, source: str) -> None:
+        """Refuse a call that raised, and rebuild the scheduler.
+
+        The call may have changed a part of the scheduler's state. None of its
+        changes is committed.
+        """
+        LOG.exception(
+            logs.format_event(
+                'call_failed', call=type(request.call).__name__, source=source
+            )
+        )
+        self._latencies.count('failed_calls_total')
+        if len(self._failed_sources) >= MAX_FAILED_SOURCES:
+            self._failed_sources.pop(next(iter(self._failed_sources)))
+        until = self._get_monotonic() + FAILED_SOURCE_PAUSE_S
+        self._failed_sources[source] = until
+        self._is_rebuilding = True
+        request.answer.resolve(_build_failed_call_error())
+        if not self._is_committing:
+            self._rebuild_scheduler()
+
+    def _rebuild_scheduler(self) -> None:
+        """Discard the scheduler and request a new copy of the state.
+
+        Only called without a commit in progress: the copy would lack it.
+        """
+        self._stop_leading()
+        self._consensus.put(member.ResendState())
+
     def _tick_scheduler(self) -> None:
-        if self._scheduler is not None:
+        if self._scheduler is not None and not self._is_rebuilding:
             self._scheduler.tick(
                 self._get_monotonic(), self._timers.clock.get_wall()
             )
@@ -138,6 +185,8 @@
     def _commit_changes(self) -> None:
         if self._scheduler is None or self._is_committing:
             return
+        if self._is_rebuilding:
+            return
         changes = self._scheduler.take_changes()
         orders = self._scheduler.orders.take_orders()
         if not changes and not orders and not self._pending:
@@ -176,8 +225,7 @@
                     error=message.outcome.unwrap_err().kind,
                 )
             )
-            self._stop_leading()
-            self._consensus.put(member.ResendState())
+            self._rebuild_scheduler()
             return
         self._latencies.observe(
             'commit_seconds', self._get_monotonic() - self._committing_since
@@ -194,6 +242,8 @@
                 kind = type(order).__name__
                 self._latencies.count('host_orders_total', kind=kind)
         self._orders = []
+        if self._is_rebuilding:
+            self._rebuild_scheduler()
 
     def _start_leading(self, message: member.LeadershipGained) -> None:
         self._stop_leading()
@@ -219,6 +269,7 @@
         pending = [*self._in_flight, *self._pending]
         self._in_flight, self._pending, self._orders = [], [], []
         self._is_committing = False
+        self._is_rebuilding = False
         if self._scheduler is not None:
             LOG.info(
                 logs.format_event(
@@ -306,6 +357,12 @@
     recorder.count('ends_total', how=change.how.value)
 
 
+def _build_failed_call_error() -> Err[errors.Failure]:
+    return Err(
+        errors.Failure(errors.ErrorKind.INTERNAL, 'the call cannot be handled')
+    )
+
+
 def _build_not_leader_error(kind: errors.ErrorKind) -> Err[errors.Failure]:
     return Err(
         errors.Failure(
