--- a/fakes/workers.py
+++ b/fakes/workers.py
@@ -130,6 +130,10 @@
         )
         self.log: list[ledger.Change] = []
         self.mean_run_s = 0.6
+        # Number of answers to upkeep orders that are lost from now on.
+        self.lost_upkeep_answers = 0
+        self.max_hosts_down = 0
+        self.hosts_done: set[ids.HostId] = set()
         # Workers that the policy service never approves.
         self.unapproved: set[ids.WorkerId] = set()
         self.starts: list[tuple[float, ids.HostId, calls.StartOrder]] = []
@@ -218,16 +222,33 @@
             return
         worker = self.workers[order.host]
         accepted = states.HostOrderOutcome.ACCEPTED
+        if isinstance(order, orders.TakeDown):
+            self._execute_upkeep(order, worker)
+            return
         if isinstance(order, orders.Move):
             worker.restart(order.pool, self.now + MOVE_S)
             self.call_scheduler(
                 calls.NoteMove(order.host, order.pool, accepted)
             )
-        else:
+
+    def _execute_upkeep(
+        self, order: orders.TakeDown, worker: FakeWorker
+    ) -> None:
+        """Take a host down; a host that is not up is refused as busy."""
+        outcome, detail = states.HostOrderOutcome.ACCEPTED, ''
+        if self.now < worker.up_at:
+            outcome, detail = states.HostOrderOutcome.REFUSED, 'busy'
+        elif order.host not in self.hosts_done:
+            self.hosts_done.add(order.host)
             worker.restart(worker.pool, self.now + UPKEEP_S)
-            self.call_scheduler(
-                calls.NoteUpkeep(order.wave, order.host, accepted)
-            )
+        down = sum(self.now < w.up_at for w in self.workers.values())
+        self.max_hosts_down = max(self.max_hosts_down, down)
+        if self.lost_upkeep_answers:
+            self.lost_upkeep_answers -= 1
+            outcome, detail = states.HostOrderOutcome.UNKNOWN, 'timeout'
+        self.call_scheduler(
+            calls.NoteUpkeep(order.wave, order.host, outcome, detail)
+        )
 
     def check_single_runs(self) -> None:
         """Check that no task runs on two workers."""
--- a/orioleshore/jobs/ledger.py
+++ b/orioleshore/jobs/ledger.py
@@ -81,8 +81,8 @@
 
     @property
     def is_completed(self) -> bool:
-        """Return whether the upkeep of every host has started."""
-        return all(host.is_started for host in self.hosts.values())
+        """Return whether every host is back after its upkeep."""
+        return all(host.is_finished for host in self.hosts.values())
 
 
 class Ledger(msgspec.Struct):
--- a/orioleshore/jobs/scheduler.py
+++ b/orioleshore/jobs/scheduler.py
@@ -401,6 +401,7 @@
             heartbeat.zone,
             heartbeat.capacity,
             heartbeat.labels,
+            found_at=self.now,
         )
         self.workers[heartbeat.worker] = worker
         for key, need in self._unconfirmed_runs.pop(
--- a/orioleshore/jobs/upkeep.py
+++ b/orioleshore/jobs/upkeep.py
@@ -31,6 +31,9 @@
 # Hosts are cordoned before they go down only in this first share of the time
 # of a wave.
 CORDON_WAIT_SHARE = 0.7
+# A worker that is first heard sooner after the confirmed start of an upkeep
+# was started before it. Less than the shortest upkeep of the platform, 2 s.
+MIN_UPKEEP_S = 1.5
 
 
 class _Cordon(msgspec.Struct):
@@ -47,6 +50,9 @@
         # Monotonic time at which this leader received the confirmation that
         # the upkeep of a host began.
         self._confirmed_at: dict[ids.HostId, float] = {}
+        # Hosts whose upkeep was ordered before without an answer, so that it
+        # may have begun even if the repeated order is refused.
+        self._repeated: set[ids.HostId] = set()
         # The run that delays the upkeep of a host; logged once.
         self._blocking_runs: dict[ids.HostId, workers.RunKey] = {}
 
@@ -96,10 +102,20 @@
                 ledger.UpkeepFinished(call.wave, call.host)
             )
         if call.outcome is states.HostOrderOutcome.REFUSED:
-            scheduler.record_change(
-                ledger.UpkeepWithdrawn(call.wave, call.host)
-            )
-            self._uncordon_host(call.host)
+            self._withdraw_order(call)
+
+    def _withdraw_order(self, call: calls.NoteUpkeep) -> None:
+        """Free the place of a refused host among those that are down.
+
+        The platform refuses a host that is down for this very upkeep as
+        busy, so a repeated order keeps its place and is repeated again.
+        """
+        if call.host in self._repeated:
+            return
+        self._scheduler.record_change(
+            ledger.UpkeepWithdrawn(call.wave, call.host)
+        )
+        self._uncordon_host(call.host)
 
     def _record_start(
         self, call: calls.NoteUpkeep, wave: ledger.WaveRecord
@@ -109,6 +125,7 @@
         if not upkeep.is_started:
             scheduler.record_change(ledger.UpkeepBegun(call.wave, call.host))
         self._confirmed_at[call.host] = scheduler.now
+        self._repeated.discard(call.host)
         self._cordons.pop(call.host, None)
         worker = scheduler.workers.get(upkeep.worker)
         if worker is not None and worker.host == call.host:
@@ -119,14 +136,19 @@
     ) -> None:
         scheduler = self._scheduler
         present = {
-            worker.host: worker.name for worker in scheduler.workers.values()
+            worker.host: worker for worker in scheduler.workers.values()
         }
         for host, upkeep in wave.hosts.items():
             if not upkeep.is_started or upkeep.is_finished:
                 continue
             confirmed_at = self._confirmed_at.setdefault(host, scheduler.now)
-            is_new = present.get(host, upkeep.worker) != upkeep.worker
-            if is_new or self._is_listed_as_up(host, confirmed_at):
+            worker = present.get(host)
+            is_back = (
+                worker is not None
+                and worker.name != upkeep.worker
+                and worker.found_at >= confirmed_at + MIN_UPKEEP_S
+            )
+            if is_back or self._is_listed_as_up(host, confirmed_at):
                 scheduler.record_change(ledger.UpkeepFinished(name, host))
 
     def _is_listed_as_up(self, host: ids.HostId, confirmed_at: float) -> bool:
@@ -220,6 +242,7 @@
             if not upkeep.is_ordered or upkeep.is_started:
                 continue
             if scheduler.orders.can_order(host, scheduler.now):
+                self._repeated.add(host)
                 scheduler.orders.order_upkeep(name, host, scheduler.now)
 
     def _cordon_worker(self, worker: workers.Worker) -> None:
--- a/orioleshore/tests/test_batch_scheduler.py
+++ b/orioleshore/tests/test_batch_scheduler.py
@@ -285,6 +285,44 @@
     assert not record.is_started
 
 
+@pytest.mark.parametrize('lost', [1, 2, 3])
+def test_repeated_order_that_is_refused_keeps_its_host_counted(lost):
+    """Guards against one host too many down for upkeep.
+
+    An order is carried out and its answer lost. The host is down when the
+    order is repeated, so the platform refuses it as busy.
+    """
+    fleet = build_fleet(red=6)
+    fleet.run(2.0)
+    hosts = tuple(fleet.workers)
+    fleet.lost_upkeep_answers = lost
+    fleet.call_scheduler(calls.OpenWave(ids.WaveId('1'), hosts, 60.0, 1))
+    fleet.run(45.0)
+    assert fleet.max_hosts_down == 1
+    assert fleet.hosts_done == set(hosts)
+
+
+def test_worker_that_joins_before_its_upkeep_does_not_end_it():
+    """Guards against a host that counts as back while it is down.
+
+    Its worker crashes after the order, and the next one reports before the
+    platform carries the order out.
+    """
+    fleet = build_fleet(red=2)
+    fleet.run(2.0)
+    wave, host = ids.WaveId('1'), next(iter(fleet.workers))
+    fleet.call_scheduler(calls.OpenWave(wave, (host,), 60.0, 1))
+    scheduler = fleet.scheduler
+    scheduler.record_change(
+        ledger.UpkeepOrdered(wave, host, ids.WorkerId('worker-before'))
+    )
+    accepted = states.HostOrderOutcome.ACCEPTED
+    fleet.call_scheduler(calls.NoteUpkeep(wave, host, accepted))
+    fleet.call_scheduler(fleet.workers[host].make_heartbeat(fleet.now))
+    scheduler.upkeep.advance()
+    assert not scheduler.ledger.waves[wave].hosts[host].is_finished
+
+
 def test_wave_is_not_completed_before_each_host_had_its_upkeep():
     """Guards against a wave that is reported as completed too early."""
     fleet = build_fleet(red=3)
@@ -303,6 +341,19 @@
     )
 
 
+def test_wave_is_completed_when_its_last_host_is_back():
+    """Guards against a completed wave of which a host is still down."""
+    fleet = build_fleet(red=2)
+    fleet.run(4.0)
+    wave = ids.WaveId('1')
+    hosts = tuple(fleet.workers)
+    fleet.call_scheduler(calls.OpenWave(wave, hosts, 60.0, 1))
+    while not fleet.call_scheduler(calls.GetWave(wave)).unwrap().completed:
+        fleet.run(0.05)
+    assert fleet.hosts_done == set(hosts)
+    assert all(fleet.now >= w.up_at for w in fleet.workers.values())
+
+
 def test_older_configuration_changes_nothing():
     """Guards against a configuration that reverts to an older version."""
     fleet = build_fleet()
