--- a/fakes/platform_fleet.py
+++ b/fakes/platform_fleet.py
@@ -294,8 +294,8 @@
 class FakeCloudApi:
     """A fake cloud API with no machines that accepts all maintenance."""
 
-    def __init__(self, fleet: PlatformFleet) -> None:
-        self._fleet = fleet
+    def __init__(self, address: str) -> None:
+        self._address = address
         self.upkeeps: list[str] = []
         self._runner: web.AppRunner | None = None
 
@@ -306,7 +306,7 @@
         app.router.add_post('/machine-upkeep', self._start_upkeep)
         self._runner = web.AppRunner(app, access_log=None)
         await self._runner.setup()
-        host, _, port = self._fleet.cloud_address.partition(':')
+        host, _, port = self._address.partition(':')
         await web.TCPSite(self._runner, host, int(port)).start()
 
     async def stop(self) -> None:
--- a/orioleshore/jobs/orders.py
+++ b/orioleshore/jobs/orders.py
@@ -18,6 +18,10 @@
 from orioleshore.model import states
 
 MS_PER_S = 1_000.0
+# An order must be sent within this share of the lease of its host, since a
+# new leader may order the host after the lease. A process that was paused
+# finds its orders expired.
+SEND_SHARE = 0.5
 # Delay before an order is repeated after a refusal or a missing answer.
 RETRY_DELAY_S = 0.7
 # Clocks of two hosts may differ by this much; the clocks of the platform may
@@ -32,19 +36,27 @@
 
 
 class TakeDown(msgspec.Struct, frozen=True):
-    """Order to the platform to begin the upkeep of a host."""
+    """Order to the platform to begin the upkeep of a host.
+
+    It is not sent after ``expires_at``, a monotonic time.
+    """
 
     wave: ids.WaveId
     host: ids.HostId
     epoch: ids.Epoch
+    expires_at: float
 
 
 class Move(msgspec.Struct, frozen=True):
-    """Order to the platform to move a host to a pool."""
+    """Order to the platform to move a host to a pool.
+
+    It is not sent after ``expires_at``, a monotonic time.
+    """
 
     host: ids.HostId
     pool: ids.PoolId
     epoch: ids.Epoch
+    expires_at: float
 
 
 class ListHosts(msgspec.Struct, frozen=True):
@@ -138,14 +150,16 @@
     ) -> None:
         """Queue an order for the upkeep of a host."""
         self._begin_order(host, now)
-        self._orders.append(TakeDown(wave, host, self._epoch))
+        expires_at = self._get_expiry(now)
+        self._orders.append(TakeDown(wave, host, self._epoch, expires_at))
 
     def order_move(
         self, host: ids.HostId, pool: ids.PoolId, now: float
     ) -> None:
         """Queue an order to move a host to a pool."""
         self._begin_order(host, now)
-        self._orders.append(Move(host, pool, self._epoch))
+        expires_at = self._get_expiry(now)
+        self._orders.append(Move(host, pool, self._epoch, expires_at))
 
     def record_answer(
         self,
@@ -176,6 +190,9 @@
         self._is_listing = True
         self._orders.append(ListHosts(now))
 
+    def _get_expiry(self, now: float) -> float:
+        return now + SEND_SHARE * self._limits.host_lease_ms / MS_PER_S
+
     def _begin_order(self, host: ids.HostId, now: float) -> None:
         self._record(host)
         self._answer_due_at[host] = now + self._limits.host_call_ms / MS_PER_S
--- a/orioleshore/platform/control_role.py
+++ b/orioleshore/platform/control_role.py
@@ -60,6 +60,7 @@
         deployment.policy_address,
         config.node,
         jobs.mailbox,
+        dependencies.timers.clock,
     )
     jobs.set_hosts_mailbox(hosts_client.mailbox)
     server = control_server.ControlServer(
--- a/orioleshore/platform/hosts.py
+++ b/orioleshore/platform/hosts.py
@@ -20,6 +20,7 @@
 from orioleshore.tasks import reply
 from orioleshore.tasks import task
 from orioleshore.telemetry import logs
+from orioleshore.timers import clock
 
 LOG = logging.getLogger(__name__)
 
@@ -27,6 +28,8 @@
 # Shorter than the time after which the scheduler considers a call lost.
 CALL_TIMEOUT_S = 1.8
 
+_HostOrder = orders.Move | orders.TakeDown
+
 
 class _Refusal(msgspec.Struct):
     # Why the order was refused: fence, busy or wave.
@@ -66,8 +69,10 @@
         policy_address: str,
         lease_holder: ids.NodeId,
         jobs: mailbox.Mailbox,
+        source: clock.Clock,
     ) -> None:
         super().__init__(mailbox.Mailbox('platform-hosts', MAILBOX_CAPACITY))
+        self._clock = source
         self._base_url = f'http://{address}'
         self._policy_url = f'http://{policy_address}'
         self._lease_holder = lease_holder
@@ -95,15 +100,26 @@
         call.add_done_callback(self._pending_calls.discard)
 
     async def post_order(
-        self, path: str, body: dict[str, Any], epoch: ids.Epoch
+        self, path: str, body: dict[str, Any], order: _HostOrder
     ) -> tuple[states.HostOrderOutcome, str]:
         """Send an order with a fencing token and return its outcome.
 
         The second value of the result says why an order was not accepted.
         """
+        late_s = self._clock.get_monotonic() - order.expires_at
+        if late_s > 0.0:
+            LOG.warning(
+                logs.format_event(
+                    'host_order_expired',
+                    host=order.host,
+                    epoch=order.epoch,
+                    late_s=late_s,
+                )
+            )
+            return states.HostOrderOutcome.REFUSED, 'expired'
         headers = {
             'Lease-Holder': self._lease_holder,
-            'Fencing-Token': str(epoch),
+            'Fencing-Token': str(order.epoch),
         }
         try:
             async with self._session.post(
@@ -182,7 +198,7 @@
     outcome, detail = await client.post_order(
         '/machine-move',
         {'machine': message.host, 'pool': message.pool},
-        message.epoch,
+        message,
     )
     client.report_outcome(
         calls.NoteMove(message.host, message.pool, outcome, detail)
@@ -221,7 +237,7 @@
     outcome, detail = await client.post_order(
         '/machine-upkeep',
         {'machine': message.host, 'wave': wave},
-        message.epoch,
+        message,
     )
     client.report_outcome(
         calls.NoteUpkeep(message.wave, message.host, outcome, detail)
--- a/orioleshore/protocol/outgoing.py
+++ b/orioleshore/protocol/outgoing.py
@@ -12,6 +12,7 @@
 from orioleshore.protocol import tls
 from orioleshore.tasks import mailbox
 from orioleshore.telemetry import logs
+from orioleshore.timers import clock
 
 LOG = logging.getLogger(__name__)
 
@@ -34,7 +35,7 @@
 
 
 class _QueuedFrame(msgspec.Struct, frozen=True):
-    """A frame, with the time of the event loop when it was queued."""
+    """A frame, with the monotonic time at which it was queued."""
 
     queued_at: float
     frame: bytes
@@ -58,7 +59,6 @@
         self._frames: mailbox.Mailbox[_QueuedFrame] = mailbox.Mailbox(
             f'peer {address}', QUEUE_CAPACITY, mailbox.Overflow.DROP_OLDEST
         )
-        self._loop = asyncio.get_running_loop()
         self._expired_frames = 0
         self._is_ended = False
         self._task = asyncio.create_task(
@@ -79,7 +79,7 @@
 
     def put(self, frame: bytes) -> None:
         """Queue a frame; a full queue drops its oldest frame."""
-        self._frames.put(_QueuedFrame(self._loop.time(), frame))
+        self._frames.put(_QueuedFrame(clock.read_monotonic(), frame))
 
     async def stop(self) -> None:
         """Close the connection."""
@@ -180,7 +180,8 @@
             return None
 
     def _is_fresh(self, queued_frame: _QueuedFrame) -> bool:
-        if self._loop.time() - queued_frame.queued_at <= MAX_FRAME_AGE_S:
+        age_s = clock.read_monotonic() - queued_frame.queued_at
+        if age_s <= MAX_FRAME_AGE_S:
             return True
         self._expired_frames += 1
         return False
--- a/orioleshore/tests/test_platform_processes.py
+++ b/orioleshore/tests/test_platform_processes.py
@@ -41,7 +41,7 @@
 async def run_fleet(folder):
     """Yield a fleet, its one worker and an HTTP session."""
     fleet = platform_fleet.PlatformFleet(folder)
-    cloud = platform_fleet.FakeCloudApi(fleet)
+    cloud = platform_fleet.FakeCloudApi(fleet.cloud_address)
     runner = platform_fleet.HttpWorker(fleet, 'i-1', 'red', 0.4)
     await cloud.start()
     fleet.start_all()
--- a/orioleshore/timers/clock.py
+++ b/orioleshore/timers/clock.py
@@ -16,12 +16,21 @@
         """Return seconds since the Unix epoch."""
 
 
+def read_monotonic() -> ids.MonotonicTime:
+    """Return seconds since the start of the host, suspension included.
+
+    ``time.monotonic`` stands still while a host is suspended, so a lease
+    measured with it would outlast the one that other hosts measure.
+    """
+    return ids.MonotonicTime(time.clock_gettime(time.CLOCK_BOOTTIME))
+
+
 class SystemClock:
     """The clock of the operating system."""
 
     def get_monotonic(self) -> ids.MonotonicTime:
-        """Return seconds that never go back."""
-        return ids.MonotonicTime(time.monotonic())
+        """Return seconds that never go back and include suspension."""
+        return read_monotonic()
 
     def get_wall(self) -> ids.WallTime:
         """Return seconds since the Unix epoch."""
--- a/scripts/soak.py
+++ b/scripts/soak.py
@@ -66,7 +66,7 @@
         self._seconds = seconds
         self._fleet = platform_fleet.PlatformFleet(folder)
         self._registry = platform_fleet.RunRegistry()
-        self._cloud = platform_fleet.FakeCloudApi(self._fleet)
+        self._cloud = platform_fleet.FakeCloudApi(self._fleet.cloud_address)
         self._entry: proxy.Proxy | None = None
         self._next_job = 1
         self._version = 1
