--- a/orioleshore/jobs/scheduler.py
+++ b/orioleshore/jobs/scheduler.py
@@ -6,6 +6,7 @@
 rebuilt from the log.
 """
 
+from collections.abc import Callable
 import logging
 
 from result import Ok
@@ -39,6 +40,14 @@
 MS_PER_S = 1_000.0
 
 
+class TickError(Exception):
+    """A step of the periodic work failed; the cause is chained."""
+
+    def __init__(self, step: states.TickStep) -> None:
+        super().__init__(f'step {step.value} failed')
+        self.step = step
+
+
 class Scheduler:
     """Schedules the tasks of jobs on workers; all times are in seconds.
 
@@ -81,6 +90,15 @@
             ids.WorkerId, dict[workers.RunKey, specs.Resources]
         ] = {}
         self._jobs_by_pool: dict[ids.PoolId, dict[ids.JobId, None]] = {}
+        self._tick_steps: dict[states.TickStep, Callable[[], None]] = {
+            states.TickStep.LEASES: self._end_expired_leases,
+            states.TickStep.JOBS: self._update_jobs,
+            states.TickStep.GANGS: self._plan_gangs,
+            states.TickStep.APPROVALS: self.approvals.advance,
+            states.TickStep.HOST_LIST: self._request_host_list,
+            states.TickStep.UPKEEP: self._advance_upkeep,
+            states.TickStep.POOLS: self._advance_pools,
+        }
         for name, record in job_ledger.jobs.items():
             if not record.is_ended:
                 self._track_job(name, record)
@@ -95,29 +113,62 @@
         self.wall_time = wall_time
         return handlers.handle(call, self)
 
-    def tick(self, now: float, wall_time: ids.WallTime) -> None:
-        """Drop workers with expired leases and advance periodic work."""
+    def tick(
+        self,
+        now: float,
+        wall_time: ids.WallTime,
+        paused: frozenset[states.TickStep] = frozenset(),
+    ) -> None:
+        """Drop workers with expired leases and advance periodic work.
+
+        Steps in ``paused`` are left out. Raises TickError if a step fails;
+        the scheduler has to be discarded then.
+        """
         self.now = now
         self.wall_time = wall_time
+        for step, run in self._tick_steps.items():
+            if step in paused:
+                continue
+            try:
+                run()
+            except Exception as error:
+                raise TickError(step) from error
+
+    def _end_expired_leases(self) -> None:
         for worker in list(self.workers.values()):
-            if now >= worker.lease_end:
+            if self.now >= worker.lease_end:
                 self.drop_worker(worker, 'lease_ended')
-        if now >= self.leader_since + self.max_lease_s:
+        if self.now >= self.leader_since + self.max_lease_s:
             self._end_unconfirmed_runs()
+
+    def _update_jobs(self) -> None:
         self._forget_ended_jobs()
         self._update_waits()
+
+    def _plan_gangs(self) -> None:
         gangs.plan_gangs(self)
-        self.approvals.advance()
-        if not self._has_held_ordered_hosts:
-            self._has_held_ordered_hosts = True
-            self.orders.hold_ordered_hosts(
-                self.ledger.ordered_at, now, wall_time
-            )
+
+    def _request_host_list(self) -> None:
         is_busy = self.upkeep.is_busy or self.pools.is_busy
-        self.orders.request_list_when_due(now, is_busy)
+        self.orders.request_list_when_due(self.now, is_busy)
+
+    def _advance_upkeep(self) -> None:
+        self._hold_ordered_hosts()
         self.upkeep.advance()
+
+    def _advance_pools(self) -> None:
+        self._hold_ordered_hosts()
         self.pools.advance()
 
+    def _hold_ordered_hosts(self) -> None:
+        """Hold the hosts of the previous leader before the first order."""
+        if self._has_held_ordered_hosts:
+            return
+        self.orders.hold_ordered_hosts(
+            self.ledger.ordered_at, self.now, self.wall_time
+        )
+        self._has_held_ordered_hosts = True
+
     def take_changes(self) -> tuple[ledger.Change, ...]:
         """Return the changes made since the last call."""
         changes, self._changes = tuple(self._changes), []
--- a/orioleshore/jobs/task.py
+++ b/orioleshore/jobs/task.py
@@ -16,6 +16,7 @@
 from orioleshore.jobs import tuning
 from orioleshore.model import errors
 from orioleshore.model import ids
+from orioleshore.model import states
 from orioleshore.state import commands
 from orioleshore.state import records
 from orioleshore.tasks import mailbox
@@ -31,9 +32,10 @@
 TICK = ids.TimerId('jobs-tick')
 # Interval at which leases and waves are checked; well below their timeouts.
 TICK_S = 0.1
-# Seconds for which calls of a source are refused after one of them failed. A
-# worker repeats its heartbeat, and each failure costs a rebuild.
-FAILED_SOURCE_PAUSE_S = 30.0
+# Seconds for which calls of a source are refused after one of them failed, and
+# for which a failed step of the tick is left out. Both are repeated, and each
+# failure costs a rebuild.
+FAILURE_PAUSE_S = 30.0
 MAX_FAILED_SOURCES = 1_024
 
 
@@ -90,6 +92,7 @@
         # log.
         self._is_rebuilding = False
         self._failed_sources: dict[str, float] = {}
+        self._failed_steps: dict[states.TickStep, float] = {}
         self._changes: tuple[ledger.Change, ...] = ()
         self._latencies = recorder
 
@@ -161,7 +164,7 @@
         self._latencies.count('failed_calls_total')
         if len(self._failed_sources) >= MAX_FAILED_SOURCES:
             self._failed_sources.pop(next(iter(self._failed_sources)))
-        until = self._get_monotonic() + FAILED_SOURCE_PAUSE_S
+        until = self._get_monotonic() + FAILURE_PAUSE_S
         self._failed_sources[source] = until
         self._is_rebuilding = True
         request.answer.resolve(_build_failed_call_error())
@@ -177,10 +180,29 @@
         self._consensus.put(member.ResendState())
 
     def _tick_scheduler(self) -> None:
-        if self._scheduler is not None and not self._is_rebuilding:
-            self._scheduler.tick(
-                self._get_monotonic(), self._timers.clock.get_wall()
-            )
+        if self._scheduler is None or self._is_rebuilding:
+            return
+        now = self._get_monotonic()
+        paused = frozenset(
+            step for step, until in self._failed_steps.items() if now < until
+        )
+        try:
+            self._scheduler.tick(now, self._timers.clock.get_wall(), paused)
+        except scheduler.TickError as error:
+            self._fail_step(error.step)
+
+    def _fail_step(self, step: states.TickStep) -> None:
+        """Pause a step of the periodic work, and rebuild the scheduler.
+
+        The other steps and the calls go on. Each new leader would fail in
+        the same step otherwise.
+        """
+        LOG.exception(logs.format_event('tick_failed', step=step))
+        self._latencies.count('failed_ticks_total', step=step.value)
+        self._failed_steps[step] = self._get_monotonic() + FAILURE_PAUSE_S
+        self._is_rebuilding = True
+        if not self._is_committing:
+            self._rebuild_scheduler()
 
     def _commit_changes(self) -> None:
         if self._scheduler is None or self._is_committing:
--- a/orioleshore/model/states.py
+++ b/orioleshore/model/states.py
@@ -181,3 +181,15 @@
     GONE = 'gone'
     # The order may have been carried out.
     UNKNOWN = 'unknown'
+
+
+class TickStep(enum.Enum):
+    """Part of the scheduler's periodic work."""
+
+    LEASES = 'leases'
+    JOBS = 'jobs'
+    GANGS = 'gangs'
+    APPROVALS = 'approvals'
+    HOST_LIST = 'host_list'
+    UPKEEP = 'upkeep'
+    POOLS = 'pools'
--- a/orioleshore/telemetry/latencies.py
+++ b/orioleshore/telemetry/latencies.py
@@ -61,6 +61,7 @@
     'jobs_total': 'Jobs by decision: accepted or cancelled',
     'refusals_total': 'Refused requests by kind of error',
     'failed_calls_total': 'Calls that raised and were refused',
+    'failed_ticks_total': 'Steps of the periodic work that raised',
     'starts_total': 'Ordered starts of tasks',
     'ends_total': 'Ended runs of tasks by outcome',
     'heartbeats_total': 'Heartbeats by result',
--- a/orioleshore/tests/test_malformed.py
+++ b/orioleshore/tests/test_malformed.py
@@ -25,7 +25,9 @@
 from orioleshore.frontends import access
 from orioleshore.jobs import calls
 from orioleshore.jobs import ledger
+from orioleshore.jobs import pools
 from orioleshore.jobs import scheduler
+from orioleshore.jobs import task as jobs_task
 from orioleshore.model import errors
 from orioleshore.model import numbers
 from orioleshore.platform import wire
@@ -35,6 +37,7 @@
 from orioleshore.tasks import reply
 from orioleshore.tests import builders
 from orioleshore.tests import support
+from orioleshore.timers import service as timer_service
 
 EXAMPLES = int(os.environ.get('ORIOLESHORE_FUZZ_EXAMPLES', '150'))
 REFUSALS = (msgspec.DecodeError, ValueError)
@@ -338,3 +341,35 @@
         assert len(builders.take_messages(consensus)) == 1
 
     support.run(check())
+
+
+def test_step_of_the_tick_that_raises_is_left_out(monkeypatch):
+    """Guards against an error in periodic work that ends each new leader."""
+    task, consensus = builders.build_jobs_task()
+    advanced = []
+
+    def advance_pools(self):
+        advanced.append(self)
+        raise RuntimeError('a bug')
+
+    monkeypatch.setattr(pools.Pools, 'advance', advance_pools)
+
+    async def tick(delay_s: float):
+        task._timers.clock.advance(delay_s)
+        await task.handle(timer_service.TimerFired(jobs_task.TICK))
+
+    async def check():
+        await builders.start_leading(task)
+        await tick(0.1)
+        *_, resend = builders.take_messages(consensus)
+        assert isinstance(resend, member.ResendState)
+        await builders.start_leading(task)
+        await tick(0.1)
+        # The list of hosts is still requested.
+        (commit,) = builders.take_messages(consensus)
+        assert isinstance(commit, member.SubmitCommand)
+        assert len(advanced) == 1
+        await tick(jobs_task.FAILURE_PAUSE_S)
+        assert len(advanced) == 2
+
+    support.run(check())
