--- a/orioleshore/cli/commands.py
+++ b/orioleshore/cli/commands.py
@@ -19,6 +19,8 @@
 from orioleshore.cli import output
 from orioleshore.cli import remote
 from orioleshore.frontends import submission
+from orioleshore.history import phrases
+from orioleshore.history import story
 from orioleshore.model import changes
 from orioleshore.model import documents
 from orioleshore.model import errors
@@ -298,21 +300,35 @@
 
 
 class ExplainCommand(_RemoteCommand):
-    """Shows why a host, pool, job, wave or request has its state."""
+    """Shows why an item has its state: from a process, or from log files."""
 
     name = 'explain'
-    description = 'Explain a host, pool, job, wave or request.'
+    description = 'Explain an item from the running system or its log files.'
     arguments = [
         argument(
             'kind',
-            'One of: ' + ', '.join(kind.value for kind in queries.SubjectKind),
+            'One of: '
+            + ', '.join(kind.value for kind in queries.SubjectKind)
+            + '; with --log one of: '
+            + ', '.join(kind.value for kind in story.Subject),
         ),
         argument('name', 'Its name, or the key of a request.'),
     ]
-    options = _REMOTE_OPTIONS
+    options = [
+        *_REMOTE_OPTIONS,
+        option(
+            'log',
+            None,
+            'Log file of a process; may be given several times.',
+            flag=False,
+            multiple=True,
+        ),
+    ]
 
     def execute_command(self) -> Result[Any, errors.Failure]:
         """Return records and decisions about the subject."""
+        if self.option('log'):
+            return self._read_story()
         return self.send_request(
             'GET',
             f'/v1/explain/{self.argument("kind")}/{self.argument("name")}',
@@ -320,8 +336,38 @@
 
     def format_content(self, content: Any) -> str:
         """Return the explanation as text for people."""
+        if 'summary' in content:
+            return output.format_story(content)
         return output.format_explanation(content)
 
+    def _read_story(self) -> Result[Any, errors.Failure]:
+        kind = self.argument('kind')
+        try:
+            subject = story.Subject(kind)
+        except ValueError:
+            return _refuse_usage(f'{kind!r} has no story in log files')
+        paths = [pathlib.Path(path) for path in self.option('log')]
+        try:
+            told = story.tell(subject, self.argument('name'), paths)
+        except OSError as error:
+            return _refuse_usage(str(error))
+        return Ok(
+            {
+                'summary': told.summary,
+                'lines': [
+                    {
+                        'time': line.time,
+                        'node': line.node,
+                        'event': line.event,
+                        'is_context': is_context,
+                        'text': phrases.describe(line),
+                        'pairs': line.pairs,
+                    }
+                    for line, is_context in story.merge(told)
+                ],
+            }
+        )
+
 
 class MemberListCommand(_RemoteCommand):
     """Lists the control members."""
@@ -395,6 +441,10 @@
         )
 
 
+def _refuse_usage(message: str) -> Err[errors.Failure]:
+    return Err(errors.Failure(errors.ErrorKind.INVALID_REQUEST, message))
+
+
 def _read_document(path: str) -> Result[documents.Document, errors.Failure]:
     """Read a file with a document or with a change that contains one."""
     try:
--- a/orioleshore/cli/output.py
+++ b/orioleshore/cli/output.py
@@ -56,6 +56,20 @@
     return '\n'.join(lines)
 
 
+def format_story(content: dict[str, Any]) -> str:
+    """Return a story from log files as text for people.
+
+    Lines that do not name the subject are marked with an asterisk.
+    """
+    lines = list(content['summary'])
+    lines += [
+        f'{line["time"]} {"*" if line["is_context"] else " "} '
+        f'{line["node"]}: {line["text"]}'
+        for line in content['lines']
+    ]
+    return '\n'.join(lines)
+
+
 def _format_group(group: dict[str, Any], version: int) -> list[str]:
     lines = [
         f'version    {version}',
--- /dev/null
+++ b/orioleshore/history/__init__.py
@@ -0,0 +1,1 @@
+"""The story of a subject, told from log files."""
