--- a/fakes/workers.py
+++ b/fakes/workers.py
@@ -26,6 +26,8 @@
 # in the deployments.
 MOVE_S = 1.5
 UPKEEP_S = 2.0
+# A worker gives up waiting for the answer to a heartbeat after this time.
+LOST_ANSWER_S = 1.0
 
 
 class _Run(msgspec.Struct):
@@ -53,6 +55,10 @@
         # Running tasks make no progress and do not end.
         self.is_hanging = False
         self.running: dict[RunKey, _Run] = {}
+        # End of the lease, None before the first one; all runs end with it.
+        self.lease_end: float | None = None
+        # Number of the last end before the lease expired.
+        self.last_lapsed_number = 0
         self.ended: list[calls.EndReport] = []
         self.last_number = 0
 
@@ -70,6 +76,8 @@
         self.running.clear()
         self.ended.clear()
         self.last_number = 0
+        self.lease_end = None
+        self.last_lapsed_number = 0
 
     def end_run(self, key: RunKey, how: states.RunEnd) -> None:
         """End a run and queue its report."""
@@ -109,7 +117,8 @@
     """A scheduler with fake workers and a fake platform for their hosts.
 
     ``mean_run_s`` is the mean run time of a task in seconds. A task that
-    runs twice at a time raises AssertionError.
+    runs twice at a time, or again after its end was observed, raises
+    AssertionError.
     """
 
     def __init__(
@@ -132,7 +141,13 @@
         self.mean_run_s = 0.6
         # Number of answers to upkeep orders that are lost from now on.
         self.lost_upkeep_answers = 0
+        # Share of the answers to heartbeats that are lost.
+        self.lost_answer_share = 0.0
+        # Tasks whose successful end was observed.
+        self.done_tasks: set[tuple[ids.JobId, ids.TaskName]] = set()
+        # Most hosts that were down for upkeep at a time.
         self.max_hosts_down = 0
+        self._upkeep_ends: dict[ids.HostId, float] = {}
         self.hosts_done: set[ids.HostId] = set()
         # Workers that the policy service never approves.
         self.unapproved: set[ids.WorkerId] = set()
@@ -200,9 +215,14 @@
     def send_heartbeat(self, worker: FakeWorker) -> None:
         """Send a heartbeat and apply the starts and stops in the answer."""
         answer = self.call_scheduler(worker.make_heartbeat(self.now)).unwrap()
-        worker.ended = [
-            end for end in worker.ended if end.number > answer.observed
-        ]
+        if self.random.random() < self.lost_answer_share:
+            # The worker sends its next heartbeat after it gave up waiting.
+            worker.next_heartbeat = self.now + LOST_ANSWER_S
+            return
+        self._take_observed_ends(worker, answer.observed)
+        if answer.lease_ms:
+            lease_end = self.now + answer.lease_ms / 1_000.0
+            worker.lease_end = max(worker.lease_end or 0.0, lease_end)
         for stop in answer.stops:
             key = (stop.job, stop.task, stop.attempt)
             if key in worker.running:
@@ -212,6 +232,15 @@
         retry_s = (answer.retry_ms or 1_500) / 1_000.0
         worker.next_heartbeat = self.now + retry_s
 
+    def _take_observed_ends(self, worker: FakeWorker, observed: int) -> None:
+        for end in worker.ended:
+            # A run whose lease expired before its end was observed may have
+            # been started again.
+            is_counted = worker.last_lapsed_number < end.number <= observed
+            if is_counted and end.how is states.RunEnd.DONE:
+                self.done_tasks.add((end.job, end.task))
+        worker.ended = [end for end in worker.ended if end.number > observed]
+
     def execute_order(self, order: orders.Order) -> None:
         """Execute an order as the platform does."""
         if isinstance(order, orders.ListHosts):
@@ -241,7 +270,8 @@
         elif order.host not in self.hosts_done:
             self.hosts_done.add(order.host)
             worker.restart(worker.pool, self.now + UPKEEP_S)
-        down = sum(self.now < w.up_at for w in self.workers.values())
+            self._upkeep_ends[order.host] = worker.up_at
+        down = sum(self.now < end for end in self._upkeep_ends.values())
         self.max_hosts_down = max(self.max_hosts_down, down)
         if self.lost_upkeep_answers:
             self.lost_upkeep_answers -= 1
@@ -271,6 +301,7 @@
 
     def _start_run(self, worker: FakeWorker, start: calls.StartOrder) -> None:
         key = (start.job, start.task, start.attempt)
+        assert key[:2] not in self.done_tasks, f'{key} was done before'
         self.starts.append((self.now, worker.host, start))
         step = self.scheduler.jobs[start.job].get_step(start.task)
         run_s = self.mean_run_s * self.random.uniform(0.5, 1.5)
@@ -284,6 +315,10 @@
         )
 
     def _end_due_runs(self, worker: FakeWorker) -> None:
+        if worker.lease_end is not None and self.now >= worker.lease_end:
+            for key in list(worker.running):
+                worker.end_run(key, states.RunEnd.LAPSED)
+            worker.last_lapsed_number = worker.last_number
         for key, run in list(worker.running.items()):
             if self.now >= run.ends_at and not worker.is_hanging:
                 worker.end_run(key, run.how)
--- a/orioleshore/history/phrases.py
+++ b/orioleshore/history/phrases.py
@@ -33,6 +33,8 @@
     'thousandths of a core are left there',
     'task_ended': 'attempt {attempt} of task {task} on {worker} ended: '
     '{how} ({failures} failures before)',
+    'lost_run_succeeded': 'attempt {attempt} of task {task}, given up before, '
+    'had succeeded on {worker}',
     'task_evicted': 'task {task} is moved off host {host}',
     'run_stalled': 'task {task} made no progress on {worker} and is stopped',
     'lasting_task_waits': 'a long-running task has waited {waited_s} s: '
--- a/orioleshore/jobs/scheduler.py
+++ b/orioleshore/jobs/scheduler.py
@@ -280,6 +280,8 @@
         name, task, attempt = key
         job = self.jobs.get(name)
         run = job and job.record.tasks.get(task)
+        if run and how is states.RunEnd.DONE:
+            self._restore_lost_run(job, key, worker)
         if (
             not run
             or run.attempt != attempt
@@ -317,6 +319,48 @@
             )
             self._untrack_job(name)
 
+    def _restore_lost_run(
+        self,
+        job: progress.JobProgress,
+        key: workers.RunKey,
+        worker: ids.WorkerId,
+    ) -> None:
+        """Mark a run as running again that was given up but has succeeded.
+
+        Its worker was silent for longer than its lease. If the task has not
+        been started again, its result counts. Both changes are of kinds that
+        members of earlier builds apply in the same way.
+        """
+        name, task, attempt = key
+        run = job.record.tasks[task]
+        group = job.get_group(task)
+        _, _, index = specs.parse_task_name(task)
+        if (
+            run.stage is not states.RunStage.WAITING
+            or run.attempt != attempt
+            or run.worker != worker
+            or group.step.is_gang
+            or group.step.is_long_running
+            or index not in group.waiting
+        ):
+            return
+        group.waiting.remove(index)
+        self.record_change(
+            ledger.TaskStarted(
+                name, task, attempt, worker, run.incarnation, run.sequence
+            )
+        )
+        job.record_start(task, worker)
+        LOG.info(
+            logs.format_event(
+                'lost_run_succeeded',
+                job=name,
+                task=task,
+                attempt=attempt,
+                worker=worker,
+            )
+        )
+
     def _track_job(self, name: ids.JobId, record: ledger.JobRecord) -> None:
         job = progress.JobProgress(name, record)
         self.jobs[name] = job
