--- a/orioleshore/protocol/tls.py
+++ b/orioleshore/protocol/tls.py
@@ -7,19 +7,25 @@
 
 from orioleshore import settings
 from orioleshore.telemetry import logs
+from orioleshore.timers import clock
 
 LOG = logging.getLogger(__name__)
 
+# Seconds between attempts to read changed files that could not be read.
+RELOAD_RETRY_S = 1.0
+
 
 class TlsContexts:
     """Builds TLS contexts from files, and again when the files change.
 
     The earlier contexts stay in use while changed files cannot be read, for
-    example because the new key is not written yet.
+    example because the new key is not written yet. Reading is attempted again
+    until it succeeds: the earlier files may have been withdrawn.
     """
 
     def __init__(self, files: settings.Tls) -> None:
         self._files = files
+        self._retry_at = 0.0
         self._modification_times_ns = self._get_modification_times_ns()
         self._server_context = self._build_context(ssl.Purpose.CLIENT_AUTH)
         self._client_context = self._build_context(ssl.Purpose.SERVER_AUTH)
@@ -47,18 +53,22 @@
         connection.context = self._server_context
 
     def _reload_if_changed(self) -> None:
+        now = clock.read_monotonic()
+        if now < self._retry_at:
+            return
         try:
             modification_times_ns = self._get_modification_times_ns()
             if modification_times_ns == self._modification_times_ns:
                 return
-            self._modification_times_ns = modification_times_ns
             server = self._build_context(ssl.Purpose.CLIENT_AUTH)
             client = self._build_context(ssl.Purpose.SERVER_AUTH)
         except OSError as error:
+            self._retry_at = now + RELOAD_RETRY_S
             LOG.warning(
                 logs.format_event('certificates_unreadable', error=error)
             )
             return
+        self._modification_times_ns = modification_times_ns
         self._server_context = server
         self._client_context = client
         LOG.info(logs.format_event('certificates_renewed'))
--- a/orioleshore/tests/test_protocol_transport.py
+++ b/orioleshore/tests/test_protocol_transport.py
@@ -4,6 +4,7 @@
 import contextlib
 import logging
 import random
+import ssl
 import struct
 
 import pytest
@@ -17,6 +18,7 @@
 from orioleshore.protocol import framing
 from orioleshore.protocol import messages
 from orioleshore.protocol import outgoing
+from orioleshore.protocol import tls
 from orioleshore.protocol import transport
 from orioleshore.protocol.gen.wire import ttypes
 from orioleshore.tasks import mailbox
@@ -358,3 +360,26 @@
         await support.wait_until(is_in_state, f'node-3 {state.value}')
 
     support.run(check())
+
+
+def test_certificates_that_could_not_be_read_are_read_again(
+    tmp_path, monkeypatch
+):
+    """Guards against a withdrawn key that stays in use.
+
+    Reading the new files failed once, for example for lack of descriptors,
+    and was not repeated until a file changed again.
+    """
+    support.make_authority(tmp_path)
+    contexts = tls.TlsContexts(support.make_certificate(tmp_path, 'a'))
+    withdrawn = contexts.get_client_context()
+    support.make_certificate(tmp_path, 'a')
+    monkeypatch.setattr(tls, 'RELOAD_RETRY_S', 0.0)
+    with monkeypatch.context() as patch:
+
+        def fail(*arguments, **options):
+            raise OSError(24, 'too many open files')
+
+        patch.setattr(ssl, 'create_default_context', fail)
+        assert contexts.get_client_context() is withdrawn
+    assert contexts.get_client_context() is not withdrawn
