--- a/bench/jobs.py
+++ b/bench/jobs.py
@@ -17,6 +17,7 @@
 
 from fakes import tasks as fake_tasks
 from orioleshore.fleet import events
+from orioleshore.fleet import job_core
 from orioleshore.fleet import jobs
 from orioleshore.fleet import learning
 from orioleshore.model import documents
@@ -70,7 +71,7 @@
             for number in range(count)
         )
     )
-    for _ in range(4 + 2 * count // jobs.MAX_PLACEMENTS):
+    for _ in range(4 + 2 * count // job_core.MAX_PLACEMENTS_PER_EVENT):
         session.handle_event(events.TimerFired())
         session.commit_proposals()
         session.deliver_calls()
@@ -291,7 +292,7 @@
     attempts = 4 * workers
     holders = tuple(
         commands.LeaseHolder(ids.JobId(f'team-12-job-{number}'), 1)
-        for number in range(jobs.MAX_RENEWALS)
+        for number in range(job_core.MAX_RENEWALS_PER_COMMAND)
     )
     single, batch = (
         len(commands.encode_command(_build_renewal(part)))
--- a/scripts/demo.py
+++ b/scripts/demo.py
@@ -5,6 +5,7 @@
 import json
 import pathlib
 import shutil
+import signal
 import sys
 import time
 import uuid
@@ -228,9 +229,12 @@
     )
     arguments = parser.parse_args()
     shutil.rmtree(arguments.folder, ignore_errors=True)
+    for number in (signal.SIGTERM, signal.SIGHUP):
+        signal.signal(number, signal.default_int_handler)
     running = fleet.Fleet(arguments.folder)
     running.prepare(control=3, entry=2)
     code = 1
+    killed: list[str] = []
     try:
         running.start_platform()
         for name in (*running.operators, *running.callers):
@@ -241,7 +245,8 @@
         print_line(f'demo failed: {error!r}')
     except KeyboardInterrupt:
         code = 0
-    killed = running.stop()
+    finally:
+        killed = running.stop()
     if killed:
         print_line(f'demo failed: did not stop by themselves: {killed}')
         return 1
