--- a/orioleshore/tests/test_paused.py
+++ b/orioleshore/tests/test_paused.py
@@ -1,19 +1,27 @@
 """Processes that were paused or suspended, and what they do afterwards."""
 
+import asyncio
 import time
 
 import pytest
+from result import Ok
 
 from fakes import platform_fleet
+from orioleshore.consensus import member
 from orioleshore.jobs import calls
 from orioleshore.jobs import orders
+from orioleshore.jobs import task as jobs_task
 from orioleshore.jobs import tuning
+from orioleshore.model import errors
 from orioleshore.model import ids
 from orioleshore.model import states
 from orioleshore.platform import hosts
 from orioleshore.tasks import mailbox
+from orioleshore.tasks import reply
+from orioleshore.tests import builders
 from orioleshore.tests import support
 from orioleshore.timers import clock
+from orioleshore.timers import service
 
 LEASE_S = tuning.SchedulerLimits().host_lease_ms / 1_000.0
 
@@ -80,3 +88,50 @@
         ids.WaveId('1'), ids.HostId('host-1'), source.get_monotonic()
     )
     return queue.take_orders()[0]
+
+
+def test_leader_that_is_replaced_sends_no_orders():
+    """Guards against orders of two leaders around a hand-over.
+
+    The commit of an order succeeds, but the leadership ended before its
+    result was seen.
+    """
+    task, consensus = builders.build_jobs_task()
+    orders_sent: mailbox.Mailbox = mailbox.Mailbox('platform-hosts', 16)
+    task.set_hosts_mailbox(orders_sent)
+    outcomes = []
+
+    async def handle_next():
+        await task.handle(task.mailbox.get_nowait())
+        # Callbacks of answers run in the next round of the event loop.
+        await asyncio.sleep(0)
+
+    async def commit_order(is_replaced: bool) -> list[orders.Order]:
+        """Let the task list the hosts, and commit that order."""
+        await builders.start_leading(task)
+        answer = reply.Reply()
+        answer.add_callback(outcomes.append)
+        task.mailbox.put(calls.CallRequest(builders.build_heartbeat(), answer))
+        await task.handle(service.TimerFired(jobs_task.TICK))
+        commits = [
+            message
+            for message in builders.take_messages(consensus)
+            if isinstance(message, member.SubmitCommand)
+        ]
+        if is_replaced:
+            await task.handle(member.LeadershipLost())
+        for commit in commits:
+            commit.answer.resolve(Ok(None))
+        await asyncio.sleep(0)
+        while len(task.mailbox):
+            await handle_next()
+        return builders.take_messages(orders_sent)
+
+    async def check():
+        assert await commit_order(is_replaced=False)
+        assert await commit_order(is_replaced=True) == []
+        assert outcomes[0].is_ok()
+        failure = outcomes[1].unwrap_err()
+        assert failure.kind is errors.ErrorKind.CHANGE_UNKNOWN
+
+    support.run(check())
