--- a/orioleshore/consensus/core.py
+++ b/orioleshore/consensus/core.py
@@ -85,6 +85,18 @@
     round: int
 
 
+class PendingChange(msgspec.Struct, frozen=True):
+    """A smaller list of voters that waits for a round of its quorum.
+
+    ``token`` is that of the request, None if the leader decided by itself.
+    """
+
+    token: int | None
+    members: tuple[events.Member, ...]
+    round: int
+    started_at: float
+
+
 class IncomingSnapshot(msgspec.Struct):
     """The chunks of a snapshot received so far from a leader."""
 
@@ -132,6 +144,7 @@
         self.round_sent_at: dict[int, float] = {}
         self.broadcast_due = now
         self.pending_reads: list[PendingRead] = []
+        self.pending_change: PendingChange | None = None
         self.incoming_snapshot: IncomingSnapshot | None = None
         self.mismatched_stamps: dict[ids.NodeId, str] = {}
         self.reported_stamps: dict[ids.NodeId, str] = {}
@@ -156,11 +169,14 @@
     def change_role(
         self, role: states.RaftRole, leader: ids.NodeId | None
     ) -> None:
-        """Change the role; a leader that steps down refuses its reads."""
+        """Change the role; a leader that steps down refuses its requests."""
         if self.is_leader:
             for read in self.pending_reads:
                 self.refuse_request(read.token, errors.ErrorKind.NOT_LEADER)
             self.pending_reads = []
+            change, self.pending_change = self.pending_change, None
+            if change is not None and change.token is not None:
+                self.refuse_request(change.token, errors.ErrorKind.NOT_LEADER)
         self.role = role
         self.leader = leader
         self.actions.append(events.RoleChanged(role, self.term, leader))
--- a/orioleshore/consensus/group.py
+++ b/orioleshore/consensus/group.py
@@ -35,8 +35,25 @@
     if request.add is not None:
         # The member asks for itself, so its data folder is in use again.
         member.retired_stamps.discard(request.add.stamp)
-    index = _append_members(member, changed)
-    member.actions.append(events.Accepted(request.token, index, member.term))
+    if _loses_voter(member, changed):
+        _start_change(member, changed, request.token)
+        return
+    _accept_change(member, changed, request.token)
+
+
+def continue_change(member: core.Core) -> None:
+    """Append a pending change once its quorum has acknowledged the round."""
+    change = member.pending_change
+    if change is None:
+        return
+    voters = [listed for listed in change.members if listed.voter]
+    acknowledged = member.get_quorum_value(
+        lambda progress: progress.acknowledged_round, member.round, voters
+    )
+    if acknowledged < change.round:
+        return
+    member.pending_change = None
+    _accept_change(member, list(change.members), change.token)
 
 
 def _replace_silent_learner(
@@ -65,6 +82,7 @@
     a larger quorum, so one learner is kept as a spare voter. Each step is one
     entry, and the next one follows its commit.
     """
+    _end_overdue_change(member)
     for step in (
         _demote_mismatched_member,
         _promote_learner,
@@ -104,11 +122,7 @@
             f'{added!r} is a member already',
         )
     if not _has_reachable_quorum(member, changed):
-        return events.Refuse(
-            token,
-            errors.ErrorKind.ILLEGAL_TRANSITION,
-            'the reachable members would not be a quorum of the new group',
-        )
+        return _refuse_unreachable(token)
     return None
 
 
@@ -129,12 +143,13 @@
 def _can_change_members(member: core.Core) -> bool:
     """Return whether a membership change may start now.
 
-    Only one change may be in progress, and an entry of the current term must
-    be committed before.
+    Only one change may be pending or uncommitted, and an entry of the current
+    term must be committed before.
     """
     return (
         member.is_leader
         and member.members is not None
+        and member.pending_change is None
         and member.log.find_last_members_index() <= member.commit_index
         and member.log.get_term(member.commit_index) == member.term
     )
@@ -208,7 +223,56 @@
     member: core.Core, changed: list[events.Member]
 ) -> None:
     if _has_reachable_quorum(member, changed):
-        _append_members(member, changed)
+        _start_change(member, changed, None)
+
+
+def _loses_voter(member: core.Core, changed: list[events.Member]) -> bool:
+    kept = {listed.name for listed in changed if listed.voter}
+    return any(voter.name not in kept for voter in member.get_voters())
+
+
+def _start_change(
+    member: core.Core, changed: list[events.Member], token: int | None
+) -> None:
+    """Ask the voters that would remain whether they are in contact now.
+
+    The list is in force once it is appended, and then needs a quorum of the
+    voters that remain. One that lost its folder within the last lease would
+    stop the group for good.
+    """
+    member.pending_change = core.PendingChange(
+        token, tuple(changed), member.round + 1, member.now
+    )
+    replication.broadcast_append(member)
+    continue_change(member)
+
+
+def _end_overdue_change(member: core.Core) -> None:
+    """Give up a change whose quorum did not acknowledge its round in time."""
+    change = member.pending_change
+    if change is None:
+        return
+    if member.now < change.started_at + member.config.election_timeout_s:
+        return
+    member.pending_change = None
+    if change.token is not None:
+        member.actions.append(_refuse_unreachable(change.token))
+
+
+def _refuse_unreachable(token: int) -> events.Refuse:
+    return events.Refuse(
+        token,
+        errors.ErrorKind.ILLEGAL_TRANSITION,
+        'the reachable members would not be a quorum of the new group',
+    )
+
+
+def _accept_change(
+    member: core.Core, changed: list[events.Member], token: int | None
+) -> None:
+    index = _append_members(member, changed)
+    if token is not None:
+        member.actions.append(events.Accepted(token, index, member.term))
 
 
 def _get_silent_voters(member: core.Core) -> list[events.Member]:
--- a/orioleshore/consensus/raft.py
+++ b/orioleshore/consensus/raft.py
@@ -229,6 +229,7 @@
     message: messages.AppendReply, member: core.Core, sender: ids.NodeId
 ) -> None:
     replication.handle_append_reply(member, sender, message)
+    group.continue_change(member)
 
 
 @_handle_message.register
--- a/orioleshore/tests/test_consensus_rules.py
+++ b/orioleshore/tests/test_consensus_rules.py
@@ -34,6 +34,20 @@
     assert member.role is states.RaftRole.LEADER
 
 
+def send_actions(actions) -> list[events.Send]:
+    """Return the actions that send a message."""
+    return [action for action in actions if isinstance(action, events.Send)]
+
+
+def acknowledge_next_round(member: raft.Raft, name: str, now: float) -> None:
+    """Let the leader start a round, and acknowledge it for a follower."""
+    (sent, *_) = send_actions(member.handle(events.Tick(), now))
+    reply = messages.AppendReply(
+        member.term, True, 2, sent.message.round, f'{name}-0'
+    )
+    deliver_message(member, name, reply, now)
+
+
 def acknowledge_entries(member: raft.Raft, match_index: int) -> None:
     """Acknowledge all entries up to an index on behalf of m1."""
     reply = messages.AppendReply(member.term, True, match_index, 1, 'm1-0')
@@ -134,12 +148,48 @@
     deliver_message(
         member, 'm2', messages.AppendReply(2, True, 2, 1, 'm2-0'), 110.1
     )
-    member.handle(events.Tick(), 110.1)
+    acknowledge_next_round(member, 'm2', 110.1)
     replaced_member = next(m for m in member.members.members if m.name == 'm1')
     assert (replaced_member.stamp, replaced_member.voter) == ('m1-1', False)
     assert member.get_match_indexes()['m1'] == 0
 
 
+def test_voter_is_removed_only_by_voters_that_are_in_contact_now():
+    """Guards against a group that is stopped by a removal for good.
+
+    m1 acknowledged a heartbeat and then lost its data folder. A group of m0
+    and m1 without m2 would need its vote, which has an unlisted stamp.
+    """
+    member = builders.build_raft()
+    elect_leader(member)
+    member.handle(events.Persisted(2, 2), 110.0)
+    acknowledge_entries(member, 2)
+    removal = events.MembersChangeRequested(7, None, 'm2')
+    sent = send_actions(member.handle(removal, 110.15))
+    round_number = max(a.message.round for a in sent)
+    lost = messages.AppendReply(2, True, 0, round_number, 'm1-1')
+    deliver_message(member, 'm1', lost, 110.2)
+    assert len(member.members.members) == 3
+    actions = member.handle(events.Tick(), 111.1)
+    refused = [a.token for a in actions if isinstance(a, events.Refuse)]
+    assert refused == [7]
+
+
+def test_removal_follows_the_round_that_its_quorum_acknowledges():
+    """Guards against a removal that is never carried out."""
+    member = builders.build_raft()
+    elect_leader(member)
+    member.handle(events.Persisted(2, 2), 110.0)
+    acknowledge_entries(member, 2)
+    removal = events.MembersChangeRequested(7, None, 'm2')
+    (sent, *_) = send_actions(member.handle(removal, 110.15))
+    reply = messages.AppendReply(2, True, 2, sent.message.round, 'm1-0')
+    actions = member.handle(events.MessageReceived('m1', reply), 110.2)
+    accepted = [a.token for a in actions if isinstance(a, events.Accepted)]
+    assert accepted == [7]
+    assert [m.name for m in member.members.members] == ['m0', 'm1']
+
+
 def test_chunks_of_two_snapshots_are_not_mixed():
     """Guards against a state assembled from chunks of two snapshots."""
     follower = builders.build_raft('m1')
