--- a/orioleshore/protocol/outgoing.py
+++ b/orioleshore/protocol/outgoing.py
@@ -9,6 +9,7 @@
 import msgspec
 
 from orioleshore import settings
+from orioleshore.model import ids
 from orioleshore.protocol import tls
 from orioleshore.tasks import mailbox
 from orioleshore.telemetry import logs
@@ -61,6 +62,12 @@
         )
         self._expired_frames = 0
         self._is_ended = False
+        self._is_connected = False
+        # Incarnation of the peer when it last opened a connection.
+        self._peer_incarnation: ids.Incarnation | None = None
+        # Set when the peer was heard from, so that a new connection is likely
+        # to succeed.
+        self._peer_heard = asyncio.Event()
         self._task = asyncio.create_task(
             self._run_connection(), name=f'peer {address}'
         )
@@ -81,6 +88,19 @@
         """Queue a frame; a full queue drops its oldest frame."""
         self._frames.put(_QueuedFrame(clock.read_monotonic(), frame))
 
+    def handle_contact(self, incarnation: ids.Incarnation) -> None:
+        """Connect again at once: the peer has just opened a connection.
+
+        An attempt or a pause that began while the host was unreachable would
+        delay the first reply by up to two seconds. An established connection
+        is kept unless the peer has restarted since, because both ends would
+        otherwise replace their connections in turn.
+        """
+        known, self._peer_incarnation = self._peer_incarnation, incarnation
+        has_restarted = known is not None and known != incarnation
+        if has_restarted or not self._is_connected:
+            self._peer_heard.set()
+
     async def stop(self) -> None:
         """Close the connection."""
         self._task.cancel()
@@ -92,22 +112,58 @@
             frame = await self._wait_for_frame()
             if frame is None:
                 break
-            streams = await self._connect()
+            streams = await self._connect_when_heard()
             if streams is None:
-                await asyncio.sleep(backoff_s * random.uniform(0.5, 1.0))
+                was_heard = await self._wait_until_heard(
+                    backoff_s * random.uniform(0.5, 1.0)
+                )
                 backoff_s = min(MAX_BACKOFF_S, backoff_s * 2)
+                if was_heard:
+                    backoff_s = MIN_BACKOFF_S
                 continue
             backoff_s = MIN_BACKOFF_S
             reader, writer = streams
+            self._is_connected = True
             try:
                 await self._write_until_closed(reader, writer, frame)
             finally:
+                self._is_connected = False
                 # A graceful close would wait indefinitely for a peer that
                 # does not read, and keep the bytes buffered for it.
                 writer.transport.abort()
         self._is_ended = True
         self._on_end()
 
+    async def _connect_when_heard(
+        self,
+    ) -> tuple[asyncio.StreamReader, asyncio.StreamWriter] | None:
+        """Connect; begin again if the peer is heard from meanwhile.
+
+        The kernel repeats an unanswered opening packet only after a second.
+        """
+        self._peer_heard.clear()
+        attempt = asyncio.create_task(self._connect())
+        heard = asyncio.create_task(self._peer_heard.wait())
+        try:
+            await asyncio.wait(
+                (attempt, heard), return_when=asyncio.FIRST_COMPLETED
+            )
+            if attempt.done():
+                return attempt.result()
+        finally:
+            heard.cancel()
+            attempt.cancel()
+        self._peer_heard.clear()
+        return await self._connect()
+
+    async def _wait_until_heard(self, limit_s: float) -> bool:
+        """Wait until the peer is heard from; return False after the limit."""
+        try:
+            async with asyncio.timeout(limit_s):
+                return await self._peer_heard.wait()
+        except TimeoutError:
+            return False
+
     async def _connect(
         self,
     ) -> tuple[asyncio.StreamReader, asyncio.StreamWriter] | None:
@@ -136,19 +192,21 @@
         writer: asyncio.StreamWriter,
         frame: _QueuedFrame,
     ) -> None:
-        """Write frames until either end closes the connection."""
+        """Write frames until the connection ends or the peer restarts."""
         write_task = asyncio.create_task(self._write_frames(writer, frame))
         # The peer sends nothing on this connection, so the read returns only
         # when the peer closes it; the next frame uses a new connection.
         read_task = asyncio.create_task(reader.read(1))
+        heard_task = asyncio.create_task(self._peer_heard.wait())
+        tasks = (write_task, read_task, heard_task)
         try:
             done, _ = await asyncio.wait(
-                (write_task, read_task), return_when=asyncio.FIRST_COMPLETED
+                tasks, return_when=asyncio.FIRST_COMPLETED
             )
         finally:
-            write_task.cancel()
-            read_task.cancel()
-            await asyncio.gather(write_task, read_task, return_exceptions=True)
+            for item in tasks:
+                item.cancel()
+            await asyncio.gather(*tasks, return_exceptions=True)
         for finished_task in done:
             error = finished_task.exception()
             if error is None:
--- a/orioleshore/protocol/transport.py
+++ b/orioleshore/protocol/transport.py
@@ -226,6 +226,7 @@
                 writer.get_extra_info('peercert')
             )
         timeout_s = FIRST_FRAME_TIMEOUT_S
+        is_first_frame = True
         while True:
             try:
                 async with asyncio.timeout(timeout_s):
@@ -246,10 +247,19 @@
                     f'sender {received.header.sender!r} presented the '
                     f'certificate of {certificate_name!r}'
                 )
+            if is_first_frame:
+                self._report_contact(received.header)
+                is_first_frame = False
             self._received_messages += 1
             self._received_bytes += len(frame.unwrap())
             self._deliver(received)
 
+    def _report_contact(self, header: messages.Header) -> None:
+        """Tell the connection to a peer that the peer has just connected."""
+        connection = self._outgoing_connections.get(header.reply_address)
+        if connection is not None:
+            connection.handle_contact(header.incarnation)
+
     def _deliver(self, received: messages.Received) -> None:
         receiver = self._receivers.get(type(received.message))
         if receiver is None:
--- a/orioleshore/tests/test_protocol_transport.py
+++ b/orioleshore/tests/test_protocol_transport.py
@@ -211,6 +211,88 @@
     support.run(check())
 
 
+def test_peer_that_is_heard_again_is_connected_at_once(monkeypatch):
+    """Guards against replies that wait for the pause after a failure.
+
+    A restarted member asks for votes, and the others cannot answer before
+    they have a connection to it.
+    """
+    monkeypatch.setattr(outgoing, 'MIN_BACKOFF_S', 60.0)
+    monkeypatch.setattr(outgoing, 'MAX_BACKOFF_S', 60.0)
+
+    async def check():
+        async with _run_nodes(_Node('a')) as (a,):
+            b = _Node('b')
+            await b.transport.start()
+            address = b.transport.address
+            await b.transport.stop()
+            a.send(b, 1)
+            await asyncio.sleep(0.1)
+            async with _run_nodes(_Node('b', None, address)) as (restarted,):
+                restarted.send(a, 2)
+                await a.wait_for(2)
+                a.send(restarted, 3)
+                await restarted.wait_for(3)
+
+    support.run(check())
+
+
+def test_attempt_that_hangs_is_repeated_once_the_peer_is_heard(monkeypatch):
+    """Guards against waiting for the repetition of a lost opening packet."""
+    monkeypatch.setattr(outgoing, 'CONNECT_TIMEOUT_S', 60.0)
+    connect = asyncio.open_connection
+    attempts = []
+
+    async def hang_first(host, port, **options):
+        attempts.append(port)
+        if len(attempts) == 1:
+            await asyncio.Event().wait()
+        return await connect(host, port, **options)
+
+    async def check():
+        async with _run_nodes(_Node('a'), _Node('b')) as (a, b):
+            monkeypatch.setattr(asyncio, 'open_connection', hang_first)
+            a.send(b, 1)
+            await asyncio.sleep(0.05)
+            b.send(a, 2)
+            await a.wait_for(2)
+            a.send(b, 3)
+            await b.wait_for(3)
+
+    support.run(check())
+
+
+def test_connection_to_a_restarted_peer_is_replaced():
+    """Guards against frames that go to the ended process of a peer.
+
+    A host that lost power sends no reset, so the connection looks sound.
+    """
+
+    async def check():
+        accepted = []
+        server = await asyncio.start_server(
+            lambda reader, writer: accepted.append(writer), '127.0.0.1', 0
+        )
+        port = server.sockets[0].getsockname()[1]
+        connection = outgoing.Connection(
+            f'127.0.0.1:{port}', None, lambda: None
+        )
+        connection.put(b'1')
+        await support.wait_until(lambda: len(accepted) == 1, 'a connection')
+        for incarnation in (1, 1, 2):
+            connection.handle_contact(ids.Incarnation(incarnation))
+            await asyncio.sleep(0.05)
+            connection.put(b'2')
+            await asyncio.sleep(0.05)
+        assert len(accepted) == 2
+        await connection.stop()
+        for writer in accepted:
+            writer.transport.abort()
+        server.close()
+
+    support.run(check())
+
+
 def test_idle_connection_is_closed_and_reopened(monkeypatch):
     """Guards against a connection task per process that ever existed."""
     monkeypatch.setattr(outgoing, 'IDLE_TIMEOUT_S', 0.1)
