--- a/orioleshore/platform/boot.py
+++ b/orioleshore/platform/boot.py
@@ -84,6 +84,8 @@
     ``metrics_address`` are listened on; ``hosts_address`` and
     ``policy_address`` belong to services of the platform. ``stop_s`` is the
     time in seconds between the order to stop and the kill.
+    ``local_member_address`` is the inner address of the control member on the
+    host of an entry process, empty if there is none.
     """
 
     settings: settings.Settings
@@ -95,6 +97,7 @@
     policy_address: str
     metrics_address: str
     stop_s: float
+    local_member_address: str = ''
 
 
 def read_deployment(
@@ -127,10 +130,22 @@
             boot_file.recommendation,
             f'{boot_file.ip}:{METRICS_PORTS[role]}',
             boot_file.bounds.grace_s,
+            _get_local_member(boot_file, role),
         )
     )
 
 
+def _get_local_member(boot_file: _BootFile, role: states.Role) -> str:
+    """Return the address of the member on the host of an entry process.
+
+    Every host with a disk runs a member.
+    """
+    if role is not states.Role.ENTRY or not boot_file.data_dir:
+        return ''
+    port = boot_file.port_range[0] + CONTROL_PORT_OFFSET
+    return f'{boot_file.ip}:{port}'
+
+
 def _make_settings_values(
     boot_file: _BootFile, role: states.Role
 ) -> dict[str, Any]:
--- a/orioleshore/platform/process.py
+++ b/orioleshore/platform/process.py
@@ -3,6 +3,7 @@
 import asyncio
 from collections.abc import Awaitable
 from collections.abc import Callable
+import gc
 import logging
 import signal
 import time
@@ -141,6 +142,7 @@
                 folder=deployment.settings.data_folder,
             )
         )
+        _enable_garbage_collection()
         failed = await self._wait_for_stop_or_failure()
         if failed is not None:
             await shutdown.abort_tasks(self._tasks)
@@ -198,6 +200,12 @@
         LOG.info(logs.format_event('stopped'))
 
 
+def _enable_garbage_collection() -> None:
+    """Collect garbage from now on, but not among the loaded modules."""
+    gc.freeze()
+    gc.enable()
+
+
 def _make_metrics_server(
     deployment: boot.Deployment,
     peer_transport: transport.Transport,
--- a/orioleshore/tests/test_platform_boot.py
+++ b/orioleshore/tests/test_platform_boot.py
@@ -1,5 +1,6 @@
 """Conversion of the platform's settings file to the project's settings."""
 
+import gc
 import pathlib
 
 import pytest
@@ -35,6 +36,26 @@
     assert deployment.limits.lease_ms == lease_ms
 
 
+@pytest.mark.parametrize(
+    ('role', 'folder', 'address'),
+    [
+        (states.Role.ENTRY, '/data/entry', '127.0.0.1:7060'),
+        (states.Role.ENTRY, '', ''),
+        (states.Role.CONTROL, '/data/control', ''),
+    ],
+)
+def test_entry_process_knows_the_member_on_its_host(
+    tmp_path, role, folder, address
+):
+    """Guards against an entry host that waits where there is no member."""
+    path = tmp_path / 'boot.toml'
+    listen = '[listen]\ncontrol = "127.0.0.1:7065"'
+    text = builders.build_boot_file().replace('[listen]', listen)
+    path.write_text(f'data_dir = "{folder}"\n{text}', 'utf-8')
+    deployment = boot.read_deployment(str(path), role).unwrap()
+    assert deployment.local_member_address == address
+
+
 def test_unknown_fields_are_ignored(tmp_path):
     """Guards against a start that fails after an update of the platform."""
     text = builders.build_boot_file(something_new=7)
@@ -92,3 +113,23 @@
 
     support.run(check())
     assert not drain_recorder.limits_s
+
+
+def test_started_process_collects_garbage(tmp_path):
+    """Guards against memory that grows because the start turned this off."""
+    address = platform_fleet.PlatformFleet(tmp_path).get_address('entry-1')
+    port = platform_fleet.find_free_ports(8)
+    text = builders.build_boot_file(address, port)
+    deployment = read_deployment(tmp_path, text).unwrap()
+
+    def build(_):
+        return Ok(process.RoleTasks([FailingTask()]))
+
+    gc.disable()
+    try:
+        running = process.PlatformProcess('', states.Role.ENTRY, build)
+        support.run(running.run(deployment))
+        assert gc.isenabled()
+    finally:
+        gc.enable()
+        gc.unfreeze()
--- a/orioleshore/tests/test_platform_start.py
+++ b/orioleshore/tests/test_platform_start.py
@@ -6,13 +6,17 @@
 
 import os
 import pathlib
+import socket
 import subprocess
 import sys
+import threading
 import tomllib
 
 import aiohttp
 import pytest
 
+from orioleshore.platform import precedence
+
 ROOT = pathlib.Path(__file__).parents[2]
 # Folder with the libraries of the test environment.
 LIBRARIES = str(pathlib.Path(aiohttp.__file__).parents[1])
@@ -73,3 +77,36 @@
         'assert context.cert_store_stats()["x509"] == 0\n'
     )
     assert 'aiohttp.connector' in list_loaded_modules(code, env)
+
+
+def test_member_loads_before_the_entry_process_of_its_host(monkeypatch):
+    """Guards against callers that wait for a leader a quarter second longer.
+
+    Both processes share the processor after a loss of power.
+    """
+    monkeypatch.setattr(precedence, 'MEMBER_WAIT_S', 30.0)
+    with socket.create_server(('127.0.0.1', 0)) as server:
+        port = server.getsockname()[1]
+    waiting = threading.Thread(
+        target=precedence.wait_for_member, args=(f'127.0.0.1:{port}',)
+    )
+    waiting.start()
+    waiting.join(0.2)
+    assert waiting.is_alive()
+    with socket.create_server(('127.0.0.1', port)):
+        waiting.join(10.0)
+        assert not waiting.is_alive()
+
+
+def test_entry_process_starts_without_the_member_of_its_host(monkeypatch):
+    """Guards against an entry host that stays down with its member."""
+    monkeypatch.setattr(precedence, 'MEMBER_WAIT_S', 0.1)
+    with socket.create_server(('127.0.0.1', 0)) as server:
+        port = server.getsockname()[1]
+    precedence.wait_for_member(f'127.0.0.1:{port}')
+
+
+def test_little_is_loaded_before_the_entry_process_waits():
+    """Guards against a wait that comes too late to leave the processor."""
+    loaded = list_loaded_modules('import orioleshore.platform.__main__', {})
+    assert not loaded & {'aiohttp', 'aiomisc', 'uvloop', 'thrift'}
