--- a/orioleshore/protocol/outgoing.py
+++ b/orioleshore/protocol/outgoing.py
@@ -19,8 +19,13 @@
 
 QUEUE_CAPACITY = 1_024
 CONNECT_TIMEOUT_S = 1.0
+# Seconds after which an unanswered attempt to connect is joined by another
+# one. The kernel repeats a lost opening packet only after a second, and
+# callers wait while hosts that lost power come back.
+ATTEMPT_INTERVAL_S = 0.25
+# Pause after a refused connection: the process of the peer is starting.
 MIN_BACKOFF_S = 0.05
-MAX_BACKOFF_S = 1.0
+MAX_BACKOFF_S = 0.25
 # A blocked or disconnected peer must not hold a frame for longer than an
 # election takes.
 WRITE_TIMEOUT_S = 2.0
@@ -137,10 +142,7 @@
     async def _connect_when_heard(
         self,
     ) -> tuple[asyncio.StreamReader, asyncio.StreamWriter] | None:
-        """Connect; begin again if the peer is heard from meanwhile.
-
-        The kernel repeats an unanswered opening packet only after a second.
-        """
+        """Connect; begin again if the peer is heard from meanwhile."""
         self._peer_heard.clear()
         attempt = asyncio.create_task(self._connect())
         heard = asyncio.create_task(self._peer_heard.wait())
@@ -166,6 +168,36 @@
 
     async def _connect(
         self,
+    ) -> tuple[asyncio.StreamReader, asyncio.StreamWriter] | None:
+        """Return the streams of the first attempt that ends, None if it fails.
+
+        Further attempts begin while the first ones are not answered.
+        """
+        attempts: list[asyncio.Task] = []
+        started_at = clock.read_monotonic()
+        try:
+            while True:
+                attempts.append(asyncio.create_task(self._open_streams()))
+                age_s = clock.read_monotonic() - started_at
+                is_last = age_s + ATTEMPT_INTERVAL_S >= CONNECT_TIMEOUT_S
+                done, _ = await asyncio.wait(
+                    attempts,
+                    timeout=None if is_last else ATTEMPT_INTERVAL_S,
+                    return_when=asyncio.FIRST_COMPLETED,
+                )
+                if done:
+                    return _get_first_streams(attempts)
+        except asyncio.CancelledError:
+            unused = _get_first_streams(attempts)
+            if unused is not None:
+                unused[1].transport.abort()
+            raise
+        finally:
+            for attempt in attempts:
+                attempt.cancel()
+
+    async def _open_streams(
+        self,
     ) -> tuple[asyncio.StreamReader, asyncio.StreamWriter] | None:
         host, port = settings.parse_address(self._address)
         try:
@@ -251,3 +283,19 @@
         LOG.log(
             level, logs.format_event(event, address=self._address, error=text)
         )
+
+
+def _get_first_streams(
+    attempts: list[asyncio.Task],
+) -> tuple[asyncio.StreamReader, asyncio.StreamWriter] | None:
+    """Return one connection of the finished attempts; abort the others."""
+    first = None
+    for attempt in attempts:
+        streams = attempt.result() if attempt.done() else None
+        if streams is None:
+            continue
+        if first is None:
+            first = streams
+        else:
+            streams[1].transport.abort()
+    return first
--- a/orioleshore/tests/test_protocol_transport.py
+++ b/orioleshore/tests/test_protocol_transport.py
@@ -55,6 +55,21 @@
         )
 
 
+def _make_hanging_attempt(monkeypatch) -> list[int]:
+    """Let the first attempt to connect hang; return the list of attempts."""
+    connect = asyncio.open_connection
+    attempts: list[int] = []
+
+    async def open_connection(host, port, **options):
+        attempts.append(port)
+        if len(attempts) == 1:
+            await asyncio.Event().wait()
+        return await connect(host, port, **options)
+
+    monkeypatch.setattr(asyncio, 'open_connection', open_connection)
+    return attempts
+
+
 @contextlib.asynccontextmanager
 async def _run_nodes(*nodes: _Node):
     for node in nodes:
@@ -240,20 +255,13 @@
 def test_attempt_that_hangs_is_repeated_once_the_peer_is_heard(monkeypatch):
     """Guards against waiting for the repetition of a lost opening packet."""
     monkeypatch.setattr(outgoing, 'CONNECT_TIMEOUT_S', 60.0)
-    connect = asyncio.open_connection
-    attempts = []
-
-    async def hang_first(host, port, **options):
-        attempts.append(port)
-        if len(attempts) == 1:
-            await asyncio.Event().wait()
-        return await connect(host, port, **options)
+    monkeypatch.setattr(outgoing, 'ATTEMPT_INTERVAL_S', 30.0)
+    attempts = _make_hanging_attempt(monkeypatch)
 
     async def check():
         async with _run_nodes(_Node('a'), _Node('b')) as (a, b):
-            monkeypatch.setattr(asyncio, 'open_connection', hang_first)
             a.send(b, 1)
-            await asyncio.sleep(0.05)
+            await support.wait_until(lambda: attempts, 'an attempt')
             b.send(a, 2)
             await a.wait_for(2)
             a.send(b, 3)
@@ -262,6 +270,23 @@
     support.run(check())
 
 
+def test_unanswered_attempt_is_joined_by_another(monkeypatch):
+    """Guards against calls that wait a second for a host that is back.
+
+    The opening packet was sent while the host had no power.
+    """
+    monkeypatch.setattr(outgoing, 'CONNECT_TIMEOUT_S', 60.0)
+    attempts = _make_hanging_attempt(monkeypatch)
+
+    async def check():
+        async with _run_nodes(_Node('a'), _Node('b')) as (a, b):
+            a.send(b, 1)
+            await b.wait_for(1)
+
+    support.run(check())
+    assert len(attempts) == 2
+
+
 def test_connection_to_a_restarted_peer_is_replaced():
     """Guards against frames that go to the ended process of a peer.
 
