--- a/bench/group.py
+++ b/bench/group.py
@@ -10,6 +10,7 @@
 from orioleshore import settings
 from orioleshore.consensus import client
 from orioleshore.consensus import member
+from orioleshore.consensus import member_messages
 from orioleshore.consensus import storage
 from orioleshore.model import ids
 from orioleshore.protocol import messages
@@ -149,7 +150,9 @@
             random.Random(self._random.random()),
         )
         node.transport.register(
-            node.member.mailbox, *member.RAFT_MESSAGES, *member.CALL_MESSAGES
+            node.member.mailbox,
+            *member_messages.RAFT_MESSAGES,
+            *member_messages.CALL_MESSAGES,
         )
         node.member.load().unwrap()
         await node.member.start()
--- a/orioleshore/consensus/handover.py
+++ b/orioleshore/consensus/handover.py
@@ -3,7 +3,7 @@
 import asyncio
 import logging
 
-from orioleshore.consensus import member
+from orioleshore.consensus import member_messages
 from orioleshore.tasks import mailbox
 from orioleshore.tasks import reply
 from orioleshore.telemetry import logs
@@ -25,7 +25,9 @@
     async def drain(self, limit_s: float) -> None:
         """Transfer the leadership, within ``limit_s`` seconds."""
         answer: reply.Reply = reply.Reply()
-        if self._consensus.put(member.TransferLeadership(answer)).is_err():
+        if self._consensus.put(
+            member_messages.TransferLeadership(answer)
+        ).is_err():
             LOG.warning(logs.format_event('handover_failed', why='mailbox'))
             return
         try:
--- a/orioleshore/consensus/joining.py
+++ b/orioleshore/consensus/joining.py
@@ -7,7 +7,7 @@
 from result import Result
 
 from orioleshore.consensus import client
-from orioleshore.consensus import member
+from orioleshore.consensus import member_messages
 from orioleshore.consensus import requests
 from orioleshore.model import errors
 from orioleshore.model import ids
@@ -73,7 +73,9 @@
     async def join_if_unlisted(self) -> None:
         """Request to be added, unless listed or part of the bootstrap."""
         answer: reply.Reply[dict[str, Any]] = reply.Reply()
-        if self._consensus.put(member.GetMemberStatus(answer)).is_err():
+        if self._consensus.put(
+            member_messages.GetMemberStatus(answer)
+        ).is_err():
             return
         status = (await answer.wait()).unwrap()
         if not self._needs_to_join(status):
--- a/orioleshore/consensus/member.py
+++ b/orioleshore/consensus/member.py
@@ -5,20 +5,21 @@
 import random
 from typing import Any
 
-import aiomisc
 import msgspec
-from result import Err
 from result import Ok
 from result import Result
 
 from orioleshore import settings
 from orioleshore.consensus import events
-from orioleshore.consensus import packing
+from orioleshore.consensus import member_calls
+from orioleshore.consensus import member_messages
+from orioleshore.consensus import member_status
 from orioleshore.consensus import raft
 from orioleshore.consensus import requests
 from orioleshore.consensus import storage
 from orioleshore.consensus import suspension
 from orioleshore.consensus import validation
+from orioleshore.consensus import writer
 from orioleshore.jobs import calls as job_calls
 from orioleshore.jobs import ledger
 from orioleshore.membership import events as membership_events
@@ -54,108 +55,6 @@
 
 TICK = ids.TimerId('consensus-tick')
 
-RAFT_MESSAGES = (
-    messages.PreVote,
-    messages.PreVoteReply,
-    messages.Vote,
-    messages.VoteReply,
-    messages.Append,
-    messages.AppendReply,
-    messages.SnapshotChunk,
-    messages.SnapshotReply,
-    messages.Release,
-)
-CALL_MESSAGES = (
-    messages.Propose,
-    messages.Query,
-    messages.Subscribe,
-    messages.VersionReport,
-)
-
-
-class GetMemberStatus(msgspec.Struct, frozen=True):
-    """Requests a member's own status, which may be stale."""
-
-    answer: reply.Reply
-
-
-class GetMemberMetrics(msgspec.Struct, frozen=True):
-    """Requests a member's metrics; a leader adds those of the fleet."""
-
-    answer: reply.Reply
-
-
-class GetMemberDump(msgspec.Struct, frozen=True):
-    """Requests all the state that a member holds."""
-
-    answer: reply.Reply
-
-
-class LeadershipGained(msgspec.Struct, frozen=True):
-    """This member became the leader; ``epoch`` is its term.
-
-    ``encoded_state`` is the part of the state that the receiver needs.
-    """
-
-    epoch: ids.Epoch
-    encoded_state: bytes
-
-
-class LeadershipLost(msgspec.Struct, frozen=True):
-    """This member is no longer the leader."""
-
-
-class CommandApplied(msgspec.Struct, frozen=True):
-    """A command was applied at this member, which is the leader."""
-
-    command: commands.Command
-
-
-class SubmitCommand(msgspec.Struct, frozen=True):
-    """Commits a command from a task of this process.
-
-    Without a command, only confirms that this member is still the leader.
-    """
-
-    command: commands.Command | None
-    answer: reply.Reply
-
-
-class TransferLeadership(msgspec.Struct, frozen=True):
-    """Requests a leadership transfer; answers whether the member led."""
-
-    answer: reply.Reply
-
-
-class ResendState(msgspec.Struct, frozen=True):
-    """The job scheduler dropped its copy of the state and needs a new one."""
-
-
-class DemandReceived(msgspec.Struct, frozen=True):
-    """An entry host reported demand to this member, which is the leader."""
-
-    report: queries.ReportDemand
-
-
-class ExplainRequested(msgspec.Struct, frozen=True):
-    """Requests the fleet manager's explanations about a subject."""
-
-    query: queries.Explain
-    answer: reply.Reply
-
-
-class _RemoteCall(msgspec.Struct):
-    """A call of another process that waits for a commit or a read."""
-
-    header: messages.Header
-    query: queries.Query | None = None
-
-
-class _LocalCall(msgspec.Struct):
-    """A call of a task of this process that waits for a commit or a read."""
-
-    answer: reply.Reply
-
 
 class MemberTask(task.Task):
     """Owns the Raft member, its data folder and the replicated state."""
@@ -180,8 +79,8 @@
         self._address = address
         self._sender = sender
         self._timers = timers
-        self._sync_seconds = 0.0
         self._storage = files
+        self._writer = writer.Writer(files, timers.clock)
         self._random = randomness
         self._started_at = started_at
         self._raft: raft.Raft | None = None
@@ -193,15 +92,12 @@
         # True once the fleet manager and the job scheduler were sent the state
         # of the current term.
         self._has_started_leader_tasks = False
-        self._pending_calls: dict[int, _RemoteCall | _LocalCall] = {}
-        self._accepted_tokens: dict[tuple[int, int], int] = {}
+        self._calls = member_calls.PendingCalls(sender)
         self._ready_reads: list[tuple[int, int]] = []
-        self._next_token = 1
         self._peer_addresses: dict[ids.NodeId, str] = {}
         self._is_leader = False
         self._is_manager_behind = False
         self._peer_states: dict[ids.NodeId, states.PeerState] = {}
-        self._failure: errors.Failure | None = None
         # What waits for room on the disk, in order. While there is any, the
         # member takes no part in the group.
         self._unwritten: list[events.Action] = []
@@ -210,7 +106,7 @@
 
     @property
     def failure(self) -> errors.Failure | None:
-        return self._failure
+        return self._writer.failure
 
     def set_manager(self, manager: mailbox.Mailbox) -> None:
         """Set the mailbox of the fleet manager, which runs at the leader."""
@@ -305,7 +201,7 @@
             return await self._perform_in_order(actions)
         rest = self._send_appends_early(actions, persists)
         try:
-            await self._write_persists(persists)
+            await self._writer.write_persists(persists)
         except storage.DiskFullError as error:
             return self._suspend(rest, error)
         for action in rest:
@@ -352,7 +248,7 @@
     ) -> list[events.Action]:
         """Perform an action, which may need a sync of its own."""
         if isinstance(action, events.Persist):
-            await self._write_persists([action])
+            await self._writer.write_persists([action])
             return self._confirm_persisted([action])
         if isinstance(action, events.InstallSnapshot):
             await self._install_snapshot(action.snapshot)
@@ -401,14 +297,6 @@
         self._handle_event(events.StorageResumed())
         LOG.info(logs.format_event('disk_has_room', term=self._raft.term))
 
-    async def _write_persists(self, persists: list[events.Persist]) -> None:
-        entries: list[messages.Entry] = []
-        for persist in persists:
-            entries += persist.entries
-        await self._call_storage(
-            self._storage.write, persists[-1].hard_state, tuple(entries)
-        )
-
     def _confirm_persisted(
         self, persists: list[events.Persist]
     ) -> list[events.Action]:
@@ -418,26 +306,10 @@
         last = entries[-1]
         return self._handle_event(events.Persisted(last.index, last.term))
 
-    async def _call_storage(self, function, *arguments) -> None:
-        """Run a blocking call in a thread.
-
-        A full disk is reported to the caller, any other failure stops the
-        process.
-        """
-        started_at = self._timers.clock.get_monotonic()
-        try:
-            await aiomisc.threaded(function)(*arguments)
-        except storage.DiskFullError:
-            raise
-        except storage.StorageError as error:
-            self._failure = error.failure
-            raise
-        self._sync_seconds += self._timers.clock.get_monotonic() - started_at
-
     async def _install_snapshot(self, snapshot: events.Snapshot) -> None:
         last = self._raft.log.last_index
         rest = self._raft.log.get_entries(snapshot.last_index + 1, last)
-        await self._call_storage(self._storage.save_snapshot, snapshot, rest)
+        await self._writer.save_snapshot(snapshot, rest)
         self._restore_snapshot(snapshot)
         self._send_updates(
             self._feed.handle(feed.VersionCommitted(self._state))
@@ -467,9 +339,7 @@
             self._applied_index + 1, self._raft.log.last_index
         )
         try:
-            await self._call_storage(
-                self._storage.save_snapshot, snapshot, rest
-            )
+            await self._writer.save_snapshot(snapshot, rest)
         except storage.DiskFullError as error:
             # The log goes on in its segment until there is room.
             self._snapshot_retry_at = self._get_now() + SNAPSHOT_RETRY_S
@@ -502,14 +372,6 @@
 
     # Calls from other processes.
 
-    def _add_call(
-        self, header: messages.Header, query: queries.Query | None = None
-    ) -> int:
-        token = self._next_token
-        self._next_token += 1
-        self._pending_calls[token] = _RemoteCall(header, query)
-        return token
-
     def _store_peer_address(self, header: messages.Header) -> None:
         self._peer_addresses.pop(header.sender, None)
         self._peer_addresses[header.sender] = header.reply_address
@@ -536,34 +398,15 @@
     def _answer_call(
         self, token: int, outcome: Result[Any, errors.Failure]
     ) -> None:
-        call = self._pending_calls.pop(token, None)
-        if call is None:
-            return
-        if isinstance(call, _LocalCall):
-            call.answer.resolve(outcome)
-            return
-        if call.query is None:
-            message = answers.pack_reply(outcome, self._get_leader_address())
-        else:
-            message = self._pack_query_reply(outcome)
-        self._send_reply(call.header, message)
-
-    def _pack_query_reply(
-        self, outcome: Result[bytes, errors.Failure]
-    ) -> messages.QueryReply:
-        leader = self._get_leader_address()
-        outcome = outcome.and_then(packing.pack)
-        if outcome.is_err():
-            failure = outcome.unwrap_err()
-            return messages.QueryReply(
-                failure.kind.value, failure.message, b'', leader
-            )
-        return messages.QueryReply('', '', outcome.unwrap(), leader)
+        self._calls.answer(token, outcome, self._get_leader_address())
 
-    def _send_reply(self, header: messages.Header, message: Any) -> None:
-        self._sender.put(
-            transport.SendTo(header.reply_address, message, header.correlation)
+    def _answer_query(
+        self, header: messages.Header, outcome: Result[bytes, errors.Failure]
+    ) -> None:
+        message = member_calls.pack_query_reply(
+            outcome, self._get_leader_address()
         )
+        self._calls.send_reply(header, message)
 
     def _get_leader_address(self) -> str:
         leader = self._raft.leader
@@ -621,7 +464,7 @@
             version = self._state.version
             outcome = machine.apply_command(command, self._state)
             self._publish_command(command, version)
-        token = self._accepted_tokens.pop((entry.index, entry.term), None)
+        token = self._calls.take_accepted(entry.index, entry.term)
         if token is not None:
             self._answer_call(token, outcome)
 
@@ -631,7 +474,9 @@
         if isinstance(command, commands.RecordProgress):
             return
         if self._is_leader and self._manager is not None:
-            outcome = self._manager.put(CommandApplied(command))
+            outcome = self._manager.put(
+                member_messages.CommandApplied(command)
+            )
             # A manager that missed a command needs the full state again.
             self._is_manager_behind |= outcome.is_err()
         if self._state.version == version:
@@ -658,20 +503,20 @@
         self._ready_reads = waiting
 
     def _answer_read(self, token: int) -> None:
-        call = self._pending_calls.get(token)
+        call = self._calls.get(token)
         if call is None:
             return
-        if isinstance(call, _LocalCall):
+        if isinstance(call, member_calls.LocalCall):
             self._answer_call(token, Ok(None))
             return
         if isinstance(call.query, queries.Explain) and self._manager:
             # The answer includes explanations from the fleet manager.
-            del self._pending_calls[token]
+            self._calls.remove(token)
             self._request_explanation(call)
             return
         if isinstance(call.query, queries.ReportDemand) and self._manager:
             # A report that the mailbox rejects is replaced by the next one.
-            self._manager.put(DemandReceived(call.query))
+            self._manager.put(member_messages.DemandReceived(call.query))
         content = self._get_query_answer(call.query)
         self._answer_call(token, Ok(msgspec.json.encode(content)))
 
@@ -681,51 +526,34 @@
             members = self._raft.members.members if self._raft.members else ()
             return {'addresses': [item.address for item in members]}
         if isinstance(query, queries.GetStatus):
-            content['group'] = self._get_group_status()
+            content['group'] = self._describe_group()
         return content
 
-    def _request_explanation(self, call: _RemoteCall) -> None:
+    def _request_explanation(self, call: member_calls.RemoteCall) -> None:
         content = queries.answer_query(call.query, self._state)
         answer: reply.Reply = reply.Reply()
         answer.add_callback(
             lambda outcome: self._send_explanation(call, content, outcome)
         )
-        outcome = self._manager.put(ExplainRequested(call.query, answer))
+        outcome = self._manager.put(
+            member_messages.ExplainRequested(call.query, answer)
+        )
         if outcome.is_err():
             answer.resolve(outcome)
 
     def _send_explanation(
         self,
-        call: _RemoteCall,
+        call: member_calls.RemoteCall,
         content: dict[str, Any],
         outcome: Result[Any, errors.Failure],
     ) -> None:
         content['explanations'] = outcome.unwrap_or([])
-        message = self._pack_query_reply(Ok(msgspec.json.encode(content)))
-        self._send_reply(call.header, message)
+        self._answer_query(call.header, Ok(msgspec.json.encode(content)))
 
-    def _get_group_status(self) -> dict[str, Any]:
-        matches = self._raft.get_match_indexes()
-        members = self._raft.members.members if self._raft.members else ()
-        return {
-            'leader': self._raft.leader,
-            'term': self._raft.term,
-            'commit_index': self._raft.commit_index,
-            'members': {
-                member.name: {
-                    'address': member.address,
-                    'voter': member.voter,
-                    'stamp': member.stamp,
-                    'match_index': matches.get(member.name),
-                }
-                for member in members
-            },
-            'versions_in_force': dict(sorted(self._feed.versions.items())),
-            'peer_states': {
-                node: state.value
-                for node, state in sorted(self._peer_states.items())
-            },
-        }
+    def _describe_group(self) -> dict[str, Any]:
+        return member_status.describe_group(
+            self._raft, self._feed.versions, self._peer_states
+        )
 
     def _update_peer_states(
         self, change: membership_events.PeersChanged
@@ -756,11 +584,10 @@
 
         The entries of these calls may still be committed by a later leader.
         """
-        accepted, self._accepted_tokens = self._accepted_tokens, {}
-        for token in accepted.values():
+        for token in self._calls.take_all_accepted():
             self._answer_call(
                 token,
-                _build_failure(
+                member_calls.build_failure(
                     errors.ErrorKind.CHANGE_UNKNOWN,
                     'the leader changed before the outcome was known',
                 ),
@@ -768,7 +595,7 @@
         self._has_started_leader_tasks = False
         for listener in (self._manager, self._jobs):
             if listener is not None:
-                listener.put(LeadershipLost())
+                listener.put(member_messages.LeadershipLost())
 
     def _start_leader_tasks(self) -> None:
         """Send the state to the tasks that run at the leader.
@@ -786,7 +613,9 @@
                     ledger=ledger.Ledger(),
                 )
             )
-            self._manager.put(LeadershipGained(epoch, encoded_state))
+            self._manager.put(
+                member_messages.LeadershipGained(epoch, encoded_state)
+            )
         self._resend_ledger()
 
     def _resend_ledger(self) -> None:
@@ -796,7 +625,9 @@
             records.State(ledger=self._state.ledger)
         )
         self._jobs.put(
-            LeadershipGained(ids.Epoch(self._raft.term), encoded_state)
+            member_messages.LeadershipGained(
+                ids.Epoch(self._raft.term), encoded_state
+            )
         )
 
     def _forward_jobs_call(self, received: messages.Received) -> None:
@@ -808,7 +639,7 @@
                 # The leader's state is incomplete until the first entry of
                 # its term is applied, so the caller has to retry.
                 leader = ''
-            self._send_reply(
+            self._calls.send_reply(
                 header,
                 messages.QueryReply(
                     errors.ErrorKind.NOT_LEADER.value, '', b'', leader
@@ -818,10 +649,10 @@
         try:
             call = job_calls.decode_call(received.message.parameters)
         except msgspec.DecodeError as error:
-            failure = _build_failure(
+            failure = member_calls.build_failure(
                 errors.ErrorKind.PROTOCOL_ERROR, str(error)
             )
-            self._send_reply(header, self._pack_query_reply(failure))
+            self._answer_query(header, failure)
             return
         answer: reply.Reply = reply.Reply()
         answer.add_callback(
@@ -836,11 +667,11 @@
     ) -> None:
         if outcome.is_ok():
             content = job_calls.encode_answer(outcome.unwrap())
-            self._send_reply(header, self._pack_query_reply(Ok(content)))
+            self._answer_query(header, Ok(content))
             return
         failure = outcome.unwrap_err()
         # The answer of a failed call holds the retry delay in seconds.
-        self._send_reply(
+        self._calls.send_reply(
             header,
             messages.QueryReply(
                 failure.kind.value,
@@ -853,17 +684,9 @@
     def get_status(self) -> dict[str, Any]:
         """Return the local status of this member, which may be stale."""
         return {
-            'role': self._raft.role.value,
-            'term': self._raft.term,
-            'leader': self._raft.leader,
-            'commit_index': self._raft.commit_index,
+            **member_status.describe_member(self._raft),
             'applied_index': self._applied_index,
-            'snapshot_index': self._raft.log.snapshot_index,
-            'last_index': self._raft.log.last_index,
             'version': self._state.version,
-            'stamp': self._raft.stamp,
-            'is_listed': self._raft.is_listed,
-            'may_found': self._raft.can_bootstrap,
             'syncs': self._storage.sync_count,
             'is_disk_full': bool(self._unwritten),
         }
@@ -873,8 +696,8 @@
         is_leader = self._raft.role is states.RaftRole.LEADER
         return {
             **self.get_status(),
-            'pending_calls': len(self._pending_calls),
-            'sync_seconds': self._sync_seconds,
+            'pending_calls': len(self._calls),
+            'sync_seconds': self._writer.sync_seconds,
             'fleet': fleet_metrics.compute_fleet_metrics(self._state)
             if is_leader
             else None,
@@ -884,9 +707,9 @@
         """Return all state that this member holds."""
         return {
             'consensus': self.get_status(),
-            'group': self._get_group_status(),
+            'group': self._describe_group(),
             'mailbox_length': len(self.mailbox),
-            'pending_calls': len(self._pending_calls),
+            'pending_calls': len(self._calls),
             'state': queries.answer_query(queries.GetDump(), self._state),
         }
 
@@ -908,34 +731,42 @@
 
 
 @_handle_message.register
-def _(message: GetMemberStatus, member: MemberTask) -> list[events.Action]:
+def _(
+    message: member_messages.GetMemberStatus, member: MemberTask
+) -> list[events.Action]:
     message.answer.resolve(Ok(member.get_status()))
     return []
 
 
 @_handle_message.register
-def _(message: GetMemberMetrics, member: MemberTask) -> list[events.Action]:
+def _(
+    message: member_messages.GetMemberMetrics, member: MemberTask
+) -> list[events.Action]:
     message.answer.resolve(Ok(member.get_metrics()))
     return []
 
 
 @_handle_message.register
-def _(message: GetMemberDump, member: MemberTask) -> list[events.Action]:
+def _(
+    message: member_messages.GetMemberDump, member: MemberTask
+) -> list[events.Action]:
     message.answer.resolve(Ok(member.get_dump()))
     return []
 
 
 @_handle_message.register
-def _(message: SubmitCommand, member: MemberTask) -> list[events.Action]:
-    token = member._next_token
-    member._next_token += 1
-    member._pending_calls[token] = _LocalCall(message.answer)
+def _(
+    message: member_messages.SubmitCommand, member: MemberTask
+) -> list[events.Action]:
+    token = member._calls.add(member_calls.LocalCall(message.answer))
     if message.command is None:
         return member._handle_event(events.ReadRequested(token))
     try:
         data = requests.encode(message.command)
     except (OverflowError, ValueError) as error:
-        data = _build_failure(errors.ErrorKind.INVALID_REQUEST, str(error))
+        data = member_calls.build_failure(
+            errors.ErrorKind.INVALID_REQUEST, str(error)
+        )
     if data.is_err():
         member._answer_call(token, data)
         return []
@@ -943,13 +774,17 @@
 
 
 @_handle_message.register
-def _(message: TransferLeadership, member: MemberTask) -> list[events.Action]:
+def _(
+    message: member_messages.TransferLeadership, member: MemberTask
+) -> list[events.Action]:
     message.answer.resolve(Ok(member._is_leader))
     return member._handle_event(events.LeadershipTransferRequested())
 
 
 @_handle_message.register
-def _(message: ResendState, member: MemberTask) -> list[events.Action]:
+def _(
+    message: member_messages.ResendState, member: MemberTask
+) -> list[events.Action]:
     member._resend_ledger()
     return []
 
@@ -993,10 +828,12 @@
     try:
         request = requests.decode(message.command)
     except ValueError as error:
-        failure = _build_failure(errors.ErrorKind.PROTOCOL_ERROR, str(error))
-        member._send_reply(received.header, answers.pack_reply(failure))
+        failure = member_calls.build_failure(
+            errors.ErrorKind.PROTOCOL_ERROR, str(error)
+        )
+        member._calls.send_reply(received.header, answers.pack_reply(failure))
         return []
-    token = member._add_call(received.header)
+    token = member._calls.add(member_calls.RemoteCall(received.header))
     if isinstance(request, requests.ChangeMembers):
         return member._change_members(token, request)
     return member._handle_event(
@@ -1016,10 +853,12 @@
     try:
         query = queries.decode_query(message.parameters)
     except msgspec.DecodeError as error:
-        failure = _build_failure(errors.ErrorKind.PROTOCOL_ERROR, str(error))
-        member._send_reply(received.header, member._pack_query_reply(failure))
+        failure = member_calls.build_failure(
+            errors.ErrorKind.PROTOCOL_ERROR, str(error)
+        )
+        member._answer_query(received.header, failure)
         return []
-    token = member._add_call(received.header, query)
+    token = member._calls.add(member_calls.RemoteCall(received.header, query))
     return member._handle_event(events.ReadRequested(token))
 
 
@@ -1080,7 +919,7 @@
 
 @_perform_action.register
 def _(action: events.Accepted, member: MemberTask) -> None:
-    member._accepted_tokens[(action.index, action.term)] = action.token
+    member._calls.accept(action.token, action.index, action.term)
 
 
 @_perform_action.register
@@ -1093,7 +932,7 @@
 def _(action: events.Refuse, member: MemberTask) -> None:
     member._answer_call(
         action.token,
-        _build_failure(action.kind, action.message),
+        member_calls.build_failure(action.kind, action.message),
     )
 
 
@@ -1120,9 +959,3 @@
             'member_with_other_files', member=action.name, stamp=action.stamp
         )
     )
-
-
-def _build_failure(
-    kind: errors.ErrorKind, message: str
-) -> Err[errors.Failure]:
-    return Err(errors.Failure(kind, message))
--- a/orioleshore/fleet/manager.py
+++ b/orioleshore/fleet/manager.py
@@ -10,7 +10,7 @@
 from result import Result
 
 from orioleshore.consensus import client
-from orioleshore.consensus import member
+from orioleshore.consensus import member_messages
 from orioleshore.fleet import events
 from orioleshore.fleet import planner
 from orioleshore.model import errors
@@ -141,23 +141,23 @@
 
 
 @_handle_message.register
-def _(message: member.LeadershipGained, manager: ManagerTask) -> None:
+def _(message: member_messages.LeadershipGained, manager: ManagerTask) -> None:
     state = records.decode_state(message.encoded_state)
     manager._handle_event(events.LeadershipGained(message.epoch, state))
 
 
 @_handle_message.register
-def _(message: member.LeadershipLost, manager: ManagerTask) -> None:
+def _(message: member_messages.LeadershipLost, manager: ManagerTask) -> None:
     manager._handle_event(events.LeadershipLost())
 
 
 @_handle_message.register
-def _(message: member.CommandApplied, manager: ManagerTask) -> None:
+def _(message: member_messages.CommandApplied, manager: ManagerTask) -> None:
     manager._handle_event(events.CommandApplied(message.command))
 
 
 @_handle_message.register
-def _(message: member.DemandReceived, manager: ManagerTask) -> None:
+def _(message: member_messages.DemandReceived, manager: ManagerTask) -> None:
     report = message.report
     manager._handle_event(
         events.ServiceDemandReported(report.node, report.demands)
@@ -165,7 +165,7 @@
 
 
 @_handle_message.register
-def _(message: member.ExplainRequested, manager: ManagerTask) -> None:
+def _(message: member_messages.ExplainRequested, manager: ManagerTask) -> None:
     explanations = manager._explanations.get(
         message.query.kind.value, message.query.name
     )
--- a/orioleshore/jobs/task.py
+++ b/orioleshore/jobs/task.py
@@ -9,7 +9,7 @@
 from result import Ok
 from result import Result
 
-from orioleshore.consensus import member
+from orioleshore.consensus import member_messages
 from orioleshore.jobs import calls
 from orioleshore.jobs import ledger
 from orioleshore.jobs import scheduler
@@ -177,7 +177,7 @@
         Only called without a commit in progress: the copy would lack it.
         """
         self._stop_leading()
-        self._consensus.put(member.ResendState())
+        self._consensus.put(member_messages.ResendState())
 
     def _tick_scheduler(self) -> None:
         if self._scheduler is None or self._is_rebuilding:
@@ -230,7 +230,9 @@
         answer.add_callback(
             lambda outcome: self.mailbox.put(_Committed(epoch, outcome))
         )
-        sent = self._consensus.put(member.SubmitCommand(command, answer))
+        sent = self._consensus.put(
+            member_messages.SubmitCommand(command, answer)
+        )
         if sent.is_err():
             answer.resolve(sent)
 
@@ -267,7 +269,9 @@
         if self._is_rebuilding:
             self._rebuild_scheduler()
 
-    def _start_leading(self, message: member.LeadershipGained) -> None:
+    def _start_leading(
+        self, message: member_messages.LeadershipGained
+    ) -> None:
         self._stop_leading()
         state = records.decode_state(message.encoded_state)
         self._scheduler = scheduler.Scheduler(
@@ -340,12 +344,12 @@
 
 
 @_handle_message.register
-def _(message: member.LeadershipGained, owner: JobsTask) -> None:
+def _(message: member_messages.LeadershipGained, owner: JobsTask) -> None:
     owner._start_leading(message)
 
 
 @_handle_message.register
-def _(message: member.LeadershipLost, owner: JobsTask) -> None:
+def _(message: member_messages.LeadershipLost, owner: JobsTask) -> None:
     owner._stop_leading()
 
 
--- a/orioleshore/platform/control_role.py
+++ b/orioleshore/platform/control_role.py
@@ -11,6 +11,7 @@
 from orioleshore.consensus import joining as joining_tasks
 from orioleshore.consensus import loading
 from orioleshore.consensus import member
+from orioleshore.consensus import member_messages
 from orioleshore.consensus import redirection
 from orioleshore.consensus import storage
 from orioleshore.jobs import task as jobs_task
@@ -55,7 +56,9 @@
     )
     consensus.set_job_scheduler(jobs.mailbox)
     peer_transport.register(
-        consensus.mailbox, *member.RAFT_MESSAGES, *member.CALL_MESSAGES
+        consensus.mailbox,
+        *member_messages.RAFT_MESSAGES,
+        *member_messages.CALL_MESSAGES,
     )
     hosts_client = hosts.HostsClient(
         deployment.hosts_address,
--- a/orioleshore/roles/control.py
+++ b/orioleshore/roles/control.py
@@ -8,6 +8,7 @@
 from orioleshore import settings
 from orioleshore.consensus import loading
 from orioleshore.consensus import member
+from orioleshore.consensus import member_messages
 from orioleshore.consensus import storage
 from orioleshore.fleet import manager
 from orioleshore.fleet import planner
@@ -67,7 +68,9 @@
         )
         self._connect_tasks(peer_transport, dumper)
         collector.add_task(
-            self._member.mailbox, member.GetMemberMetrics, writers.write_member
+            self._member.mailbox,
+            member_messages.GetMemberMetrics,
+            writers.write_member,
         )
 
     @property
@@ -103,10 +106,12 @@
             self._platform.set_manager(self._manager.mailbox)
         peer_transport.register(
             self._member.mailbox,
-            *member.RAFT_MESSAGES,
-            *member.CALL_MESSAGES,
+            *member_messages.RAFT_MESSAGES,
+            *member_messages.CALL_MESSAGES,
+        )
+        dumper.add_task(
+            'control', self._member.mailbox, member_messages.GetMemberDump
         )
-        dumper.add_task('control', self._member.mailbox, member.GetMemberDump)
         if self._platform is not None:
             dumper.add_task(
                 'platform', self._platform.mailbox, platform.GetPlatformDump
--- a/orioleshore/tests/builders.py
+++ b/orioleshore/tests/builders.py
@@ -5,7 +5,7 @@
 
 from orioleshore.consensus import events as consensus_events
 from orioleshore.consensus import log
-from orioleshore.consensus import member
+from orioleshore.consensus import member_messages
 from orioleshore.consensus import raft
 from orioleshore.jobs import calls
 from orioleshore.jobs import specs
@@ -514,7 +514,9 @@
     state = records.State()
     state.ledger.configuration = build_configuration()
     await task.handle(
-        member.LeadershipGained(ids.Epoch(1), records.encode_state(state))
+        member_messages.LeadershipGained(
+            ids.Epoch(1), records.encode_state(state)
+        )
     )
 
 
--- a/orioleshore/tests/test_malformed.py
+++ b/orioleshore/tests/test_malformed.py
@@ -20,7 +20,7 @@
 from fakes import workers
 from orioleshore.consensus import client
 from orioleshore.consensus import events
-from orioleshore.consensus import member
+from orioleshore.consensus import member_messages
 from orioleshore.consensus import validation
 from orioleshore.frontends import access
 from orioleshore.jobs import calls
@@ -331,7 +331,7 @@
         await handle_next()
         assert outcomes[-1].is_ok()
         (resend,) = builders.take_messages(consensus)
-        assert isinstance(resend, member.ResendState)
+        assert isinstance(resend, member_messages.ResendState)
         await builders.start_leading(task)
         for call in (builders.build_heartbeat(), builders.build_submission(2)):
             send(call)
@@ -362,12 +362,12 @@
         await builders.start_leading(task)
         await tick(0.1)
         *_, resend = builders.take_messages(consensus)
-        assert isinstance(resend, member.ResendState)
+        assert isinstance(resend, member_messages.ResendState)
         await builders.start_leading(task)
         await tick(0.1)
         # The list of hosts is still requested.
         (commit,) = builders.take_messages(consensus)
-        assert isinstance(commit, member.SubmitCommand)
+        assert isinstance(commit, member_messages.SubmitCommand)
         assert len(advanced) == 1
         await tick(jobs_task.FAILURE_PAUSE_S)
         assert len(advanced) == 2
--- a/orioleshore/tests/test_paused.py
+++ b/orioleshore/tests/test_paused.py
@@ -7,7 +7,7 @@
 from result import Ok
 
 from fakes import platform_fleet
-from orioleshore.consensus import member
+from orioleshore.consensus import member_messages
 from orioleshore.jobs import calls
 from orioleshore.jobs import orders
 from orioleshore.jobs import task as jobs_task
@@ -116,10 +116,10 @@
         commits = [
             message
             for message in builders.take_messages(consensus)
-            if isinstance(message, member.SubmitCommand)
+            if isinstance(message, member_messages.SubmitCommand)
         ]
         if is_replaced:
-            await task.handle(member.LeadershipLost())
+            await task.handle(member_messages.LeadershipLost())
         for commit in commits:
             commit.answer.resolve(Ok(None))
         await asyncio.sleep(0)
