--- a/orioleshore/tests/test_protocol_transport.py
+++ b/orioleshore/tests/test_protocol_transport.py
@@ -55,6 +55,15 @@
         )
 
 
+async def _stop_new_node(name: str) -> tuple[_Node, str]:
+    """Return a node that was started and stopped, with its address."""
+    node = _Node(name)
+    await node.transport.start()
+    address = node.transport.address
+    await node.transport.stop()
+    return node, address
+
+
 def _make_hanging_attempt(monkeypatch) -> list[int]:
     """Let the first attempt to connect hang; return the list of attempts."""
     connect = asyncio.open_connection
@@ -192,10 +201,7 @@
 
     async def check():
         async with _run_nodes(_Node('a')) as (a,):
-            b = _Node('b')
-            await b.transport.start()
-            address = b.transport.address
-            await b.transport.stop()
+            b, address = await _stop_new_node('b')
             for version in range(1, 50):
                 a.send(b, version)
             await asyncio.sleep(0.4)
@@ -237,10 +243,7 @@
 
     async def check():
         async with _run_nodes(_Node('a')) as (a,):
-            b = _Node('b')
-            await b.transport.start()
-            address = b.transport.address
-            await b.transport.stop()
+            b, address = await _stop_new_node('b')
             a.send(b, 1)
             await asyncio.sleep(0.1)
             async with _run_nodes(_Node('b', None, address)) as (restarted,):
