--- a/fakes/platform_fleet.py
+++ b/fakes/platform_fleet.py
@@ -48,6 +48,10 @@
         self._prefix = f'127.{block}.{part}'
         self._port = find_free_ports(8)
         self._members = members
+        # The control processes that the settings of a process name.
+        self.seed_names = self.control_names
+        # Control processes on hosts without a disk.
+        self.diskless_names: set[str] = set()
         self.processes: dict[str, subprocess.Popen] = {}
         # Sizes of the log files when the processes were started.
         self._log_starts: dict[str, int] = {}
@@ -146,10 +150,11 @@
         is_control = name.startswith('control')
         seeds = [
             f'{self.get_address(seed)}:{self._port + 4}'
-            for seed in self.control_names
+            for seed in self.seed_names
         ]
+        has_disk = is_control and name not in self.diskless_names
         data = self._folder / f'data-{name}'
-        if is_control:
+        if has_disk:
             data.mkdir(exist_ok=True)
         listen = (
             f'control = "{address}:{self._port + 4}"'
@@ -164,7 +169,7 @@
 port_range = [{self._port}, {self._port + 3}]
 seeds = {json.dumps(seeds)}
 bootstrap = {str(bootstrap).lower()}
-data_dir = "{data if is_control else ''}"
+data_dir = "{data if has_disk else ''}"
 [listen]
 {listen}
 [cloud_api]
--- a/orioleshore/consensus/discovery.py
+++ b/orioleshore/consensus/discovery.py
@@ -37,6 +37,11 @@
         self._seeds = seeds
         self._control = control
         self._timers = timers
+        self._listeners: list[mailbox.Mailbox] = []
+
+    def add_listener(self, listener: mailbox.Mailbox) -> None:
+        """Send the members that are found to a mailbox as well."""
+        self._listeners.append(listener)
 
     async def open(self) -> None:
         """Start the refresh timer."""
@@ -60,6 +65,8 @@
         found = msgspec.json.decode(outcome.unwrap())['addresses']
         addresses = tuple(dict.fromkeys([*found, *self._seeds]))
         self._control.put(client.ControlMembers(addresses))
+        for listener in self._listeners:
+            listener.put(client.ControlMembers(tuple(found)))
 
 
 @functools.singledispatch
--- a/orioleshore/consensus/member.py
+++ b/orioleshore/consensus/member.py
@@ -550,6 +550,14 @@
         content['explanations'] = outcome.unwrap_or([])
         self._answer_query(call.header, Ok(msgspec.json.encode(content)))
 
+    def _get_group_addresses(self) -> messages.GroupAddresses:
+        members = self._raft.members.members if self._raft.members else ()
+        return messages.GroupAddresses(
+            self._raft.term,
+            self._get_leader_address(),
+            tuple(item.address for item in members),
+        )
+
     def _describe_group(self) -> dict[str, Any]:
         return member_status.describe_group(
             self._raft, self._feed.versions, self._peer_states
@@ -738,6 +746,14 @@
     return []
 
 
+@_handle_message.register
+def _(
+    message: member_messages.GetGroupAddresses, member: MemberTask
+) -> list[events.Action]:
+    message.answer.resolve(Ok(member._get_group_addresses()))
+    return []
+
+
 @_handle_message.register
 def _(
     message: member_messages.GetMemberMetrics, member: MemberTask
--- a/orioleshore/consensus/member_messages.py
+++ b/orioleshore/consensus/member_messages.py
@@ -33,6 +33,15 @@
     answer: reply.Reply
 
 
+class GetGroupAddresses(msgspec.Struct, frozen=True):
+    """Requests the addresses of the group as this member knows them.
+
+    The answer is a ``messages.GroupAddresses``.
+    """
+
+    answer: reply.Reply
+
+
 class GetMemberMetrics(msgspec.Struct, frozen=True):
     """Requests a member's metrics; a leader adds those of the fleet."""
 
--- a/orioleshore/platform/control_role.py
+++ b/orioleshore/platform/control_role.py
@@ -7,6 +7,7 @@
 from result import Result
 
 import orioleshore
+from orioleshore.consensus import announcing
 from orioleshore.consensus import handover
 from orioleshore.consensus import joining as joining_tasks
 from orioleshore.consensus import loading
@@ -81,12 +82,19 @@
         dependencies.control_client.mailbox,
         dependencies.timers,
     )
-    tasks = [consensus, jobs, hosts_client, join_task, server]
+    announcer = announcing.AnnouncementTask(
+        config.seeds,
+        consensus.mailbox,
+        peer_transport.mailbox,
+        dependencies.timers,
+    )
+    tasks = [consensus, jobs, hosts_client, join_task, announcer, server]
     return Ok(
         process.RoleTasks(
             tasks,
             handover.Handover(consensus.mailbox),
             functools.partial(loading.load_member, consensus),
+            seed_listeners=(announcer.mailbox,),
         )
     )
 
@@ -98,10 +106,16 @@
         dependencies.transport.mailbox
     )
     dependencies.transport.register(
-        redirection_task.mailbox, messages.Propose, messages.Query
+        redirection_task.mailbox,
+        messages.Propose,
+        messages.Query,
+        messages.GroupAddresses,
     )
     server = control_server.ControlServer(
         dependencies.deployment.control_address,
         forwarding.CallForwarder(dependencies.control_client.mailbox),
     )
-    return process.RoleTasks([redirection_task, server])
+    return process.RoleTasks(
+        [redirection_task, server],
+        member_listeners=(redirection_task.mailbox,),
+    )
--- a/orioleshore/platform/process.py
+++ b/orioleshore/platform/process.py
@@ -23,6 +23,7 @@
 from orioleshore.platform import metrics_server
 from orioleshore.protocol import messages
 from orioleshore.protocol import transport
+from orioleshore.tasks import mailbox
 from orioleshore.tasks import shutdown
 from orioleshore.tasks import task
 from orioleshore.telemetry import collection
@@ -67,6 +68,9 @@
     drainable: Drainable | None = None
     # Opens the data folder before the tasks start.
     load: Loader | None = None
+    # Mailboxes that are sent changed seeds, and found members.
+    seed_listeners: tuple[mailbox.Mailbox, ...] = ()
+    member_listeners: tuple[mailbox.Mailbox, ...] = ()
 
 
 RoleBuilder = Callable[[Dependencies], Result[RoleTasks, errors.Failure]]
@@ -85,6 +89,7 @@
         self._tasks: list[task.Task] = []
         self._drainable: Drainable | None = None
         self._discovery: discovery.DiscoveryTask | None = None
+        self._seed_listeners: tuple[mailbox.Mailbox, ...] = ()
 
     async def run(
         self, deployment: boot.Deployment
@@ -124,6 +129,12 @@
                 await shutdown.abort_tasks(self._tasks)
                 return loaded
         self._drainable = role_tasks.drainable
+        self._seed_listeners = (
+            self._discovery.mailbox,
+            *role_tasks.seed_listeners,
+        )
+        for listener in role_tasks.member_listeners:
+            self._discovery.add_listener(listener)
         tasks = [self._discovery, control_client, *role_tasks.tasks]
         tasks.append(
             _make_metrics_server(deployment, peer_transport, recorder, tasks)
@@ -173,7 +184,8 @@
             )
             return
         seeds = outcome.unwrap().settings.seeds
-        self._discovery.mailbox.put(client.ControlMembers(seeds))
+        for listener in self._seed_listeners:
+            listener.put(client.ControlMembers(seeds))
         LOG.info(logs.format_event('reloaded', seeds=seeds))
 
     async def _wait_for_stop_or_failure(self) -> task.Task | None:
--- a/orioleshore/protocol/codec.py
+++ b/orioleshore/protocol/codec.py
@@ -48,6 +48,7 @@
     messages.SlotReturn: ttypes.Kind.SLOT_RETURN,
     messages.Announce: ttypes.Kind.ANNOUNCE,
     messages.AnnounceAck: ttypes.Kind.ANNOUNCE_ACK,
+    messages.GroupAddresses: ttypes.Kind.GROUP_ADDRESSES,
 }
 
 _TYPES_BY_KIND = {kind: message for message, kind in _KINDS_BY_TYPE.items()}
--- a/orioleshore/protocol/gen/wire/ttypes.py
+++ b/orioleshore/protocol/gen/wire/ttypes.py
@@ -40,6 +40,7 @@
     SLOT_RETURN = 52
     ANNOUNCE = 60
     ANNOUNCE_ACK = 61
+    GROUP_ADDRESSES = 70
 
     _VALUES_TO_NAMES = {
         1: "PRE_VOTE",
@@ -66,6 +67,7 @@
         52: "SLOT_RETURN",
         60: "ANNOUNCE",
         61: "ANNOUNCE_ACK",
+        70: "GROUP_ADDRESSES",
     }
 
     _NAMES_TO_VALUES = {
@@ -93,6 +95,7 @@
         "SLOT_RETURN": 52,
         "ANNOUNCE": 60,
         "ANNOUNCE_ACK": 61,
+        "GROUP_ADDRESSES": 70,
     }
 
 
@@ -2477,6 +2480,93 @@
 
     def __ne__(self, other):
         return not (self == other)
+
+
+class GroupAddresses(object):
+    """
+    Attributes:
+     - term
+     - leader
+     - members
+
+    """
+
+
+    def __init__(self, term=None, leader=None, members=None,):
+        self.term = term
+        self.leader = leader
+        self.members = members
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.I64:
+                    self.term = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.STRING:
+                    self.leader = iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.LIST:
+                    self.members = []
+                    (_etype45, _size42) = iprot.readListBegin()
+                    for _i46 in range(_size42):
+                        _elem47 = iprot.readString()
+                        self.members.append(_elem47)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('GroupAddresses')
+        if self.term is not None:
+            oprot.writeFieldBegin('term', TType.I64, 1)
+            oprot.writeI64(self.term)
+            oprot.writeFieldEnd()
+        if self.leader is not None:
+            oprot.writeFieldBegin('leader', TType.STRING, 2)
+            oprot.writeString(self.leader)
+            oprot.writeFieldEnd()
+        if self.members is not None:
+            oprot.writeFieldBegin('members', TType.LIST, 3)
+            oprot.writeListBegin(TType.STRING, len(self.members))
+            for iter48 in self.members:
+                oprot.writeString(iter48)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, value)
+             for key, value in self.__dict__.items()]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
+
+    def __ne__(self, other):
+        return not (self == other)
 all_structs.append(Envelope)
 Envelope.thrift_spec = (
     None,  # 0
@@ -2684,5 +2774,12 @@
     (1, TType.STRING, 'address', None, None, ),  # 1
     (2, TType.I64, 'incarnation', None, None, ),  # 2
 )
+all_structs.append(GroupAddresses)
+GroupAddresses.thrift_spec = (
+    None,  # 0
+    (1, TType.I64, 'term', None, None, ),  # 1
+    (2, TType.STRING, 'leader', None, None, ),  # 2
+    (3, TType.LIST, 'members', (TType.STRING, None, False), None, ),  # 3
+)
 fix_spec(all_structs)
 del all_structs
--- a/orioleshore/protocol/messages.py
+++ b/orioleshore/protocol/messages.py
@@ -251,6 +251,18 @@
     incarnation: ids.Incarnation
 
 
+class GroupAddresses(_Message, frozen=True):
+    """Addresses of the control members in the inner protocol.
+
+    Members send it to their seeds that are no members. ``leader`` is the
+    leader of the term, empty if it is not known.
+    """
+
+    term: ids.Term
+    leader: str
+    members: tuple[str, ...]
+
+
 class Header(msgspec.Struct, frozen=True):
     """The sender of a message; ``correlation`` pairs calls and replies.
 
--- a/orioleshore/protocol/orioleshore.thrift
+++ b/orioleshore/protocol/orioleshore.thrift
@@ -27,7 +27,8 @@
   SLOT_GRANT = 51,
   SLOT_RETURN = 52,
   ANNOUNCE = 60,
-  ANNOUNCE_ACK = 61
+  ANNOUNCE_ACK = 61,
+  GROUP_ADDRESSES = 70
 }
 
 struct Envelope {
@@ -209,3 +210,9 @@
   1: string address,
   2: i64 incarnation
 }
+
+struct GroupAddresses {
+  1: i64 term,
+  2: string leader,
+  3: list<string> members
+}
--- a/orioleshore/tests/test_platform_processes.py
+++ b/orioleshore/tests/test_platform_processes.py
@@ -295,3 +295,39 @@
             )
 
     support.run(serve())
+
+
+def test_group_is_found_through_seeds_that_are_no_members(tmp_path):
+    """Guards against a restart after which nobody knows the members.
+
+    The seeds were exchanged for control processes without a disk, and all
+    processes restarted. On gumclear-hq, day trouble-3, no request was served
+    from then on.
+    """
+
+    async def serve():
+        async with run_fleet(tmp_path) as (fleet, _, session):
+            await put_configuration(fleet, session, CONFIGURATION)
+            names = (*fleet.control_names, 'control-3', 'entry-0')
+            fleet.diskless_names = {'control-3'}
+            fleet.seed_names = ['control-3']
+            for name in names:
+                if name in fleet.processes:
+                    fleet.kill(name)
+            for name in names:
+                fleet.start(name, bootstrap=False)
+            url = f'{fleet.get_url("entry-0")}/red/{JOB_ID}'
+
+            async def is_accepted() -> bool:
+                status, _ = await send_request(
+                    session, 'POST', url, json=JOB, headers=HOST
+                )
+                return status == 200
+
+            await wait_until(is_accepted, 'a job is accepted')
+            await wait_until(
+                make_state_check(fleet, session, 'completed'),
+                'the job is completed',
+            )
+
+    support.run(serve())
