--- a/orioleshore/jobs/placement.py
+++ b/orioleshore/jobs/placement.py
@@ -110,7 +110,11 @@
     """
     if worker.state is not states.WorkerState.READY:
         return None
-    return scheduler.limits.idle_retry_ms
+    limits = scheduler.limits
+    per_worker_ms = MS_PER_S / limits.max_heartbeats_per_s
+    shared_ms = math.ceil(len(scheduler.workers) * per_worker_ms)
+    delay_ms = max(limits.idle_retry_ms, shared_ms)
+    return delay_ms if delay_ms < limits.heartbeat_ms else None
 
 
 def find_other_workers(
--- a/orioleshore/jobs/reports.py
+++ b/orioleshore/jobs/reports.py
@@ -87,7 +87,7 @@
         worker.state = call.state
     worker.sequence = call.sequence
     worker.capacity = call.capacity
-    worker.pool = call.pool
+    scheduler.set_worker_pool(worker, call.pool)
     worker.last_heartbeat_at = scheduler.now
     worker.lease_end = scheduler.now + scheduler.max_lease_s
     worker.reports = {
--- a/orioleshore/jobs/scheduler.py
+++ b/orioleshore/jobs/scheduler.py
@@ -23,6 +23,7 @@
 from orioleshore.jobs import orders
 from orioleshore.jobs import pools
 from orioleshore.jobs import progress
+from orioleshore.jobs import roster
 from orioleshore.jobs import specs
 from orioleshore.jobs import tuning
 from orioleshore.jobs import upkeep
@@ -70,7 +71,9 @@
         self.now = now
         self.wall_time = ids.WallTime(0.0)
         self.leader_since = now
+        # Changed only by add_worker and drop_worker.
         self.workers: dict[ids.WorkerId, workers.Worker] = {}
+        self._roster = roster.Roster()
         self.jobs: dict[ids.JobId, progress.JobProgress] = {}
         self.orders = orders.OrderQueue(limits, epoch, self._record_host_order)
         self.upkeep = upkeep.Upkeep(self)
@@ -201,7 +204,13 @@
 
     def get_pool_workers(self, pool: ids.PoolId) -> list[workers.Worker]:
         """Return the known workers of a pool."""
-        return [w for w in self.workers.values() if w.pool == pool]
+        return list(self._roster.iterate_pool_workers(pool))
+
+    def set_worker_pool(
+        self, worker: workers.Worker, pool: ids.PoolId
+    ) -> None:
+        """Note the pool that a worker reports."""
+        self._roster.set_pool(worker, pool)
 
     def get_pools(self) -> tuple[ids.PoolId, ...]:
         """Return the names of all pools of the configuration."""
@@ -474,13 +483,12 @@
         A heartbeat that a network partition delayed may arrive after its
         worker has ended and a newer one runs on the same host.
         """
+        known = self.workers.get(heartbeat.worker)
+        if known is not None and known.incarnation > heartbeat.incarnation:
+            return True
         return any(
             other.incarnation > heartbeat.incarnation
-            and (
-                other.name == heartbeat.worker
-                or (bool(heartbeat.host) and other.host == heartbeat.host)
-            )
-            for other in self.workers.values()
+            for other in self._roster.get_host_workers(heartbeat.host)
         )
 
     def add_worker(self, heartbeat: calls.Heartbeat) -> workers.Worker:
@@ -499,6 +507,7 @@
             found_at=self.now,
         )
         self.workers[heartbeat.worker] = worker
+        self._roster.add(worker)
         for key, need in self._unconfirmed_runs.pop(
             heartbeat.worker, {}
         ).items():
@@ -543,18 +552,15 @@
     def _drop_replaced_workers(self, worker: workers.Worker) -> None:
         # A host runs one worker at a time, so a newer worker implies that
         # the previous one and all its runs have ended.
-        for other in list(self.workers.values()):
-            if (
-                other.host == worker.host
-                and other.host
-                and other.name != worker.name
-                and other.incarnation < worker.incarnation
-            ):
+        for other in self._roster.get_host_workers(worker.host):
+            is_older = other.incarnation < worker.incarnation
+            if other.name != worker.name and is_older:
                 self.drop_worker(other, 'replaced')
 
     def drop_worker(self, worker: workers.Worker, reason: str) -> None:
         """Remove a worker that has ended, and end its runs as lost."""
         del self.workers[worker.name]
+        self._roster.remove(worker)
         LOG.warning(
             logs.format_event(
                 'worker_lost',
--- a/orioleshore/jobs/tuning.py
+++ b/orioleshore/jobs/tuning.py
@@ -25,9 +25,15 @@
     # A worker that announced its exit has stopped its runs this long after
     # the acknowledgement; more than the time that a process takes to exit.
     leave_ms: int = 1_000
-    # Heartbeat interval of ready workers; a new job waits at most this long
-    # for a worker to report.
+    # Shortest heartbeat interval of ready workers; a new job waits at most
+    # this long for a worker to report.
     idle_retry_ms: int = 100
+    # Heartbeats of all workers together. The interval grows with the number
+    # of workers, so that their rate stays below what one leader handles; with
+    # more workers a new job still finds one as soon.
+    max_heartbeats_per_s: int = 1_000
+    # Intervals from here on are left to the worker. Platform limit.
+    heartbeat_ms: int = 1_500
     # Time within which all members of a gang must start. Platform limit.
     gang_ms: int = 3_000
     # Tasks outside the rack of their data or of their step take this many
--- a/orioleshore/platform/boot.py
+++ b/orioleshore/platform/boot.py
@@ -70,6 +70,8 @@
     seeds: tuple[str, ...]
     bootstrap: bool = False
     data_dir: str = ''
+    # Interval at which workers report unless an answer names another one.
+    heartbeat_ms: int = 1_500
     listen: _Listen = _Listen()
     bounds: _Bounds = _Bounds()
     cloud_api: _CloudApi = _CloudApi()
@@ -122,7 +124,7 @@
     return Ok(
         Deployment(
             outcome.unwrap(),
-            _make_scheduler_limits(boot_file.bounds),
+            _make_scheduler_limits(boot_file),
             boot_file.listen.front,
             boot_file.listen.ready,
             boot_file.listen.control,
@@ -196,7 +198,8 @@
     )
 
 
-def _make_scheduler_limits(bounds: _Bounds) -> tuning.SchedulerLimits:
+def _make_scheduler_limits(boot_file: _BootFile) -> tuning.SchedulerLimits:
+    bounds = boot_file.bounds
     return tuning.SchedulerLimits(
         # Workers shorten longer leases to hold_max_ms.
         lease_ms=min(tuning.SchedulerLimits().lease_ms, bounds.hold_max_ms),
@@ -204,6 +207,7 @@
         host_lease_ms=bounds.lease_ms,
         gang_ms=bounds.gang_timeout_ms,
         remote_factor=bounds.spread_factor,
+        heartbeat_ms=boot_file.heartbeat_ms,
     )
 
 
