--- a/orioleshore/jobs/roster.py
+++ b/orioleshore/jobs/roster.py
@@ -5,6 +5,8 @@
 from orioleshore.jobs import workers
 from orioleshore.model import ids
 
+_WorkersByName = dict[ids.WorkerId, workers.Worker]
+
 
 class Roster:
     """Names of the workers by host and by pool.
@@ -14,10 +16,8 @@
     """
 
     def __init__(self) -> None:
-        self._by_host: dict[ids.HostId, dict[ids.WorkerId, workers.Worker]]
-        self._by_host = {}
-        self._by_pool: dict[ids.PoolId, dict[ids.WorkerId, workers.Worker]]
-        self._by_pool = {}
+        self._by_host: dict[ids.HostId, _WorkersByName] = {}
+        self._by_pool: dict[ids.PoolId, _WorkersByName] = {}
 
     def add(self, worker: workers.Worker) -> None:
         """Add a worker under its host and its pool."""
@@ -49,7 +49,7 @@
 
 
 def _remove_from(
-    index: dict[str, dict[ids.WorkerId, workers.Worker]],
+    index: dict[str, _WorkersByName],
     key: str,
     name: ids.WorkerId,
 ) -> None:
--- a/orioleshore/jobs/tuning.py
+++ b/orioleshore/jobs/tuning.py
@@ -13,7 +13,7 @@
     "Platform limit" marks values that the platform sets for a deployment.
     """
 
-    # Lease granted with each heartbeat. Longer than an election (1.2 s) plus
+    # Lease granted with each heartbeat. Longer than an election (0.9 s) plus
     # a call that times out (1 s) and some lost heartbeats (0.1 s each). The
     # runs of a crashed worker restart elsewhere only after its lease.
     lease_ms: int = 3_000
