--- a/fakes/workers.py
+++ b/fakes/workers.py
@@ -4,6 +4,7 @@
 real decisions without processes or sockets.
 """
 
+import collections
 import random
 
 import msgspec
@@ -28,6 +29,12 @@
 UPKEEP_S = 2.0
 # A worker gives up waiting for the answer to a heartbeat after this time.
 LOST_ANSWER_S = 1.0
+# Seconds from the start of a deadly task to the crash of its worker, and from
+# the crash to the first heartbeat of the next worker, as in the deployments.
+CRASH_DELAY_S = 0.01
+RESTART_S = 3.3
+
+TaskKey = tuple[ids.JobId, ids.TaskName]
 
 
 class _Run(msgspec.Struct):
@@ -50,6 +57,8 @@
         self.next_heartbeat = 0.0
         self.state = states.WorkerState.READY
         self.labels = ('a', 'r1-1')
+        # The worker starts again under the name that it had.
+        self.keeps_name = False
         self.is_silent = False
         self.is_failing = False
         # Running tasks make no progress and do not end.
@@ -64,6 +73,8 @@
 
     @property
     def name(self) -> ids.WorkerId:
+        if self.keeps_name:
+            return ids.WorkerId(self.host)
         return ids.WorkerId(f'{self.host}-{self.incarnation}')
 
     def restart(self, pool: ids.PoolId, up_at: float) -> None:
@@ -149,6 +160,15 @@
         self.max_hosts_down = 0
         self._upkeep_ends: dict[ids.HostId, float] = {}
         self.hosts_done: set[ids.HostId] = set()
+        # Tasks that crash each worker that starts them, the seconds from the
+        # start to the crash, and the seconds until the worker is back.
+        self.deadly_tasks: set[TaskKey] = set()
+        self.crash_delay_s = CRASH_DELAY_S
+        self.restart_s = RESTART_S
+        # Workers that each deadly task has crashed.
+        self.crashes: collections.Counter[TaskKey] = collections.Counter()
+        # Runs of other tasks that were lost in these crashes.
+        self.lost_bystanders = 0
         # Workers that the policy service never approves.
         self.unapproved: set[ids.WorkerId] = set()
         self.starts: list[tuple[float, ids.HostId, calls.StartOrder]] = []
@@ -203,6 +223,8 @@
         for worker in self.workers.values():
             if worker.pool in self.standby or self.now < worker.up_at:
                 continue
+            if self._crash_by_task(worker):
+                continue
             self._end_due_runs(worker)
             if not worker.is_silent and self.now >= worker.next_heartbeat:
                 self.send_heartbeat(worker)
@@ -314,6 +336,20 @@
             self.now, self.now + run_s, how, step.is_long_running
         )
 
+    def _crash_by_task(self, worker: FakeWorker) -> bool:
+        """Crash a worker that runs a deadly task; return whether it does."""
+        for key, run in worker.running.items():
+            is_due = self.now >= run.began_at + self.crash_delay_s
+            if key[:2] in self.deadly_tasks and is_due:
+                self.crashes[key[:2]] += 1
+                self.lost_bystanders += sum(
+                    other[:2] not in self.deadly_tasks
+                    for other in worker.running
+                )
+                worker.restart(worker.pool, self.now + self.restart_s)
+                return True
+        return False
+
     def _end_due_runs(self, worker: FakeWorker) -> None:
         if worker.lease_end is not None and self.now >= worker.lease_end:
             for key in list(worker.running):
