Skip rumours that are nested too deeply

Callers saw connections break: an entry host whose membership task got a rumour with a further field nested 1,100 deep ended, and since rumours spread, so did one process after the other.

msgspec raises RecursionError for data nested deeper than the stack, which is no MsgspecError, so it passed the except clause of unpack_peers and failed the membership task.

--- a/orioleshore/membership/packing.py
+++ b/orioleshore/membership/packing.py
@@ -8,6 +8,7 @@
 import msgspec
 
 from orioleshore.model import announcements
+from orioleshore.model import decoding
 from orioleshore.model import ids
 from orioleshore.model import states
 from orioleshore.protocol import messages
@@ -35,6 +36,9 @@
     version: ids.Version
 
 
+_DETAILS_DECODER = decoding.make_msgpack_decoder(_PeerDetails)
+
+
 def pack_peer(peer: announcements.Peer) -> messages.Rumour:
     """Return the rumour that encodes the state of a process."""
     details = _PeerDetails(
@@ -77,7 +81,7 @@
             continue
         try:
             peers.append(_unpack_peer(rumour))
-        except (msgspec.MsgspecError, ValueError) as error:
+        except ValueError as error:
             LOG.warning(
                 logs.format_event(
                     'rumour_unreadable', subject=rumour.subject, error=error
@@ -89,7 +93,7 @@
 def _unpack_peer(rumour: messages.Rumour) -> announcements.Peer:
     if not 0 <= rumour.incarnation <= MAX_INCARNATION:
         raise ValueError(f'incarnation {rumour.incarnation} is out of range')
-    details = msgspec.msgpack.decode(rumour.data, type=_PeerDetails)
+    details = _DETAILS_DECODER.decode(rumour.data)
     return announcements.Peer(
         ids.NodeId(rumour.subject),
         details.address,
--- a/orioleshore/tests/builders.py
+++ b/orioleshore/tests/builders.py
@@ -3,6 +3,8 @@
 import random
 from typing import Any
 
+import msgspec
+
 from orioleshore.consensus import events as consensus_events
 from orioleshore.consensus import log
 from orioleshore.consensus import member_messages
@@ -171,6 +173,14 @@
     return announcements.Peer(ids.NodeId(node), **{**defaults, **fields})
 
 
+def build_nested_rumour(node: str, depth: int) -> messages.Rumour:
+    """Return a rumour with a further field that is nested ``depth`` deep."""
+    rumour = packing.pack_peer(build_peer(node))
+    # An array of four items becomes one of five; 0x91 begins an array of one.
+    data = b'\x95' + rumour.data[1:] + b'\x91' * depth + b'\xc0'
+    return msgspec.structs.replace(rumour, data=data)
+
+
 def build_detector(
     node: str = 'node-1',
     incarnation: int = 1,
