Check addresses of other processes where they are received

A rumour, redirect or list of the group could name an address that nobody can connect to: a port out of range, or a host with a scope. Such a peer went into the table, was told to others, and each message to it was an error line; a scope that is no label of a name ("[::1%..]:7001") passed the check and raised UnicodeError, a ValueError, out of the task of the connection, which ended with all its later frames.

model/addresses.py parses an address once, with a port from 1 and no scope, and the transport passes the parsed one on. Rumours with another address are dropped; in redirects and lists of the group it counts as unknown.

The rumour in test_unreadable_rumours_are_skipped_and_logged gets a real address, since one without a port is no longer readable; it checks as much.

--- a/orioleshore/frontends/caller_server.py
+++ b/orioleshore/frontends/caller_server.py
@@ -9,6 +9,7 @@
 
 from orioleshore import settings
 from orioleshore.frontends import web as frontend_web
+from orioleshore.model import addresses
 from orioleshore.model import errors
 from orioleshore.telemetry import logs
 
@@ -196,7 +197,7 @@
             + ANSWER_WRITE_TIMEOUT_S,
         )
         await self._runner.setup()
-        host, port = settings.parse_address(self._address)
+        host, port = addresses.parse_listening_address(self._address)
         site = web.TCPSite(self._runner, host, port, backlog=BACKLOG)
         await site.start()
         self._address = f'{host}:{self._runner.addresses[0][1]}'
--- a/orioleshore/frontends/group_changes.py
+++ b/orioleshore/frontends/group_changes.py
@@ -7,8 +7,8 @@
 from result import Ok
 from result import Result
 
-from orioleshore import settings
 from orioleshore.consensus import requests
+from orioleshore.model import addresses
 from orioleshore.model import checks
 from orioleshore.model import documents
 from orioleshore.model import errors
@@ -53,7 +53,7 @@
             return ['$: expected at least one of: add, remove']
         return []
     try:
-        settings.parse_address(change.address)
+        addresses.parse_address(change.address)
     except ValueError as error:
         return [f'$.address: expected "IP address:port" ({error})']
     return []
--- a/orioleshore/frontends/web.py
+++ b/orioleshore/frontends/web.py
@@ -6,7 +6,7 @@
 
 from aiohttp import web
 
-from orioleshore import settings
+from orioleshore.model import addresses
 from orioleshore.model import errors
 from orioleshore.tasks import mailbox
 from orioleshore.tasks import task
@@ -102,7 +102,7 @@
                 **self._options,
             )
         await self._runner.setup()
-        host, port = settings.parse_address(self._address)
+        host, port = addresses.parse_listening_address(self._address)
         site = web.TCPSite(self._runner, host, port, backlog=1_024)
         await site.start()
         bound = self._runner.addresses[0]
--- a/orioleshore/membership/gossip.py
+++ b/orioleshore/membership/gossip.py
@@ -21,6 +21,7 @@
 from orioleshore.tasks import reply
 from orioleshore.tasks import task
 from orioleshore.telemetry import logs
+from orioleshore.telemetry import odd_entries
 from orioleshore.timers import service
 
 LOG = logging.getLogger(__name__)
@@ -73,6 +74,11 @@
         self._timers = timers
         self._publisher = publisher.Publisher(listeners)
         self._period_s = period_s
+        self._odd_entries = odd_entries.OddEntryLog()
+
+    @property
+    def odd_entries(self) -> odd_entries.OddEntryLog:
+        return self._odd_entries
 
     async def open(self) -> None:
         """Start probing."""
@@ -172,7 +178,7 @@
             received.header.sender,
             received.header.reply_address,
             message.sequence,
-            packing.unpack_peers(message.rumours),
+            packing.unpack_peers(message.rumours, gossip._odd_entries),
         )
     )
 
@@ -186,7 +192,7 @@
             received.header.sender,
             ids.NodeId(message.subject),
             message.sequence,
-            packing.unpack_peers(message.rumours),
+            packing.unpack_peers(message.rumours, gossip._odd_entries),
         )
     )
 
@@ -204,7 +210,7 @@
             message.sequence,
             ids.NodeId(message.subject),
             message.subject_address,
-            packing.unpack_peers(message.rumours),
+            packing.unpack_peers(message.rumours, gossip._odd_entries),
         )
     )
 
--- a/orioleshore/membership/packing.py
+++ b/orioleshore/membership/packing.py
@@ -3,18 +3,15 @@
 A rumour is the encoded form of an update in the inner protocol.
 """
 
-import logging
-
 import msgspec
 
+from orioleshore.model import addresses
 from orioleshore.model import announcements
 from orioleshore.model import decoding
 from orioleshore.model import ids
 from orioleshore.model import states
 from orioleshore.protocol import messages
-from orioleshore.telemetry import logs
-
-LOG = logging.getLogger(__name__)
+from orioleshore.telemetry import odd_entries
 
 # Kind of a rumour about a process; the number is sent between processes.
 PEER_UPDATE_KIND = 1
@@ -69,12 +66,15 @@
 
 def unpack_peers(
     rumours: tuple[messages.Rumour, ...],
+    odd: odd_entries.OddEntryLog | None = None,
 ) -> tuple[announcements.Peer, ...]:
     """Return the processes that rumours describe.
 
     Unknown kinds are skipped. A rumour that cannot be decoded, such as one
-    with a state that only newer processes have, is logged and skipped.
+    with a state that only newer processes have, is skipped and reported to
+    ``odd``.
     """
+    odd = odd or odd_entries.OddEntryLog()
     peers = []
     for rumour in rumours:
         if rumour.kind != PEER_UPDATE_KIND:
@@ -82,11 +82,7 @@
         try:
             peers.append(_unpack_peer(rumour))
         except ValueError as error:
-            LOG.warning(
-                logs.format_event(
-                    'rumour_unreadable', subject=rumour.subject, error=error
-                )
-            )
+            odd.report(odd_entries.EntryList.RUMOURS, rumour.subject, error)
     return tuple(peers)
 
 
@@ -94,6 +90,8 @@
     if not 0 <= rumour.incarnation <= MAX_INCARNATION:
         raise ValueError(f'incarnation {rumour.incarnation} is out of range')
     details = _DETAILS_DECODER.decode(rumour.data)
+    # Other processes connect to this address and repeat the rumour.
+    addresses.parse_address(details.address)
     return announcements.Peer(
         ids.NodeId(rumour.subject),
         details.address,
--- a/orioleshore/protocol/outgoing.py
+++ b/orioleshore/protocol/outgoing.py
@@ -8,7 +8,7 @@
 
 import msgspec
 
-from orioleshore import settings
+from orioleshore.model import addresses
 from orioleshore.model import ids
 from orioleshore.protocol import tls
 from orioleshore.tasks import mailbox
@@ -55,7 +55,7 @@
 
     def __init__(
         self,
-        address: str,
+        address: addresses.Address,
         tls_contexts: tls.TlsContexts | None,
         on_end: Callable[[], object],
     ) -> None:
@@ -63,7 +63,9 @@
         self._tls_contexts = tls_contexts
         self._on_end = on_end
         self._frames: mailbox.Mailbox[_QueuedFrame] = mailbox.Mailbox(
-            f'peer {address}', QUEUE_CAPACITY, mailbox.Overflow.DROP_OLDEST
+            f'peer {_format_address(address)}',
+            QUEUE_CAPACITY,
+            mailbox.Overflow.DROP_OLDEST,
         )
         self._expired_frames = 0
         self._is_ended = False
@@ -74,7 +76,7 @@
         # to succeed.
         self._peer_heard = asyncio.Event()
         self._task = asyncio.create_task(
-            self._run_connection(), name=f'peer {address}'
+            self._run_connection(), name=self._frames.name
         )
 
     @property
@@ -199,14 +201,13 @@
     async def _open_streams(
         self,
     ) -> tuple[asyncio.StreamReader, asyncio.StreamWriter] | None:
-        host, port = settings.parse_address(self._address)
         try:
             context = (
                 self._tls_contexts and self._tls_contexts.get_client_context()
             )
             async with asyncio.timeout(CONNECT_TIMEOUT_S):
                 streams = await asyncio.open_connection(
-                    host, port, ssl=context
+                    *self._address, ssl=context
                 )
             streams[1].get_extra_info('socket').setsockopt(
                 socket.IPPROTO_TCP,
@@ -281,10 +282,17 @@
     ) -> None:
         text = str(error) or type(error).__name__
         LOG.log(
-            level, logs.format_event(event, address=self._address, error=text)
+            level,
+            logs.format_event(
+                event, address=_format_address(self._address), error=text
+            ),
         )
 
 
+def _format_address(address: addresses.Address) -> str:
+    return f'{address.host}:{address.port}'
+
+
 def _get_first_streams(
     attempts: list[asyncio.Task],
 ) -> tuple[asyncio.StreamReader, asyncio.StreamWriter] | None:
--- a/orioleshore/protocol/transport.py
+++ b/orioleshore/protocol/transport.py
@@ -9,16 +9,19 @@
 import msgspec
 
 from orioleshore import settings
+from orioleshore.model import addresses
 from orioleshore.model import errors
 from orioleshore.model import ids
 from orioleshore.protocol import codec
 from orioleshore.protocol import framing
 from orioleshore.protocol import messages
 from orioleshore.protocol import outgoing
+from orioleshore.protocol import received_addresses
 from orioleshore.protocol import tls
 from orioleshore.tasks import mailbox
 from orioleshore.tasks import task
 from orioleshore.telemetry import logs
+from orioleshore.telemetry import odd_entries
 
 LOG = logging.getLogger(__name__)
 
@@ -81,6 +84,11 @@
         self._refused_connections = 0
         # Frames dropped by connections that have ended.
         self._dropped_frames = 0
+        self._odd_entries = odd_entries.OddEntryLog()
+
+    @property
+    def odd_entries(self) -> odd_entries.OddEntryLog:
+        return self._odd_entries
 
     @property
     def address(self) -> str:
@@ -119,7 +127,7 @@
 
         Port 0 is replaced by the port that the kernel assigned.
         """
-        host, port = settings.parse_address(self._address)
+        host, port = addresses.parse_listening_address(self._address)
         context = (
             self._tls_contexts and self._tls_contexts.get_server_context()
         )
@@ -142,8 +150,7 @@
             self._node, self._incarnation, message.correlation, self._address
         )
         try:
-            # Peers supply the address for replies, so it may be malformed.
-            settings.parse_address(message.address)
+            address = addresses.parse_address(message.address)
             frame = framing.pack_frame(codec.encode(header, message.message))
         except ValueError as error:
             LOG.error(
@@ -157,15 +164,17 @@
             return
         self._sent_messages += 1
         self._sent_bytes += len(frame)
-        self._get_connection(message.address).put(frame)
+        self._get_connection(message.address, address).put(frame)
 
-    def _get_connection(self, address: str) -> outgoing.Connection:
+    def _get_connection(
+        self, address: str, target: addresses.Address
+    ) -> outgoing.Connection:
         connection = self._outgoing_connections.get(address)
         if connection is not None and not connection.is_ended:
             return connection
         self._remove_ended_connection(address)
         connection = outgoing.Connection(
-            address,
+            target,
             self._tls_contexts,
             lambda: self.mailbox.put(PeerConnectionEnded(address)),
         )
@@ -252,7 +261,11 @@
                 is_first_frame = False
             self._received_messages += 1
             self._received_bytes += len(frame.unwrap())
-            self._deliver(received)
+            checked = received_addresses.check_addresses(
+                received, self._odd_entries
+            )
+            if checked is not None:
+                self._deliver(checked)
 
     def _report_contact(self, header: messages.Header) -> None:
         """Tell the connection to a peer that the peer has just connected."""
--- a/orioleshore/settings.py
+++ b/orioleshore/settings.py
@@ -1,6 +1,5 @@
 """Settings of a process: types, defaults and checks."""
 
-import ipaddress
 import os
 import pathlib
 from typing import Annotated
@@ -11,11 +10,11 @@
 from result import Ok
 from result import Result
 
+from orioleshore.model import addresses
 from orioleshore.model import checks
 from orioleshore.model import documents
 from orioleshore.model import errors
 from orioleshore.model import ids
-from orioleshore.model import numbers
 from orioleshore.model import states
 
 # Times in seconds, sizes in bytes. A settings file overrides individual keys.
@@ -175,19 +174,6 @@
     return merged
 
 
-def parse_address(text: str) -> tuple[str, int]:
-    """Return IP address and port of "IP:port" or "[IPv6]:port".
-
-    Raises ValueError if the host part is not an IP address.
-    """
-    host, _, port = text.rpartition(':')
-    number = ipaddress.ip_address(host.strip('[]'))
-    port_number = numbers.parse_count(port)
-    if port_number is None or port_number > 65_535:
-        raise ValueError(f'{port!r} is not a port')
-    return str(number), port_number
-
-
 def find_problems(settings: Settings) -> list[str]:
     """Return the problems of settings whose types are valid."""
     problems = _find_address_problems(settings)
@@ -205,20 +191,20 @@
 
 
 def _find_address_problems(settings: Settings) -> list[str]:
-    addresses = {
+    texts = {
         f'$.addresses.{name}': getattr(settings.addresses, name)
         for name in settings.addresses.__struct_fields__
     }
     for position, seed in enumerate(settings.seeds):
-        addresses[f'$.seeds[{position}]'] = seed
+        texts[f'$.seeds[{position}]'] = seed
     for name, address in settings.control.initial_members.items():
-        addresses[f'$.control.initial_members.{name}'] = address
+        texts[f'$.control.initial_members.{name}'] = address
     problems = []
-    for path, address in addresses.items():
+    for path, address in texts.items():
         if address is None:
             continue
         try:
-            parse_address(address)
+            addresses.parse_listening_address(address)
         except ValueError as error:
             problems.append(
                 f'{path}: expected "IP number:port", got {address!r} ({error})'
--- a/orioleshore/tests/builders.py
+++ b/orioleshore/tests/builders.py
@@ -175,7 +175,7 @@
 
 def build_nested_rumour(node: str, depth: int) -> messages.Rumour:
     """Return a rumour with a further field that is nested ``depth`` deep."""
-    rumour = packing.pack_peer(build_peer(node))
+    rumour = packing.pack_peer(build_peer(node, address='127.0.0.1:7001'))
     # An array of four items becomes one of five; 0x91 begins an array of one.
     data = b'\x95' + rumour.data[1:] + b'\x91' * depth + b'\xc0'
     return msgspec.structs.replace(rumour, data=data)
--- a/orioleshore/tests/test_membership_detector.py
+++ b/orioleshore/tests/test_membership_detector.py
@@ -249,7 +249,8 @@
 
 def test_unreadable_rumours_are_skipped_and_logged(caplog):
     """Guards against unknown states or kinds, and excessive incarnations."""
-    readable = packing.pack_peer(builders.build_peer())
+    good = builders.build_peer(address='127.0.0.1:7001')
+    readable = packing.pack_peer(good)
     unknown_state = messages.Rumour(1, 'node-2', 1, 'resting', readable.data)
     unknown_kind = messages.Rumour(9, 'node-3', 1, 'alive', b'')
     undecodable = messages.Rumour(1, 'node-4', 1, 'alive', b'\xff')
@@ -259,7 +260,7 @@
     peers = packing.unpack_peers(
         (unknown_state, unknown_kind, undecodable, out_of_range, readable)
     )
-    assert peers == (builders.build_peer(),)
+    assert peers == (good,)
     # An unknown kind is not an error; the other skipped rumours are logged.
     lines = [record.getMessage() for record in caplog.records]
     assert [line.split()[1] for line in lines] == [
--- a/orioleshore/tests/test_protocol_transport.py
+++ b/orioleshore/tests/test_protocol_transport.py
@@ -12,6 +12,7 @@
 from orioleshore.membership import detector
 from orioleshore.membership import gossip
 from orioleshore.membership import packing
+from orioleshore.model import addresses
 from orioleshore.model import ids
 from orioleshore.model import states
 from orioleshore.protocol import codec
@@ -303,7 +304,7 @@
         )
         port = server.sockets[0].getsockname()[1]
         connection = outgoing.Connection(
-            f'127.0.0.1:{port}', None, lambda: None
+            addresses.Address('127.0.0.1', port), None, lambda: None
         )
         connection.put(b'1')
         await support.wait_until(lambda: len(accepted) == 1, 'a connection')
