Log the errors of tasks that nobody awaits, and report failed calls

An order about a host ran as a task of its own whose exception nobody read: a call that raised left no line and no outcome, so the scheduler waited for the answer to expire, and an unread poll of the platform's reports ended polling for good. A connection whose task raised kept its queue and sent nothing more.

tasks/background.py starts such tasks: an exception is logged with the name of the task and passed to a handler. A failed order is reported as UNKNOWN and so repeated, a failed poll as one without reports, a failed connection as ended. Other exceptions that reach the event loop are logged as key=value pairs.

--- a/fakes/platform_fleet.py
+++ b/fakes/platform_fleet.py
@@ -306,11 +306,18 @@
 
 
 class FakeCloudApi:
-    """A fake cloud API with no machines that accepts all maintenance."""
+    """A fake cloud API that accepts all maintenance.
+
+    It lists ``machines`` and then ``odd_rows``, which are sent as they are.
+    """
 
     def __init__(self, address: str) -> None:
         self._address = address
         self.upkeeps: list[str] = []
+        self.machines: list[dict] = []
+        self.odd_rows: list[bytes] = []
+        # Number of times that the list was read.
+        self.reads = 0
         self._runner: web.AppRunner | None = None
 
     async def start(self) -> None:
@@ -328,7 +335,11 @@
         await self._runner.cleanup()
 
     async def _list_machines(self, request: web.Request) -> web.Response:
-        return web.json_response({'machines': [], 'next_token': None})
+        self.reads += 1
+        rows = [json.dumps(machine).encode() for machine in self.machines]
+        rows += self.odd_rows
+        body = b'{"machines":[' + b','.join(rows) + b'],"next_token":null}'
+        return web.Response(body=body, content_type='application/json')
 
     async def _start_upkeep(self, request: web.Request) -> web.Response:
         self.upkeeps.append((await request.json())['machine'])
--- a/orioleshore/frontends/platform.py
+++ b/orioleshore/frontends/platform.py
@@ -13,6 +13,7 @@
 from orioleshore.fleet import events
 from orioleshore.model import ids
 from orioleshore.model import states
+from orioleshore.tasks import background
 from orioleshore.tasks import mailbox
 from orioleshore.tasks import reply
 from orioleshore.tasks import task
@@ -127,8 +128,12 @@
         """Handle a call, a poll, a replay or a request for the dump."""
         _handle_message(message, self)
 
-    def _start_subtask(self, coroutine) -> None:
-        subtask = asyncio.create_task(coroutine)
+    def _start_subtask(
+        self, coroutine, on_error: background.ErrorHandler | None = None
+    ) -> None:
+        subtask = background.start_task(
+            coroutine, coroutine.__qualname__, on_error
+        )
         self._subtasks.add(subtask)
         subtask.add_done_callback(self._subtasks.discard)
 
@@ -266,7 +271,13 @@
 
 @_handle_message.register
 def _(message: events.CallPlatform, platform: PlatformTask) -> None:
-    platform._start_subtask(platform._call_platform(message))
+    # The planner repeats a call whose outcome is not known.
+    platform._start_subtask(
+        platform._call_platform(message),
+        lambda error: platform._manager.put(
+            events.PlatformAnswered(message.call, False, str(error))
+        ),
+    )
 
 
 @_handle_message.register
@@ -278,7 +289,12 @@
 def _(message: service.TimerFired, platform: PlatformTask) -> None:
     if not platform._is_polling:
         platform._is_polling = True
-        platform._start_subtask(platform._poll_reports())
+        platform._start_subtask(
+            platform._poll_reports(),
+            lambda _: platform._start_subtask(
+                platform.mailbox.put_wait(_PollFinished(None))
+            ),
+        )
 
 
 @_handle_message.register
--- a/orioleshore/platform/hosts.py
+++ b/orioleshore/platform/hosts.py
@@ -16,6 +16,7 @@
 from orioleshore.model import ids
 from orioleshore.model import numbers
 from orioleshore.model import states
+from orioleshore.tasks import background
 from orioleshore.tasks import mailbox
 from orioleshore.tasks import reply
 from orioleshore.tasks import task
@@ -95,10 +96,20 @@
 
     async def handle(self, message: Any) -> None:
         """Start the call of one order; calls run concurrently."""
-        call = asyncio.create_task(_execute_order(message, self))
+        call = background.start_task(
+            _execute_order(message, self),
+            f'platform call {type(message).__name__}',
+            lambda error: self._report_failure(message, error),
+        )
         self._pending_calls.add(call)
         call.add_done_callback(self._pending_calls.discard)
 
+    def _report_failure(self, order: Any, error: BaseException) -> None:
+        """Report that the outcome of an order is unknown; it is repeated."""
+        call = _make_failure_report(order, str(error) or type(error).__name__)
+        if call is not None:
+            self.report_outcome(call)
+
     async def post_order(
         self, path: str, body: dict[str, Any], order: _HostOrder
     ) -> tuple[states.HostOrderOutcome, str]:
@@ -272,3 +283,35 @@
             row.capacity.cpus, row.capacity.mem_mb, row.capacity.gpus
         ),
     )
+
+
+@functools.singledispatch
+def _make_failure_report(order: Any, detail: str) -> calls.Call | None:
+    """Return the report that the outcome of an order is unknown.
+
+    None means that the scheduler repeats the order without a report.
+    """
+    return None
+
+
+@_make_failure_report.register
+def _(order: orders.Move, detail: str) -> calls.Call:
+    outcome = states.HostOrderOutcome.UNKNOWN
+    return calls.NoteMove(order.host, order.pool, outcome, detail)
+
+
+@_make_failure_report.register
+def _(order: orders.TakeDown, detail: str) -> calls.Call:
+    outcome = states.HostOrderOutcome.UNKNOWN
+    return calls.NoteUpkeep(order.wave, order.host, outcome, detail)
+
+
+@_make_failure_report.register
+def _(order: orders.AskApproval, detail: str) -> calls.Call:
+    return _make_approval_failure(order)
+
+
+def _make_approval_failure(order: orders.AskApproval) -> calls.NoteApprovals:
+    return calls.NoteApprovals(
+        order.job, order.occurrence, order.step, order.workers, False
+    )
--- a/orioleshore/platform/process.py
+++ b/orioleshore/platform/process.py
@@ -23,6 +23,7 @@
 from orioleshore.platform import metrics_server
 from orioleshore.protocol import messages
 from orioleshore.protocol import transport
+from orioleshore.tasks import background
 from orioleshore.tasks import mailbox
 from orioleshore.tasks import shutdown
 from orioleshore.tasks import task
@@ -95,6 +96,7 @@
         self, deployment: boot.Deployment
     ) -> Result[None, errors.Failure]:
         """Serve until a stop is requested or a task fails."""
+        background.install_exception_handler()
         self._install_signal_handlers()
         timers = service.TimerService(clock.SystemClock())
         await timers.start()
--- a/orioleshore/protocol/outgoing.py
+++ b/orioleshore/protocol/outgoing.py
@@ -11,6 +11,7 @@
 from orioleshore.model import addresses
 from orioleshore.model import ids
 from orioleshore.protocol import tls
+from orioleshore.tasks import background
 from orioleshore.tasks import mailbox
 from orioleshore.telemetry import logs
 from orioleshore.timers import clock
@@ -75,8 +76,8 @@
         # Set when the peer was heard from, so that a new connection is likely
         # to succeed.
         self._peer_heard = asyncio.Event()
-        self._task = asyncio.create_task(
-            self._run_connection(), name=self._frames.name
+        self._task = background.start_task(
+            self._run_connection(), self._frames.name, self._end_after_error
         )
 
     @property
@@ -113,6 +114,11 @@
         self._task.cancel()
         await asyncio.gather(self._task, return_exceptions=True)
 
+    def _end_after_error(self, error: BaseException) -> None:
+        """Let the next frame open a new connection."""
+        self._is_ended = True
+        self._on_end()
+
     async def _run_connection(self) -> None:
         backoff_s = MIN_BACKOFF_S
         while True:
--- a/orioleshore/roles/process.py
+++ b/orioleshore/roles/process.py
@@ -27,6 +27,7 @@
 from orioleshore.roles import control
 from orioleshore.roles import entry
 from orioleshore.state import subscriber
+from orioleshore.tasks import background
 from orioleshore.tasks import reply
 from orioleshore.tasks import shutdown
 from orioleshore.tasks import task
@@ -106,6 +107,7 @@
 
     async def run(self) -> Result[None, errors.Failure]:
         """Run until a stop is requested or a task fails."""
+        background.install_exception_handler()
         outcome = await self._wait_for_stop_or_failure()
         if outcome.is_err():
             await shutdown.abort_tasks(self._tasks)
@@ -308,7 +310,7 @@
         return None
 
     def _start_dump(self) -> None:
-        self._dump_task = asyncio.create_task(self._write_dump())
+        self._dump_task = background.start_task(self._write_dump(), 'dump')
 
     async def _write_dump(self) -> None:
         content = await self._dumper.get_dump()
--- a/orioleshore/routing/dispatcher.py
+++ b/orioleshore/routing/dispatcher.py
@@ -25,6 +25,7 @@
 from orioleshore.state import commands
 from orioleshore.state import queries
 from orioleshore.state import subscriber
+from orioleshore.tasks import background
 from orioleshore.tasks import mailbox
 from orioleshore.tasks import reply
 from orioleshore.tasks import task
@@ -196,7 +197,9 @@
         # task, so they may wait until the mailbox has room.
         if self.mailbox.put(message).is_ok():
             return
-        waiting = asyncio.create_task(self.mailbox.put_wait(message))
+        waiting = background.start_task(
+            self.mailbox.put_wait(message), 'call result'
+        )
         self._pending_puts.add(waiting)
         waiting.add_done_callback(self._pending_puts.discard)
 
--- a/orioleshore/tests/test_odd_entries.py
+++ b/orioleshore/tests/test_odd_entries.py
@@ -5,17 +5,24 @@
 """
 
 import asyncio
+import contextlib
 
 import pytest
 
+from fakes import platform_fleet
+from orioleshore.jobs import orders
 from orioleshore.membership import packing
 from orioleshore.model import ids
+from orioleshore.model import states
+from orioleshore.platform import hosts
 from orioleshore.protocol import messages
 from orioleshore.protocol import received_addresses
 from orioleshore.protocol import transport
+from orioleshore.tasks import mailbox
 from orioleshore.telemetry import odd_entries
 from orioleshore.tests import builders
 from orioleshore.tests import support
+from orioleshore.timers import clock
 
 ODD_ADDRESSES = [
     '127.0.0.1:70000',
@@ -101,3 +108,65 @@
     assert check(messages.IndirectProbe(1, 'm1', address, ())) is None
     assert check(messages.IndirectProbe(1, 'm1', good, ())) is not None
     assert log.counts == {odd_entries.EntryList.ADDRESSES: 9}
+
+
+@contextlib.asynccontextmanager
+async def run_hosts_client():
+    """Yield a client of the fake platform, the latter and a mailbox.
+
+    The scheduler's mailbox receives what the client reports.
+    """
+    port = platform_fleet.find_free_ports(1)
+    cloud = platform_fleet.FakeCloudApi(f'127.0.0.1:{port}')
+    jobs = mailbox.Mailbox('jobs', 64)
+    address = f'127.0.0.1:{port}'
+    client = hosts.HostsClient(
+        address, address, ids.NodeId('m0'), jobs, clock.SystemClock()
+    )
+    await cloud.start()
+    await client.start()
+    try:
+        yield client, cloud, jobs
+    finally:
+        await client.stop()
+        await cloud.stop()
+
+
+async def take_report(jobs):
+    """Return the next call that the client reports to the scheduler."""
+    async with asyncio.timeout(support.WAIT_S):
+        return (await jobs.get()).call
+
+
+@pytest.mark.parametrize(
+    'order',
+    [
+        orders.Move(ids.HostId('m-1'), ids.PoolId('red'), ids.Epoch(1), 1e18),
+        orders.TakeDown(
+            ids.WaveId('1'), ids.HostId('m-1'), ids.Epoch(1), 1e18
+        ),
+        orders.AskApproval(builders.build_job_id(), 0, 0, ('i-1',)),
+    ],
+)
+def test_call_that_raises_is_reported_as_unknown(order, monkeypatch, caplog):
+    """Guards against a call that nobody hears of again.
+
+    A call runs as a task of its own, whose exception nobody read.
+    """
+
+    def raise_error(*_, **__):
+        raise RuntimeError('a bug')
+
+    async def check():
+        async with run_hosts_client() as (client, _, jobs):
+            monkeypatch.setattr(client._session, 'post', raise_error)
+            client.mailbox.put(order)
+            report = await take_report(jobs)
+            if isinstance(order, orders.AskApproval):
+                assert not report.is_answered
+            else:
+                assert report.outcome is states.HostOrderOutcome.UNKNOWN
+                assert report.host == order.host
+
+    support.run(check())
+    assert 'event=background_task_failed' in caplog.text
--- a/orioleshore/timers/service.py
+++ b/orioleshore/timers/service.py
@@ -8,6 +8,7 @@
 import msgspec
 
 from orioleshore.model import ids
+from orioleshore.tasks import background
 from orioleshore.tasks import mailbox
 from orioleshore.telemetry import logs
 from orioleshore.timers import clock
@@ -98,7 +99,7 @@
 
     async def start(self) -> None:
         """Start firing timers."""
-        self._loop_task = asyncio.create_task(self._run_loop(), name='timers')
+        self._loop_task = background.start_task(self._run_loop(), 'timers')
 
     async def stop(self) -> None:
         """Stop firing timers."""
