Read the platform's list of hosts row by row

One odd row, such as one with a state that is not named, dropped the whole list each time it was read: no host was added, moved or seen to return until that row was gone. A row nested 5,000 deep also ended the call with an error.

The list is split into rows without recursion, and each row is decoded by itself (model/json_rows.py). An odd row is counted, logged once in 30 s with the host that it names, and removes nothing: that host stays as an earlier list had it, is used for no new order, and is not taken for gone or for returned from upkeep. If even the name is unreadable, no host counts as gone. Approvals of the policy service are read the same way, and a worker whose row is odd is asked about again. Numbers have ranges, bodies a limit, and pages that go in a circle end.

On a list with one good and one odd row reports nothing ("Invalid enum value 'resting'", RecursionError); the tests of test_odd_entries.py about hosts and approvals guard against that.

--- a/fakes/workers.py
+++ b/fakes/workers.py
@@ -149,6 +149,10 @@
         self.max_hosts_down = 0
         self._upkeep_ends: dict[ids.HostId, float] = {}
         self.hosts_done: set[ids.HostId] = set()
+        # Hosts whose rows in the platform's list cannot be read, and whether
+        # there is a row that does not even say of which host it is.
+        self.unreadable_hosts: set[ids.HostId] = set()
+        self.has_nameless_row = False
         # Workers that the policy service never approves.
         self.unapproved: set[ids.WorkerId] = set()
         self.starts: list[tuple[float, ids.HostId, calls.StartOrder]] = []
@@ -358,5 +362,8 @@
                     worker.size,
                 )
                 for worker in self.workers.values()
+                if worker.host not in self.unreadable_hosts
             ),
+            () if self.has_nameless_row else tuple(self.unreadable_hosts),
+            not self.has_nameless_row,
         )
--- a/orioleshore/jobs/calls.py
+++ b/orioleshore/jobs/calls.py
@@ -222,10 +222,17 @@
 
 
 class NoteHosts(_Call, frozen=True):
-    """Record the platform's list of hosts; ``asked_at`` is monotonic."""
+    """Record the platform's list of hosts; ``asked_at`` is monotonic.
+
+    ``unreadable`` are listed hosts whose rows could not be read. If the name
+    of one could not be read either, ``is_complete`` is false, and a host that
+    is not in the list may still exist.
+    """
 
     asked_at: float
     hosts: tuple[HostInfo, ...]
+    unreadable: tuple[ids.HostId, ...] = ()
+    is_complete: bool = True
 
 
 class WaveStatus(msgspec.Struct, frozen=True):
--- a/orioleshore/jobs/orders.py
+++ b/orioleshore/jobs/orders.py
@@ -96,15 +96,39 @@
         self._answer_due_at: dict[ids.HostId, float] = {}
         self._retry_at: dict[ids.HostId, float] = {}
         self._hosts: dict[ids.HostId, calls.HostInfo] = {}
+        # Hosts whose rows in the newest list could not be read, and whether
+        # the names of all such hosts are known.
+        self._unread: set[ids.HostId] = set()
+        self._is_complete = True
         self._listed_at = -1.0e9
         self._list_requested_at = -1.0e9
         self._is_listing = False
 
     @property
     def hosts(self) -> dict[ids.HostId, calls.HostInfo]:
-        """Return the hosts of the newest list by host id."""
+        """Return the hosts of the newest list by host id.
+
+        A host whose row could not be read is as an earlier list had it.
+        """
         return self._hosts
 
+    def is_up(self, host: ids.HostId) -> bool:
+        """Return whether the newest list shows a host as up."""
+        info = self._hosts.get(host)
+        return (
+            info is not None
+            and host not in self._unread
+            and info.state is states.PlatformHostState.UP
+        )
+
+    def is_gone(self, host: ids.HostId) -> bool:
+        """Return whether the newest list proves that a host is gone."""
+        return (
+            self._is_complete
+            and host not in self._hosts
+            and host not in self._unread
+        )
+
     @property
     def listed_at(self) -> float:
         """Return the monotonic time of the request for the newest list."""
@@ -177,7 +201,24 @@
         self._is_listing = False
         if call.asked_at > self._listed_at:
             self._listed_at = call.asked_at
-            self._hosts = {info.host: info for info in call.hosts}
+            listed = {info.host: info for info in call.hosts}
+            self._unread = self._find_unread_hosts(call, listed)
+            kept = {
+                host: self._hosts[host]
+                for host in self._unread
+                if host in self._hosts
+            }
+            self._hosts = kept | listed
+            self._is_complete = call.is_complete
+
+    def _find_unread_hosts(
+        self, call: calls.NoteHosts, listed: dict[ids.HostId, calls.HostInfo]
+    ) -> set[ids.HostId]:
+        """Return the hosts of which a list says nothing for certain."""
+        unread = set(call.unreadable)
+        if not call.is_complete:
+            unread |= self._hosts.keys()
+        return unread - listed.keys()
 
     def request_list_when_due(self, now: float, is_busy: bool) -> None:
         """Queue a request for the list of hosts if the last one is old."""
--- a/orioleshore/jobs/pools.py
+++ b/orioleshore/jobs/pools.py
@@ -268,7 +268,7 @@
             (host, info.pool)
             for host, info in scheduler.orders.hosts.items()
             if scheduler.is_standby(info.pool)
-            and info.state is states.PlatformHostState.UP
+            and scheduler.orders.is_up(host)
             and self._find_worker(host) is None
             and self._can_move_host(host)
         ]
--- a/orioleshore/jobs/upkeep.py
+++ b/orioleshore/jobs/upkeep.py
@@ -156,8 +156,7 @@
         orders = self._scheduler.orders
         if orders.listed_at <= confirmed_at:
             return False
-        info = orders.hosts.get(host)
-        return info is None or info.state is states.PlatformHostState.UP
+        return orders.is_gone(host) or orders.is_up(host)
 
     def _advance_wave(self, name: ids.WaveId, wave: ledger.WaveRecord) -> None:
         self._resend_unanswered_orders(name, wave)
@@ -202,12 +201,11 @@
             return []
         idle = []
         for host in waiting:
-            info = scheduler.orders.hosts.get(host)
-            if info is None:
+            if scheduler.orders.is_gone(host):
                 scheduler.record_change(ledger.UpkeepFinished(name, host))
             elif (
-                info.state is states.PlatformHostState.UP
-                and scheduler.is_standby(info.pool)
+                scheduler.orders.is_up(host)
+                and scheduler.is_standby(scheduler.orders.hosts[host].pool)
                 and not self._has_worker(host)
             ):
                 idle.append(host)
--- a/orioleshore/platform/hosts.py
+++ b/orioleshore/platform/hosts.py
@@ -12,15 +12,18 @@
 
 from orioleshore.jobs import calls
 from orioleshore.jobs import orders
-from orioleshore.jobs import specs
+from orioleshore.model import decoding
 from orioleshore.model import ids
+from orioleshore.model import json_rows
 from orioleshore.model import numbers
 from orioleshore.model import states
+from orioleshore.platform import host_rows
 from orioleshore.tasks import background
 from orioleshore.tasks import mailbox
 from orioleshore.tasks import reply
 from orioleshore.tasks import task
 from orioleshore.telemetry import logs
+from orioleshore.telemetry import odd_entries
 from orioleshore.timers import clock
 
 LOG = logging.getLogger(__name__)
@@ -28,37 +31,22 @@
 MAILBOX_CAPACITY = 256
 # Shorter than the time after which the scheduler considers a call lost.
 CALL_TIMEOUT_S = 1.8
+# A list with more pages has a token that leads in a circle.
+MAX_PAGES = 10_000
 
 _HostOrder = orders.Move | orders.TakeDown
 
 
-class _Refusal(msgspec.Struct):
-    # Why the order was refused: fence, busy or wave.
-    reason: str = ''
-
-
-class _Capacity(msgspec.Struct, frozen=True):
-    cpus: int = 0
-    mem_mb: int = 0
-    gpus: int = 0
-
-
-class _Machine(msgspec.Struct):
-    machine: str
-    pool: str
-    state: states.PlatformHostState
-    capacity: _Capacity = _Capacity()
-
-
-class _Approvals(msgspec.Struct, frozen=True):
-    # Pairs of worker and ticket.
-    approved: tuple[tuple[str, str], ...] = ()
-    validity_ms: int = 0
+class HostList(msgspec.Struct, frozen=True):
+    """The hosts of all pages, with the rows that could not be read.
 
+    ``is_complete`` is false if a row has no readable name, so that no host
+    can be said to be missing.
+    """
 
-class _Page(msgspec.Struct):
-    machines: list[_Machine]
-    next_token: str | int | None = None
+    hosts: tuple[calls.HostInfo, ...]
+    unreadable: tuple[ids.HostId, ...]
+    is_complete: bool
 
 
 class HostsClient(task.Task):
@@ -80,6 +68,11 @@
         self._jobs = jobs
         self._session: aiohttp.ClientSession | None = None
         self._pending_calls: set[asyncio.Task] = set()
+        self._odd_entries = odd_entries.OddEntryLog()
+
+    @property
+    def odd_entries(self) -> odd_entries.OddEntryLog:
+        return self._odd_entries
 
     async def open(self) -> None:
         """Create the HTTP session; connections are opened on demand."""
@@ -136,44 +129,72 @@
             async with self._session.post(
                 self._base_url + path, json=body, headers=headers
             ) as response:
-                return _read_outcome(response.status, await response.read())
-        except (aiohttp.ClientError, TimeoutError, OSError) as error:
+                return _read_outcome(
+                    response.status, await _read_body(response)
+                )
+        except (
+            aiohttp.ClientError,
+            TimeoutError,
+            OSError,
+            decoding.DecodingError,
+        ) as error:
             detail = str(error) or type(error).__name__
             return states.HostOrderOutcome.UNKNOWN, detail
 
-    async def list_hosts(self) -> tuple[calls.HostInfo, ...] | None:
+    async def list_hosts(self) -> HostList | None:
         """Return all hosts, or None if the platform does not answer."""
         hosts: list[calls.HostInfo] = []
+        odd: list[json_rows.OddRow] = []
         token = None
+        used_tokens = set()
         while True:
             page = await self._get_page(token)
             if page is None:
                 return None
-            hosts += [_make_host(row) for row in page.machines]
+            hosts += page.hosts
+            odd += page.odd
             token = page.next_token
             if token is None:
-                return tuple(hosts)
+                break
+            if token in used_tokens or len(used_tokens) >= MAX_PAGES:
+                self._log_list_failure(f'page {token!r} follows without end')
+                return None
+            used_tokens.add(token)
+        for row in odd:
+            self._odd_entries.report(
+                odd_entries.EntryList.HOSTS, row.key, row.error
+            )
+        return HostList(
+            tuple(hosts),
+            tuple(ids.HostId(row.key) for row in odd if row.key),
+            all(row.key for row in odd),
+        )
 
-    async def _get_page(self, token: str | int | None) -> _Page | None:
+    async def _get_page(
+        self, token: str | int | None
+    ) -> host_rows.HostPage | None:
         parameters = {} if token is None else {'page_token': str(token)}
         try:
             async with self._session.get(
                 f'{self._base_url}/machines', params=parameters
             ) as response:
-                body = await response.read()
+                body = await _read_body(response)
                 if response.status == 200:
-                    return msgspec.json.decode(body, type=_Page)
+                    return host_rows.decode_page(body)
                 error: object = f'status {response.status}'
         except (aiohttp.ClientError, TimeoutError, OSError) as failure:
             error = failure or type(failure).__name__
-        except msgspec.DecodeError as failure:
+        except decoding.DecodingError as failure:
             error = failure
-        LOG.warning(logs.format_event('host_list_failed', error=error))
+        self._log_list_failure(error)
         return None
 
+    def _log_list_failure(self, error: object) -> None:
+        LOG.warning(logs.format_event('host_list_failed', error=error))
+
     async def request_approvals(
         self, order: orders.AskApproval
-    ) -> _Approvals | None:
+    ) -> host_rows.Approvals | None:
         """Return the approved workers, or None without an answer."""
         step = f'{order.job}.{order.occurrence}.{order.step}'
         body = {'step': step, 'workers': list(order.workers)}
@@ -181,19 +202,27 @@
             async with self._session.post(
                 f'{self._policy_url}/advise', json=body
             ) as response:
-                content = await response.read()
+                content = await _read_body(response)
                 if response.status == 200:
-                    return msgspec.json.decode(content, type=_Approvals)
+                    return self._decode_approvals(content)
                 error: object = f'status {response.status}'
         except (aiohttp.ClientError, TimeoutError, OSError) as failure:
             error = failure or type(failure).__name__
-        except msgspec.DecodeError as failure:
+        except decoding.DecodingError as failure:
             error = failure
         LOG.warning(
             logs.format_event('approval_failed', step=step, error=error)
         )
         return None
 
+    def _decode_approvals(self, content: bytes) -> host_rows.Approvals:
+        approvals = host_rows.decode_approvals(content)
+        for row in approvals.odd:
+            self._odd_entries.report(
+                odd_entries.EntryList.APPROVALS, row.key, row.error
+            )
+        return approvals
+
     def report_outcome(self, call: calls.Call) -> None:
         """Report to the scheduler, which repeats the order if this is lost."""
         self._jobs.put(calls.CallRequest(call, reply.Reply()))
@@ -219,25 +248,35 @@
 @_execute_order.register
 async def _(message: orders.AskApproval, client: HostsClient) -> None:
     approvals = await client.request_approvals(message)
-    answer = approvals or _Approvals()
+    if approvals is None:
+        client.report_outcome(_make_approval_failure(message))
+        return
     client.report_outcome(
         calls.NoteApprovals(
             message.job,
             message.occurrence,
             message.step,
-            message.workers,
-            approvals is not None,
-            answer.approved,
-            answer.validity_ms,
+            _find_answered_workers(message, approvals),
+            True,
+            approvals.approved,
+            approvals.validity_ms,
         )
     )
 
 
 @_execute_order.register
 async def _(message: orders.ListHosts, client: HostsClient) -> None:
-    hosts = await client.list_hosts()
-    if hosts is not None:
-        client.report_outcome(calls.NoteHosts(message.asked_at, hosts))
+    listed = await client.list_hosts()
+    if listed is None:
+        return
+    client.report_outcome(
+        calls.NoteHosts(
+            message.asked_at,
+            listed.hosts,
+            listed.unreadable,
+            listed.is_complete,
+        )
+    )
 
 
 @_execute_order.register
@@ -268,20 +307,33 @@
 
 
 def _get_reason(status: int, body: bytes) -> str:
+    return host_rows.decode_reason(body) or f'status {status}'
+
+
+async def _read_body(response: aiohttp.ClientResponse) -> bytes:
+    """Return the body of a response; raises DecodingError if too long."""
     try:
-        return msgspec.json.decode(body, type=_Refusal).reason or str(status)
-    except msgspec.DecodeError:
-        return f'status {status}'
-
-
-def _make_host(row: _Machine) -> calls.HostInfo:
-    return calls.HostInfo(
-        ids.HostId(row.machine),
-        ids.PoolId(row.pool),
-        row.state,
-        specs.Resources(
-            row.capacity.cpus, row.capacity.mem_mb, row.capacity.gpus
-        ),
+        await response.content.readexactly(decoding.MAX_BYTES + 1)
+    except asyncio.IncompleteReadError as error:
+        return error.partial
+    raise decoding.DecodingError('the body is too long')
+
+
+def _find_answered_workers(
+    order: orders.AskApproval, approvals: host_rows.Approvals
+) -> tuple[ids.WorkerId, ...]:
+    """Return the workers that the service approved or refused for certain.
+
+    A worker that an odd row may name is asked about again.
+    """
+    approved = {name for name, _ in approvals.approved}
+    unread = {row.key for row in approvals.odd}
+    if None in unread:
+        return tuple(name for name in order.workers if name in approved)
+    return tuple(
+        name
+        for name in order.workers
+        if name in approved or name not in unread
     )
 
 
--- a/orioleshore/tests/test_odd_entries.py
+++ b/orioleshore/tests/test_odd_entries.py
@@ -10,10 +10,14 @@
 import pytest
 
 from fakes import platform_fleet
+from fakes import workers
+from orioleshore.jobs import calls
 from orioleshore.jobs import orders
+from orioleshore.jobs import specs
 from orioleshore.membership import packing
 from orioleshore.model import ids
 from orioleshore.model import states
+from orioleshore.platform import host_rows
 from orioleshore.platform import hosts
 from orioleshore.protocol import messages
 from orioleshore.protocol import received_addresses
@@ -110,6 +114,43 @@
     assert log.counts == {odd_entries.EntryList.ADDRESSES: 9}
 
 
+GOOD_MACHINES = [
+    {
+        'machine': f'm-{number}',
+        'pool': 'red',
+        'state': 'up',
+        'zone': 'az-1',
+        'labels': ['a', 'r1-1'],
+        'capacity': {'cpus': 4_000, 'mem_mb': 8_192, 'gpus': 0},
+        'id': f'i-{number}',
+    }
+    for number in range(3)
+]
+DEEP = b'[' * 5_000 + b']' * 5_000
+# Rows with the host that each names, None if nothing names it.
+ODD_MACHINES = {
+    b'{"machine":"odd","pool":"red","state":"resting"}': 'odd',
+    b'{"machine":"odd","pool":"red"}': 'odd',
+    b'{"machine":"odd","pool":7,"state":"up"}': 'odd',
+    b'{"machine":"odd","pool":"red","state":"up","x":' + DEEP + b'}': 'odd',
+    b'{"machine":"odd","pool":"red","state":"up","capacity":'
+    b'{"cpus":1' + b'0' * 400 + b'}}': 'odd',
+    b'{"machine":"odd","pool":"red","state":"up","capacity":'
+    b'{"cpus":-1}}': 'odd',
+    b'{"machine":"odd","pool":"\xff","state":"up"}': 'odd',
+    b'{"machine":"odd","pool":NaN}': 'odd',
+    b'{"machine":7,"pool":"red","state":"up"}': None,
+    b'{"machine":"","pool":"red","state":"up"}': None,
+    b'{"machine":"\xff","pool":"red","state":"up"}': None,
+    b'{"machine":' + DEEP + b'}': None,
+    b'{"pool":"red","state":"up"}': None,
+    b'{}': None,
+    b'null': None,
+    b'"}"': None,
+    DEEP: None,
+}
+
+
 @contextlib.asynccontextmanager
 async def run_hosts_client():
     """Yield a client of the fake platform, the latter and a mailbox.
@@ -138,6 +179,51 @@
         return (await jobs.get()).call
 
 
+@pytest.mark.parametrize(
+    ('row', 'name'), ODD_MACHINES.items(), ids=range(len(ODD_MACHINES))
+)
+def test_odd_row_in_the_list_of_hosts_leaves_the_others(row, name):
+    """Guards against a list of hosts that is dropped for one odd row."""
+
+    async def check():
+        async with run_hosts_client() as (client, cloud, jobs):
+            cloud.machines = GOOD_MACHINES
+            cloud.odd_rows = [row]
+            client.mailbox.put(orders.ListHosts(5.0))
+            report = await take_report(jobs)
+            assert [info.host for info in report.hosts] == [
+                'm-0',
+                'm-1',
+                'm-2',
+            ]
+            assert report.unreadable == ((name,) if name else ())
+            assert report.is_complete == bool(name)
+            assert client.odd_entries.counts == {
+                odd_entries.EntryList.HOSTS: 1
+            }
+
+    support.run(check())
+
+
+def test_odd_row_is_logged_once_in_a_while(caplog):
+    """Guards against a log that one odd row fills, and one that omits it."""
+
+    async def check():
+        async with run_hosts_client() as (client, cloud, jobs):
+            cloud.odd_rows = [b'{"machine":"m-9","pool":"red","state":"?"}']
+            for _ in range(3):
+                client.mailbox.put(orders.ListHosts(5.0))
+                await take_report(jobs)
+            assert client.odd_entries.counts == {
+                odd_entries.EntryList.HOSTS: 3
+            }
+
+    support.run(check())
+    lines = [record.getMessage() for record in caplog.records]
+    (line,) = [line for line in lines if 'entry_unreadable' in line]
+    assert 'entry=m-9 list=hosts' in line
+
+
 @pytest.mark.parametrize(
     'order',
     [
@@ -170,3 +256,103 @@
 
     support.run(check())
     assert 'event=background_task_failed' in caplog.text
+
+
+def test_list_of_hosts_whose_pages_go_in_a_circle_is_dropped(monkeypatch):
+    """Guards against a token that lets the client read pages for ever."""
+
+    async def check():
+        async with run_hosts_client() as (client, _, _):
+            reads = []
+
+            async def get_page(token):
+                reads.append(token)
+                return host_rows.decode_page(
+                    b'{"machines":[],"next_token":"x"}'
+                )
+
+            monkeypatch.setattr(client, '_get_page', get_page)
+            assert await client.list_hosts() is None
+            assert reads == [None, 'x']
+
+    support.run(check())
+
+
+def build_idle_fleet() -> workers.FakeFleet:
+    """Return a fleet with a standby pool of two hosts that were listed."""
+    configuration = builders.build_configuration(
+        pools=(
+            specs.Pool(ids.PoolId('red')),
+            specs.Pool(ids.PoolId('idle'), is_standby=True),
+        )
+    )
+    fleet = workers.FakeFleet(configuration, seed=support.SEED)
+    fleet.add_hosts(2, 'idle')
+    fleet.run(6.0)
+    return fleet
+
+
+@pytest.mark.parametrize('is_named', [True, False])
+@pytest.mark.parametrize('is_new_leader', [False, True])
+def test_host_with_an_odd_row_is_not_gone(is_named, is_new_leader):
+    """Guards against a wave that counts an unreadable host as done.
+
+    Upkeep of a host that the platform does not list is finished, and only a
+    list that was read in full says that.
+    """
+    fleet = build_idle_fleet()
+    odd, good = fleet.workers
+    fleet.unreadable_hosts = {odd}
+    fleet.has_nameless_row = not is_named
+    if is_new_leader:
+        fleet.fail_over()
+    fleet.run(6.0)
+    known = fleet.scheduler.orders.hosts.get(odd)
+    wave = ids.WaveId('1')
+    fleet.call_scheduler(calls.OpenWave(wave, (odd, good), 60.0, 1))
+    fleet.run(12.0)
+    record = fleet.scheduler.ledger.waves[wave].hosts
+    assert record[good].is_finished
+    assert good in fleet.hosts_done
+    assert not record[odd].is_finished
+    assert fleet.scheduler.orders.hosts.get(odd) == known
+    fleet.unreadable_hosts.clear()
+    fleet.has_nameless_row = False
+    fleet.run(12.0)
+    assert record[odd].is_finished
+    assert odd in fleet.hosts_done
+
+
+def test_host_known_as_up_before_its_upkeep_is_not_back():
+    """Guards against the end of an upkeep taken from an earlier list."""
+    fleet = build_idle_fleet()
+    host = next(iter(fleet.workers))
+    wave = ids.WaveId('1')
+    fleet.call_scheduler(calls.OpenWave(wave, (host,), 60.0, 1))
+    record = fleet.scheduler.ledger.waves[wave].hosts
+    while host not in fleet.hosts_done:
+        fleet.run(0.05)
+    fleet.unreadable_hosts = {host}
+    fleet.run(6.0)
+    assert fleet.scheduler.orders.hosts[host].state.value == 'up'
+    assert not record[host].is_finished
+
+
+@pytest.mark.parametrize(
+    ('row', 'answered'),
+    [
+        (b'["i-2",7]', ('i-1', 'i-3')),
+        (b'["i-2",' + DEEP + b']', ('i-1', 'i-3')),
+        (b'[7,"x"]', ('i-1',)),
+    ],
+)
+def test_worker_with_an_odd_approval_is_not_refused(row, answered):
+    """Guards against a refusal, which is final, taken from an odd row."""
+    body = b'{"approved":[["i-1","t"],' + row + b'],"validity_ms":9}'
+    approvals = host_rows.decode_approvals(body)
+    assert approvals.approved == (('i-1', 't'),)
+    assert approvals.validity_ms == 9
+    order = orders.AskApproval(
+        builders.build_job_id(), 0, 0, ('i-1', 'i-2', 'i-3')
+    )
+    assert hosts._find_answered_workers(order, approvals) == answered
