Read the runs in a heartbeat row by row

One row of running or finished tasks that could not be read refused the whole heartbeat, each time: the worker's lease lapsed and all that ran there was killed.

The rows are decoded one by one. An odd finished row is left out: its run is no longer listed as running, so nothing of it can be at work. An odd running row makes the heartbeat partial, a call of its own that leaders of earlier versions refuse as they refused the heartbeat. If runs are missing in its other rows they may be the unread ones: they are neither ended nor started again, nothing new is started there, and the lease goes on for one more lease time; then it ends, and with it whatever may still run. If no run is missing, the row is another writer's and holds up nothing. What a worker says of itself still has to be readable in full. Numbers have ranges.

The tests of partial heartbeats in test_odd_entries.py check that no run is started twice, killed or held for ever.

--- a/orioleshore/history/phrases.py
+++ b/orioleshore/history/phrases.py
@@ -13,6 +13,10 @@
     'request_unreadable': 'a {method} of {peer} could not be read: {error}',
     'control_call_timed_out': 'no control member answered {request} in '
     'time; the caller got {error}',
+    'entry_unreadable': 'entry {entry} of the list {list} could not be read: '
+    '{error} ({count} so far)',
+    'rumour_unreadable': 'a rumour about {subject} could not be read: {error}',
+    'members_unreadable': 'the list of members could not be read: {error}',
     'control_reply_unreadable': 'a reply of {sender} could not be read: '
     '{error}',
     'configuration_received': 'configuration {version} was sent; in force '
@@ -53,6 +57,8 @@
     'the new leader',
     'worker_suspected': 'worker {worker} gets no tasks for {shunned_s} s '
     'after {failures_in_row} failures in a row',
+    'runs_unreadable': '{missing} runs of worker {worker} are missing in a '
+    'heartbeat with rows that cannot be read; they are held',
     'heartbeat_ignored': 'an old heartbeat of {worker} came late: sequence '
     '{sequence}, newest {newest}',
     'host_retiring': 'host {host} of pool {pool} gets no more tasks: {needed} '
@@ -79,6 +85,8 @@
     'call_failed': 'a call {call} of {source} raised an error and was refused',
     'tick_failed': 'step {step} of the periodic work raised an error',
     'task_failed': 'task {task} of the process failed; the process ends',
+    'background_task_failed': 'task {task} raised an error: {error}',
+    'loop_exception': 'an error reached the event loop: {text} {error}',
     'disk_full': 'the disk of the member is full: {error}',
     'disk_has_room': 'the disk of the member has room again',
     'snapshot_postponed': 'a snapshot found no room on the disk',
@@ -114,6 +122,7 @@
         'commit_failed',
         'tick_failed',
         'task_failed',
+        'background_task_failed',
         'disk_full',
         'disk_has_room',
         'handed_over',
--- a/orioleshore/jobs/calls.py
+++ b/orioleshore/jobs/calls.py
@@ -9,6 +9,7 @@
 import msgspec
 
 from orioleshore.jobs import specs
+from orioleshore.model import decoding
 from orioleshore.model import ids
 from orioleshore.model import states
 from orioleshore.tasks import reply
@@ -66,6 +67,21 @@
     ended: tuple[EndReport, ...] = ()
 
 
+class PartialHeartbeat(_Call, frozen=True):
+    """A heartbeat with rows of running tasks that cannot be read.
+
+    A type of its own, since a leader of an earlier version would take the
+    runs of these rows for lost if it read only the others.
+    """
+
+    heartbeat: Heartbeat
+    unread_runs: int
+
+    @property
+    def worker(self) -> ids.WorkerId:
+        return self.heartbeat.worker
+
+
 class StartOrder(msgspec.Struct, frozen=True, array_like=True):
     """Order to a worker to start an attempt of a task."""
 
@@ -243,6 +259,7 @@
 
 Call = (
     Heartbeat
+    | PartialHeartbeat
     | LeaveWorker
     | SubmitJob
     | GetJob
@@ -260,6 +277,7 @@
 # Types of the answers; all other calls are answered with None.
 _ANSWER_TYPES: dict[type, Any] = {
     Heartbeat: HeartbeatAnswer,
+    PartialHeartbeat: HeartbeatAnswer,
     GetJob: JobStatus | QueueStatus | None,
     GetConfiguration: specs.Configuration,
     GetWave: WaveStatus,
@@ -278,7 +296,12 @@
 )
 
 _ENCODER = msgspec.msgpack.Encoder()
-_DECODER = msgspec.msgpack.Decoder(Call)
+_DECODER = decoding.make_msgpack_decoder(Call)
+_ANSWER_DECODERS = {
+    call: decoding.make_msgpack_decoder(answer)
+    for call, answer in _ANSWER_TYPES.items()
+}
+_NO_ANSWER_DECODER = decoding.make_msgpack_decoder(None)
 
 
 class CallRequest(msgspec.Struct, frozen=True):
@@ -305,7 +328,7 @@
 
 
 def decode_call(data: bytes) -> Call:
-    """Return the call; raises msgspec.ValidationError if malformed."""
+    """Return the call; raises DecodingError if malformed."""
     return _DECODER.decode(data)
 
 
@@ -315,5 +338,6 @@
 
 
 def decode_answer(call: Call, data: bytes) -> Any:
-    """Return the answer to ``call`` from its encoded form."""
-    return msgspec.msgpack.decode(data, type=_ANSWER_TYPES.get(type(call)))
+    """Return the answer to ``call``; raises DecodingError if malformed."""
+    decoder = _ANSWER_DECODERS.get(type(call), _NO_ANSWER_DECODER)
+    return decoder.decode(data)
--- a/orioleshore/jobs/handlers.py
+++ b/orioleshore/jobs/handlers.py
@@ -238,3 +238,12 @@
     call: calls.Heartbeat, scheduler: scheduling.Scheduler
 ) -> answers.Answer:
     return reports.answer_heartbeat(call, scheduler)
+
+
+@handle.register(calls.PartialHeartbeat)
+def _(
+    call: calls.PartialHeartbeat, scheduler: scheduling.Scheduler
+) -> answers.Answer:
+    return reports.answer_heartbeat(
+        call.heartbeat, scheduler, call.unread_runs
+    )
--- a/orioleshore/jobs/reports.py
+++ b/orioleshore/jobs/reports.py
@@ -23,9 +23,15 @@
 
 
 def answer_heartbeat(
-    call: calls.Heartbeat, scheduler: scheduling.Scheduler
+    call: calls.Heartbeat,
+    scheduler: scheduling.Scheduler,
+    unread_runs: int = 0,
 ) -> answers.Answer:
-    """Process a worker's heartbeat and return the orders for it."""
+    """Process a worker's heartbeat and return the orders for it.
+
+    ``unread_runs`` is the number of rows of running tasks that could not be
+    read. They may be those of runs that are missing in the others.
+    """
     worker = scheduler.workers.get(call.worker)
     is_known = worker is not None
     is_old = scheduler.has_newer_incarnation(call) or (
@@ -45,12 +51,19 @@
                 newest=worker.sequence if is_known else None,
             )
         )
-        return Ok(calls.HeartbeatAnswer(0, scheduler.epoch, 0))
+        return _build_empty_answer(scheduler)
     if not is_known or worker.incarnation < call.incarnation:
         worker = scheduler.add_worker(call)
+    lease_end = worker.lease_end
     _update_worker(worker, call, scheduler)
     observed = _record_ended_runs(worker, call, scheduler)
-    _end_lost_runs(worker, scheduler)
+    missing = _find_missing_runs(worker, scheduler)
+    if unread_runs and missing:
+        return _hold_missing_runs(
+            worker, observed, lease_end, len(missing), scheduler
+        )
+    worker.held_since = None
+    _end_lost_runs(worker, missing, scheduler)
     for key in stalls.find_stalled_runs(scheduler, worker):
         worker.evicted.add(key)
         placement.record_failed_run(worker, scheduler)
@@ -69,6 +82,46 @@
     )
 
 
+def _build_empty_answer(scheduler: scheduling.Scheduler) -> answers.Answer:
+    """Return the answer that neither extends a lease nor orders anything."""
+    return Ok(calls.HeartbeatAnswer(0, scheduler.epoch, 0))
+
+
+def _hold_missing_runs(
+    worker: workers.Worker,
+    observed: int,
+    lease_end: float,
+    missing: int,
+    scheduler: scheduling.Scheduler,
+) -> answers.Answer:
+    """Extend the lease, and neither end the missing runs nor start any.
+
+    The worker's other runs would be killed for one odd row otherwise, and
+    the missing ones started again while they may be at work. After one lease
+    without news of them the lease ends, and with it all that may still run.
+    """
+    if worker.held_since is None:
+        worker.held_since = scheduler.now
+        LOG.warning(
+            logs.format_event(
+                'runs_unreadable', worker=worker.name, missing=missing
+            )
+        )
+    if scheduler.now - worker.held_since > scheduler.max_lease_s:
+        worker.lease_end = lease_end
+        return _build_empty_answer(scheduler)
+    return Ok(
+        calls.HeartbeatAnswer(
+            observed,
+            scheduler.epoch,
+            scheduler.limits.lease_ms,
+            stops=tuple(_build_stop_orders(worker, scheduler)),
+            retry_ms=placement.get_heartbeat_delay_ms(scheduler, worker),
+            leader=scheduler.leader_address,
+        )
+    )
+
+
 def _update_worker(
     worker: workers.Worker,
     call: calls.Heartbeat,
@@ -128,17 +181,29 @@
     return observed
 
 
-def _end_lost_runs(
+def _find_missing_runs(
     worker: workers.Worker, scheduler: scheduling.Scheduler
-) -> None:
-    """End runs as lost whose start order did not reach the worker."""
-    for key in list(worker.ordered):
+) -> list[workers.RunKey]:
+    """Return ordered runs that a later heartbeat does not list."""
+    missing = []
+    for key in worker.ordered:
         if key in worker.listed:
             continue
         job = scheduler.jobs.get(key[0])
         run = job and job.record.tasks.get(key[1])
         if run and run.attempt == key[2] and run.sequence >= worker.sequence:
             continue
+        missing.append(key)
+    return missing
+
+
+def _end_lost_runs(
+    worker: workers.Worker,
+    missing: list[workers.RunKey],
+    scheduler: scheduling.Scheduler,
+) -> None:
+    """End runs as lost whose start order did not reach the worker."""
+    for key in missing:
         del worker.ordered[key]
         worker.unproven_runs.discard(key)
         worker.start_ordered_at.pop(key, None)
--- a/orioleshore/jobs/task.py
+++ b/orioleshore/jobs/task.py
@@ -145,7 +145,9 @@
         if outcome.is_err():
             error = outcome.unwrap_err().kind.value
             self._latencies.count('refusals_total', error=error)
-        elif isinstance(request.call, calls.Heartbeat):
+        elif isinstance(
+            request.call, calls.Heartbeat | calls.PartialHeartbeat
+        ):
             result = 'taken' if outcome.unwrap().lease_ms else 'ignored'
             self._latencies.count('heartbeats_total', result=result)
         self._pending.append(_PendingAnswer(request.answer, outcome))
--- a/orioleshore/jobs/workers.py
+++ b/orioleshore/jobs/workers.py
@@ -61,6 +61,9 @@
     no_starts_until: float = msgspec.field(default=0.0, name='shunned_until')
     # No task is started on the worker, since its host is to go down or move.
     is_cordoned: bool = False
+    # Monotonic time since which runs are missing in heartbeats with rows that
+    # cannot be read, None if there are none.
+    held_since: float | None = None
     # Monotonic time of the first heartbeat to this leader.
     found_at: float = 0.0
 
--- a/orioleshore/platform/control_server.py
+++ b/orioleshore/platform/control_server.py
@@ -3,7 +3,6 @@
 import logging
 
 from aiohttp import web
-import msgspec
 
 from orioleshore.frontends import web as frontend_web
 from orioleshore.jobs import calls
@@ -12,6 +11,7 @@
 from orioleshore.platform import forwarding
 from orioleshore.platform import wire
 from orioleshore.telemetry import logs
+from orioleshore.telemetry import odd_entries
 
 LOG = logging.getLogger(__name__)
 
@@ -32,19 +32,19 @@
     ) -> None:
         super().__init__('platform-control')
         self._forwarder = forwarder
+        self._odd_entries = odd_entries.OddEntryLog()
         self.configure_listener(address, web.Server(self._serve_request))
 
+    @property
+    def odd_entries(self) -> odd_entries.OddEntryLog:
+        return self._odd_entries
+
     async def _serve_request(
         self, request: web.BaseRequest
     ) -> web.StreamResponse:
         try:
             return await self._route_request(request)
-        except (
-            msgspec.DecodeError,
-            OverflowError,
-            TypeError,
-            ValueError,
-        ) as error:
+        except (OverflowError, TypeError, ValueError) as error:
             LOG.warning(
                 logs.format_event(
                     'request_unreadable',
@@ -94,7 +94,9 @@
             return forwarding.make_refusal(
                 errors.ErrorKind.NOT_FOUND, 'no such call'
             )
-        heartbeat = wire.decode_heartbeat(worker, await request.read())
+        heartbeat = wire.decode_heartbeat(
+            worker, await request.read(), self._odd_entries
+        )
         outcome = await self._forwarder.forward(heartbeat, WORKER_TIMEOUT_S)
         return forwarding.make_response(outcome, wire.encode_heartbeat_answer)
 
--- a/orioleshore/platform/wire.py
+++ b/orioleshore/platform/wire.py
@@ -1,7 +1,7 @@
 """Converts bodies of the platform's interface to and from internal types.
 
 The field names of these bodies are used here only. Bodies that cannot be
-decoded raise msgspec.ValidationError or msgspec.DecodeError.
+decoded raise DecodingError.
 """
 
 from typing import Annotated
@@ -11,21 +11,29 @@
 
 from orioleshore.jobs import calls
 from orioleshore.jobs import specs
+from orioleshore.model import decoding
 from orioleshore.model import ids
+from orioleshore.model import json_rows
 from orioleshore.model import states
+from orioleshore.telemetry import odd_entries
 
 # Larger numbers fit no message between processes.
 _MAX_NUMBER = 2**63 - 1
 _Number = Annotated[int, msgspec.Meta(ge=-_MAX_NUMBER, le=_MAX_NUMBER)]
+_Count = Annotated[int, msgspec.Meta(ge=0, le=_MAX_NUMBER)]
+# Larger figures fit no message as whole numbers.
+_MAX_FIGURE = 1e15
+_Figure = Annotated[float, msgspec.Meta(ge=-_MAX_FIGURE, le=_MAX_FIGURE)]
+_Seconds = Annotated[float, msgspec.Meta(ge=0, le=_MAX_FIGURE)]
 
 
 class _StepBody(msgspec.Struct):
-    replicas: _Number = 1
-    cpus: _Number = 0
-    mem_mb: _Number = 0
-    gpus: _Number = 0
-    estimate_ms: _Number = 0
-    after: tuple[_Number, ...] = ()
+    replicas: _Count = 1
+    cpus: _Count = 0
+    mem_mb: _Count = 0
+    gpus: _Count = 0
+    estimate_ms: _Count = 0
+    after: tuple[_Count, ...] = ()
     saves_progress: bool = False
     gang: bool = False
     # The tasks run slowly when they are spread over racks.
@@ -35,27 +43,27 @@
     # The rack that stores the input data.
     affinity: str = ''
     # Maximum number of tasks of the step on one worker, not a label.
-    anti_affinity: _Number = 0
+    anti_affinity: _Count = 0
     # Several copies of a task may run at the same time.
     speculative: bool = False
     long_running: bool = False
     image: str = ''
     # Target of the tail latency.
-    target_ms: _Number = 0
+    target_ms: _Count = 0
     # A flag, not a ratio: the tasks use only CPU that others leave idle.
     fill_ratio: bool | int | float = False
     # Maximum number of unavailable tasks.
-    may_miss: _Number = 0
+    may_miss: _Count = 0
 
 
 class _JobBody(msgspec.Struct):
     # Opaque text that is sent to the worker, not a specification of the job.
     spec: str
     steps: tuple[_StepBody, ...]
-    start_time_ms: _Number = 0
-    interval_ms: _Number = 0
+    start_time_ms: _Count = 0
+    interval_ms: _Count = 0
     # Number of all occurrences, the first one included.
-    repeat_count: _Number = 0
+    repeat_count: _Count = 0
 
 
 class _RouteBody(msgspec.Struct):
@@ -69,7 +77,7 @@
     slo_ms: _Number = 0
     priority: _Number = 0
     max_attempts: _Number = 1
-    stretch_factor: float = 1.0
+    stretch_factor: _Figure = 1.0
     # If set, workers need the approval of the policy service.
     recommendation: Any = None
 
@@ -88,9 +96,9 @@
 
 
 class _CapacityBody(msgspec.Struct, frozen=True):
-    cpus: _Number = 0
-    mem_mb: _Number = 0
-    gpus: _Number = 0
+    cpus: _Count = 0
+    mem_mb: _Count = 0
+    gpus: _Count = 0
 
 
 # The id of a job and the name of its task, "job.occurrence.step.index".
@@ -101,17 +109,17 @@
 
 class _RunRow(msgspec.Struct, array_like=True):
     task: _FullTaskName
-    attempt: _Number
+    attempt: _Count
     checkpoint: str
-    percent: _Number | float
+    percent: _Figure
     # Tail latency in milliseconds of a serving task, else processors in use.
-    figure: _Number | float = 0
+    figure: _Figure = 0
 
 
 class _EndRow(msgspec.Struct, array_like=True):
-    number: _Number
+    number: _Count
     task: _FullTaskName
-    attempt: _Number
+    attempt: _Count
     how: states.RunEnd
     checkpoint: str
 
@@ -120,29 +128,34 @@
     service: str
     zone: str
     state: str
-    sequence: _Number
+    sequence: _Count
     # Unix time of the worker's start in milliseconds, its incarnation.
-    born: _Number = 0
+    born: _Count = 0
     machine: str = ''
     capacity: _CapacityBody = _CapacityBody()
     labels: tuple[str, ...] = ()
-    remaining_ms: _Number | float = 0
+    remaining_ms: _Figure = 0
     running: tuple[_RunRow, ...] = ()
     finished: tuple[_EndRow, ...] = ()
 
 
 class _WaveBody(msgspec.Struct):
-    wave: int | str
+    wave: _Number | str
     machines: tuple[str, ...]
-    duration_s: float
+    duration_s: _Seconds
     # Maximum number of machines that may be down for the wave at a time.
-    cap: _Number = 1
-
-
-_JOB_DECODER = msgspec.json.Decoder(_JobBody)
-_CONFIG_DECODER = msgspec.json.Decoder(_ConfigBody)
-_HEARTBEAT_DECODER = msgspec.json.Decoder(_HeartbeatBody)
-_WAVE_DECODER = msgspec.json.Decoder(_WaveBody)
+    cap: _Count = 1
+
+
+_JOB_DECODER = decoding.make_json_decoder(_JobBody)
+_CONFIG_DECODER = decoding.make_json_decoder(_ConfigBody)
+_HEARTBEAT_DECODER = decoding.make_json_decoder(_HeartbeatBody)
+_RUN_ROWS = json_rows.RowDecoder(_RunRow, json_rows.make_item_reader(0))
+_END_ROWS = json_rows.RowDecoder(_EndRow, json_rows.make_item_reader(1))
+# A worker lists up to 500 ended tasks; larger heartbeats are refused whole if
+# they cannot be read, since splitting them would hold up the process.
+_MAX_SPLIT_BYTES = 262_144
+_WAVE_DECODER = decoding.make_json_decoder(_WaveBody)
 _WORKER_STATES = {state.value: state for state in states.WorkerState}
 
 
@@ -161,7 +174,7 @@
 def decode_configuration(body: bytes) -> specs.Configuration:
     """Return a configuration whose routes and services are consistent.
 
-    Raises msgspec.ValidationError with the first problem otherwise.
+    Raises decoding.DecodingError with the first problem otherwise.
     """
     content = _CONFIG_DECODER.decode(body)
     services = {service.name for service in content.services}
@@ -170,12 +183,12 @@
         _check_route(route, services)
         route_key = (route.host, route.path_prefix)
         if route_key in route_keys:
-            raise msgspec.ValidationError(
+            raise decoding.DecodingError(
                 f'another route has the host and prefix of {route.name!r}'
             )
         route_keys.add(route_key)
     if content.version < 1:
-        raise msgspec.ValidationError('the version is not positive')
+        raise decoding.DecodingError('the version is not positive')
     return specs.Configuration(
         ids.Version(content.version),
         tuple(_make_queue(route) for route in content.routes),
@@ -187,18 +200,60 @@
 def decode_worker_name(text: str) -> ids.WorkerId:
     """Return the name of a worker from the path of its calls."""
     if not text or not text.isascii():
-        raise msgspec.ValidationError(f'malformed worker name {text!r}')
+        raise decoding.DecodingError(f'malformed worker name {text!r}')
     return ids.WorkerId(text)
 
 
-def decode_heartbeat(worker: str, body: bytes) -> calls.Heartbeat:
-    """Return the heartbeat of a worker."""
-    content = _HEARTBEAT_DECODER.decode(body)
+def decode_heartbeat(
+    worker: str, body: bytes, odd: odd_entries.OddEntryLog | None = None
+) -> calls.Heartbeat | calls.PartialHeartbeat:
+    """Return the heartbeat of a worker.
+
+    What it says of the worker has to be readable. Rows of tasks that are not
+    are reported to ``odd``: the others count, and the heartbeat is partial
+    if a row of a running task is among them. An odd row of an ended task is
+    as good as none, since its run is no longer listed as running.
+    """
+    try:
+        return _make_heartbeat(worker, _HEARTBEAT_DECODER.decode(body))
+    except decoding.DecodingError:
+        if len(body) > _MAX_SPLIT_BYTES:
+            raise
+    members = json_rows.split_object(body)
+    running = _RUN_ROWS.decode(members.pop('running', b'[]'))
+    finished = _END_ROWS.decode(members.pop('finished', b'[]'))
+    content = _HEARTBEAT_DECODER.decode(_join_known_members(members))
+    content.running = running.rows
+    content.finished = finished.rows
+    heartbeat = _make_heartbeat(worker, content)
+    odd = odd or odd_entries.OddEntryLog()
+    for entry_list, rows in (
+        (odd_entries.EntryList.RUNNING, running),
+        (odd_entries.EntryList.FINISHED, finished),
+    ):
+        for row in rows.odd:
+            odd.report(entry_list, f'{worker}/{row.key or "-"}', row.error)
+    if not running.odd:
+        return heartbeat
+    return calls.PartialHeartbeat(heartbeat, len(running.odd))
+
+
+def _join_known_members(members: dict[str, bytes]) -> bytes:
+    """Return the members of a heartbeat that are used, as one object."""
+    known = [
+        msgspec.json.encode(name) + b':' + value
+        for name, value in members.items()
+        if name in _HeartbeatBody.__struct_fields__
+    ]
+    return b'{' + b','.join(known) + b'}'
+
+
+def _make_heartbeat(worker: str, content: _HeartbeatBody) -> calls.Heartbeat:
     state = _WORKER_STATES.get(content.state)
     if state is None:
-        raise msgspec.ValidationError(f'unknown state {content.state!r}')
+        raise decoding.DecodingError(f'unknown state {content.state!r}')
     if not content.service:
-        raise msgspec.ValidationError('the service has no name')
+        raise decoding.DecodingError('the service has no name')
     return calls.Heartbeat(
         decode_worker_name(worker),
         ids.Incarnation(content.born),
@@ -301,11 +356,11 @@
 
 def _check_route(route: _RouteBody, services: set[str]) -> None:
     if route.service not in services:
-        raise msgspec.ValidationError(
+        raise decoding.DecodingError(
             f'route {route.name!r} names the unknown service {route.service!r}'
         )
     if route.timeout_ms <= 0:
-        raise msgspec.ValidationError(
+        raise decoding.DecodingError(
             f'route {route.name!r} has no positive timeout'
         )
 
--- a/orioleshore/tests/test_odd_entries.py
+++ b/orioleshore/tests/test_odd_entries.py
@@ -7,6 +7,7 @@
 import asyncio
 import contextlib
 
+import msgspec
 import pytest
 
 from fakes import platform_fleet
@@ -356,3 +357,88 @@
         builders.build_job_id(), 0, 0, ('i-1', 'i-2', 'i-3')
     )
     assert hosts._find_answered_workers(order, approvals) == answered
+
+
+def build_busy_worker() -> tuple[workers.FakeFleet, workers.FakeWorker]:
+    """Return a fleet of one worker that runs two long-running tasks."""
+    fleet = workers.FakeFleet(
+        builders.build_configuration(), seed=support.SEED
+    )
+    fleet.add_hosts(1, 'red')
+    fleet.call_scheduler(
+        builders.build_submission(job=builders.build_lasting_job(2))
+    )
+    (worker,) = fleet.workers.values()
+    while len(worker.running) < 2:
+        fleet.run(0.05)
+    fleet.run(1.0)
+    return fleet, worker
+
+
+def send_partial_heartbeat(fleet, worker, **fields):
+    """Send a heartbeat with one unreadable row; return the answer."""
+    heartbeat = worker.make_heartbeat(fleet.now)
+    heartbeat = msgspec.structs.replace(heartbeat, **fields)
+    call = calls.decode_call(
+        calls.encode_call(calls.PartialHeartbeat(heartbeat, 1))
+    )
+    return fleet.call_scheduler(call).unwrap()
+
+
+@pytest.mark.parametrize('is_new_leader', [False, True])
+def test_run_with_an_odd_row_is_not_started_again(is_new_leader):
+    """Guards against a run that is at work twice, or is killed.
+
+    The row of a run that is at work cannot be read for half a second.
+    """
+    fleet, worker = build_busy_worker()
+    if is_new_leader:
+        fleet.fail_over()
+    worker.is_silent = True
+    before = list(fleet.starts)
+    running = worker.make_heartbeat(fleet.now).running
+    for _ in range(5):
+        answer = send_partial_heartbeat(fleet, worker, running=running[1:])
+        assert answer.lease_ms
+        assert not answer.starts
+        assert not answer.stops
+        worker.lease_end = fleet.now + answer.lease_ms / 1_000.0
+        fleet.run(0.1)
+    worker.is_silent = False
+    fleet.run(5.0)
+    assert fleet.starts == before
+    assert len(worker.running) == 2
+
+
+def test_lease_ends_while_the_row_of_a_run_stays_odd():
+    """Guards against a run that is held for ever although it was lost."""
+    fleet, worker = build_busy_worker()
+    worker.is_silent = True
+    began_at = fleet.now
+    while True:
+        answer = send_partial_heartbeat(fleet, worker, running=())
+        if not answer.lease_ms:
+            break
+        worker.lease_end = fleet.now + answer.lease_ms / 1_000.0
+        fleet.run(0.2)
+    limit_s = fleet.scheduler.max_lease_s
+    assert limit_s < fleet.now - began_at < limit_s + 0.5
+    before = len(fleet.starts)
+    while fleet.now < worker.lease_end:
+        send_partial_heartbeat(fleet, worker, running=())
+        fleet.run(0.2)
+    assert not worker.running
+    worker.is_silent = False
+    fleet.run(3.0)
+    assert len(fleet.starts) == before + 2
+    assert len(worker.running) == 2
+
+
+def test_odd_row_of_another_writer_holds_up_no_work():
+    """Guards against a worker that is not used because of a foreign row."""
+    fleet, worker = build_busy_worker()
+    job = builders.build_batch_job(builders.build_step(1))
+    fleet.call_scheduler(builders.build_submission(2, job=job))
+    answer = send_partial_heartbeat(fleet, worker)
+    assert answer.lease_ms
+    assert len(answer.starts) == 1
