Count odd entries in a metric

orioleshore_odd_entries_total counts, by list, the entries that a process could not read: rumours, addresses, hosts, approvals, runs and reports. Each task that reads a list owns its counts; the collector adds them up.

--- a/orioleshore/platform/process.py
+++ b/orioleshore/platform/process.py
@@ -233,4 +233,6 @@
     )
     for item in (peer_transport, *tasks):
         collector.add_mailbox(item.mailbox)
+        if item.odd_entries is not None:
+            collector.add_odd_entries(item.odd_entries)
     return metrics_server.MetricsServer(deployment.metrics_address, collector)
--- a/orioleshore/roles/process.py
+++ b/orioleshore/roles/process.py
@@ -99,6 +99,8 @@
                 return outcome
         for item in (self._transport, *tasks):
             self._collector.add_mailbox(item.mailbox)
+            if item.odd_entries is not None:
+                self._collector.add_odd_entries(item.odd_entries)
         for item in tasks:
             await item.start()
             self._tasks.append(item)
--- a/orioleshore/tasks/task.py
+++ b/orioleshore/tasks/task.py
@@ -8,6 +8,7 @@
 
 from orioleshore.tasks import mailbox
 from orioleshore.telemetry import logs
+from orioleshore.telemetry import odd_entries
 
 LOG = logging.getLogger(__name__)
 
@@ -33,6 +34,11 @@
     def failed(self) -> asyncio.Event:
         return self._failed
 
+    @property
+    def odd_entries(self) -> odd_entries.OddEntryLog | None:
+        """Return the odd entries of the lists that the task reads, if any."""
+        return None
+
     async def open(self) -> None:
         """Acquire sockets and files before the first message."""
 
--- a/orioleshore/telemetry/collection.py
+++ b/orioleshore/telemetry/collection.py
@@ -1,5 +1,6 @@
 """Collects the metrics of a process from its tasks at each scrape."""
 
+import collections
 from collections.abc import Callable
 import logging
 from typing import Any
@@ -10,6 +11,7 @@
 from orioleshore.telemetry import latencies
 from orioleshore.telemetry import logs
 from orioleshore.telemetry import metrics
+from orioleshore.telemetry import odd_entries
 from orioleshore.telemetry import queries
 
 LOG = logging.getLogger(__name__)
@@ -25,6 +27,7 @@
         self._mailboxes: list[mailbox.Mailbox] = []
         self._sources: list[tuple[queries.Source, MetricsWriter]] = []
         self._counters: list[tuple[Callable[[], Any], MetricsWriter]] = []
+        self._odd_entries: list[odd_entries.OddEntryLog] = []
         self._recorder: latencies.Recorder | None = None
 
     def add_recorder(self, recorder: latencies.Recorder) -> None:
@@ -35,6 +38,10 @@
         """Include the length and the dropped messages of a mailbox."""
         self._mailboxes.append(inbox)
 
+    def add_odd_entries(self, log: odd_entries.OddEntryLog) -> None:
+        """Include the number of odd entries that a task has read."""
+        self._odd_entries.append(log)
+
     def add_task(
         self,
         inbox: mailbox.Mailbox,
@@ -58,6 +65,17 @@
             for inbox in self._mailboxes
         }
 
+    def _write_odd_entries(self, snapshot: metrics.MetricsSnapshot) -> None:
+        total: collections.Counter[odd_entries.EntryList] = (
+            collections.Counter()
+        )
+        for log in self._odd_entries:
+            total.update(log.counts)
+        for entry_list in odd_entries.EntryList:
+            snapshot.set(
+                'odd_entries_total', total[entry_list], list=entry_list
+            )
+
     async def collect(self) -> bytes:
         """Return all metrics in the text format.
 
@@ -72,6 +90,7 @@
                 inbox.dropped,
                 mailbox=inbox.name,
             )
+        self._write_odd_entries(snapshot)
         for get_counters, write in self._counters:
             write(get_counters(), snapshot)
         sources = [source for source, _ in self._sources]
--- a/orioleshore/telemetry/metrics.py
+++ b/orioleshore/telemetry/metrics.py
@@ -40,6 +40,7 @@
 counter transport_refused_connections_total | Connections closed for bad frames
 gauge   transport_queued_frames | Frames that wait for their peers
 gauge   transport_connections direction | Open connections between processes
+counter odd_entries_total list | Entries of lists that could not be read
 gauge   membership_peers state | Other processes, by what this one knows
 gauge   membership_isolated | 1 when most probes of this process fail
 gauge   membership_broken_paths | Live peers without a direct path
