--- a/orioleshore/consensus/member.py
+++ b/orioleshore/consensus/member.py
@@ -138,8 +138,16 @@
             self._get_now(),
             self._started_at,
         )
-        if loaded.log.snapshot is not None:
-            self._restore_snapshot(loaded.log.snapshot)
+        snapshot = loaded.log.snapshot
+        if snapshot is not None:
+            try:
+                state = records.decode_state(snapshot.data)
+            except decoding.DecodingError as error:
+                return member_calls.build_failure(
+                    errors.ErrorKind.FORMAT_UNSUPPORTED,
+                    f'the state of the snapshot is unreadable: {error}',
+                )
+            self._restore_snapshot(snapshot, state)
         LOG.info(
             logs.format_event(
                 'folder_opened',
@@ -310,14 +318,18 @@
     async def _install_snapshot(self, snapshot: events.Snapshot) -> None:
         last = self._raft.log.last_index
         rest = self._raft.log.get_entries(snapshot.last_index + 1, last)
+        # Decoded first: a state that cannot be read must not replace files.
+        state = records.decode_state(snapshot.data)
         await self._writer.save_snapshot(snapshot, rest)
-        self._restore_snapshot(snapshot)
+        self._restore_snapshot(snapshot, state)
         self._send_updates(
             self._feed.handle(feed.VersionCommitted(self._state))
         )
 
-    def _restore_snapshot(self, snapshot: events.Snapshot) -> None:
-        self._state = records.decode_state(snapshot.data)
+    def _restore_snapshot(
+        self, snapshot: events.Snapshot, state: records.State
+    ) -> None:
+        self._state = state
         self._applied_index = snapshot.last_index
         LOG.info(
             logs.format_event(
--- a/orioleshore/consensus/storage.py
+++ b/orioleshore/consensus/storage.py
@@ -17,6 +17,7 @@
 from orioleshore.consensus import records
 from orioleshore.consensus import segments
 from orioleshore.consensus import snapshots
+from orioleshore.model import decoding
 from orioleshore.model import errors
 from orioleshore.model import ids
 from orioleshore.protocol import messages
@@ -241,7 +242,12 @@
         payload = self._read_record_file(
             names[-1], records.RecordType.SNAPSHOT
         )
-        return payload.map(snapshots.decode_snapshot)
+        try:
+            return payload.map(snapshots.decode_snapshot)
+        except decoding.DecodingError as error:
+            return self._build_damage_failure(
+                f'{names[-1]} is unreadable: {error}'
+            )
 
     def _read_record_file(
         self, name: str, record_type: records.RecordType
--- a/orioleshore/tests/test_storage.py
+++ b/orioleshore/tests/test_storage.py
@@ -5,10 +5,12 @@
 import pathlib
 import shutil
 
+import msgspec
 import pytest
 
 from orioleshore.consensus import events
 from orioleshore.consensus import files
+from orioleshore.consensus import log
 from orioleshore.consensus import records
 from orioleshore.consensus import segments
 from orioleshore.consensus import storage
@@ -464,3 +466,30 @@
     outcome.unwrap()
     store.close()
     assert str(segment) in operations.synced
+
+
+def test_records_that_cannot_be_decoded_are_damage(tmp_path):
+    """Guards against a member that fails at its start without a reason.
+
+    The checksums are right, so the records were written that way.
+    """
+    payload = b'\x91' * 5_000 + b'\xc0'
+    hard_state = records.pack_record(
+        records.RecordType.HARD_STATE, msgspec.msgpack.encode(HARD_STATE)
+    )
+    base = log.Log(None, ())
+    for record_type, start in (
+        (records.RecordType.HARD_STATE, b''),
+        (records.RecordType.ENTRY, hard_state),
+    ):
+        data = start + records.pack_record(record_type, payload)
+        problem = segments.read_segment(data, base).unwrap_err()
+        assert problem.kind is errors.ErrorKind.STORAGE_DAMAGED
+    write_entries(tmp_path)
+    store, outcome = open_folder(tmp_path)
+    outcome.unwrap()
+    store.save_snapshot(build_snapshot(2), (builders.build_entry(3),))
+    store.close()
+    (path,) = tmp_path.glob('snapshot-*')
+    path.write_bytes(records.pack_record(records.RecordType.SNAPSHOT, payload))
+    assert get_failure_kind(tmp_path) is errors.ErrorKind.STORAGE_DAMAGED
