--- a/orioleshore/tests/test_malformed.py
+++ b/orioleshore/tests/test_malformed.py
@@ -6,12 +6,8 @@
 """
 
 import asyncio
-import json
-import os
 
-from hypothesis import HealthCheck
 from hypothesis import given
-from hypothesis import settings as hypothesis_settings
 from hypothesis import strategies
 import msgspec
 import pytest
@@ -36,69 +32,12 @@
 from orioleshore.state import commands
 from orioleshore.tasks import reply
 from orioleshore.tests import builders
+from orioleshore.tests import odd_values
 from orioleshore.tests import support
 from orioleshore.timers import service as timer_service
 
-EXAMPLES = int(os.environ.get('ORIOLESHORE_FUZZ_EXAMPLES', '150'))
 REFUSALS = (msgspec.DecodeError, ValueError)
-FUZZ = hypothesis_settings(
-    max_examples=EXAMPLES,
-    deadline=None,
-    derandomize=True,
-    suppress_health_check=list(HealthCheck),
-)
-ODD_VALUES = strategies.sampled_from(
-    [
-        None,
-        True,
-        0,
-        -1,
-        1.5,
-        -0.0,
-        1e308,
-        2**31,
-        2**63 - 1,
-        2**64,
-        10**400,
-        '',
-        'abc',
-        '²',
-        'x' * 5_000,
-        '\u0000',
-        '\ud800',
-        '0.0.0',
-        f'{builders.build_job_id()}.abc',
-        f'{builders.build_job_id()}.-1.0.0',
-        f'{builders.build_job_id()}.0.0.0\n',
-        f'{builders.build_job_id()}.0.0.' + '9' * 30,
-        [],
-        {},
-        [[]],
-        [[1, 2, 3, 4, 5]],
-    ]
-)
-
-
-def list_places(value, path=()):
-    """Return the paths of all values inside a JSON value."""
-    places = [path] if path else []
-    items = ()
-    if isinstance(value, dict):
-        items = value.items()
-    elif isinstance(value, list):
-        items = enumerate(value)
-    for key, item in items:
-        places += list_places(item, (*path, key))
-    return places
-
-
-def replace_value(value, path, replacement):
-    """Return a copy of a JSON value with the value at a path replaced."""
-    if not path:
-        return replacement
-    copied = value.copy()
-    copied[path[0]] = replace_value(value[path[0]], path[1:], replacement)
-    return copied
+FUZZ = odd_values.FUZZ
 
 
 @strategies.composite
@@ -106,12 +45,14 @@
     """Draw a body with one to three odd values, encoded as JSON."""
     body = draw(strategies.sampled_from(bodies))
     for _ in range(draw(strategies.integers(1, 3))):
-        places = list_places(body)
+        places = odd_values.list_places(body)
         if not places:
             break
         place = draw(strategies.sampled_from(places))
-        body = replace_value(body, place, draw(ODD_VALUES))
-    return json.dumps(body).encode()
+        body = odd_values.replace_value(
+            body, place, draw(odd_values.ODD_VALUES)
+        )
+    return odd_values.encode_json(body)
 
 
 def build_bodies():
