Take no sender of a message with term 0 for the leader

A leader's term is at least 1, so such a message is malformed. A list of the group without one usable address is dropped as well, and a reply to a process without a usable address is no error line of its own.

The fake platform lists odd hosts among good ones, and ForeignWriter sends odd heartbeats and messages; the soak plays both.

--- a/fakes/platform_fleet.py
+++ b/fakes/platform_fleet.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+import contextlib
 import json
 import os
 import pathlib
@@ -16,8 +17,41 @@
 import aiohttp
 from aiohttp import web
 
+from orioleshore.model import ids
+from orioleshore.protocol import codec
+from orioleshore.protocol import framing
+from orioleshore.protocol import messages
+
 ROOT = pathlib.Path(__file__).resolve().parent.parent
 HEARTBEAT_S = 0.2
+_DEEP = b'[' * 5_000 + b']' * 5_000
+# Rows that other writers leave in the platform's list of hosts. All name a
+# host, so the list still says which hosts are gone.
+ODD_MACHINE_ROWS = (
+    b'{"machine":"m-odd","pool":"idle","state":"resting"}',
+    b'{"machine":"m-deep","pool":"red","state":"up","x":' + _DEEP + b'}',
+    b'{"machine":"m-large","pool":"red","state":"up","capacity":{"cpus":1'
+    + b'0' * 400
+    + b'}}',
+    b'{"machine":"m-bytes","pool":"\xff","state":"up"}',
+)
+# What other writers send as heartbeats.
+ODD_HEARTBEATS = (
+    b'',
+    b'\xff\xfe',
+    _DEEP,
+    b'{"service":"red","zone":"az-1","state":"resting","sequence":1}',
+    b'{"service":"red","zone":"az-1","state":"ready","sequence":1'
+    + b'0' * 400
+    + b'}',
+    b'{"service":7,"zone":"az-1","state":"ready","sequence":1}',
+    b'{"service":"red","zone":"az-1","state":"ready","sequence":1,"capacity":'
+    + _DEEP
+    + b'}',
+)
+# Rows that other writers leave among the running tasks of a worker.
+ODD_RUNS = (['no task'], 7, [None, 1, '', 10**30], [[[]], {}])
+ODD_ADDRESSES = ('127.0.0.1:70000', '127.0.0.1:-1', '[::1%..]:80', 'x')
 
 
 def find_free_ports(count: int) -> int:
@@ -53,6 +87,7 @@
         # Control processes on hosts without a disk.
         self.diskless_names: set[str] = set()
         self.processes: dict[str, subprocess.Popen] = {}
+        self.cloud = FakeCloudApi(self.cloud_address)
         # Sizes of the log files when the processes were started.
         self._log_starts: dict[str, int] = {}
 
@@ -86,6 +121,11 @@
         port = 9465 if name.startswith('control') else 9464
         return f'http://{self.get_address(name)}:{port}/metrics'
 
+    @property
+    def inner_port(self) -> int:
+        """Return the port of the inner protocol of control processes."""
+        return self._port
+
     @property
     def control_names(self) -> list[str]:
         return [f'control-{number}' for number in range(self._members)]
@@ -237,6 +277,8 @@
         self._position = 0
         self.starts: dict[str, int] = {}
         self.accepted_reports = 0
+        # Added to the running tasks by another writer.
+        self.odd_runs: tuple = ()
 
     async def run(self) -> None:
         """Send reports until cancelled."""
@@ -263,7 +305,10 @@
             'machine': f'm-{self._name}',
             'capacity': {'cpus': 4_000, 'mem_mb': 8_192},
             'labels': ['a', 'r1-1'],
-            'running': [[*key, '', 0] for key in self._running],
+            'running': [
+                *([*key, '', 0] for key in self._running),
+                *self.odd_runs,
+            ],
             'finished': self._ended,
         }
         names = self._fleet.control_names
@@ -305,6 +350,68 @@
             self._running[task, attempt] = now + self._run_s
 
 
+class ForeignWriter:
+    """Sends what no worker or process of the system would send.
+
+    ``refused`` counts heartbeats that were refused as invalid.
+    """
+
+    def __init__(self, fleet: PlatformFleet, names: list[str]) -> None:
+        self._fleet = fleet
+        self._names = names
+        self.refused = 0
+
+    async def run(self) -> None:
+        """Send odd heartbeats and messages to control processes in turn."""
+        timeout = aiohttp.ClientTimeout(total=1.0)
+        async with aiohttp.ClientSession(timeout=timeout) as session:
+            while True:
+                for name in self._names:
+                    for number, body in enumerate(ODD_HEARTBEATS):
+                        url = f'{self._fleet.get_url(name)}/instances/o-'
+                        await self._send_body(session, f'{url}{number}', body)
+                    await self._send_messages(name)
+                await asyncio.sleep(HEARTBEAT_S)
+
+    async def _send_body(
+        self, session: aiohttp.ClientSession, url: str, body: bytes
+    ) -> None:
+        with contextlib.suppress(aiohttp.ClientError, TimeoutError, OSError):
+            async with session.put(url, data=body) as response:
+                self.refused += response.status == 400
+
+    async def _send_messages(self, name: str) -> None:
+        """Send odd messages of the inner protocol on one connection."""
+        with contextlib.suppress(OSError):
+            _, writer = await asyncio.open_connection(
+                self._fleet.get_address(name), self._fleet.inner_port
+            )
+            for address in ODD_ADDRESSES:
+                header = messages.Header(
+                    ids.NodeId('foreign'), ids.Incarnation(1), 1, address
+                )
+                for message in _build_odd_messages(address):
+                    data = codec.encode(header, message)
+                    writer.write(framing.pack_frame(data))
+            await writer.drain()
+            writer.close()
+
+
+def _build_odd_messages(address: str) -> tuple:
+    """Return messages with an odd address, or with data nested deeply."""
+    deep = b'\x91' * 5_000 + b'\xc0'
+    return (
+        messages.GroupAddresses(ids.Term(2**62), address, (address,)),
+        messages.QueryReply('', '', deep, address),
+        messages.Query('jobs', deep),
+        messages.Query('GetMembers', deep),
+        messages.Propose(deep),
+        messages.SnapshotChunk(
+            ids.Term(0), ids.LogIndex(9), ids.Term(0), 0, deep, True
+        ),
+    )
+
+
 class FakeCloudApi:
     """A fake cloud API that accepts all maintenance.
 
--- a/orioleshore/consensus/validation.py
+++ b/orioleshore/consensus/validation.py
@@ -11,6 +11,7 @@
 from orioleshore.consensus import events
 from orioleshore.consensus import log
 from orioleshore.model import decoding
+from orioleshore.model import ids
 from orioleshore.protocol import messages
 
 # Names of counters that are never negative.
@@ -42,8 +43,22 @@
     return ''
 
 
+@_find_content_problem.register
+def _(message: messages.SnapshotChunk) -> str:
+    return _find_term_problem(message.term)
+
+
+def _find_term_problem(term: ids.Term) -> str:
+    # A member without a leader has term 0. It would take the sender for one
+    # and hold no election while it hears from it.
+    return '' if term > 0 else f'a leader with term {term}'
+
+
 @_find_content_problem.register
 def _(message: messages.Append) -> str:
+    problem = _find_term_problem(message.term)
+    if problem:
+        return problem
     for index, entry in enumerate(message.entries, message.previous_index + 1):
         if entry.index != index:
             return f'entry {entry.index} stands in the place of {index}'
--- a/orioleshore/protocol/received_addresses.py
+++ b/orioleshore/protocol/received_addresses.py
@@ -62,13 +62,13 @@
 @_check_message.register
 def _(
     message: messages.GroupAddresses, odd: odd_entries.OddEntryLog
-) -> messages.GroupAddresses:
+) -> messages.GroupAddresses | None:
     checked = [_check_address(member, odd) for member in message.members]
-    return messages.GroupAddresses(
-        message.term,
-        _check_address(message.leader, odd),
-        tuple(member for member in checked if member),
-    )
+    members = tuple(member for member in checked if member)
+    leader = _check_address(message.leader, odd)
+    if not members and not leader:
+        return None
+    return messages.GroupAddresses(message.term, leader, members)
 
 
 @_check_message.register
--- a/orioleshore/protocol/transport.py
+++ b/orioleshore/protocol/transport.py
@@ -149,6 +149,16 @@
         header = messages.Header(
             self._node, self._incarnation, message.correlation, self._address
         )
+        if not message.address:
+            # A reply to a process whose own address was odd, which is logged
+            # when it is received.
+            LOG.debug(
+                logs.format_event(
+                    'message_without_address',
+                    kind=type(message.message).__name__,
+                )
+            )
+            return
         try:
             address = addresses.parse_address(message.address)
             frame = framing.pack_frame(codec.encode(header, message.message))
--- a/orioleshore/tests/test_malformed.py
+++ b/orioleshore/tests/test_malformed.py
@@ -200,6 +200,8 @@
         messages.Append(1, 1, 1, (messages.Entry(2, 1, 3, b'x'),), 1, 1),
         messages.Vote(-2, 9, 1, 'm0-0'),
         messages.SnapshotChunk(1, 8, 1, -4, b'', False),
+        messages.SnapshotChunk(0, 8, 0, 0, b'', False),
+        messages.Append(0, 0, 0, (), 0, 1),
     ],
 )
 def test_malformed_message_of_a_member_is_found(message):
--- a/orioleshore/tests/test_platform_processes.py
+++ b/orioleshore/tests/test_platform_processes.py
@@ -41,7 +41,7 @@
 async def run_fleet(folder):
     """Yield a fleet, its one worker and an HTTP session."""
     fleet = platform_fleet.PlatformFleet(folder)
-    cloud = platform_fleet.FakeCloudApi(fleet.cloud_address)
+    cloud = fleet.cloud
     runner = platform_fleet.HttpWorker(fleet, 'i-1', 'red', 0.4)
     await cloud.start()
     fleet.start_all()
@@ -331,3 +331,113 @@
             )
 
     support.run(serve())
+
+
+def test_processes_follow_the_good_entries_beside_odd_ones(tmp_path):
+    """Guards against odd entries that end processes or hide the others.
+
+    The platform lists odd hosts among good ones, and other writers send
+    heartbeats, rows of running tasks and messages that cannot be read.
+    """
+    idle = {'name': 'idle', 'preconditions': True, 'standby': True}
+    services = [*CONFIGURATION['services'], idle]
+    good = {'machine': 'm-idle', 'pool': 'idle', 'state': 'up'}
+    odd = {'machine': 'm-odd', 'pool': 'idle', 'state': 'up'}
+
+    async def serve():
+        async with run_fleet(tmp_path) as (fleet, runner, session):
+            cloud = fleet.cloud
+            cloud.machines = [good]
+            cloud.odd_rows = list(platform_fleet.ODD_MACHINE_ROWS)
+            runner.odd_runs = platform_fleet.ODD_RUNS
+            fleet.diskless_names = {'control-3'}
+            fleet.start('control-3', bootstrap=False)
+            names = [*fleet.control_names, 'control-3']
+            writer = platform_fleet.ForeignWriter(fleet, names)
+            writer_task = asyncio.create_task(writer.run())
+            await put_configuration(
+                fleet, session, CONFIGURATION | {'services': services}
+            )
+            wave = {
+                'wave': 1,
+                'machines': ['m-odd', 'm-idle'],
+                'duration_s': 20,
+                'cap': 2,
+            }
+            control = fleet.get_url('control-3')
+
+            async def is_wave_opened() -> bool:
+                status, _ = await send_request(
+                    session, 'POST', f'{control}/wave-start', json=wave
+                )
+                return status == 200
+
+            async def is_wave_completed() -> bool:
+                _, body = await send_request(
+                    session, 'GET', f'{control}/wave-get/1'
+                )
+                return b'completed' in body
+
+            async def is_job_accepted() -> bool:
+                status, _ = await send_request(
+                    session,
+                    'POST',
+                    f'{fleet.get_url("entry-0")}/red/{JOB_ID}',
+                    headers=HOST,
+                    json=JOB,
+                )
+                return status == 200
+
+            async def is_good_host_done() -> bool:
+                return 'm-idle' in cloud.upkeeps
+
+            await wait_until(is_wave_opened, 'wave is opened')
+            await wait_until(is_job_accepted, 'job is accepted')
+            await wait_until(
+                make_state_check(fleet, session, 'completed'),
+                'job is completed',
+            )
+            assert sorted(runner.starts.values()) == [1] * 5
+            await wait_until(is_good_host_done, 'upkeep of the good host')
+            reads = cloud.reads
+
+            async def is_list_read_again() -> bool:
+                return cloud.reads >= reads + 3
+
+            await wait_until(is_list_read_again, 'hosts are listed again')
+            assert 'm-odd' not in cloud.upkeeps
+            assert not await is_wave_completed()
+            cloud.odd_rows = []
+            cloud.machines = [good, odd]
+            await wait_until(is_wave_completed, 'wave is completed')
+            assert 'm-odd' in cloud.upkeeps
+            assert writer.refused > len(names)
+            assert not writer_task.done()
+            writer_task.cancel()
+            await asyncio.gather(writer_task, return_exceptions=True)
+            await check_odd_entries_are_counted(fleet, session)
+            for name, process in fleet.processes.items():
+                assert process.poll() is None, name
+                text = fleet.read_log(name)
+                assert 'event=task_failed' not in text, name
+                assert 'event=background_task_failed' not in text, name
+                assert 'event=loop_exception' not in text, name
+
+    support.run(serve())
+
+
+async def check_odd_entries_are_counted(fleet, session):
+    """Check metric and log of the odd hosts and runs at the leader."""
+    leader = find_leader(fleet)
+    _, body = await send_request(session, 'GET', fleet.get_metrics_url(leader))
+    counts = {
+        line.split('list="')[1].split('"')[0]: float(line.split()[-1])
+        for line in body.decode().splitlines()
+        if line.startswith('orioleshore_odd_entries_total')
+    }
+    assert counts['hosts'] >= len(platform_fleet.ODD_MACHINE_ROWS)
+    assert counts['addresses'] >= len(platform_fleet.ODD_ADDRESSES)
+    text = fleet.read_log(leader)
+    assert 'event=entry_unreadable entry=m-odd list=hosts' in text
+    logs = ''.join(fleet.read_log(name) for name in fleet.control_names)
+    assert 'list=running' in logs
--- a/scripts/soak.py
+++ b/scripts/soak.py
@@ -66,7 +66,11 @@
         self._seconds = seconds
         self._fleet = platform_fleet.PlatformFleet(folder)
         self._registry = platform_fleet.RunRegistry()
-        self._cloud = platform_fleet.FakeCloudApi(self._fleet.cloud_address)
+        self._cloud = self._fleet.cloud
+        self._cloud.odd_rows = list(platform_fleet.ODD_MACHINE_ROWS)
+        self._foreign = platform_fleet.ForeignWriter(
+            self._fleet, self._fleet.control_names
+        )
         self._entry: proxy.Proxy | None = None
         self._next_job = 1
         self._version = 1
@@ -96,7 +100,11 @@
         await self._cloud.start()
         await self._entry.start()
         self._fleet.start_all()
-        working = [asyncio.create_task(item.run()) for item in runners]
+        runners[0].odd_runs = platform_fleet.ODD_RUNS
+        working = [
+            asyncio.create_task(item.run())
+            for item in (*runners, self._foreign)
+        ]
         timeout = aiohttp.ClientTimeout(total=3.0)
         try:
             async with aiohttp.ClientSession(timeout=timeout) as session:
