Let the foreign writer nest a field of valid messages deeply

With these messages all four control processes of end within two seconds of the start: RecursionError in the task of the member, and of the discovery.

--- a/fakes/platform_fleet.py
+++ b/fakes/platform_fleet.py
@@ -16,6 +16,7 @@
 
 import aiohttp
 from aiohttp import web
+import msgspec
 
 from orioleshore.model import ids
 from orioleshore.protocol import codec
@@ -397,15 +398,25 @@
             writer.close()
 
 
+def _add_deep_field(fields: dict) -> bytes:
+    """Return fields as MessagePack, with one that is nested deeply."""
+    data = msgspec.msgpack.encode(fields)
+    # The first byte of a small map holds the number of its fields.
+    deep = b'\x91' * 5_000 + b'\xc0'
+    return bytes([data[0] + 1]) + data[1:] + b'\xa1x' + deep
+
+
 def _build_odd_messages(address: str) -> tuple:
     """Return messages with an odd address, or with data nested deeply."""
-    deep = b'\x91' * 5_000 + b'\xc0'
+    deep = _add_deep_field({})
     return (
         messages.GroupAddresses(ids.Term(2**62), address, (address,)),
         messages.QueryReply('', '', deep, address),
-        messages.Query('jobs', deep),
-        messages.Query('GetMembers', deep),
-        messages.Propose(deep),
+        messages.Query(
+            'jobs', _add_deep_field({'type': 'GetWave', 'wave': '1'})
+        ),
+        messages.Query('GetMembers', _add_deep_field({'type': 'GetMembers'})),
+        messages.Propose(_add_deep_field({'type': 'ChangeMembers'})),
         messages.SnapshotChunk(
             ids.Term(0), ids.LogIndex(9), ids.Term(0), 0, deep, True
         ),
