--- a/orioleshore/protocol/codec.py
+++ b/orioleshore/protocol/codec.py
@@ -11,6 +11,7 @@
 from thrift.protocol import TProtocol
 from thrift.transport import TTransport
 
+from orioleshore.model import decoding
 from orioleshore.model import errors
 from orioleshore.protocol import messages
 from orioleshore.protocol.gen.wire import ttypes
@@ -61,10 +62,7 @@
 
 _DECODE_ERRORS = (
     EOFError,
-    OverflowError,
-    TypeError,
-    UnicodeDecodeError,
-    ValueError,
+    *decoding.DATA_ERRORS,
     Thrift.TException,
     TProtocol.TProtocolException,
     TTransport.TTransportException,
--- a/orioleshore/routing/dispatcher.py
+++ b/orioleshore/routing/dispatcher.py
@@ -400,6 +400,13 @@
     message.answer.resolve(Ok(dispatcher.get_dump()))
 
 
+def _decode_upstream(data: bytes) -> announcements.Upstream:
+    """Return an announced upstream; raises DecodingError."""
+    upstream = _UPSTREAM_DECODER.decode(data)
+    addresses.parse_address(upstream.address)
+    return upstream
+
+
 @functools.singledispatch
 def _handle_peer_message(
     message: Any, dispatcher: Dispatcher, header: messages.Header
@@ -414,8 +421,7 @@
     header: messages.Header,
 ) -> None:
     try:
-        upstream = _UPSTREAM_DECODER.decode(message.upstream)
-        addresses.parse_address(upstream.address)
+        upstream = _decode_upstream(message.upstream)
     except decoding.DecodingError as error:
         LOG.warning(
             logs.format_event(
--- a/orioleshore/tests/test_odd_entries.py
+++ b/orioleshore/tests/test_odd_entries.py
@@ -6,6 +6,7 @@
 
 import asyncio
 import contextlib
+import gc
 
 import msgspec
 import pytest
@@ -16,6 +17,7 @@
 from orioleshore.jobs import orders
 from orioleshore.jobs import specs
 from orioleshore.membership import packing
+from orioleshore.model import decoding
 from orioleshore.model import ids
 from orioleshore.model import states
 from orioleshore.platform import host_rows
@@ -23,6 +25,8 @@
 from orioleshore.protocol import messages
 from orioleshore.protocol import received_addresses
 from orioleshore.protocol import transport
+from orioleshore.routing import dispatcher
+from orioleshore.tasks import background
 from orioleshore.tasks import mailbox
 from orioleshore.telemetry import odd_entries
 from orioleshore.tests import builders
@@ -442,3 +446,38 @@
     answer = send_partial_heartbeat(fleet, worker)
     assert answer.lease_ms
     assert len(answer.starts) == 1
+
+
+def test_exception_that_reaches_the_event_loop_is_one_line(caplog):
+    """Guards against errors that only the library's own format shows."""
+
+    async def fail():
+        raise RuntimeError('a bug')
+
+    async def check():
+        background.install_exception_handler()
+        loop = asyncio.get_running_loop()
+        loop.call_soon(int, 'x')
+        task = asyncio.create_task(fail(), name='unread')
+        await asyncio.sleep(0.01)
+        del task
+        gc.collect()
+
+    support.run(check())
+    lines = [record.getMessage() for record in caplog.records]
+    lines = [line for line in lines if line.startswith('event=loop_exc')]
+    assert len(lines) == 2
+    assert 'invalid literal' in lines[0]
+    assert 'source=unread error="a bug"' in lines[1]
+
+
+def test_announcement_of_a_peer_with_an_odd_address_is_refused():
+    """Guards against requests to an upstream that nobody can connect to."""
+    upstream = builders.build_upstream()
+    for address in ODD_ADDRESSES:
+        odd = msgspec.structs.replace(upstream, address=address)
+        text = msgspec.json.encode(odd)
+        with pytest.raises(decoding.DecodingError):
+            dispatcher._decode_upstream(text)
+    good = msgspec.structs.replace(upstream, address='127.0.0.1:7001')
+    assert dispatcher._decode_upstream(msgspec.json.encode(good)) == good
