--- a/orioleshore/protocol/outgoing.py
+++ b/orioleshore/protocol/outgoing.py
@@ -8,9 +8,10 @@
 
 import msgspec
 
-from orioleshore import settings
+from orioleshore.model import addresses
 from orioleshore.model import ids
 from orioleshore.protocol import tls
+from orioleshore.tasks import background
 from orioleshore.tasks import mailbox
 from orioleshore.telemetry import logs
 from orioleshore.timers import clock
@@ -55,7 +56,7 @@
 
     def __init__(
         self,
-        address: str,
+        address: addresses.Address,
         tls_contexts: tls.TlsContexts | None,
         on_end: Callable[[], object],
     ) -> None:
@@ -63,7 +64,9 @@
         self._tls_contexts = tls_contexts
         self._on_end = on_end
         self._frames: mailbox.Mailbox[_QueuedFrame] = mailbox.Mailbox(
-            f'peer {address}', QUEUE_CAPACITY, mailbox.Overflow.DROP_OLDEST
+            f'peer {_format_address(address)}',
+            QUEUE_CAPACITY,
+            mailbox.Overflow.DROP_OLDEST,
         )
         self._expired_frames = 0
         self._is_ended = False
@@ -73,8 +76,8 @@
         # Set when the peer was heard from, so that a new connection is likely
         # to succeed.
         self._peer_heard = asyncio.Event()
-        self._task = asyncio.create_task(
-            self._run_connection(), name=f'peer {address}'
+        self._task = background.start_task(
+            self._run_connection(), self._frames.name, self._end_after_error
         )
 
     @property
@@ -111,6 +114,11 @@
         self._task.cancel()
         await asyncio.gather(self._task, return_exceptions=True)
 
+    def _end_after_error(self, error: BaseException) -> None:
+        """Let the next frame open a new connection."""
+        self._is_ended = True
+        self._on_end()
+
     async def _run_connection(self) -> None:
         backoff_s = MIN_BACKOFF_S
         while True:
@@ -199,14 +207,13 @@
     async def _open_streams(
         self,
     ) -> tuple[asyncio.StreamReader, asyncio.StreamWriter] | None:
-        host, port = settings.parse_address(self._address)
         try:
             context = (
                 self._tls_contexts and self._tls_contexts.get_client_context()
             )
             async with asyncio.timeout(CONNECT_TIMEOUT_S):
                 streams = await asyncio.open_connection(
-                    host, port, ssl=context
+                    *self._address, ssl=context
                 )
             streams[1].get_extra_info('socket').setsockopt(
                 socket.IPPROTO_TCP,
@@ -281,10 +288,17 @@
     ) -> None:
         text = str(error) or type(error).__name__
         LOG.log(
-            level, logs.format_event(event, address=self._address, error=text)
+            level,
+            logs.format_event(
+                event, address=_format_address(self._address), error=text
+            ),
         )
 
 
+def _format_address(address: addresses.Address) -> str:
+    return f'{address.host}:{address.port}'
+
+
 def _get_first_streams(
     attempts: list[asyncio.Task],
 ) -> tuple[asyncio.StreamReader, asyncio.StreamWriter] | None:
--- a/orioleshore/routing/dispatcher.py
+++ b/orioleshore/routing/dispatcher.py
@@ -12,7 +12,9 @@
 
 from orioleshore.consensus import client
 from orioleshore.membership import events as membership_events
+from orioleshore.model import addresses
 from orioleshore.model import announcements
+from orioleshore.model import decoding
 from orioleshore.model import errors
 from orioleshore.model import ids
 from orioleshore.model import states
@@ -25,6 +27,7 @@
 from orioleshore.state import commands
 from orioleshore.state import queries
 from orioleshore.state import subscriber
+from orioleshore.tasks import background
 from orioleshore.tasks import mailbox
 from orioleshore.tasks import reply
 from orioleshore.tasks import task
@@ -54,6 +57,8 @@
 # Longer answers are not recorded; duplicates are refused as already run.
 MAX_RECORDED_BYTES = 65_536
 
+_UPSTREAM_DECODER = decoding.make_json_decoder(announcements.Upstream)
+
 
 class RequestOpened(msgspec.Struct, frozen=True):
     """A request from a front end; its actions are put into ``exchange``."""
@@ -196,7 +201,9 @@
         # task, so they may wait until the mailbox has room.
         if self.mailbox.put(message).is_ok():
             return
-        waiting = asyncio.create_task(self.mailbox.put_wait(message))
+        waiting = background.start_task(
+            self.mailbox.put_wait(message), 'call result'
+        )
         self._pending_puts.add(waiting)
         waiting.add_done_callback(self._pending_puts.discard)
 
@@ -393,6 +400,13 @@
     message.answer.resolve(Ok(dispatcher.get_dump()))
 
 
+def _decode_upstream(data: bytes) -> announcements.Upstream:
+    """Return an announced upstream; raises DecodingError."""
+    upstream = _UPSTREAM_DECODER.decode(data)
+    addresses.parse_address(upstream.address)
+    return upstream
+
+
 @functools.singledispatch
 def _handle_peer_message(
     message: Any, dispatcher: Dispatcher, header: messages.Header
@@ -407,10 +421,8 @@
     header: messages.Header,
 ) -> None:
     try:
-        upstream = msgspec.json.decode(
-            message.upstream, type=announcements.Upstream
-        )
-    except msgspec.MsgspecError as error:
+        upstream = _decode_upstream(message.upstream)
+    except decoding.DecodingError as error:
         LOG.warning(
             logs.format_event(
                 'announcement_refused', sender=header.sender, error=error
