Name what holds a long-running task that waits

The log event lasting_task_waits gave the number of ready workers and their free CPU, once. The line carries the counts, is repeated each 10 s while the wait goes on, and feeds the metric lasting_task_holds_total. At most 8 lines are written in a tick, since each looks at all workers of a pool; free_cpu lists 20 workers at most.

--- a/orioleshore/history/phrases.py
+++ b/orioleshore/history/phrases.py
@@ -38,7 +38,7 @@
     'task_evicted': 'task {task} is moved off host {host}',
     'run_stalled': 'task {task} made no progress on {worker} and is stopped',
     'lasting_task_waits': 'a long-running task has waited {waited_s} s: '
-    '{ready} of {workers} workers ready, free CPU {free_cpu}',
+    'held by {holds}; {ready} of {workers} workers ready, free CPU {free_cpu}',
     'gang_planned': 'all members of a gang got workers',
     'gang_given_up': 'a gang did not start in time and is planned again',
     'step_approved': 'the policy service approved workers for a step',
--- a/orioleshore/jobs/placement.py
+++ b/orioleshore/jobs/placement.py
@@ -148,7 +148,7 @@
         scheduler, worker, job, group
     ):
         return free
-    if not _is_rack_acceptable(scheduler, worker, job, group):
+    if not is_rack_acceptable(scheduler, worker, job, group):
         return free
     need = workers.get_reserved_resources(step)
     started = []
@@ -156,10 +156,10 @@
         group.waiting
         and group.can_use_worker(worker.name)
         and workers.fits_into(need, free)
-        and _can_accept_more(worker, step)
+        and can_accept_more(worker, step)
         and (
             not step.is_long_running
-            or _can_place_long_running(scheduler, worker, job.name, group)
+            or can_place_long_running(scheduler, worker, job.name, group)
         )
     ):
         index = _claim_waiting_task(scheduler, worker, job, group)
@@ -189,7 +189,7 @@
     return free
 
 
-def _is_rack_acceptable(
+def is_rack_acceptable(
     scheduler: scheduling.Scheduler,
     worker: workers.Worker,
     job: progress.JobProgress,
@@ -272,7 +272,8 @@
     )
 
 
-def _can_accept_more(worker: workers.Worker, step: specs.Step) -> bool:
+def can_accept_more(worker: workers.Worker, step: specs.Step) -> bool:
+    """Return whether a worker may start another task of a step's kind."""
     if (
         worker.consecutive_failures >= eligibility.SUSPECT_FAILURE_COUNT
         and worker.unproven_runs
@@ -284,7 +285,7 @@
     return fillers < MAX_FILLERS_PER_WORKER
 
 
-def _can_place_long_running(
+def can_place_long_running(
     scheduler: scheduling.Scheduler,
     worker: workers.Worker,
     job: ids.JobId,
--- a/orioleshore/jobs/scheduler.py
+++ b/orioleshore/jobs/scheduler.py
@@ -16,9 +16,9 @@
 from orioleshore.jobs import answers
 from orioleshore.jobs import approvals
 from orioleshore.jobs import calls
-from orioleshore.jobs import eligibility
 from orioleshore.jobs import gangs
 from orioleshore.jobs import handlers
+from orioleshore.jobs import holds
 from orioleshore.jobs import ledger
 from orioleshore.jobs import orders
 from orioleshore.jobs import pools
@@ -35,9 +35,6 @@
 
 LOG = logging.getLogger(__name__)
 
-# A wait of a long-running task is logged once it takes this long. The
-# platform allows twice this time since the last run of the task.
-LONG_WAIT_WARNING_S = 3.0
 MS_PER_S = 1_000.0
 
 
@@ -83,10 +80,7 @@
         self.retry_slots = admission.RetrySlots()
         self._changes: list[ledger.Change] = []
         self._has_held_ordered_hosts = False
-        # Monotonic time since which a long-running job has a task waiting,
-        # and the jobs whose long wait has been logged.
-        self._waiting_since: dict[ids.JobId, float] = {}
-        self._logged_long_waits: set[ids.JobId] = set()
+        self.waits = holds.LongRunningWaits()
         # Runs according to the log whose worker has not yet reported to
         # this leader.
         self._unconfirmed_runs: dict[
@@ -146,7 +140,7 @@
 
     def _update_jobs(self) -> None:
         self._forget_ended_jobs()
-        self._update_waits()
+        self.waits.update(self)
 
     def _plan_gangs(self) -> None:
         gangs.plan_gangs(self)
@@ -388,48 +382,7 @@
 
     def get_long_running_wait_s(self, name: ids.JobId) -> float:
         """Return how long a long-running job has had a task waiting."""
-        return self.now - self._waiting_since.get(name, self.now)
-
-    def _update_waits(self) -> None:
-        """Track since when long-running jobs wait, and log long waits."""
-        waits = {}
-        for name, job in self.jobs.items():
-            if not job.is_long_running or not job.find_startable_groups(
-                self.wall_time
-            ):
-                continue
-            waits[name] = self._waiting_since.get(name, self.now)
-            waited_s = self.now - waits[name]
-            if (
-                waited_s >= LONG_WAIT_WARNING_S
-                and name not in self._logged_long_waits
-            ):
-                self._logged_long_waits.add(name)
-                self._log_long_wait(job, waited_s)
-        self._waiting_since = waits
-        self._logged_long_waits &= waits.keys()
-
-    def _log_long_wait(
-        self, job: progress.JobProgress, waited_s: float
-    ) -> None:
-        members = self.get_pool_workers(job.record.pool)
-        LOG.warning(
-            logs.format_event(
-                'lasting_task_waits',
-                job=job.name,
-                pool=job.record.pool,
-                waited_s=waited_s,
-                workers=len(members),
-                ready=sum(
-                    eligibility.is_available(self, worker)
-                    for worker in members
-                ),
-                free_cpu=[
-                    worker.get_free_resources().cpu_millis
-                    for worker in members
-                ],
-            )
-        )
+        return self.waits.get_wait_s(name, self.now)
 
     def _forget_ended_jobs(self) -> None:
         horizon = self.wall_time - self.limits.status_s
--- a/orioleshore/jobs/task.py
+++ b/orioleshore/jobs/task.py
@@ -190,6 +190,11 @@
             self._scheduler.tick(now, self._timers.clock.get_wall(), paused)
         except scheduler.TickError as error:
             self._fail_step(error.step)
+            return
+        for reason, count in self._scheduler.waits.take_counts().items():
+            self._latencies.count(
+                'lasting_task_holds_total', count, reason=reason.value
+            )
 
     def _fail_step(self, step: states.TickStep) -> None:
         """Pause a step of the periodic work, and rebuild the scheduler.
--- a/orioleshore/model/states.py
+++ b/orioleshore/model/states.py
@@ -163,6 +163,39 @@
     DRAINING = 'draining'
 
 
+class HoldReason(enum.Enum):
+    """Why a long-running task that waits is not started."""
+
+    # The pool has no known worker.
+    NO_WORKER = 'no_worker'
+    DRAINING = 'draining'
+    # The host of the worker is to go down or move.
+    CORDONED = 'cordoned'
+    SILENT = 'silent'
+    # The worker gets no task for a while, after failures.
+    PAUSED = 'paused'
+    LABEL = 'label'
+    NO_APPROVAL = 'no_approval'
+    # The step's limit of tasks on one worker is reached.
+    WORKER_LIMIT = 'worker_limit'
+    NO_ROOM = 'no_room'
+    # A worker that failed often has a run that is not ready yet.
+    UNPROVEN_RUN = 'unproven_run'
+    # Tasks of a gang start only as planned.
+    GANG_PLAN = 'gang_plan'
+    RACK = 'rack'
+    # Another worker is preferred.
+    PACKING = 'packing'
+    # Nothing holds the task; the worker starts it when it reports.
+    NEXT_HEARTBEAT = 'next_heartbeat'
+    NOT_DUE = 'not_due'
+    EARLIER_STEP = 'earlier_step'
+    # A run counts as running although its worker has sent no heartbeat for a
+    # while, or none to this leader.
+    RUN_ON_SILENT_WORKER = 'run_on_silent_worker'
+    RUN_ON_UNHEARD_WORKER = 'run_on_unheard_worker'
+
+
 class PlatformHostState(enum.Enum):
     """State of a host in the list of the platform."""
 
--- a/orioleshore/telemetry/latencies.py
+++ b/orioleshore/telemetry/latencies.py
@@ -63,6 +63,7 @@
     'failed_calls_total': 'Calls that raised and were refused',
     'failed_ticks_total': 'Steps of the periodic work that raised',
     'starts_total': 'Ordered starts of tasks',
+    'lasting_task_holds_total': 'Reasons that held long-running tasks back',
     'ends_total': 'Ended runs of tasks by outcome',
     'heartbeats_total': 'Heartbeats by result',
     'host_orders_total': 'Orders about hosts by kind',
--- /dev/null
+++ b/orioleshore/tests/test_batch_holds.py
@@ -0,0 +1,130 @@
+"""Reasons for which long-running tasks wait."""
+
+import logging
+
+import pytest
+
+from fakes import workers as fake_workers
+from orioleshore.jobs import holds
+from orioleshore.jobs import specs
+from orioleshore.model import ids
+from orioleshore.model import states
+from orioleshore.tests import builders
+from orioleshore.tests import support
+
+
+def build_waiting_fleet(**fields) -> fake_workers.FakeFleet:
+    """Return a fleet of two workers that no task has reached yet."""
+    fleet = fake_workers.FakeFleet(
+        builders.build_configuration(**fields), seed=support.SEED
+    )
+    fleet.add_hosts(2, 'red')
+    fleet.run(0.5)
+    return fleet
+
+
+def hold_workers(fleet: fake_workers.FakeFleet, **fields) -> None:
+    """Set fields of all workers that the scheduler knows."""
+    for worker in fleet.scheduler.workers.values():
+        for name, value in fields.items():
+            setattr(worker, name, value)
+
+
+def submit_lasting_job(fleet: fake_workers.FakeFleet, **fields) -> None:
+    """Submit a job of one long-running task."""
+    job = builders.build_lasting_job(1, **fields)
+    fleet.call_scheduler(builders.build_submission(1, job))
+
+
+def find_holds(fleet: fake_workers.FakeFleet) -> holds.Holds:
+    """Return the reasons that hold the job of the test."""
+    job = fleet.scheduler.jobs[builders.build_job_id()]
+    return holds.find_holds(fleet.scheduler, job)
+
+
+@pytest.mark.parametrize(
+    ('fields', 'reason'),
+    [
+        ({'is_cordoned': True}, states.HoldReason.CORDONED),
+        ({'no_starts_until': 9_999.0}, states.HoldReason.PAUSED),
+        ({'last_heartbeat_at': 1.0}, states.HoldReason.SILENT),
+        ({'state': states.WorkerState.DRAINING}, states.HoldReason.DRAINING),
+        ({'capacity': specs.Resources(1, 1)}, states.HoldReason.NO_ROOM),
+        (
+            {
+                'consecutive_failures': 3,
+                'unproven_runs': {('job', 'task', 1)},
+            },
+            states.HoldReason.UNPROVEN_RUN,
+        ),
+        ({}, states.HoldReason.NEXT_HEARTBEAT),
+    ],
+)
+def test_each_worker_names_what_holds_a_task(fields, reason):
+    """Guards against a wait whose record does not tell what held the task."""
+    fleet = build_waiting_fleet()
+    hold_workers(fleet, **fields)
+    submit_lasting_job(fleet)
+    assert find_holds(fleet) == {reason: 2}
+
+
+@pytest.mark.parametrize(
+    ('step', 'reason'),
+    [
+        ({'required_label': 'x'}, states.HoldReason.LABEL),
+        ({'is_gang': True}, states.HoldReason.GANG_PLAN),
+    ],
+)
+def test_each_step_names_what_holds_it(step, reason):
+    """Guards against a hold of the step that is shown as one of workers."""
+    fleet = build_waiting_fleet()
+    submit_lasting_job(fleet, **step)
+    assert find_holds(fleet) == {reason: 2}
+
+
+def test_wait_without_workers_and_without_approval_is_named():
+    """Guards against holds of a pool or a policy that no worker shows."""
+    queue = specs.Queue(
+        ids.QueueId('queue-red'),
+        'jobs.example',
+        '/red/',
+        ids.PoolId('red'),
+        needs_approval=True,
+    )
+    fleet = build_waiting_fleet(queues=(queue,))
+    submit_lasting_job(fleet)
+    assert find_holds(fleet) == {states.HoldReason.NO_APPROVAL: 2}
+    for worker in list(fleet.scheduler.workers.values()):
+        fleet.scheduler.drop_worker(worker, 'test')
+    assert find_holds(fleet) == {states.HoldReason.NO_WORKER: 1}
+
+
+def test_runs_on_silent_and_unheard_workers_are_named():
+    """Guards against a run that is gone and counts as running unnoticed."""
+    fleet = build_waiting_fleet()
+    submit_lasting_job(fleet)
+    fleet.run(0.5)
+    assert find_holds(fleet) == {}
+    for worker in fleet.workers.values():
+        worker.is_silent = True
+    fleet.run(1.0)
+    assert find_holds(fleet) == {states.HoldReason.RUN_ON_SILENT_WORKER: 1}
+    fleet.fail_over()
+    assert find_holds(fleet) == {states.HoldReason.RUN_ON_UNHEARD_WORKER: 1}
+
+
+def test_long_wait_is_logged_with_its_holds_and_repeated(caplog):
+    """Guards against a wait of minutes with one line at its beginning."""
+    fleet = build_waiting_fleet()
+    filling = builders.build_lasting_job(2, need=specs.Resources(16_000, 1))
+    fleet.call_scheduler(builders.build_submission(2, filling))
+    fleet.run(2.0)
+    submit_lasting_job(fleet)
+    with caplog.at_level(logging.WARNING, 'orioleshore.jobs.holds'):
+        fleet.run(2.9)
+        assert not caplog.messages
+        fleet.run(11.0)
+    assert len(caplog.messages) == 2
+    assert all('holds=no_room:2' in line for line in caplog.messages)
+    counted = fleet.scheduler.waits.take_counts()
+    assert counted == {states.HoldReason.NO_ROOM: 4}
