Watch over long-running tasks in the random faults of the scheduler

Nothing in the model reported a long-running task that no worker runs while one could: the random faults looked at the end of a schedule only. The fake fleet now fails a test when such a task has not run for 6 s, a worker in contact has had room, label and limit for it for 3 s, and no leader changed within 7 s, judged by what the fake workers run. A cut of other workers is no excuse.

A second schedule cuts workers off: both ways, without answers, with late heartbeats, with loss and with resets; workers crash behind the cut and come back under the same or another name; the leader is lost meanwhile, right after, or twice, with an election of up to 1.5 s.

--- a/fakes/workers.py
+++ b/fakes/workers.py
@@ -4,16 +4,19 @@
 real decisions without processes or sockets.
 """
 
+import enum
 import random
 
 import msgspec
 
+from fakes import lasting
 from orioleshore.jobs import calls
 from orioleshore.jobs import ledger
 from orioleshore.jobs import orders
 from orioleshore.jobs import scheduler as scheduling
 from orioleshore.jobs import specs
 from orioleshore.jobs import tuning
+from orioleshore.jobs import workers
 from orioleshore.model import ids
 from orioleshore.model import states
 
@@ -30,11 +33,33 @@
 LOST_ANSWER_S = 1.0
 
 
+# Share of the heartbeats and of the answers that a lossy link loses.
+LOSSY_SHARE = 0.3
+# Delay after which a worker repeats a heartbeat whose connection was reset.
+RESET_RETRY_S = 0.05
+
+
+class Link(enum.Enum):
+    """State of the path between a worker and the leader."""
+
+    OPEN = 'open'
+    # Neither heartbeats nor answers arrive.
+    CUT = 'cut'
+    # Heartbeats arrive, answers do not.
+    ANSWERS_LOST = 'answers_lost'
+    # Heartbeats arrive once the link is open again.
+    HEARTBEATS_LATE = 'heartbeats_late'
+    LOSSY = 'lossy'
+    # Heartbeats arrive; the connection is reset before the answer.
+    RESET = 'reset'
+
+
 class _Run(msgspec.Struct):
     began_at: float
     ends_at: float
     how: states.RunEnd
     is_lasting: bool
+    need: specs.Resources = specs.Resources()
 
 
 class FakeWorker:
@@ -51,6 +76,11 @@
         self.state = states.WorkerState.READY
         self.labels = ('a', 'r1-1')
         self.is_silent = False
+        self.link = Link.OPEN
+        # Heartbeats that arrive when the link opens.
+        self.late_heartbeats: list[calls.Heartbeat] = []
+        # Part of the name; a worker may start again under its last name.
+        self.name_number = 1
         self.is_failing = False
         # Running tasks make no progress and do not end.
         self.is_hanging = False
@@ -64,12 +94,23 @@
 
     @property
     def name(self) -> ids.WorkerId:
-        return ids.WorkerId(f'{self.host}-{self.incarnation}')
+        return ids.WorkerId(f'{self.host}-{self.name_number}')
 
-    def restart(self, pool: ids.PoolId, up_at: float) -> None:
+    def get_free_resources(self) -> specs.Resources:
+        """Return the capacity that no run uses."""
+        free = self.size
+        for run in self.running.values():
+            free = workers.subtract_resources(free, run.need)
+        return free
+
+    def restart(
+        self, pool: ids.PoolId, up_at: float, keeps_name: bool = False
+    ) -> None:
         """Drop all runs and start a new incarnation at ``up_at``."""
         self.pool = pool
         self.incarnation += 1
+        if not keeps_name:
+            self.name_number = self.incarnation
         self.sequence = 0
         self.up_at = up_at
         self.next_heartbeat = up_at
@@ -118,7 +159,7 @@
 
     ``mean_run_s`` is the mean run time of a task in seconds. A task that
     runs twice at a time, or again after its end was observed, raises
-    AssertionError.
+    AssertionError. So does a long-running task that could start and does not.
     """
 
     def __init__(
@@ -138,6 +179,9 @@
             self.now,
         )
         self.log: list[ledger.Change] = []
+        self.watch = lasting.LastingWatch()
+        # Without a leader, no heartbeat is answered.
+        self.leader_since = self.now
         self.mean_run_s = 0.6
         # Number of answers to upkeep orders that are lost from now on.
         self.lost_upkeep_answers = 0
@@ -168,9 +212,13 @@
         self._commit_changes()
         return outcome
 
-    def fail_over(self) -> None:
-        """Replace the scheduler by one restored from the log."""
+    def fail_over(self, election_s: float = 0.0) -> None:
+        """Replace the scheduler by one restored from the log.
+
+        It leads after ``election_s`` seconds.
+        """
         self._commit_changes()
+        self.leader_since = self.now + election_s
         job_ledger = ledger.Ledger()
         for change in self.log:
             ledger.apply_change(change, job_ledger)
@@ -179,7 +227,22 @@
             ids.Epoch(self.scheduler.epoch + 1),
             self.scheduler.limits,
             '',
-            self.now,
+            self.leader_since,
+        )
+
+    @property
+    def has_leader(self) -> bool:
+        """Return whether a scheduler answers."""
+        return self.now >= self.leader_since
+
+    def is_in_contact(self, worker: FakeWorker) -> bool:
+        """Return whether a worker is up and its link open."""
+        return (
+            worker.pool not in self.standby
+            and self.now >= worker.up_at
+            and worker.link is Link.OPEN
+            and not worker.is_silent
+            and not self.lost_answer_share
         )
 
     def add_hosts(self, count: int, pool: str, cores: int = 16) -> None:
@@ -205,19 +268,48 @@
                 continue
             self._end_due_runs(worker)
             if not worker.is_silent and self.now >= worker.next_heartbeat:
-                self.send_heartbeat(worker)
-        self.scheduler.tick(self.now, self.wall)
-        self._commit_changes()
-        for order in self.scheduler.orders.take_orders():
-            self.execute_order(order)
+                self._use_link(worker)
+        if self.has_leader:
+            self.scheduler.tick(self.now, self.wall)
+            self._commit_changes()
+            for order in self.scheduler.orders.take_orders():
+                self.execute_order(order)
         self.check_single_runs()
+        self.watch.check(self)
+        assert not self.watch.problems, self.watch.problems
+
+    def _use_link(self, worker: FakeWorker) -> None:
+        """Send a heartbeat over a link that may lose it."""
+        is_lossy = worker.link is Link.LOSSY
+        is_lost = worker.link is Link.CUT or (
+            is_lossy and self.random.random() < LOSSY_SHARE
+        )
+        if worker.link is Link.HEARTBEATS_LATE:
+            is_lost = True
+            worker.late_heartbeats.append(worker.make_heartbeat(self.now))
+        if is_lost or not self.has_leader:
+            worker.next_heartbeat = self.now + LOST_ANSWER_S
+            return
+        if worker.link is Link.OPEN:
+            late, worker.late_heartbeats = worker.late_heartbeats, []
+            for heartbeat in late:
+                self.call_scheduler(heartbeat)
+        self.send_heartbeat(worker)
+
+    def _is_answer_lost(self, worker: FakeWorker) -> bool:
+        if worker.link in (Link.ANSWERS_LOST, Link.RESET):
+            return True
+        share = LOSSY_SHARE if worker.link is Link.LOSSY else 0.0
+        return self.random.random() < max(share, self.lost_answer_share)
 
     def send_heartbeat(self, worker: FakeWorker) -> None:
         """Send a heartbeat and apply the starts and stops in the answer."""
         answer = self.call_scheduler(worker.make_heartbeat(self.now)).unwrap()
-        if self.random.random() < self.lost_answer_share:
+        if self._is_answer_lost(worker):
             # The worker sends its next heartbeat after it gave up waiting.
-            worker.next_heartbeat = self.now + LOST_ANSWER_S
+            is_reset = worker.link is Link.RESET
+            delay_s = RESET_RETRY_S if is_reset else LOST_ANSWER_S
+            worker.next_heartbeat = self.now + delay_s
             return
         self._take_observed_ends(worker, answer.observed)
         if answer.lease_ms:
@@ -311,7 +403,11 @@
         elif step.is_long_running:
             run_s = float('inf')
         worker.running[key] = _Run(
-            self.now, self.now + run_s, how, step.is_long_running
+            self.now,
+            self.now + run_s,
+            how,
+            step.is_long_running,
+            workers.get_reserved_resources(step),
         )
 
     def _end_due_runs(self, worker: FakeWorker) -> None:
--- a/orioleshore/tests/test_batch_faults.py
+++ b/orioleshore/tests/test_batch_faults.py
@@ -5,6 +5,7 @@
 """
 
 import collections
+import enum
 import random
 
 import pytest
@@ -12,17 +13,25 @@
 from fakes import workers
 from orioleshore.jobs import calls
 from orioleshore.jobs import ledger
+from orioleshore.jobs import specs
 from orioleshore.model import ids
 from orioleshore.model import states
 from orioleshore.tests import builders
 from orioleshore.tests import support
 
 SEEDS = range(support.SEED, support.SEED + 20)
+CUT_SEEDS = range(support.SEED, support.SEED + 20)
 HOSTS = 8
 FAULTS = 40
 AT_ONCE = 2
 # Longest pause of a worker, more than a lease of 3 s.
 MAX_SILENCE_S = 5.0
+CUTS = 4
+# Time after each cut in which all long-running tasks must run again: longer
+# than the watch of the fake fleet allows after a change of leader.
+QUIET_S = 12.0
+# An election takes 0.6 to 0.9 s; a leader that was not told takes longer.
+MAX_ELECTION_S = 1.5
 
 
 class Schedule:
@@ -122,6 +131,148 @@
         self.fleet.lost_upkeep_answers += 1
 
 
+class LeaderLoss(enum.Enum):
+    """When a leader is lost around a cut of workers."""
+
+    NEVER = 'never'
+    DURING = 'during'
+    AFTER = 'after'
+    TWICE = 'twice'
+
+
+class Rebirth(enum.Enum):
+    """How workers crash behind a cut and start again."""
+
+    NONE = 'none'
+    SAME_NAME = 'same_name'
+    NEW_NAME = 'new_name'
+
+
+class CutSchedule:
+    """One seeded run: workers with long-running tasks that are cut off.
+
+    The fake fleet fails the test when such a task could start and does not.
+    """
+
+    def __init__(self, seed: int) -> None:
+        self.random = random.Random(seed)
+        self.fleet = workers.FakeFleet(
+            builders.build_configuration(), seed=seed
+        )
+        self.fleet.add_hosts(self.random.randint(2, HOSTS), 'red', cores=4)
+        for number, worker in enumerate(self.fleet.workers.values()):
+            kind = self.random.choice('ab')
+            worker.labels = (kind, f'r1-{1 + number % 2}')
+        self.fleet.run(4.5)
+        self.cuts: list[str] = []
+        self._next_job = 1
+
+    def run(self) -> None:
+        """Cut workers off, again and again, beside other work."""
+        fleet = self.fleet
+        for number in range(self.random.randint(1, 3)):
+            fleet.call_scheduler(
+                builders.build_submission(
+                    1_000 + number, self._build_lasting_job()
+                )
+            )
+        fleet.run(3.0)
+        for _ in range(CUTS):
+            self._cut_workers()
+            fleet.run(QUIET_S)
+
+    def _build_lasting_job(self) -> specs.Job:
+        return builders.build_lasting_job(
+            self.random.randint(1, 4),
+            need=specs.Resources(self.random.choice([500, 1_500, 3_000]), 512),
+            max_per_worker=self.random.choice([0, 0, 1, 2]),
+            max_unavailable=self.random.choice([0, 1]),
+            data_rack=self.random.choice(['', '', 'r1-1', 'r1-2']),
+            required_label=self.random.choice(['', '', '', 'a']),
+        )
+
+    def _cut_workers(self) -> None:
+        fleet = self.fleet
+        link = self.random.choice(
+            [item for item in workers.Link if item is not workers.Link.OPEN]
+        )
+        loss = self.random.choice(list(LeaderLoss))
+        rebirth = self.random.choice(list(Rebirth))
+        present = [w for w in fleet.workers.values() if fleet.now >= w.up_at]
+        cut = self.random.sample(present, self.random.randint(1, len(present)))
+        duration = self.random.choice([0.5, 2.0, 3.2, 5.0, 9.0])
+        self.cuts.append(
+            f'{fleet.now:.2f}: {link} {loss} {rebirth} {duration} s '
+            f'{[w.host for w in cut]}'
+        )
+        for worker in cut:
+            worker.link = link
+        lost_at = self.random.uniform(0.0, duration)
+        self._work(lost_at)
+        if loss in (LeaderLoss.DURING, LeaderLoss.TWICE):
+            fleet.fail_over(self.random.uniform(0.0, MAX_ELECTION_S))
+        self._restart_workers(cut, rebirth)
+        self._work(duration - lost_at)
+        for worker in cut:
+            worker.link = workers.Link.OPEN
+        if loss in (LeaderLoss.AFTER, LeaderLoss.TWICE):
+            self._work(self.random.choice([0.0, 0.05, 0.3]))
+            fleet.fail_over(self.random.uniform(0.0, MAX_ELECTION_S))
+
+    def _restart_workers(
+        self, cut: list[workers.FakeWorker], rebirth: Rebirth
+    ) -> None:
+        if rebirth is Rebirth.NONE:
+            return
+        for worker in cut:
+            if self.random.random() < 0.7:
+                worker.restart(
+                    worker.pool,
+                    self.fleet.now + self.random.uniform(0.1, 2.0),
+                    keeps_name=rebirth is Rebirth.SAME_NAME,
+                )
+
+    def _work(self, seconds: float) -> None:
+        """Advance the time, with a short job now and then."""
+        fleet = self.fleet
+        end = fleet.now + seconds
+        while fleet.now < end:
+            if fleet.has_leader and self.random.random() < 0.5:
+                job = builders.build_batch_job(builders.build_step(3))
+                fleet.call_scheduler(
+                    builders.build_submission(self._next_job, job)
+                )
+                self._next_job += 1
+            fleet.run(min(0.5, max(0.05, end - fleet.now)))
+
+
+@pytest.mark.parametrize('seed', CUT_SEEDS)
+def test_lasting_tasks_run_again_after_each_kind_of_cut(seed):
+    """Guards against a long-running task that stays away after a cut.
+
+    Workers are cut off both ways, one way, with loss and with resets; they
+    crash behind the cut; the leader is lost meanwhile or right after.
+    """
+    CutSchedule(seed).run()
+
+
+def test_watch_reports_a_lasting_task_that_is_held_back():
+    """Guards against a watch over long-running tasks that sees nothing."""
+    fleet = workers.FakeFleet(
+        builders.build_configuration(), seed=support.SEED
+    )
+    fleet.add_hosts(2, 'red')
+    fleet.run(8.0)
+    for worker in fleet.scheduler.workers.values():
+        worker.is_cordoned = True
+    fleet.call_scheduler(
+        builders.build_submission(1, builders.build_lasting_job(1))
+    )
+    fleet.run(5.9)
+    with pytest.raises(AssertionError, match='could start and has not run'):
+        fleet.run(0.3)
+
+
 @pytest.mark.parametrize('seed', SEEDS)
 def test_accepted_jobs_run_once_under_random_faults(seed):
     """Guards against work that is lost or run twice around faults.
