Stop giving the same start to a worker that gets no answers

Callers saw a long-running task without a run for more than 6 s while a worker with room reported (the platform's LOST), when the answers to one worker were lost and its heartbeats were not: a cut in one direction, a connection that is reset, answers that take longer than the second for which a worker waits.

Cause: the heartbeat that shows that a start order was lost was answered with the next attempt of the same task. The run counted as ordered until the next heartbeat of that worker, so no other worker was offered the task in between.

A paused worker no longer counts as available, so neither packing nor the rack of the data waits for it.

test_worker_that_gets_no_answers_does_not_keep_lasting_tasks failed before in both forms.

--- a/orioleshore/history/phrases.py
+++ b/orioleshore/history/phrases.py
@@ -53,6 +53,8 @@
     'the new leader',
     'worker_suspected': 'worker {worker} gets no tasks for {shunned_s} s '
     'after {failures_in_row} failures in a row',
+    'orders_not_received': 'worker {worker} did not get its start orders, '
+    '{in_row} times in a row, and gets none for {paused_s} s',
     'heartbeat_ignored': 'an old heartbeat of {worker} came late: sequence '
     '{sequence}, newest {newest}',
     'host_retiring': 'host {host} of pool {pool} gets no more tasks: {needed} '
--- a/orioleshore/jobs/eligibility.py
+++ b/orioleshore/jobs/eligibility.py
@@ -39,6 +39,7 @@
     return (
         worker.state is states.WorkerState.READY
         and not worker.is_cordoned
+        and scheduler.now >= worker.no_starts_until
         and worker.consecutive_failures < SUSPECT_FAILURE_COUNT
         and scheduler.now < worker.last_heartbeat_at + MAX_SILENCE_S
     )
--- a/orioleshore/jobs/reports.py
+++ b/orioleshore/jobs/reports.py
@@ -132,8 +132,12 @@
     worker: workers.Worker, scheduler: scheduling.Scheduler
 ) -> None:
     """End runs as lost whose start order did not reach the worker."""
+    has_lost_order = False
     for key in list(worker.ordered):
         if key in worker.listed:
+            ordered_at = worker.start_ordered_at.get(key, 0.0)
+            if ordered_at >= worker.no_starts_until:
+                worker.lost_orders = 0
             continue
         job = scheduler.jobs.get(key[0])
         run = job and job.record.tasks.get(key[1])
@@ -141,8 +145,12 @@
             continue
         del worker.ordered[key]
         worker.unproven_runs.discard(key)
-        worker.start_ordered_at.pop(key, None)
+        # Orders of the last leader may be lost because it was.
+        is_own = worker.start_ordered_at.pop(key, None) is not None
+        has_lost_order = has_lost_order or is_own
         scheduler.end_run(key, states.RunEnd.LOST, '', worker.name)
+    if has_lost_order:
+        placement.record_lost_order(worker, scheduler)
 
 
 def _build_stop_orders(
--- a/orioleshore/jobs/workers.py
+++ b/orioleshore/jobs/workers.py
@@ -57,6 +57,8 @@
     consecutive_failures: int = msgspec.field(
         default=0, name='failures_in_row'
     )
+    # Start orders in a row that did not reach the worker.
+    lost_orders: int = 0
     # No task is started on the worker before this monotonic time.
     no_starts_until: float = msgspec.field(default=0.0, name='shunned_until')
     # No task is started on the worker, since its host is to go down or move.
--- a/orioleshore/tests/test_batch_faults.py
+++ b/orioleshore/tests/test_batch_faults.py
@@ -293,6 +293,33 @@
     assert wave.completed
 
 
+@pytest.mark.parametrize(
+    'link', [workers.Link.ANSWERS_LOST, workers.Link.RESET]
+)
+def test_worker_that_gets_no_answers_does_not_keep_lasting_tasks(link):
+    """Guards against starts that go again and again to an unreachable worker.
+
+    Its heartbeats arrive and show that the last start order was lost; the
+    task has to go to the other worker then.
+    """
+    fleet = workers.FakeFleet(
+        builders.build_configuration(), seed=support.SEED
+    )
+    fleet.add_hosts(1, 'red')
+    fleet.run(1.0)
+    lasting = builders.build_lasting_job(2)
+    fleet.call_scheduler(builders.build_submission(1, lasting))
+    fleet.run(0.5)
+    fleet.add_hosts(1, 'red')
+    fleet.run(1.0)
+    unreachable, other = fleet.workers.values()
+    assert len(unreachable.running) == 2
+    unreachable.link = link
+    # The lease of 3 s and the time that the rule of the platform allows.
+    fleet.run(9.0)
+    assert len(other.running) == 2
+
+
 @pytest.mark.parametrize('silence_s', [0.5, 1.5, 2.5])
 def test_silence_shorter_than_a_lease_restarts_nothing(silence_s):
     """Guards against work that restarts because its worker was only slow."""
