Ignore a late heartbeat of an earlier life at a new leader

Long-running tasks were stopped and started again, without a run meanwhile, when the first heartbeat that a new leader got under a worker's name had been delayed since an earlier life of that worker.

Cause: has_newer_incarnation compared with the workers that this leader has heard. The view of a new leader is empty, so the old heartbeat registered the worker under its old life, and _restore_run ended the logged runs of the newer life as lost. Their tasks were free for any worker while they still ran.

The log names the life that a run was ordered for. A heartbeat of an older one is stale, and is answered without a lease, as it is once the newer life has been heard.

--- a/orioleshore/jobs/scheduler.py
+++ b/orioleshore/jobs/scheduler.py
@@ -439,11 +439,28 @@
         known = self.workers.get(heartbeat.worker)
         if known is not None and known.incarnation > heartbeat.incarnation:
             return True
+        if known is None and self._has_run_of_newer_life(heartbeat):
+            return True
         return any(
             other.incarnation > heartbeat.incarnation
             for other in self._roster.get_host_workers(heartbeat.host)
         )
 
+    def _has_run_of_newer_life(self, heartbeat: calls.Heartbeat) -> bool:
+        """Return whether the log names a newer life of an unheard worker."""
+        for name, task, attempt in self._unconfirmed_runs.get(
+            heartbeat.worker, ()
+        ):
+            job = self.jobs.get(name)
+            run = job and job.record.tasks.get(task)
+            if (
+                run
+                and run.attempt == attempt
+                and run.incarnation > heartbeat.incarnation
+            ):
+                return True
+        return False
+
     def add_worker(self, heartbeat: calls.Heartbeat) -> workers.Worker:
         """Register the worker, or new incarnation, that sent a heartbeat."""
         old = self.workers.get(heartbeat.worker)
--- a/orioleshore/tests/test_batch_faults.py
+++ b/orioleshore/tests/test_batch_faults.py
@@ -320,6 +320,33 @@
     assert len(other.running) == 2
 
 
+def test_late_heartbeat_of_an_earlier_life_ends_no_run():
+    """Guards against runs that a new leader gives up while they run.
+
+    A partition delayed a heartbeat of the worker's earlier life; it is the
+    first one that a new leader gets under the name of the worker.
+    """
+    fleet = workers.FakeFleet(
+        builders.build_configuration(), seed=support.SEED
+    )
+    fleet.add_hosts(1, 'red')
+    fleet.run(1.0)
+    (worker,) = fleet.workers.values()
+    late = worker.make_heartbeat(fleet.now)
+    worker.restart(worker.pool, fleet.now + 0.5, keeps_name=True)
+    fleet.run(1.0)
+    fleet.call_scheduler(
+        builders.build_submission(1, builders.build_lasting_job(2))
+    )
+    fleet.run(0.5)
+    began = set(worker.running)
+    assert len(began) == 2
+    fleet.fail_over()
+    fleet.call_scheduler(late)
+    fleet.run(5.0)
+    assert set(worker.running) == began
+
+
 @pytest.mark.parametrize('silence_s', [0.5, 1.5, 2.5])
 def test_silence_shorter_than_a_lease_restarts_nothing(silence_s):
     """Guards against work that restarts because its worker was only slow."""
