Use a worker again that reports as ready after a late exit

A worker could be left without tasks for its whole life, so that long-running tasks of its pool waited with room on it (the platform's LOST).

Cause: the announcement of an exit carries the worker's name and no life. One that was delayed and arrived after the worker had started again under its name marked the new life as draining, and a worker that drains was never ready again, whatever its heartbeats said.

A worker that announced its exit has ended within a second of the acknowledgement. One that still reports as ready then is used again.

test_worker_that_reports_after_a_late_exit_gets_tasks failed before; its neighbour guards the worker that does drain.

--- a/orioleshore/jobs/reports.py
+++ b/orioleshore/jobs/reports.py
@@ -74,17 +74,7 @@
     call: calls.Heartbeat,
     scheduler: scheduling.Scheduler,
 ) -> None:
-    if worker.state is not call.state:
-        LOG.info(
-            logs.format_event(
-                'worker_state',
-                worker=worker.name,
-                state=call.state,
-                remaining_ms=call.remaining_ms,
-            )
-        )
-    if worker.state is not states.WorkerState.DRAINING:
-        worker.state = call.state
+    _update_state(worker, call, scheduler)
     worker.sequence = call.sequence
     worker.capacity = call.capacity
     scheduler.set_worker_pool(worker, call.pool)
@@ -107,6 +97,34 @@
     }
 
 
+def _update_state(
+    worker: workers.Worker,
+    call: calls.Heartbeat,
+    scheduler: scheduling.Scheduler,
+) -> None:
+    """Note the state that a worker reports; one that drains goes on to.
+
+    A worker that reports as ready after it should have ended has not
+    announced its exit: that was an earlier life under its name.
+    """
+    if call.state is states.WorkerState.DRAINING:
+        worker.exit_due_at = 0.0
+    has_outlived_exit = 0.0 < worker.exit_due_at <= scheduler.now
+    is_draining = worker.state is states.WorkerState.DRAINING
+    if worker.state is call.state or (is_draining and not has_outlived_exit):
+        return
+    worker.state = call.state
+    worker.exit_due_at = 0.0
+    LOG.info(
+        logs.format_event(
+            'worker_state',
+            worker=worker.name,
+            state=call.state,
+            remaining_ms=call.remaining_ms,
+        )
+    )
+
+
 def _record_ended_runs(
     worker: workers.Worker,
     call: calls.Heartbeat,
--- a/orioleshore/jobs/scheduler.py
+++ b/orioleshore/jobs/scheduler.py
@@ -514,10 +514,11 @@
 
     def drain_worker(self, worker: workers.Worker) -> None:
         """Let a worker that announced its exit drain for a limited time."""
+        exit_due_at = self.now + self.limits.leave_ms / MS_PER_S
+        if worker.state is states.WorkerState.READY:
+            worker.exit_due_at = exit_due_at
         worker.state = states.WorkerState.DRAINING
-        worker.lease_end = min(
-            worker.lease_end, self.now + self.limits.leave_ms / MS_PER_S
-        )
+        worker.lease_end = min(worker.lease_end, exit_due_at)
 
     def _drop_replaced_workers(self, worker: workers.Worker) -> None:
         # A host runs one worker at a time, so a newer worker implies that
--- a/orioleshore/jobs/workers.py
+++ b/orioleshore/jobs/workers.py
@@ -57,6 +57,9 @@
     consecutive_failures: int = msgspec.field(
         default=0, name='failures_in_row'
     )
+    # Monotonic time by which a worker has ended that announced its exit
+    # without having reported that it drains, 0 for others.
+    exit_due_at: float = 0.0
     # Start orders in a row that did not reach the worker.
     lost_orders: int = 0
     # No task is started on the worker before this monotonic time.
--- a/orioleshore/tests/test_batch_faults.py
+++ b/orioleshore/tests/test_batch_faults.py
@@ -347,6 +347,42 @@
     assert set(worker.running) == began
 
 
+def test_worker_that_reports_after_a_late_exit_gets_tasks():
+    """Guards against a worker that drains for ever after an old announcement.
+
+    The exit was announced by an earlier life, under the name that the worker
+    still has, and arrived after the worker had started again.
+    """
+    fleet = workers.FakeFleet(
+        builders.build_configuration(), seed=support.SEED
+    )
+    fleet.add_hosts(1, 'red')
+    fleet.run(8.0)
+    (worker,) = fleet.workers.values()
+    fleet.call_scheduler(calls.LeaveWorker(worker.name))
+    fleet.call_scheduler(
+        builders.build_submission(1, builders.build_lasting_job(2))
+    )
+    fleet.run(6.0)
+    assert len(worker.running) == 2
+
+
+def test_worker_that_reports_its_exit_gets_no_tasks():
+    """Guards against tasks for a worker that drains and says so."""
+    fleet = workers.FakeFleet(
+        builders.build_configuration(), seed=support.SEED
+    )
+    fleet.add_hosts(1, 'red')
+    fleet.run(1.0)
+    (worker,) = fleet.workers.values()
+    worker.state = states.WorkerState.DRAINING
+    fleet.run(0.5)
+    fleet.call_scheduler(calls.LeaveWorker(worker.name))
+    fleet.call_scheduler(builders.build_submission())
+    fleet.run(4.0)
+    assert not fleet.starts
+
+
 @pytest.mark.parametrize('silence_s', [0.5, 1.5, 2.5])
 def test_silence_shorter_than_a_lease_restarts_nothing(silence_s):
     """Guards against work that restarts because its worker was only slow."""
