Count only open calls to the policy service against their limit

A long-running task whose queue needs approval could wait for ever, with room on approved workers' hosts: at most 8 calls may be open, and a call whose answer was lost stayed counted while its step ran. Only a repeated call or the end of the job took it out, and nothing repeats it for a step that runs.

A call counts for 3 s, after which it may be repeated anyway.

test_lost_calls_do_not_keep_later_steps_from_approval failed before.

--- a/orioleshore/jobs/approvals.py
+++ b/orioleshore/jobs/approvals.py
@@ -114,10 +114,11 @@
         scheduler = self._scheduler
         if scheduler.now < self._pending_until.get(key, 0.0):
             return
-        if (
-            len(self._pending_until) >= MAX_PENDING_CALLS
-            and key not in self._pending_until
-        ):
+        # An entry whose time is over has no call: its answer was lost.
+        pending = sum(
+            scheduler.now < until for until in self._pending_until.values()
+        )
+        if pending >= MAX_PENDING_CALLS:
             return
         refused = self._refused.get(key, set())
         tickets = self._tickets.get(key, {})
