Ask for and plan on workers that failed often when there are no others

A long-running task whose queue needs approval, and a gang, waited for ever once each worker of the pool had three failures in a row.

Cause: only available workers are named to the policy service and take part in the plan of a gang, and a worker that failed three times in a row is not available until a run on it succeeds. Other tasks start there one at a time; these two kinds could not, so nothing ended the state.

The policy service is asked about available workers first and about the others after them. A gang is planned on the others too once it has waited for 2 s.

test_workers_that_failed_often_are_approved_if_there_are_no_others and test_gang_starts_on_workers_that_failed_often_if_there_are_no_others failed before.

--- a/orioleshore/jobs/approvals.py
+++ b/orioleshore/jobs/approvals.py
@@ -122,13 +122,19 @@
             return
         refused = self._refused.get(key, set())
         tickets = self._tickets.get(key, {})
-        names = tuple(
-            worker.name
+        candidates = [
+            worker
             for worker in scheduler.get_pool_workers(job.record.pool)
-            if eligibility.is_available(scheduler, worker)
+            if eligibility.is_in_contact(scheduler, worker)
             and worker.name not in refused
             and not self._is_valid(tickets.get(worker.name))
-        )[:MAX_WORKERS_PER_CALL]
+        ]
+        candidates.sort(
+            key=lambda worker: not eligibility.is_available(scheduler, worker)
+        )
+        names = tuple(
+            worker.name for worker in candidates[:MAX_WORKERS_PER_CALL]
+        )
         if not names:
             return
         self._pending_until[key] = scheduler.now + CALL_TIMEOUT_S
--- a/orioleshore/jobs/eligibility.py
+++ b/orioleshore/jobs/eligibility.py
@@ -32,14 +32,23 @@
     return scheduler.approvals.get_ticket(worker, job, group) is not None
 
 
-def is_available(
+def is_in_contact(
     scheduler: scheduling.Scheduler, worker: workers.Worker
 ) -> bool:
-    """Return whether a worker is expected to accept tasks soon."""
+    """Return whether a worker may get tasks with its next heartbeat."""
     return (
         worker.state is states.WorkerState.READY
         and not worker.is_cordoned
         and scheduler.now >= worker.no_starts_until
-        and worker.consecutive_failures < SUSPECT_FAILURE_COUNT
         and scheduler.now < worker.last_heartbeat_at + MAX_SILENCE_S
     )
+
+
+def is_available(
+    scheduler: scheduling.Scheduler, worker: workers.Worker
+) -> bool:
+    """Return whether a worker is expected to accept tasks soon."""
+    return (
+        worker.consecutive_failures < SUSPECT_FAILURE_COUNT
+        and is_in_contact(scheduler, worker)
+    )
--- a/orioleshore/jobs/gangs.py
+++ b/orioleshore/jobs/gangs.py
@@ -22,6 +22,8 @@
 
 LOG = logging.getLogger(__name__)
 
+# A gang that waits for longer also starts on workers that failed often.
+SUSPECTS_WAIT_S = 2.0
 # A plan expires after this time if no member has started; workers with
 # free capacity report every 0.1 s.
 PLAN_TIMEOUT_S = 1.0
@@ -65,10 +67,16 @@
     job: progress.JobProgress,
     group: progress.Group,
 ) -> None:
+    waited_s = scheduler.wall_time - group.startable_since
+    is_usable = (
+        eligibility.is_available
+        if waited_s < SUSPECTS_WAIT_S
+        else eligibility.is_in_contact
+    )
     members = [
         worker
         for worker in scheduler.get_pool_workers(job.record.pool)
-        if eligibility.is_available(scheduler, worker)
+        if is_usable(scheduler, worker)
         and eligibility.is_allowed(scheduler, worker, job, group)
     ]
     racks = sorted({worker.rack for worker in members})
--- a/orioleshore/tests/test_batch_approvals.py
+++ b/orioleshore/tests/test_batch_approvals.py
@@ -3,6 +3,7 @@
 import msgspec
 
 from fakes import workers as fake_workers
+from orioleshore.jobs import eligibility
 from orioleshore.jobs import specs
 from orioleshore.model import ids
 from orioleshore.tests import builders
@@ -11,13 +12,18 @@
 
 def build_fleet(hosts: int) -> fake_workers.FakeFleet:
     """Return a fleet whose red queue needs approval and blue one does not."""
-    first, second = builders.build_configuration().queues
+    configuration = builders.build_configuration()
+    first, second = configuration.queues
     queues = (
         msgspec.structs.replace(first, needs_approval=True),
         msgspec.structs.replace(second, pool=ids.PoolId('red')),
     )
     fleet = fake_workers.FakeFleet(
-        builders.build_configuration(queues=queues), seed=support.SEED
+        # Without a standby pool, no host leaves its pool.
+        builders.build_configuration(
+            queues=queues, pools=configuration.pools[:1]
+        ),
+        seed=support.SEED,
     )
     fleet.add_hosts(hosts, 'red')
     fleet.run(0.5)
@@ -55,3 +61,47 @@
     late = submit(fleet, 9, 'red', builders.build_lasting_job(1))
     fleet.run(5.0)
     assert fleet.count_running_tasks(late) == 1
+
+
+def test_workers_that_failed_often_are_approved_if_there_are_no_others():
+    """Guards against a policy that is never asked about the only workers."""
+    fleet = build_fleet(2)
+    make_suspect(fleet)
+    lasting = submit(fleet, 1, 'red', builders.build_lasting_job(2))
+    fleet.run(5.0)
+    assert fleet.count_running_tasks(lasting) == 2
+
+
+def test_gang_starts_on_workers_that_failed_often_if_there_are_no_others():
+    """Guards against a gang that is never planned on the only workers."""
+    fleet = build_fleet(2)
+    make_suspect(fleet)
+    gang = builders.build_batch_job(
+        builders.build_step(2, is_gang=True, is_long_running=True)
+    )
+    lasting = submit(fleet, 1, 'blue', gang)
+    fleet.run(5.0)
+    assert fleet.count_running_tasks(lasting) == 2
+
+
+def make_suspect(fleet: fake_workers.FakeFleet) -> None:
+    """Let all workers fail some runs in a row, then work again."""
+    for worker in fleet.workers.values():
+        worker.is_failing = True
+    for number in range(20, 30):
+        submit(
+            fleet,
+            number,
+            'blue',
+            builders.build_batch_job(builders.build_step(2)),
+        )
+        fleet.run(0.5)
+    # All these jobs end as failed.
+    fleet.run(60.0)
+    assert not fleet.scheduler.jobs
+    for worker in fleet.workers.values():
+        worker.is_failing = False
+    assert all(
+        worker.consecutive_failures >= eligibility.SUSPECT_FAILURE_COUNT
+        for worker in fleet.scheduler.workers.values()
+    )
