Ask the policy service about workers with room first

In a pool of more than 60 workers a long-running task whose queue needs approval could wait for ever beside a worker with room: a call names 30 workers in the order of the pool, their tickets expire within seconds, and then the same workers came first again, though they were full.

Workers that have room for the task are named first.

test_workers_with_room_are_approved_before_full_ones failed before.

--- a/orioleshore/jobs/approvals.py
+++ b/orioleshore/jobs/approvals.py
@@ -77,7 +77,7 @@
             for group in job.find_startable_groups(scheduler.wall_time):
                 key = (job.name, group.occurrence, group.position)
                 startable_keys.add(key)
-                self._request_when_due(key, job)
+                self._request_when_due(key, job, group)
         for entries in (self._tickets, self._refused, self._pending_until):
             for key in entries.keys() - startable_keys:
                 if key[0] not in scheduler.jobs:
@@ -109,7 +109,10 @@
         )
 
     def _request_when_due(
-        self, key: StepKey, job: progress.JobProgress
+        self,
+        key: StepKey,
+        job: progress.JobProgress,
+        group: progress.Group,
     ) -> None:
         scheduler = self._scheduler
         if scheduler.now < self._pending_until.get(key, 0.0):
@@ -122,6 +125,7 @@
             return
         refused = self._refused.get(key, set())
         tickets = self._tickets.get(key, {})
+        need = workers.get_reserved_resources(group.step)
         candidates = [
             worker
             for worker in scheduler.get_pool_workers(job.record.pool)
@@ -129,8 +133,13 @@
             and worker.name not in refused
             and not self._is_valid(tickets.get(worker.name))
         ]
+        # Tickets expire, so those of full workers would be asked for again
+        # before a large pool has been gone through.
         candidates.sort(
-            key=lambda worker: not eligibility.is_available(scheduler, worker)
+            key=lambda worker: (
+                not workers.fits_into(need, worker.get_free_resources()),
+                not eligibility.is_available(scheduler, worker),
+            )
         )
         names = tuple(
             worker.name for worker in candidates[:MAX_WORKERS_PER_CALL]
--- a/orioleshore/tests/test_batch_approvals.py
+++ b/orioleshore/tests/test_batch_approvals.py
@@ -4,6 +4,7 @@
 
 from fakes import workers as fake_workers
 from orioleshore.jobs import eligibility
+from orioleshore.jobs import orders
 from orioleshore.jobs import specs
 from orioleshore.model import ids
 from orioleshore.tests import builders
@@ -84,6 +85,32 @@
     assert fleet.count_running_tasks(lasting) == 2
 
 
+def test_workers_with_room_are_approved_before_full_ones():
+    """Guards against a worker with room behind many full ones.
+
+    The service takes a number of workers in a call, and its tickets expire.
+    """
+    fleet = build_fleet(70)
+    filling = builders.build_lasting_job(
+        69, need=specs.Resources(16_000, 512), max_per_worker=1
+    )
+    submit(fleet, 1, 'blue', filling)
+    fleet.run(4.0)
+    lasting = submit(fleet, 2, 'red', builders.build_lasting_job(1))
+    asked = []
+    for _ in range(20):
+        fleet.scheduler.tick(fleet.now, fleet.wall)
+        asked += [
+            order.workers
+            for order in fleet.scheduler.orders.take_orders()
+            if isinstance(order, orders.AskApproval)
+        ]
+        fleet.now += 0.1
+    free = [w.name for w in fleet.workers.values() if not w.running]
+    assert free and free[0] in asked[0]
+    assert fleet.scheduler.jobs[lasting].groups[0, 0].waiting
+
+
 def make_suspect(fleet: fake_workers.FakeFleet) -> None:
     """Let all workers fail some runs in a row, then work again."""
     for worker in fleet.workers.values():
