Count a further host when no free room suffices for a long-running task

A long-running task waited for ever while standby hosts were free. Seen with tasks of 7, 7, 4, 4 and 7 cores on hosts of 16: two hosts suffice by the sum, and each had 5 cores left.

Cause: the number of hosts that a pool needs is a sum over its tasks, which knows nothing of how they lie. Nothing moves a long-running task, so the wait had no end.

When a task has found no room for 2 s and none of the pool's hosts has any, the pool needs one host more than it has, provided that the task fits on a host. The host stays because the task then runs there.

test_scattered_room_brings_a_host_for_a_long_running_task failed before.

--- a/orioleshore/jobs/demand.py
+++ b/orioleshore/jobs/demand.py
@@ -20,6 +20,7 @@
 from orioleshore.jobs import specs
 from orioleshore.jobs import workers
 from orioleshore.model import ids
+from orioleshore.model import states
 
 if typing.TYPE_CHECKING:
     from orioleshore.jobs import scheduler as scheduling
@@ -41,6 +42,12 @@
 SCALE_DOWN_DELAY_S = 1.0
 
 
+# A long-running task that has found no room for this long needs a further
+# host, although the hosts suffice by the sum of the tasks: the free room is
+# scattered. Short tasks end within this time.
+SCATTERED_ROOM_WAIT_S = 2.0
+
+
 class Load(msgspec.Struct, frozen=True):
     """Work of a pool, in the number of hosts that it would occupy."""
 
@@ -53,8 +60,9 @@
     # Tasks of the backlog that may start now.
     startable: float = 0.0
     is_waiting: bool = False
-    # Hosts over which long-running steps must be spread, since each limits
-    # its tasks on one host.
+    # Fewest hosts for long-running steps: those over which they must be
+    # spread, since each limits its tasks on one host, and those present if
+    # no free room suffices, with a further one.
     spread: int = 0
     # The parts of backlog and startable that belong to jobs that can still
     # meet their objectives.
@@ -84,6 +92,13 @@
             if group.step.is_long_running or group.step.is_gang:
                 simultaneous += share * (running + waiting)
                 spread = max(spread, _count_spread(group, running + waiting))
+                if waiting:
+                    spread = max(
+                        spread,
+                        _count_with_scattered_room(
+                            scheduler, job, group, size
+                        ),
+                    )
                 continue
             active += share * running
             left = share * (group.unfinished - running)
@@ -159,6 +174,35 @@
     return math.ceil(tasks / limit) if limit else 0
 
 
+def _count_with_scattered_room(
+    scheduler: scheduling.Scheduler,
+    job: progress.JobProgress,
+    group: progress.Group,
+    size: specs.Resources,
+) -> int:
+    """Return one more than the hosts of a pool if none has room for a task.
+
+    Returns 0 before the task has waited for SCATTERED_ROOM_WAIT_S, and if it
+    would not fit on a further host either.
+    """
+    waited_s = scheduler.get_long_running_wait_s(job.name)
+    if waited_s < SCATTERED_ROOM_WAIT_S:
+        return 0
+    need = workers.get_reserved_resources(group.step)
+    present = [
+        worker
+        for worker in scheduler.get_pool_workers(job.record.pool)
+        if worker.state is states.WorkerState.READY and not worker.is_cordoned
+    ]
+    has_room = any(
+        workers.fits_into(need, worker.get_free_resources())
+        for worker in present
+    )
+    if has_room or not workers.fits_into(need, size):
+        return 0
+    return len(present) + 1
+
+
 def _count_fitting(need: specs.Resources, size: specs.Resources) -> int:
     """Return how many tasks with the given need fit on one host."""
     counts = [
--- a/orioleshore/tests/test_batch_demand.py
+++ b/orioleshore/tests/test_batch_demand.py
@@ -151,3 +151,23 @@
     assert not any(
         worker.is_cordoned for worker in fleet.scheduler.workers.values()
     )
+
+
+def test_scattered_room_brings_a_host_for_a_long_running_task():
+    """Guards against a task that waits for ever beside hosts in standby.
+
+    The sum of the tasks fits on the two hosts of the pool; the room that is
+    left is scattered over both.
+    """
+    fleet = build_fleet(2, 3)
+    for number, (cores, tasks) in enumerate(((7, 2), (4, 2), (7, 1))):
+        job = builders.build_lasting_job(
+            tasks, need=specs.Resources(1_000 * cores, 512)
+        )
+        fleet.call_scheduler(builders.build_submission(number, job))
+        fleet.run(2.0)
+    # The wait, a move and an idle heartbeat.
+    fleet.run(4.0)
+    assert fleet.count_running_tasks(builders.build_job_id(2)) == 1
+    fleet.run(10.0)
+    assert count_hosts(fleet) == 3
