Put a host back into use whose move was never answered

A worker could stay cordoned for as long as a leader led, so that a long-running task waited with room on it (the platform's LOST): the watch of the fake fleet reports it in test_host_whose_move_is_not_answered_gets_tasks_again, which failed before.

Cause: a move cordons the worker until the answer comes. Upkeep orders are repeated then; moves were waited for without a limit.

A later answer still counts.

--- a/fakes/workers.py
+++ b/fakes/workers.py
@@ -185,6 +185,8 @@
         self.mean_run_s = 0.6
         # Number of answers to upkeep orders that are lost from now on.
         self.lost_upkeep_answers = 0
+        # Moves that are neither carried out nor answered from now on.
+        self.lost_moves = 0
         # Share of the answers to heartbeats that are lost.
         self.lost_answer_share = 0.0
         # Tasks whose successful end was observed.
@@ -346,7 +348,9 @@
         if isinstance(order, orders.TakeDown):
             self._execute_upkeep(order, worker)
             return
-        if isinstance(order, orders.Move):
+        if isinstance(order, orders.Move) and self.lost_moves:
+            self.lost_moves -= 1
+        elif isinstance(order, orders.Move):
             worker.restart(order.pool, self.now + MOVE_S)
             self.call_scheduler(
                 calls.NoteMove(order.host, order.pool, accepted)
--- a/orioleshore/jobs/orders.py
+++ b/orioleshore/jobs/orders.py
@@ -110,6 +110,13 @@
         """Return the monotonic time of the request for the newest list."""
         return self._listed_at
 
+    @property
+    def answer_timeout_s(self) -> float:
+        """Return the longest time from an order to its answer in seconds."""
+        limits = self._limits
+        sent_ms = SEND_SHARE * limits.host_lease_ms
+        return (sent_ms + limits.host_call_ms) / MS_PER_S
+
     def take_orders(self) -> list[Order]:
         """Return the queued orders and empty the queue."""
         orders, self._orders = self._orders, []
--- a/orioleshore/jobs/pools.py
+++ b/orioleshore/jobs/pools.py
@@ -45,8 +45,10 @@
         # which the arrival times out.
         self._arriving: dict[ids.HostId, tuple[ids.PoolId, float]] = {}
         self._idle_since: dict[ids.HostId, float] = {}
-        # Target pools of hosts whose move order has not been answered.
+        # Target pools of hosts whose move order has not been answered, and
+        # the monotonic times at which the answer counts as lost.
         self._targets: dict[ids.HostId, ids.PoolId] = {}
+        self._answer_due_at: dict[ids.HostId, float] = {}
         # Workers of hosts that are cordoned so that they can be switched off.
         self._retiring: dict[ids.HostId, ids.WorkerId] = {}
         self._demand = demand.DemandTracker()
@@ -62,6 +64,7 @@
 
     def advance(self) -> None:
         """Order the moves that the present demand requires."""
+        self._end_unanswered_moves()
         self._forget_arrived_hosts()
         self._update_idle_times()
         self._update_demand()
@@ -86,6 +89,7 @@
         scheduler = self._scheduler
         scheduler.orders.record_answer(call.host, call.outcome, scheduler.now)
         self._targets.pop(call.host, None)
+        self._answer_due_at.pop(call.host, None)
         LOG.info(
             logs.format_event(
                 'move_answered',
@@ -108,6 +112,20 @@
             until = scheduler.now + ARRIVAL_TIMEOUT_S
             self._arriving[call.host] = (call.pool, until)
 
+    def _end_unanswered_moves(self) -> None:
+        """Put hosts back into use whose move order was never answered.
+
+        The worker of such a host would stay cordoned. A later answer counts.
+        """
+        for host, due_at in list(self._answer_due_at.items()):
+            if self._scheduler.now >= due_at:
+                unknown = states.HostOrderOutcome.UNKNOWN
+                self.record_outcome(
+                    calls.NoteMove(
+                        host, self._targets[host], unknown, 'no answer'
+                    )
+                )
+
     def _forget_arrived_hosts(self) -> None:
         scheduler = self._scheduler
         for worker in scheduler.workers.values():
@@ -387,6 +405,9 @@
             worker.is_cordoned = True
         self._retiring.pop(host, None)
         self._targets[host] = pool
+        self._answer_due_at[host] = (
+            scheduler.now + scheduler.orders.answer_timeout_s
+        )
         scheduler.orders.order_move(host, pool, scheduler.now)
         LOG.info(
             logs.format_event(
--- a/orioleshore/tests/test_batch_demand.py
+++ b/orioleshore/tests/test_batch_demand.py
@@ -171,3 +171,25 @@
     assert fleet.count_running_tasks(builders.build_job_id(2)) == 1
     fleet.run(10.0)
     assert count_hosts(fleet) == 3
+
+
+def test_host_whose_move_is_not_answered_gets_tasks_again():
+    """Guards against a worker that gets no task for ever after a lost move.
+
+    The order or its answer was dropped inside the process, so that not even
+    a failure of the call is reported.
+    """
+    fleet = workers.FakeFleet(
+        builders.build_configuration(), seed=support.SEED
+    )
+    fleet.add_hosts(3, 'red')
+    fleet.lost_moves = 1
+    fleet.run(5.0)
+    assert not fleet.lost_moves
+    moving = [w for w in fleet.scheduler.workers.values() if w.is_cordoned]
+    assert len(moving) == 1
+    job = builders.build_lasting_job(3, need=specs.Resources(9_000, 512))
+    fleet.call_scheduler(builders.build_submission(1, job))
+    fleet.run(7.0)
+    assert fleet.count_running_tasks(builders.build_job_id(1)) == 3
+    assert not any(w.is_cordoned for w in fleet.scheduler.workers.values())
