Let a host that waits for its upkeep restart long-running tasks

A long-running task stayed without a run to the end of a wave, and beyond, with room on a worker that reported as ready (the platform's LOST).

Cause: a worker is cordoned before its host goes down. If a task fails there and no other worker has room, it waits for this worker, and its step now misses a task. If the step may miss no further one, the host may not go down with the step's other tasks, nor evict them: upkeep and task waited for each other without an end.

A task that has waited for 2 s and could run on this worker only lifts the cordon; the host is cordoned again once the task runs.

test_host_that_waits_for_upkeep_restarts_its_lasting_tasks failed before: the watch reported the task 6 s after its failure.

--- a/orioleshore/jobs/approvals.py
+++ b/orioleshore/jobs/approvals.py
@@ -67,6 +67,16 @@
             return None
         return ticket.text
 
+    def is_refused(
+        self,
+        worker: workers.Worker,
+        job: progress.JobProgress,
+        group: progress.Group,
+    ) -> bool:
+        """Return whether the policy service refused a worker for a step."""
+        key = (job.name, group.occurrence, group.position)
+        return worker.name in self._refused.get(key, ())
+
     def advance(self) -> None:
         """Request approvals for the steps that may start."""
         scheduler = self._scheduler
--- a/orioleshore/jobs/eligibility.py
+++ b/orioleshore/jobs/eligibility.py
@@ -32,6 +32,19 @@
     return scheduler.approvals.get_ticket(worker, job, group) is not None
 
 
+def may_become_allowed(
+    scheduler: scheduling.Scheduler,
+    worker: workers.Worker,
+    job: progress.JobProgress,
+    group: progress.Group,
+) -> bool:
+    """Return whether a worker may run a step, now or once it is approved."""
+    label = group.step.required_label
+    if label and label not in worker.labels:
+        return False
+    return not scheduler.approvals.is_refused(worker, job, group)
+
+
 def is_in_contact(
     scheduler: scheduling.Scheduler, worker: workers.Worker
 ) -> bool:
--- a/orioleshore/jobs/upkeep.py
+++ b/orioleshore/jobs/upkeep.py
@@ -13,6 +13,7 @@
 import msgspec
 
 from orioleshore.jobs import calls
+from orioleshore.jobs import eligibility
 from orioleshore.jobs import ledger
 from orioleshore.jobs import placement
 from orioleshore.jobs import progress
@@ -32,6 +33,9 @@
 # Hosts are cordoned before they go down only in this first share of the time
 # of a wave.
 CORDON_WAIT_SHARE = 0.7
+# A cordoned host is used again for a long-running task that has waited for
+# this long and has room nowhere else.
+CORDON_YIELD_S = 2.0
 # A worker that is first heard sooner after the confirmed start of an upkeep
 # was started before it. Less than the shortest upkeep of the platform, 2 s.
 MIN_UPKEEP_S = 1.5
@@ -180,6 +184,9 @@
         for worker in self._sort_workers(waiting):
             if down >= limit:
                 break
+            if self._is_needed(worker):
+                self._uncordon_host(worker.host)
+                continue
             if not self._can_cordon(worker, wave):
                 continue
             down += 1
@@ -263,6 +270,43 @@
         cordoned = sum(member.is_cordoned for member in members)
         return cordoned < max(1, len(members) // 2)
 
+    def _is_needed(self, worker: workers.Worker) -> bool:
+        """Return whether a long-running task has room on this worker only.
+
+        Without it the host could not go down either if the step of the task
+        may miss no further one.
+        """
+        scheduler = self._scheduler
+        for job in scheduler.get_pool_jobs(worker.pool):
+            if scheduler.get_long_running_wait_s(job.name) < CORDON_YIELD_S:
+                continue
+            for group in job.find_startable_groups(scheduler.wall_time):
+                if group.step.is_long_running and self._is_only_room(
+                    worker, job, group
+                ):
+                    return True
+        return False
+
+    def _is_only_room(
+        self,
+        worker: workers.Worker,
+        job: progress.JobProgress,
+        group: progress.Group,
+    ) -> bool:
+        scheduler = self._scheduler
+        need = workers.get_reserved_resources(group.step)
+        if not group.can_use_worker(worker.name):
+            return False
+        if not workers.fits_into(need, worker.get_free_resources()):
+            return False
+        others = placement.find_other_workers(scheduler, worker, group)
+        return eligibility.may_become_allowed(
+            scheduler, worker, job, group
+        ) and not any(
+            eligibility.may_become_allowed(scheduler, other, job, group)
+            for other in others
+        )
+
     def _is_late(self, wave: ledger.WaveRecord) -> bool:
         """Return whether a wave has used most of its time."""
         span_s = wave.due_at - wave.opened_at
--- a/orioleshore/tests/test_batch_holds.py
+++ b/orioleshore/tests/test_batch_holds.py
@@ -5,6 +5,7 @@
 import pytest
 
 from fakes import workers as fake_workers
+from orioleshore.jobs import calls
 from orioleshore.jobs import holds
 from orioleshore.jobs import specs
 from orioleshore.model import ids
@@ -128,3 +129,42 @@
     assert all('holds=no_room:2' in line for line in caplog.messages)
     counted = fleet.scheduler.waits.take_counts()
     assert counted == {states.HoldReason.NO_ROOM: 4}
+
+
+def test_host_that_waits_for_upkeep_restarts_its_lasting_tasks():
+    """Guards against upkeep and a long-running task that wait for each other.
+
+    The task failed on a host that waits for its upkeep because no other has
+    room. Its step may miss one task, so the host cannot go down without it.
+    """
+    fleet = fake_workers.FakeFleet(
+        builders.build_configuration(
+            pools=builders.build_configuration().pools[:1]
+        ),
+        seed=support.SEED,
+    )
+    fleet.add_hosts(2, 'red')
+    fleet.run(4.0)
+    limited = builders.build_lasting_job(
+        3, need=specs.Resources(6_000, 512), max_unavailable=1
+    )
+    filling = builders.build_lasting_job(1, need=specs.Resources(10_000, 512))
+    fleet.call_scheduler(builders.build_submission(1, limited))
+    fleet.run(3.0)
+    fleet.call_scheduler(builders.build_submission(2, filling))
+    fleet.run(3.0)
+    assert len(fleet.scheduler.jobs) == 2
+    held = next(
+        worker
+        for worker in fleet.workers.values()
+        if builders.build_job_id(2) not in {key[0] for key in worker.running}
+    )
+    assert len(held.running) == 2
+    fleet.call_scheduler(
+        calls.OpenWave(ids.WaveId('1'), (held.host,), 60.0, 1)
+    )
+    fleet.run(3.0)
+    failed = next(iter(held.running))
+    held.end_run(failed, states.RunEnd.FAILED)
+    fleet.run(20.0)
+    assert fleet.count_running_tasks(builders.build_job_id(1)) == 3
