Run a long-running job in the soak and watch its tasks

One job of two such tasks runs from the start. Its workers note when a task has no run and since when each of their reports got a lease in time; a task that has not run for 6 s while a worker had answers for 7 s is a problem. At the end both tasks have to run.

--- a/fakes/platform_fleet.py
+++ b/fakes/platform_fleet.py
@@ -6,6 +6,7 @@
 
 import asyncio
 import json
+import math
 import os
 import pathlib
 import signal
@@ -18,6 +19,10 @@
 
 ROOT = pathlib.Path(__file__).resolve().parent.parent
 HEARTBEAT_S = 0.2
+# Text of a job whose tasks run until they are stopped.
+LASTING = 'lasting'
+# A worker gives up waiting for the answer to a report after this time.
+ANSWER_TIMEOUT_S = 1.0
 
 
 def find_free_ports(count: int) -> int:
@@ -186,11 +191,21 @@
     def __init__(self) -> None:
         self.starts: dict[str, int] = {}
         self.problems: list[str] = []
+        # Times since which long-running tasks have no run.
+        self.idle_since: dict[str, float] = {}
+        self._lasting: set[str] = set()
         self._running: dict[str, str] = {}
         self._done: set[str] = set()
 
+    def expect(self, task: str) -> None:
+        """Record that a long-running task is to run from now on."""
+        self._lasting.add(task)
+        if task not in self._running:
+            self.idle_since[task] = asyncio.get_running_loop().time()
+
     def start(self, task: str, worker: str) -> None:
         """Record the start of a task; a conflict is added to ``problems``."""
+        self.idle_since.pop(task, None)
         self.starts[task] = self.starts.get(task, 0) + 1
         if task in self._done:
             self.problems.append(f'{task} started after its end was noted')
@@ -202,6 +217,8 @@
     def end(self, task: str) -> None:
         """Record that the run of a task has ended."""
         self._running.pop(task, None)
+        if task in self._lasting:
+            self.idle_since[task] = asyncio.get_running_loop().time()
 
     def observe(self, task: str, how: str) -> None:
         """Record that the scheduler acknowledged the end of a task."""
@@ -237,10 +254,20 @@
         self._position = 0
         self.starts: dict[str, int] = {}
         self.accepted_reports = 0
+        self._answered_at = 0.0
+        # Time since which each report has got a lease in time.
+        self._answered_since = 0.0
+
+    def get_contact_s(self) -> float:
+        """Return for how long all reports have been answered in time."""
+        now = asyncio.get_running_loop().time()
+        if now - self._answered_at > ANSWER_TIMEOUT_S:
+            return 0.0
+        return now - self._answered_since
 
     async def run(self) -> None:
         """Send reports until cancelled."""
-        timeout = aiohttp.ClientTimeout(total=1.0)
+        timeout = aiohttp.ClientTimeout(total=ANSWER_TIMEOUT_S)
         async with aiohttp.ClientSession(timeout=timeout) as session:
             while True:
                 await self._send_report(session)
@@ -263,7 +290,10 @@
             'machine': f'm-{self._name}',
             'capacity': {'cpus': 4_000, 'mem_mb': 8_192},
             'labels': ['a', 'r1-1'],
-            'running': [[*key, '', 0] for key in self._running],
+            'running': [
+                [*key, '', 100 if ends_at == math.inf else 0]
+                for key, ends_at in self._running.items()
+            ],
             'finished': self._ended,
         }
         names = self._fleet.control_names
@@ -289,6 +319,9 @@
         now = asyncio.get_running_loop().time()
         if 'hold_ms' not in answer:
             return
+        if now - self._answered_at > ANSWER_TIMEOUT_S:
+            self._answered_since = now
+        self._answered_at = now
         lease_end = sent_at + answer['hold_ms'] / 1_000.0
         self._lease_end = max(self._lease_end, lease_end)
         observed = answer.get('observed', 0)
@@ -299,10 +332,11 @@
         for task, attempt in answer.get('stop', ()):
             if (task, attempt) in self._running:
                 self._end_run((task, attempt), 'stopped')
-        for task, attempt, *_ in answer.get('start', ()):
+        for task, attempt, text, *_ in answer.get('start', ()):
             self._registry.start(task, self._name)
             self.starts[task] = self.starts.get(task, 0) + 1
-            self._running[task, attempt] = now + self._run_s
+            run_s = math.inf if text == LASTING else self._run_s
+            self._running[task, attempt] = now + run_s
 
 
 class FakeCloudApi:
--- a/scripts/soak.py
+++ b/scripts/soak.py
@@ -4,8 +4,9 @@
 
 The seed determines the sequence of faults, whose effects may overlap.
 Checks what callers and workers observe: accepted jobs complete once, no
-task runs twice at a time, refused jobs never start, and the configuration
-version never decreases.
+task runs twice at a time, refused jobs never start, the configuration
+version never decreases, and long-running tasks run while a worker gets
+answers.
 """
 
 import argparse
@@ -36,6 +37,19 @@
         {'replicas': 1, 'cpus': 500, 'mem_mb': 64, 'after': [0]},
     ],
 }
+LASTING_JOB = {
+    'spec': platform_fleet.LASTING,
+    'steps': [
+        {'replicas': 2, 'cpus': 500, 'mem_mb': 64, 'long_running': True}
+    ],
+}
+LASTING_NAME = 'f' * 16
+LASTING_TASKS = tuple(f'{LASTING_NAME}.0.0.{index}' for index in range(2))
+# By the rule of the platform, a long-running task may be without a run for
+# 6 s, the last 3 s and the 4 s before without a disturbance.
+MAX_IDLE_S = 6.0
+CALM_S = 7.0
+WATCH_S = 0.2
 HOST = {'Host': 'jobs.example', 'Timeout-Ms': '3000'}
 
 
@@ -67,6 +81,7 @@
         self._fleet = platform_fleet.PlatformFleet(folder)
         self._registry = platform_fleet.RunRegistry()
         self._cloud = platform_fleet.FakeCloudApi(self._fleet.cloud_address)
+        self._workers: list[platform_fleet.HttpWorker] = []
         self._entry: proxy.Proxy | None = None
         self._next_job = 1
         self._version = 1
@@ -87,7 +102,7 @@
         self._entry = proxy.Proxy(
             '127.0.0.1', self._fleet.get_endpoint('entry-0')
         )
-        runners = [
+        self._workers = [
             platform_fleet.HttpWorker(
                 self._fleet, f'i-{number}', 'red', 0.4, self._registry
             )
@@ -96,7 +111,7 @@
         await self._cloud.start()
         await self._entry.start()
         self._fleet.start_all()
-        working = [asyncio.create_task(item.run()) for item in runners]
+        working = [asyncio.create_task(item.run()) for item in self._workers]
         timeout = aiohttp.ClientTimeout(total=3.0)
         try:
             async with aiohttp.ClientSession(timeout=timeout) as session:
@@ -112,6 +127,15 @@
 
     async def _run_load(self, session: aiohttp.ClientSession) -> None:
         await self._wait_until(self._put_configuration, session, RECOVER_S)
+        await self._wait_until(self._submit_lasting_job, session, RECOVER_S)
+        watching = asyncio.create_task(self._watch_lasting_tasks())
+        try:
+            await self._run_faults(session)
+        finally:
+            watching.cancel()
+        await self._wait_until(self._are_lasting_running, session, RECOVER_S)
+
+    async def _run_faults(self, session: aiohttp.ClientSession) -> None:
         loop = asyncio.get_running_loop()
         end = loop.time() + self._seconds
         faults = asyncio.create_task(self._inject_faults(end))
@@ -126,6 +150,33 @@
             check = functools.partial(self._is_completed, name)
             await self._wait_until(check, session, RECOVER_S)
 
+    async def _submit_lasting_job(
+        self, session: aiohttp.ClientSession
+    ) -> bool:
+        status, _ = await self._send_request(
+            session, 'POST', LASTING_NAME, json=LASTING_JOB
+        )
+        if status == 200:
+            for task in LASTING_TASKS:
+                self._registry.expect(task)
+        return status == 200
+
+    async def _are_lasting_running(self, _: aiohttp.ClientSession) -> bool:
+        return not self._registry.idle_since
+
+    async def _watch_lasting_tasks(self) -> None:
+        """Report long-running tasks that a worker in contact could run."""
+        loop = asyncio.get_running_loop()
+        while True:
+            await asyncio.sleep(WATCH_S)
+            contact_s = max(item.get_contact_s() for item in self._workers)
+            for task, since in list(self._registry.idle_since.items()):
+                idle_s = loop.time() - since
+                if idle_s >= MAX_IDLE_S and contact_s >= CALM_S:
+                    self.problems.append(
+                        f'{task} has not run for {idle_s:.1f} s'
+                    )
+
     async def _inject_faults(self, end: float) -> None:
         loop = asyncio.get_running_loop()
         kinds = [
