Add waves, lost moves, approvals and failing tasks to the schedule of cuts

The schedule cut workers off beside short jobs only. Upkeep waves over some of the hosts, moves that nobody answers, queues that need approval, standby hosts and long-running tasks that fail now come with the cuts.

The fake platform took a host down for the first wave only and accepted the upkeep of a later one without doing it, so its runs went on while the scheduler had given them up. Upkeep is counted by wave and host.

--- a/fakes/workers.py
+++ b/fakes/workers.py
@@ -194,6 +194,8 @@
         # Most hosts that were down for upkeep at a time.
         self.max_hosts_down = 0
         self._upkeep_ends: dict[ids.HostId, float] = {}
+        # Each wave takes a host down once, so later ones take it down again.
+        self._upkeeps_done: set[tuple[ids.WaveId, ids.HostId]] = set()
         self.hosts_done: set[ids.HostId] = set()
         # Workers that the policy service never approves.
         self.unapproved: set[ids.WorkerId] = set()
@@ -363,7 +365,8 @@
         outcome, detail = states.HostOrderOutcome.ACCEPTED, ''
         if self.now < worker.up_at:
             outcome, detail = states.HostOrderOutcome.REFUSED, 'busy'
-        elif order.host not in self.hosts_done:
+        elif (order.wave, order.host) not in self._upkeeps_done:
+            self._upkeeps_done.add((order.wave, order.host))
             self.hosts_done.add(order.host)
             worker.restart(worker.pool, self.now + UPKEEP_S)
             self._upkeep_ends[order.host] = worker.up_at
--- a/orioleshore/tests/test_batch_faults.py
+++ b/orioleshore/tests/test_batch_faults.py
@@ -8,6 +8,7 @@
 import enum
 import random
 
+import msgspec
 import pytest
 
 from fakes import workers
@@ -156,10 +157,17 @@
 
     def __init__(self, seed: int) -> None:
         self.random = random.Random(seed)
+        needs_approval = self.random.random() < 0.3
+        configuration = builders.build_configuration()
+        queues = tuple(
+            msgspec.structs.replace(queue, needs_approval=needs_approval)
+            for queue in configuration.queues
+        )
         self.fleet = workers.FakeFleet(
-            builders.build_configuration(), seed=seed
+            builders.build_configuration(queues=queues), seed=seed
         )
         self.fleet.add_hosts(self.random.randint(2, HOSTS), 'red', cores=4)
+        self.fleet.add_hosts(self.random.randint(0, 2), 'standby', cores=4)
         for number, worker in enumerate(self.fleet.workers.values()):
             kind = self.random.choice('ab')
             worker.labels = (kind, f'r1-{1 + number % 2}')
@@ -177,10 +185,35 @@
                 )
             )
         fleet.run(3.0)
-        for _ in range(CUTS):
+        for number in range(CUTS):
+            if self.random.random() < 0.4:
+                self._open_wave(number)
+            fleet.lost_moves = self.random.choice([0, 0, 1])
             self._cut_workers()
+            self._fail_lasting_tasks()
             fleet.run(QUIET_S)
 
+    def _open_wave(self, number: int) -> None:
+        hosts = self.random.sample(
+            sorted(self.fleet.workers),
+            self.random.randint(1, len(self.fleet.workers)),
+        )
+        self.fleet.call_scheduler(
+            calls.OpenWave(
+                ids.WaveId(str(number)),
+                tuple(hosts),
+                self.random.choice([5.0, 30.0]),
+                self.random.randint(1, AT_ONCE),
+            )
+        )
+
+    def _fail_lasting_tasks(self) -> None:
+        """Let some long-running tasks fail, as they may at any time."""
+        for worker in self.fleet.workers.values():
+            for key, run in list(worker.running.items()):
+                if run.is_lasting and self.random.random() < 0.2:
+                    worker.end_run(key, states.RunEnd.FAILED)
+
     def _build_lasting_job(self) -> specs.Job:
         return builders.build_lasting_job(
             self.random.randint(1, 4),
@@ -198,7 +231,13 @@
         )
         loss = self.random.choice(list(LeaderLoss))
         rebirth = self.random.choice(list(Rebirth))
-        present = [w for w in fleet.workers.values() if fleet.now >= w.up_at]
+        present = [
+            worker
+            for worker in fleet.workers.values()
+            if fleet.now >= worker.up_at and worker.pool == 'red'
+        ]
+        if not present:
+            return
         cut = self.random.sample(present, self.random.randint(1, len(present)))
         duration = self.random.choice([0.5, 2.0, 3.2, 5.0, 9.0])
         self.cuts.append(
