Let a wait go on while start orders are lost

A long-running task had no run for more than 6 s while a worker with room reported (the platform's LOST), when its start orders were lost on one worker after the other and the only host in contact waited for its upkeep.

Cause: the wait of a job ended with each start order, and began anew when the order turned out to be lost. What a long wait allows never came: the end of packing, the lifting of a cordon, a further host, the log event.

A job that waits goes on waiting until the worker of each of its runs has listed the run. The event names such runs as start_not_confirmed. A worker or run counts as silent there once its next heartbeat is overdue, since in a large deployment heartbeats are up to 1.5 s apart.

--- a/orioleshore/jobs/holds.py
+++ b/orioleshore/jobs/holds.py
@@ -33,6 +33,7 @@
 # with the next ticks.
 MAX_LINES_PER_TICK = 8
 MAX_LISTED_WORKERS = 20
+MS_PER_S = 1_000.0
 
 Holds = collections.Counter[states.HoldReason]
 
@@ -57,9 +58,7 @@
         waits = {}
         lines = 0
         for name, job in scheduler.jobs.items():
-            if not job.is_long_running or not job.find_startable_groups(
-                scheduler.wall_time
-            ):
+            if not job.is_long_running or not self._is_waiting(scheduler, job):
                 continue
             waits[name] = self._waiting_since.get(name, now)
             due_at = self._log_due_at.get(
@@ -73,6 +72,20 @@
         for name in self._log_due_at.keys() - waits.keys():
             del self._log_due_at[name]
 
+    def _is_waiting(
+        self, scheduler: scheduling.Scheduler, job: progress.JobProgress
+    ) -> bool:
+        """Return whether a job has a task without a confirmed run.
+
+        A start order that is lost does not end a wait, so a task that is
+        ordered again and again has waited since its last run.
+        """
+        if job.find_startable_groups(scheduler.wall_time):
+            return True
+        return job.name in self._waiting_since and not all(
+            _is_confirmed(scheduler, job, task) for task in job.running
+        )
+
     def take_counts(self) -> Holds:
         """Return the holds logged since the last call."""
         counted, self._counted = self._counted, collections.Counter()
@@ -132,8 +145,8 @@
             found[states.HoldReason.NO_WORKER] += 1
         for worker in members:
             found[find_worker_hold(scheduler, worker, job, group)] += 1
-    for name in job.running.values():
-        reason = _find_run_hold(scheduler, name)
+    for task in job.running:
+        reason = _find_run_hold(scheduler, job, task)
         if reason is not None:
             found[reason] += 1
     return found
@@ -154,11 +167,7 @@
             worker.state is not states.WorkerState.READY,
         ),
         (states.HoldReason.CORDONED, worker.is_cordoned),
-        (
-            states.HoldReason.SILENT,
-            scheduler.now
-            >= worker.last_heartbeat_at + eligibility.MAX_SILENCE_S,
-        ),
+        (states.HoldReason.SILENT, _is_silent(scheduler, worker)),
         (states.HoldReason.PAUSED, scheduler.now < worker.no_starts_until),
         (
             states.HoldReason.LABEL,
@@ -204,11 +213,40 @@
 
 
 def _find_run_hold(
-    scheduler: scheduling.Scheduler, name: ids.WorkerId
+    scheduler: scheduling.Scheduler,
+    job: progress.JobProgress,
+    task: ids.TaskName,
 ) -> states.HoldReason | None:
-    worker = scheduler.workers.get(name)
+    """Return why a task that counts as running may have no run."""
+    worker = scheduler.workers.get(job.record.tasks[task].worker)
     if worker is None:
         return states.HoldReason.RUN_ON_UNHEARD_WORKER
-    if scheduler.now >= worker.last_heartbeat_at + eligibility.MAX_SILENCE_S:
+    if _is_silent(scheduler, worker):
         return states.HoldReason.RUN_ON_SILENT_WORKER
+    if not _is_confirmed(scheduler, job, task):
+        return states.HoldReason.START_NOT_CONFIRMED
     return None
+
+
+def _is_confirmed(
+    scheduler: scheduling.Scheduler,
+    job: progress.JobProgress,
+    task: ids.TaskName,
+) -> bool:
+    """Return whether the worker of a run has listed it to this leader."""
+    run = job.record.tasks[task]
+    worker = scheduler.workers.get(run.worker)
+    return (
+        worker is not None and (job.name, task, run.attempt) in worker.reports
+    )
+
+
+def _is_silent(
+    scheduler: scheduling.Scheduler, worker: workers.Worker
+) -> bool:
+    """Return whether the next heartbeat of a worker is overdue."""
+    delay_ms = placement.get_heartbeat_delay_ms(scheduler, worker)
+    if delay_ms is None:
+        delay_ms = scheduler.limits.heartbeat_ms
+    silence_s = scheduler.now - worker.last_heartbeat_at
+    return silence_s >= delay_ms / MS_PER_S + eligibility.MAX_SILENCE_S
--- a/orioleshore/model/states.py
+++ b/orioleshore/model/states.py
@@ -194,6 +194,8 @@
     # while, or none to this leader.
     RUN_ON_SILENT_WORKER = 'run_on_silent_worker'
     RUN_ON_UNHEARD_WORKER = 'run_on_unheard_worker'
+    # The start was ordered, and the worker has not listed the run.
+    START_NOT_CONFIRMED = 'start_not_confirmed'
 
 
 class PlatformHostState(enum.Enum):
--- a/orioleshore/tests/test_batch_holds.py
+++ b/orioleshore/tests/test_batch_holds.py
@@ -168,3 +168,26 @@
     held.end_run(failed, states.RunEnd.FAILED)
     fleet.run(20.0)
     assert fleet.count_running_tasks(builders.build_job_id(1)) == 3
+
+
+def test_wait_goes_on_while_start_orders_are_lost():
+    """Guards against a wait that begins anew with each lost start order.
+
+    What a long wait allows, such as lifting a cordon, would never happen.
+    """
+    fleet = build_waiting_fleet()
+    hold_workers(fleet, is_cordoned=True)
+    submit_lasting_job(fleet)
+    fleet.run(1.0)
+    for worker in fleet.workers.values():
+        worker.link = fake_workers.Link.ANSWERS_LOST
+    hold_workers(fleet, is_cordoned=False)
+    fleet.run(3.0)
+    name = builders.build_job_id()
+    assert fleet.scheduler.ledger.jobs[name].tasks
+    assert fleet.scheduler.get_long_running_wait_s(name) > 3.5
+    for worker in fleet.workers.values():
+        worker.link = fake_workers.Link.OPEN
+    fleet.run(3.0)
+    assert fleet.count_running_tasks(name) == 1
+    assert not fleet.scheduler.get_long_running_wait_s(name)
