Check that a simulated group commits within 4 s once it is calm

The random schedules check at their end only that a healed group commits. A long-running task needs a commit for each extension of its lease and for its start, and the platform counts a task as lost 3 s after 4 calm seconds. Each round now disturbs the group with up to six faults and asserts a commit within 4 s of the last one's repair.

--- a/orioleshore/tests/test_consensus_schedules.py
+++ b/orioleshore/tests/test_consensus_schedules.py
@@ -8,6 +8,10 @@
 
 STEPS = 4_000
 SCHEDULES = 24
+ROUNDS = 10
+# By the rule of the platform, a long-running task runs again once 4 s and 3 s
+# more were without a disturbance. It needs a leader that commits before that.
+CALM_S = 4.0
 
 
 def inject_random_fault(group: consensus_simulation.Group) -> None:
@@ -139,3 +143,43 @@
             group.run_for(0.05)
         group.heal()
     group.check_final_state()
+
+
+def commit_when_calm(group: consensus_simulation.Group) -> bool:
+    """Return whether a healed group commits a new command within CALM_S."""
+    group.heal()
+    until = group.now + CALM_S
+    tokens = set()
+    while group.now < until:
+        leader = group.find_leader()
+        if leader is not None:
+            tokens.add(group.propose(leader))
+        group.run_for(0.1)
+        if tokens & group.acknowledged.keys():
+            return True
+    return False
+
+
+def run_rounds(seed: int) -> consensus_simulation.Group:
+    """Disturb a group and let it calm down, again and again."""
+    group = consensus_simulation.Group(seed, 3 if seed % 3 else 5)
+    group.run_for(3.0)
+    for number in range(ROUNDS):
+        for _ in range(group.random.randint(1, 6)):
+            inject_random_fault(group)
+            group.run_for(group.random.uniform(0.0, 1.5))
+            leader = group.find_leader()
+            if leader is not None:
+                group.propose(leader)
+        assert commit_when_calm(group), f'no commit after round {number}'
+    group.check_final_state()
+    return group
+
+
+@pytest.mark.parametrize('number', range(SCHEDULES))
+def test_group_commits_again_once_it_is_calm(number):
+    """Guards against leases that lapse because no leader commits.
+
+    No task runs without a lease, and each extension waits for a commit.
+    """
+    assert len(run_rounds(support.SEED + number).leaders) > 1
