--- a/orioleshore/tests/test_batch_faults.py
+++ b/orioleshore/tests/test_batch_faults.py
@@ -268,7 +268,7 @@
                 worker.restart(
                     worker.pool,
                     self.fleet.now + self.random.uniform(0.1, 2.0),
-                    keeps_name=rebirth is Rebirth.SAME_NAME,
+                    reuses_name=rebirth is Rebirth.SAME_NAME,
                 )
 
     def _work(self, seconds: float) -> None:
@@ -372,7 +372,7 @@
     fleet.run(1.0)
     (worker,) = fleet.workers.values()
     late = worker.make_heartbeat(fleet.now)
-    worker.restart(worker.pool, fleet.now + 0.5, keeps_name=True)
+    worker.restart(worker.pool, fleet.now + 0.5, reuses_name=True)
     fleet.run(1.0)
     fleet.call_scheduler(
         builders.build_submission(1, builders.build_lasting_job(2))
