Free a suspected worker whose one run was cancelled

A worker with three failures in a row could be left without tasks for its whole life, with long-running tasks waiting for room (the platform's LOST).

Cause: such a worker gets one task at a time, until that run has ended or is ready. If the job was cancelled meanwhile, the stop took the run out of those that were ordered, so its end did not count as one, and the worker waited for it for ever.

Unproven runs are those that the worker lists or was told to start.

test_cancelled_run_does_not_keep_a_worker_from_its_next_task failed before.

--- a/orioleshore/jobs/reports.py
+++ b/orioleshore/jobs/reports.py
@@ -51,6 +51,8 @@
     _update_worker(worker, call, scheduler)
     observed = _record_ended_runs(worker, call, scheduler)
     _end_lost_runs(worker, scheduler)
+    # The run of a cancelled job ends without having been ordered any more.
+    worker.unproven_runs &= worker.ordered.keys() | worker.listed.keys()
     for key in stalls.find_stalled_runs(scheduler, worker):
         worker.evicted.add(key)
         placement.record_failed_run(worker, scheduler)
--- a/orioleshore/tests/test_batch_holds.py
+++ b/orioleshore/tests/test_batch_holds.py
@@ -191,3 +191,26 @@
     fleet.run(3.0)
     assert fleet.count_running_tasks(name) == 1
     assert not fleet.scheduler.get_long_running_wait_s(name)
+
+
+def test_cancelled_run_does_not_keep_a_worker_from_its_next_task():
+    """Guards against a worker that gets no task for ever after a cancellation.
+
+    A worker that failed often gets one task at a time. The job of that task
+    is cancelled while it runs, so its end is no longer that of an ordered run.
+    """
+    fleet = build_waiting_fleet()
+    hold_workers(fleet, consecutive_failures=3)
+    fleet.mean_run_s = 100.0
+    for number in (2, 3):
+        job = builders.build_batch_job(builders.build_step())
+        fleet.call_scheduler(builders.build_submission(number, job))
+        fleet.run(0.5)
+    assert all(w.unproven_runs for w in fleet.scheduler.workers.values())
+    for number in (2, 3):
+        path = f'/red/{builders.build_job_id(number)}'
+        fleet.call_scheduler(calls.CancelJob('jobs.example', path))
+    fleet.run(1.0)
+    submit_lasting_job(fleet)
+    fleet.run(5.0)
+    assert fleet.count_running_tasks(builders.build_job_id()) == 1
