Lift the cordon of a host whose upkeep is no longer due

A worker that reported as ready got no task any more when the platform answered its host's upkeep with 'no such host', or when the list of hosts lacked the host for a moment: the upkeep counted as finished, and only an upkeep that begins or is refused took the cordon away. Long-running tasks that had room only there would wait for ever (the platform's LOST).

A cordon without a due upkeep is lifted with the next tick.

test_host_whose_upkeep_is_dropped_gets_tasks_again failed before.

--- a/orioleshore/jobs/upkeep.py
+++ b/orioleshore/jobs/upkeep.py
@@ -79,6 +79,9 @@
 
     def advance(self) -> None:
         """Record hosts that are back and take down the next ones."""
+        for host in list(self._cordons):
+            if not self.is_host_due(host):
+                self._uncordon_host(host)
         for name, wave in self._scheduler.ledger.waves.items():
             self._finish_returned_hosts(name, wave)
             if not wave.is_completed:
--- a/orioleshore/tests/test_batch_holds.py
+++ b/orioleshore/tests/test_batch_holds.py
@@ -214,3 +214,26 @@
     submit_lasting_job(fleet)
     fleet.run(5.0)
     assert fleet.count_running_tasks(builders.build_job_id()) == 1
+
+
+def test_host_whose_upkeep_is_dropped_gets_tasks_again():
+    """Guards against a cordon that outlives the upkeep it was made for.
+
+    The platform says that it knows no such host, and the worker reports on.
+    """
+    fleet = build_waiting_fleet(pools=builders.build_configuration().pools[:1])
+    fleet.mean_run_s = 100.0
+    wave = ids.WaveId('1')
+    job = builders.build_batch_job(builders.build_step(2))
+    fleet.call_scheduler(builders.build_submission(2, job))
+    fleet.run(0.5)
+    fleet.call_scheduler(calls.OpenWave(wave, tuple(fleet.workers), 60.0, 2))
+    fleet.run(0.5)
+    assert any(w.is_cordoned for w in fleet.scheduler.workers.values())
+    gone = states.HostOrderOutcome.GONE
+    for host in fleet.workers:
+        fleet.call_scheduler(calls.NoteUpkeep(wave, host, gone))
+    submit_lasting_job(fleet)
+    fleet.run(5.0)
+    assert fleet.count_running_tasks(builders.build_job_id()) == 1
+    assert not any(w.is_cordoned for w in fleet.scheduler.workers.values())
