Look only at long waits before a host is cordoned

The check whether a long-running task has room on one worker only went through all jobs of the pool for each host that waits for its upkeep, in each tick.

--- a/orioleshore/jobs/holds.py
+++ b/orioleshore/jobs/holds.py
@@ -52,6 +52,14 @@
         """Return how long a job has had a task waiting."""
         return now - self._waiting_since.get(name, now)
 
+    def find_jobs(self, wait_s: float, now: float) -> list[ids.JobId]:
+        """Return the jobs that have had a task waiting for so long."""
+        return [
+            name
+            for name, since in self._waiting_since.items()
+            if now - since >= wait_s
+        ]
+
     def update(self, scheduler: scheduling.Scheduler) -> None:
         """Track the waits of all jobs, and log the long ones."""
         now = scheduler.now
--- a/orioleshore/jobs/upkeep.py
+++ b/orioleshore/jobs/upkeep.py
@@ -184,10 +184,11 @@
             if down < limit:
                 down += 1
                 self._order_upkeep(name, host, ids.WorkerId(''))
+        waiting_jobs = self._find_waiting_jobs()
         for worker in self._sort_workers(waiting):
             if down >= limit:
                 break
-            if self._is_needed(worker):
+            if self._is_needed(worker, waiting_jobs):
                 self._uncordon_host(worker.host)
                 continue
             if not self._can_cordon(worker, wave):
@@ -273,22 +274,29 @@
         cordoned = sum(member.is_cordoned for member in members)
         return cordoned < max(1, len(members) // 2)
 
-    def _is_needed(self, worker: workers.Worker) -> bool:
+    def _is_needed(
+        self, worker: workers.Worker, waiting: list[progress.JobProgress]
+    ) -> bool:
         """Return whether a long-running task has room on this worker only.
 
         Without it the host could not go down either if the step of the task
-        may miss no further one.
+        may miss no further one. ``waiting`` holds the jobs that have waited
+        for CORDON_YIELD_S.
         """
+        return any(
+            group.step.is_long_running
+            and self._is_only_room(worker, job, group)
+            for job in waiting
+            if job.record.pool == worker.pool
+            for group in job.find_startable_groups(self._scheduler.wall_time)
+        )
+
+    def _find_waiting_jobs(self) -> list[progress.JobProgress]:
         scheduler = self._scheduler
-        for job in scheduler.get_pool_jobs(worker.pool):
-            if scheduler.get_long_running_wait_s(job.name) < CORDON_YIELD_S:
-                continue
-            for group in job.find_startable_groups(scheduler.wall_time):
-                if group.step.is_long_running and self._is_only_room(
-                    worker, job, group
-                ):
-                    return True
-        return False
+        names = scheduler.waits.find_jobs(CORDON_YIELD_S, scheduler.now)
+        return [
+            scheduler.jobs[name] for name in names if name in scheduler.jobs
+        ]
 
     def _is_only_room(
         self,
