Count lost orders on although earlier runs are listed

New tasks went again and again to a worker that gets no answers for as long as its earlier runs were listed, up to a lease, before it was paused.

Cause: any listed run reset the count of lost orders. Runs from before the cut say nothing about the answers since. Now only a run that was ordered after the last lost order does.

--- a/orioleshore/jobs/placement.py
+++ b/orioleshore/jobs/placement.py
@@ -29,11 +29,11 @@
 
 # A suspect worker gets no task for this long after a further failure.
 SUSPECT_PAUSE_S = 1.5
-# A worker that did not get two start orders in a row gets no task for this
-# long, then for the next of these times with each further one. Other workers
-# report within it and take the task. One lost order is repeated at once, since
-# any link loses packets.
-LOST_ORDER_PAUSES_S = (0.5, 1.0, 2.0)
+# Pauses after the first, the second and further start orders in a row that a
+# worker did not get; no task starts there meanwhile. Other workers report
+# within them and take the task. One lost order is repeated at once, since any
+# link loses packets.
+LOST_ORDER_PAUSES_S = (0.0, 0.5, 1.0, 2.0)
 # A long-running task that waits for longer is no longer packed with others;
 # it goes to any worker with free capacity.
 PACKING_WAIT_S = 1.0
@@ -114,14 +114,14 @@
     A worker whose answers are lost reports that its runs are missing, and
     would be given the same tasks in the same call, again and again.
     """
-    worker.lost_orders += 1
-    if worker.lost_orders < 2:
-        return
-    step = min(worker.lost_orders - 2, len(LOST_ORDER_PAUSES_S) - 1)
+    step = min(worker.lost_orders, len(LOST_ORDER_PAUSES_S) - 1)
     pause_s = LOST_ORDER_PAUSES_S[step]
+    worker.lost_orders += 1
     worker.no_starts_until = max(
         worker.no_starts_until, scheduler.now + pause_s
     )
+    if not pause_s:
+        return
     LOG.warning(
         logs.format_event(
             'orders_not_received',
--- a/orioleshore/jobs/reports.py
+++ b/orioleshore/jobs/reports.py
@@ -155,6 +155,8 @@
     has_lost_order = False
     for key in list(worker.ordered):
         if key in worker.listed:
+            # Only an order given after the last lost one shows that the
+            # worker gets answers again.
             ordered_at = worker.start_ordered_at.get(key, 0.0)
             if ordered_at >= worker.no_starts_until:
                 worker.lost_orders = 0
--- a/orioleshore/tests/test_batch_faults.py
+++ b/orioleshore/tests/test_batch_faults.py
@@ -14,6 +14,7 @@
 from fakes import workers
 from orioleshore.jobs import calls
 from orioleshore.jobs import ledger
+from orioleshore.jobs import placement
 from orioleshore.jobs import specs
 from orioleshore.model import ids
 from orioleshore.model import states
@@ -359,6 +360,32 @@
     assert len(other.running) == 2
 
 
+def test_runs_from_before_a_cut_do_not_prove_that_orders_arrive():
+    """Guards against lost orders that are forgiven for what runs already.
+
+    The worker lists its earlier runs until their lease ends.
+    """
+    fleet = workers.FakeFleet(
+        builders.build_configuration(), seed=support.SEED
+    )
+    fleet.add_hosts(1, 'red')
+    fleet.run(1.0)
+    lasting = builders.build_lasting_job(2)
+    fleet.call_scheduler(builders.build_submission(1, lasting))
+    fleet.run(0.5)
+    (worker,) = fleet.workers.values()
+    worker.link = workers.Link.RESET
+    fleet.call_scheduler(builders.build_submission(2, lasting))
+    fleet.run(2.0)
+    assert len(worker.running) == 2
+    (known,) = fleet.scheduler.workers.values()
+    assert known.lost_orders > 2
+    # The first order, its repetition, and one after each pause.
+    record = fleet.scheduler.ledger.jobs[builders.build_job_id(2)]
+    attempts = [run.attempt for run in record.tasks.values()]
+    assert max(attempts) <= len(placement.LOST_ORDER_PAUSES_S) + 1
+
+
 def test_late_heartbeat_of_an_earlier_life_ends_no_run():
     """Guards against runs that a new leader gives up while they run.
 
