Count workers of a large deployment as in contact between heartbeats

A long-running gang of 550 tasks was not planned on 600 idle workers.

Cause: a worker counted as available for 0.4 s after its heartbeat, which fits an interval of 0.1 s. With more than 100 workers the interval is 1 ms for each, so above 400 workers only a part of the pool was available at a time.

The limit grows with the interval that the workers are told.

test_wide_gang_is_planned_in_a_large_pool failed before.

--- a/orioleshore/jobs/eligibility.py
+++ b/orioleshore/jobs/eligibility.py
@@ -14,9 +14,11 @@
 # Consecutive failures after which a worker gets one task at a time. A job
 # that is itself at fault fails on other workers as well.
 SUSPECT_FAILURE_COUNT = 3
-# A worker without a heartbeat for this long is not considered available;
-# workers with free capacity report every 0.1 s.
+# A worker without a heartbeat for this long is not considered available if
+# workers with free capacity report every 0.1 s. With many workers, they report
+# less often, and it takes as much longer.
 MAX_SILENCE_S = 0.4
+MS_PER_S = 1_000.0
 
 
 def is_allowed(
@@ -45,15 +47,26 @@
     return not scheduler.approvals.is_refused(worker, job, group)
 
 
+def get_heartbeat_interval_ms(scheduler: scheduling.Scheduler) -> float:
+    """Return the interval at which workers with free capacity report."""
+    limits = scheduler.limits
+    per_worker_ms = MS_PER_S / limits.max_heartbeats_per_s
+    shared_ms = len(scheduler.workers) * per_worker_ms
+    return min(max(limits.idle_retry_ms, shared_ms), limits.heartbeat_ms)
+
+
 def is_in_contact(
     scheduler: scheduling.Scheduler, worker: workers.Worker
 ) -> bool:
     """Return whether a worker may get tasks with its next heartbeat."""
+    interval_ms = get_heartbeat_interval_ms(scheduler)
+    longer_ms = interval_ms - scheduler.limits.idle_retry_ms
+    silence_s = scheduler.now - worker.last_heartbeat_at
     return (
         worker.state is states.WorkerState.READY
         and not worker.is_cordoned
         and scheduler.now >= worker.no_starts_until
-        and scheduler.now < worker.last_heartbeat_at + MAX_SILENCE_S
+        and silence_s < MAX_SILENCE_S + longer_ms / MS_PER_S
     )
 
 
--- a/orioleshore/jobs/placement.py
+++ b/orioleshore/jobs/placement.py
@@ -142,10 +142,8 @@
     """
     if worker.state is not states.WorkerState.READY:
         return None
+    delay_ms = math.ceil(eligibility.get_heartbeat_interval_ms(scheduler))
     limits = scheduler.limits
-    per_worker_ms = MS_PER_S / limits.max_heartbeats_per_s
-    shared_ms = math.ceil(len(scheduler.workers) * per_worker_ms)
-    delay_ms = max(limits.idle_retry_ms, shared_ms)
     return delay_ms if delay_ms < limits.heartbeat_ms else None
 
 
--- a/orioleshore/tests/test_batch_holds.py
+++ b/orioleshore/tests/test_batch_holds.py
@@ -237,3 +237,25 @@
     fleet.run(5.0)
     assert fleet.count_running_tasks(builders.build_job_id()) == 1
     assert not any(w.is_cordoned for w in fleet.scheduler.workers.values())
+
+
+def test_wide_gang_is_planned_in_a_large_pool():
+    """Guards against a gang that never sees all of its workers at once.
+
+    With 600 workers heartbeats are 0.6 s apart.
+    """
+    fleet = fake_workers.FakeFleet(
+        builders.build_configuration(
+            pools=builders.build_configuration().pools[:1]
+        ),
+        seed=support.SEED,
+    )
+    fleet.add_hosts(600, 'red')
+    fleet.run(2.0)
+    gang = builders.build_step(
+        550, is_gang=True, is_long_running=True, max_per_worker=1
+    )
+    job = builders.build_batch_job(gang)
+    fleet.call_scheduler(builders.build_submission(1, job))
+    fleet.run(4.0)
+    assert fleet.count_running_tasks(builders.build_job_id()) == 550
