--- a/fakes/workers.py
+++ b/fakes/workers.py
@@ -5,16 +5,19 @@
 """
 
 import collections
+import enum
 import random
 
 import msgspec
 
+from fakes import lasting
 from orioleshore.jobs import calls
 from orioleshore.jobs import ledger
 from orioleshore.jobs import orders
 from orioleshore.jobs import scheduler as scheduling
 from orioleshore.jobs import specs
 from orioleshore.jobs import tuning
+from orioleshore.jobs import workers
 from orioleshore.model import ids
 from orioleshore.model import states
 
@@ -36,12 +39,33 @@
 
 TaskKey = tuple[ids.JobId, ids.TaskName]
 
+# Share of the heartbeats and of the answers that a lossy link loses.
+LOSSY_SHARE = 0.3
+# Delay after which a worker repeats a heartbeat whose connection was reset.
+RESET_RETRY_S = 0.05
+
+
+class Link(enum.Enum):
+    """State of the path between a worker and the leader."""
+
+    OPEN = 'open'
+    # Neither heartbeats nor answers arrive.
+    CUT = 'cut'
+    # Heartbeats arrive, answers do not.
+    ANSWERS_LOST = 'answers_lost'
+    # Heartbeats arrive once the link is open again.
+    HEARTBEATS_LATE = 'heartbeats_late'
+    LOSSY = 'lossy'
+    # Heartbeats arrive; the connection is reset before the answer.
+    RESET = 'reset'
+
 
 class _Run(msgspec.Struct):
     began_at: float
     ends_at: float
     how: states.RunEnd
     is_lasting: bool
+    need: specs.Resources = specs.Resources()
 
 
 class FakeWorker:
@@ -57,9 +81,14 @@
         self.next_heartbeat = 0.0
         self.state = states.WorkerState.READY
         self.labels = ('a', 'r1-1')
-        # The worker starts again under the name that it had.
+        # The worker always starts again under the name that it had.
         self.keeps_name = False
         self.is_silent = False
+        self.link = Link.OPEN
+        # Heartbeats that arrive when the link opens.
+        self.late_heartbeats: list[calls.Heartbeat] = []
+        # Part of the name, the same in lives that share it.
+        self.name_number = 1
         self.is_failing = False
         # Running tasks make no progress and do not end.
         self.is_hanging = False
@@ -73,14 +102,23 @@
 
     @property
     def name(self) -> ids.WorkerId:
-        if self.keeps_name:
-            return ids.WorkerId(self.host)
-        return ids.WorkerId(f'{self.host}-{self.incarnation}')
+        return ids.WorkerId(f'{self.host}-{self.name_number}')
+
+    def get_free_resources(self) -> specs.Resources:
+        """Return the capacity that no run uses."""
+        free = self.size
+        for run in self.running.values():
+            free = workers.subtract_resources(free, run.need)
+        return free
 
-    def restart(self, pool: ids.PoolId, up_at: float) -> None:
+    def restart(
+        self, pool: ids.PoolId, up_at: float, reuses_name: bool = False
+    ) -> None:
         """Drop all runs and start a new incarnation at ``up_at``."""
         self.pool = pool
         self.incarnation += 1
+        if not reuses_name and not self.keeps_name:
+            self.name_number = self.incarnation
         self.sequence = 0
         self.up_at = up_at
         self.next_heartbeat = up_at
@@ -129,7 +167,7 @@
 
     ``mean_run_s`` is the mean run time of a task in seconds. A task that
     runs twice at a time, or again after its end was observed, raises
-    AssertionError.
+    AssertionError. So does a long-running task that could start and does not.
     """
 
     def __init__(
@@ -149,9 +187,14 @@
             self.now,
         )
         self.log: list[ledger.Change] = []
+        self.watch = lasting.LastingWatch()
+        # Without a leader, no heartbeat is answered.
+        self.leader_since = self.now
         self.mean_run_s = 0.6
         # Number of answers to upkeep orders that are lost from now on.
         self.lost_upkeep_answers = 0
+        # Moves that are neither carried out nor answered from now on.
+        self.lost_moves = 0
         # Share of the answers to heartbeats that are lost.
         self.lost_answer_share = 0.0
         # Tasks whose successful end was observed.
@@ -159,6 +202,8 @@
         # Most hosts that were down for upkeep at a time.
         self.max_hosts_down = 0
         self._upkeep_ends: dict[ids.HostId, float] = {}
+        # Each wave takes a host down once, so later ones take it down again.
+        self._upkeeps_done: set[tuple[ids.WaveId, ids.HostId]] = set()
         self.hosts_done: set[ids.HostId] = set()
         # Tasks that crash each worker that starts them, the seconds from the
         # start to the crash, and the seconds until the worker is back.
@@ -194,9 +239,13 @@
         self._commit_changes()
         return outcome
 
-    def fail_over(self) -> None:
-        """Replace the scheduler by one restored from the log."""
+    def fail_over(self, election_s: float = 0.0) -> None:
+        """Replace the scheduler by one restored from the log.
+
+        It leads after ``election_s`` seconds.
+        """
         self._commit_changes()
+        self.leader_since = self.now + election_s
         job_ledger = ledger.Ledger()
         for change in self.log:
             ledger.apply_change(change, job_ledger)
@@ -205,7 +254,22 @@
             ids.Epoch(self.scheduler.epoch + 1),
             self.scheduler.limits,
             '',
-            self.now,
+            self.leader_since,
+        )
+
+    @property
+    def has_leader(self) -> bool:
+        """Return whether a scheduler answers."""
+        return self.now >= self.leader_since
+
+    def is_in_contact(self, worker: FakeWorker) -> bool:
+        """Return whether a worker is up and its link open."""
+        return (
+            worker.pool not in self.standby
+            and self.now >= worker.up_at
+            and worker.link is Link.OPEN
+            and not worker.is_silent
+            and not self.lost_answer_share
         )
 
     def add_hosts(self, count: int, pool: str, cores: int = 16) -> None:
@@ -233,19 +297,48 @@
                 continue
             self._end_due_runs(worker)
             if not worker.is_silent and self.now >= worker.next_heartbeat:
-                self.send_heartbeat(worker)
-        self.scheduler.tick(self.now, self.wall)
-        self._commit_changes()
-        for order in self.scheduler.orders.take_orders():
-            self.execute_order(order)
+                self._use_link(worker)
+        if self.has_leader:
+            self.scheduler.tick(self.now, self.wall)
+            self._commit_changes()
+            for order in self.scheduler.orders.take_orders():
+                self.execute_order(order)
         self.check_single_runs()
+        self.watch.check(self)
+        assert not self.watch.problems, self.watch.problems
+
+    def _use_link(self, worker: FakeWorker) -> None:
+        """Send a heartbeat over a link that may lose it."""
+        is_lossy = worker.link is Link.LOSSY
+        is_lost = worker.link is Link.CUT or (
+            is_lossy and self.random.random() < LOSSY_SHARE
+        )
+        if worker.link is Link.HEARTBEATS_LATE:
+            is_lost = True
+            worker.late_heartbeats.append(worker.make_heartbeat(self.now))
+        if is_lost or not self.has_leader:
+            worker.next_heartbeat = self.now + LOST_ANSWER_S
+            return
+        if worker.link is Link.OPEN:
+            late, worker.late_heartbeats = worker.late_heartbeats, []
+            for heartbeat in late:
+                self.call_scheduler(heartbeat)
+        self.send_heartbeat(worker)
+
+    def _is_answer_lost(self, worker: FakeWorker) -> bool:
+        if worker.link in (Link.ANSWERS_LOST, Link.RESET):
+            return True
+        share = LOSSY_SHARE if worker.link is Link.LOSSY else 0.0
+        return self.random.random() < max(share, self.lost_answer_share)
 
     def send_heartbeat(self, worker: FakeWorker) -> None:
         """Send a heartbeat and apply the starts and stops in the answer."""
         answer = self.call_scheduler(worker.make_heartbeat(self.now)).unwrap()
-        if self.random.random() < self.lost_answer_share:
+        if self._is_answer_lost(worker):
             # The worker sends its next heartbeat after it gave up waiting.
-            worker.next_heartbeat = self.now + LOST_ANSWER_S
+            is_reset = worker.link is Link.RESET
+            delay_s = RESET_RETRY_S if is_reset else LOST_ANSWER_S
+            worker.next_heartbeat = self.now + delay_s
             return
         self._take_observed_ends(worker, answer.observed)
         if answer.lease_ms:
@@ -282,7 +375,9 @@
         if isinstance(order, orders.TakeDown):
             self._execute_upkeep(order, worker)
             return
-        if isinstance(order, orders.Move):
+        if isinstance(order, orders.Move) and self.lost_moves:
+            self.lost_moves -= 1
+        elif isinstance(order, orders.Move):
             worker.restart(order.pool, self.now + MOVE_S)
             self.call_scheduler(
                 calls.NoteMove(order.host, order.pool, accepted)
@@ -295,7 +390,8 @@
         outcome, detail = states.HostOrderOutcome.ACCEPTED, ''
         if self.now < worker.up_at:
             outcome, detail = states.HostOrderOutcome.REFUSED, 'busy'
-        elif order.host not in self.hosts_done:
+        elif (order.wave, order.host) not in self._upkeeps_done:
+            self._upkeeps_done.add((order.wave, order.host))
             self.hosts_done.add(order.host)
             worker.restart(worker.pool, self.now + UPKEEP_S)
             self._upkeep_ends[order.host] = worker.up_at
@@ -339,7 +435,11 @@
         elif step.is_long_running:
             run_s = float('inf')
         worker.running[key] = _Run(
-            self.now, self.now + run_s, how, step.is_long_running
+            self.now,
+            self.now + run_s,
+            how,
+            step.is_long_running,
+            workers.get_reserved_resources(step),
         )
 
     def _crash_by_task(self, worker: FakeWorker) -> bool:
--- a/orioleshore/history/phrases.py
+++ b/orioleshore/history/phrases.py
@@ -42,7 +42,7 @@
     'task_evicted': 'task {task} is moved off host {host}',
     'run_stalled': 'task {task} made no progress on {worker} and is stopped',
     'lasting_task_waits': 'a long-running task has waited {waited_s} s: '
-    '{ready} of {workers} workers ready, free CPU {free_cpu}',
+    'held by {holds}; {ready} of {workers} workers ready, free CPU {free_cpu}',
     'gang_planned': 'all members of a gang got workers',
     'gang_given_up': 'a gang did not start in time and is planned again',
     'step_approved': 'the policy service approved workers for a step',
@@ -71,6 +71,8 @@
     'after {failures_in_row} failures in a row',
     'runs_unreadable': '{missing} runs of worker {worker} are missing in a '
     'heartbeat with rows that cannot be read; they are held',
+    'orders_not_received': 'worker {worker} did not get its start orders, '
+    '{in_row} times in a row, and gets none for {paused_s} s',
     'heartbeat_ignored': 'an old heartbeat of {worker} came late: sequence '
     '{sequence}, newest {newest}',
     'host_retiring': 'host {host} of pool {pool} gets no more tasks: {needed} '
--- a/orioleshore/jobs/approvals.py
+++ b/orioleshore/jobs/approvals.py
@@ -67,6 +67,16 @@
             return None
         return ticket.text
 
+    def is_refused(
+        self,
+        worker: workers.Worker,
+        job: progress.JobProgress,
+        group: progress.Group,
+    ) -> bool:
+        """Return whether the policy service refused a worker for a step."""
+        key = (job.name, group.occurrence, group.position)
+        return worker.name in self._refused.get(key, ())
+
     def advance(self) -> None:
         """Request approvals for the steps that may start."""
         scheduler = self._scheduler
@@ -77,7 +87,7 @@
             for group in job.find_startable_groups(scheduler.wall_time):
                 key = (job.name, group.occurrence, group.position)
                 startable_keys.add(key)
-                self._request_when_due(key, job)
+                self._request_when_due(key, job, group)
         for entries in (self._tickets, self._refused, self._pending_until):
             for key in entries.keys() - startable_keys:
                 if key[0] not in scheduler.jobs:
@@ -109,25 +119,41 @@
         )
 
     def _request_when_due(
-        self, key: StepKey, job: progress.JobProgress
+        self,
+        key: StepKey,
+        job: progress.JobProgress,
+        group: progress.Group,
     ) -> None:
         scheduler = self._scheduler
         if scheduler.now < self._pending_until.get(key, 0.0):
             return
-        if (
-            len(self._pending_until) >= MAX_PENDING_CALLS
-            and key not in self._pending_until
-        ):
+        # An entry whose time is over has no call: its answer was lost.
+        pending = sum(
+            scheduler.now < until for until in self._pending_until.values()
+        )
+        if pending >= MAX_PENDING_CALLS:
             return
         refused = self._refused.get(key, set())
         tickets = self._tickets.get(key, {})
-        names = tuple(
-            worker.name
+        need = workers.get_reserved_resources(group.step)
+        candidates = [
+            worker
             for worker in scheduler.get_pool_workers(job.record.pool)
-            if eligibility.is_available(scheduler, worker)
+            if eligibility.is_in_contact(scheduler, worker)
             and worker.name not in refused
             and not self._is_valid(tickets.get(worker.name))
-        )[:MAX_WORKERS_PER_CALL]
+        ]
+        # Tickets expire, so those of full workers would be asked for again
+        # before a large pool has been gone through.
+        candidates.sort(
+            key=lambda worker: (
+                not workers.fits_into(need, worker.get_free_resources()),
+                not eligibility.is_available(scheduler, worker),
+            )
+        )
+        names = tuple(
+            worker.name for worker in candidates[:MAX_WORKERS_PER_CALL]
+        )
         if not names:
             return
         self._pending_until[key] = scheduler.now + CALL_TIMEOUT_S
--- a/orioleshore/jobs/crash_attribution.py
+++ b/orioleshore/jobs/crash_attribution.py
@@ -56,6 +56,8 @@
 # Hosts are back 0.1 to 0.5 s after the lease of a crashed worker; long-running
 # tasks must run again 6 s after their last run, of which the lease takes 3 s.
 NEWS_WAIT_S = 2.0
+# The wait before a task is given up without that news.
+LAST_NEWS_WAIT_S = 6.0
 # After this time a lost worker is no longer remembered.
 LOSS_MEMORY_S = 60.0
 # An order about a host explains the end of its worker for this long: the call
@@ -199,7 +201,8 @@
             return
         since = self._scheduler.now
         if run.silences and run.losses > 1:
-            since += NEWS_WAIT_S
+            is_last = run.losses >= self._get_loss_limit(run)
+            since += LAST_NEWS_WAIT_S if is_last else NEWS_WAIT_S
             self._scheduler.jobs[name].news_due_at = since
         self._waiting.setdefault(pool, {})[name, task] = since
 
@@ -384,6 +387,15 @@
             if self._is_harmful(name, task):
                 self._give_up(name, task)
 
+    def give_up_instead_of_start(
+        self, name: ids.JobId, task: ids.TaskName
+    ) -> bool:
+        """Give up a task that is due to start if it has done too much harm."""
+        if not self._is_harmful(name, task, is_due=True):
+            return False
+        self._give_up(name, task)
+        return True
+
     def _give_up(self, name: ids.JobId, task: ids.TaskName) -> None:
         job = self._scheduler.jobs.get(name)
         if job is None:
@@ -400,14 +412,23 @@
         )
         self._scheduler.give_up_task(name, task)
 
-    def _is_harmful(self, name: ids.JobId, task: ids.TaskName) -> bool:
+    def _is_harmful(
+        self, name: ids.JobId, task: ids.TaskName, is_due: bool = False
+    ) -> bool:
+        """Return whether a task is to be given up.
+
+        Silent workers count only when the task is due to start again, so that
+        there has been time for news of them.
+        """
         job = self._scheduler.jobs.get(name)
         run = job.record.tasks.get(task) if job else None
         if run is None or not run.lone_losses:
             return False
         limits = self._scheduler.limits
         if run.losses >= self._get_loss_limit(run):
-            return run.lone_losses >= MIN_LONE_LOSSES
+            return run.lone_losses >= MIN_LONE_LOSSES and (
+                is_due or not run.silences
+            )
         crash_limit = limits.max_task_crashes
         if self._is_recent(self._scheduler.ledger.given_up_at):
             crash_limit = limits.max_further_task_crashes
--- a/orioleshore/jobs/placement.py
+++ b/orioleshore/jobs/placement.py
@@ -29,6 +29,11 @@
 
 # A suspect worker gets no task for this long after a further failure.
 SUSPECT_PAUSE_S = 1.5
+# Pauses after the first, the second and further start orders in a row that a
+# worker did not get; no task starts there meanwhile. Other workers report
+# within them and take the task. One lost order is repeated at once, since any
+# link loses packets.
+LOST_ORDER_PAUSES_S = (0.0, 0.5, 1.0, 2.0)
 # A long-running task that waits for longer is no longer packed with others;
 # it goes to any worker with free capacity.
 PACKING_WAIT_S = 1.0
@@ -114,6 +119,33 @@
     )
 
 
+def record_lost_order(
+    worker: workers.Worker, scheduler: scheduling.Scheduler
+) -> None:
+    """Count a start order that did not reach its worker.
+
+    A worker whose answers are lost reports that its runs are missing, and
+    would be given the same tasks in the same call, again and again.
+    """
+    step = min(worker.lost_orders, len(LOST_ORDER_PAUSES_S) - 1)
+    pause_s = LOST_ORDER_PAUSES_S[step]
+    worker.lost_orders += 1
+    worker.no_starts_until = max(
+        worker.no_starts_until, scheduler.now + pause_s
+    )
+    if not pause_s:
+        return
+    LOG.warning(
+        logs.format_event(
+            'orders_not_received',
+            worker=worker.name,
+            host=worker.host,
+            in_row=worker.lost_orders,
+            paused_s=pause_s,
+        )
+    )
+
+
 def get_heartbeat_delay_ms(
     scheduler: scheduling.Scheduler, worker: workers.Worker
 ) -> int | None:
@@ -123,10 +155,8 @@
     """
     if worker.state is not states.WorkerState.READY:
         return None
+    delay_ms = math.ceil(eligibility.get_heartbeat_interval_ms(scheduler))
     limits = scheduler.limits
-    per_worker_ms = MS_PER_S / limits.max_heartbeats_per_s
-    shared_ms = math.ceil(len(scheduler.workers) * per_worker_ms)
-    delay_ms = max(limits.idle_retry_ms, shared_ms)
     return delay_ms if delay_ms < limits.heartbeat_ms else None
 
 
@@ -161,7 +191,7 @@
         scheduler, worker, job, group
     ):
         return free
-    if not _is_rack_acceptable(scheduler, worker, job, group):
+    if not is_rack_acceptable(scheduler, worker, job, group):
         return free
     need = workers.get_reserved_resources(step)
     started = []
@@ -169,10 +199,10 @@
         group.waiting
         and group.can_use_worker(worker.name)
         and workers.fits_into(need, free)
-        and _can_accept_more(worker, step)
+        and can_accept_more(worker, step)
         and (
             not step.is_long_running
-            or _can_place_long_running(scheduler, worker, job.name, group)
+            or can_place_long_running(scheduler, worker, job.name, group)
         )
     ):
         index = _claim_waiting_task(scheduler, worker, job, group)
@@ -202,7 +232,7 @@
     return free
 
 
-def _is_rack_acceptable(
+def is_rack_acceptable(
     scheduler: scheduling.Scheduler,
     worker: workers.Worker,
     job: progress.JobProgress,
@@ -287,7 +317,8 @@
     )
 
 
-def _can_accept_more(worker: workers.Worker, step: specs.Step) -> bool:
+def can_accept_more(worker: workers.Worker, step: specs.Step) -> bool:
+    """Return whether a worker may start another task of a step's kind."""
     if (
         worker.consecutive_failures >= eligibility.SUSPECT_FAILURE_COUNT
         and worker.unproven_runs
@@ -299,7 +330,7 @@
     return fillers < MAX_FILLERS_PER_WORKER
 
 
-def _can_place_long_running(
+def can_place_long_running(
     scheduler: scheduling.Scheduler,
     worker: workers.Worker,
     job: ids.JobId,
--- a/orioleshore/jobs/probation.py
+++ b/orioleshore/jobs/probation.py
@@ -83,7 +83,10 @@
     tasks: list[ids.TaskName],
 ) -> list[calls.StartOrder]:
     orders = []
+    waiting = scheduler.crashes.get_waiting(worker.pool)
     for task in tasks:
+        if scheduler.now < waiting[job.name, task]:
+            continue
         group = job.get_group(task)
         _, _, index = specs.parse_task_name(task)
         if group.step.is_gang or index not in group.waiting:
@@ -93,6 +96,8 @@
             continue
         if not _fits(scheduler, worker, job, group):
             continue
+        if scheduler.crashes.give_up_instead_of_start(job.name, task):
+            return []
         group.waiting.remove(index)
         attempt = ids.Attempt(job.record.tasks[task].attempt + 1)
         orders.append(
@@ -138,8 +143,6 @@
     the host that was lost last.
     """
     since = scheduler.crashes.get_waiting(worker.pool)[job.name, task]
-    if scheduler.now < since:
-        return False
     if scheduler.now >= since + CHOICE_S:
         return True
     host = job.record.tasks[task].host
--- a/orioleshore/jobs/reports.py
+++ b/orioleshore/jobs/reports.py
@@ -64,7 +64,10 @@
             worker, observed, lease_end, len(missing), scheduler
         )
     worker.held_since = None
+    _note_received_orders(worker)
     _end_lost_runs(worker, missing, scheduler)
+    # The run of a cancelled job ends without having been ordered any more.
+    worker.unproven_runs &= worker.ordered.keys() | worker.listed.keys()
     scheduler.crashes.observe_runs(worker)
     for key in stalls.find_stalled_runs(scheduler, worker):
         worker.evicted.add(key)
@@ -131,17 +134,7 @@
     call: calls.Heartbeat,
     scheduler: scheduling.Scheduler,
 ) -> None:
-    if worker.state is not call.state:
-        LOG.info(
-            logs.format_event(
-                'worker_state',
-                worker=worker.name,
-                state=call.state,
-                remaining_ms=call.remaining_ms,
-            )
-        )
-    if worker.state is not states.WorkerState.DRAINING:
-        worker.state = call.state
+    _update_state(worker, call, scheduler)
     worker.sequence = call.sequence
     worker.capacity = call.capacity
     scheduler.set_worker_pool(worker, call.pool)
@@ -164,6 +157,34 @@
     }
 
 
+def _update_state(
+    worker: workers.Worker,
+    call: calls.Heartbeat,
+    scheduler: scheduling.Scheduler,
+) -> None:
+    """Note the state that a worker reports; one that drains goes on to.
+
+    A worker that reports as ready after it should have ended has not
+    announced its exit: that was an earlier life under its name.
+    """
+    if call.state is states.WorkerState.DRAINING:
+        worker.exit_due_at = 0.0
+    has_outlived_exit = 0.0 < worker.exit_due_at <= scheduler.now
+    is_draining = worker.state is states.WorkerState.DRAINING
+    if worker.state is call.state or (is_draining and not has_outlived_exit):
+        return
+    worker.state = call.state
+    worker.exit_due_at = 0.0
+    LOG.info(
+        logs.format_event(
+            'worker_state',
+            worker=worker.name,
+            state=call.state,
+            remaining_ms=call.remaining_ms,
+        )
+    )
+
+
 def _record_ended_runs(
     worker: workers.Worker,
     call: calls.Heartbeat,
@@ -201,17 +222,32 @@
     return missing
 
 
+def _note_received_orders(worker: workers.Worker) -> None:
+    """Forget lost orders once a worker has received a later one."""
+    if not worker.lost_orders:
+        return
+    for key in worker.ordered.keys() & worker.listed.keys():
+        ordered_at = worker.start_ordered_at.get(key, 0.0)
+        if ordered_at >= worker.no_starts_until:
+            worker.lost_orders = 0
+
+
 def _end_lost_runs(
     worker: workers.Worker,
     missing: list[workers.RunKey],
     scheduler: scheduling.Scheduler,
 ) -> None:
     """End runs as lost whose start order did not reach the worker."""
+    has_lost_order = False
     for key in missing:
         del worker.ordered[key]
         worker.unproven_runs.discard(key)
-        worker.start_ordered_at.pop(key, None)
+        # Orders of the last leader may be lost because it was.
+        is_own = worker.start_ordered_at.pop(key, None) is not None
+        has_lost_order = has_lost_order or is_own
         scheduler.end_run(key, states.RunEnd.LOST, '', worker.name)
+    if has_lost_order:
+        placement.record_lost_order(worker, scheduler)
 
 
 def _build_stop_orders(
--- a/orioleshore/jobs/scheduler.py
+++ b/orioleshore/jobs/scheduler.py
@@ -18,9 +18,9 @@
 from orioleshore.jobs import approvals
 from orioleshore.jobs import calls
 from orioleshore.jobs import crash_attribution
-from orioleshore.jobs import eligibility
 from orioleshore.jobs import gangs
 from orioleshore.jobs import handlers
+from orioleshore.jobs import holds
 from orioleshore.jobs import ledger
 from orioleshore.jobs import orders
 from orioleshore.jobs import pools
@@ -37,9 +37,6 @@
 
 LOG = logging.getLogger(__name__)
 
-# A wait of a long-running task is logged once it takes this long. The
-# platform allows twice this time since the last run of the task.
-LONG_WAIT_WARNING_S = 3.0
 MS_PER_S = 1_000.0
 
 
@@ -86,10 +83,7 @@
         self.retry_slots = admission.RetrySlots()
         self._changes: list[ledger.Change] = []
         self._has_held_ordered_hosts = False
-        # Monotonic time since which a long-running job has a task waiting,
-        # and the jobs whose long wait has been logged.
-        self._waiting_since: dict[ids.JobId, float] = {}
-        self._logged_long_waits: set[ids.JobId] = set()
+        self.waits = holds.LongRunningWaits()
         # Runs according to the log whose worker has not yet reported to
         # this leader.
         self._unconfirmed_runs: dict[
@@ -152,7 +146,7 @@
     def _update_jobs(self) -> None:
         self._forget_ended_jobs()
         self.crashes.forget_old_losses()
-        self._update_waits()
+        self.waits.update(self)
 
     def _plan_gangs(self) -> None:
         gangs.plan_gangs(self)
@@ -416,48 +410,7 @@
 
     def get_long_running_wait_s(self, name: ids.JobId) -> float:
         """Return how long a long-running job has had a task waiting."""
-        return self.now - self._waiting_since.get(name, self.now)
-
-    def _update_waits(self) -> None:
-        """Track since when long-running jobs wait, and log long waits."""
-        waits = {}
-        for name, job in self.jobs.items():
-            if not job.is_long_running or not job.find_startable_groups(
-                self.wall_time
-            ):
-                continue
-            waits[name] = self._waiting_since.get(name, self.now)
-            waited_s = self.now - waits[name]
-            if (
-                waited_s >= LONG_WAIT_WARNING_S
-                and name not in self._logged_long_waits
-            ):
-                self._logged_long_waits.add(name)
-                self._log_long_wait(job, waited_s)
-        self._waiting_since = waits
-        self._logged_long_waits &= waits.keys()
-
-    def _log_long_wait(
-        self, job: progress.JobProgress, waited_s: float
-    ) -> None:
-        members = self.get_pool_workers(job.record.pool)
-        LOG.warning(
-            logs.format_event(
-                'lasting_task_waits',
-                job=job.name,
-                pool=job.record.pool,
-                waited_s=waited_s,
-                workers=len(members),
-                ready=sum(
-                    eligibility.is_available(self, worker)
-                    for worker in members
-                ),
-                free_cpu=[
-                    worker.get_free_resources().cpu_millis
-                    for worker in members
-                ],
-            )
-        )
+        return self.waits.get_wait_s(name, self.now)
 
     def _forget_ended_jobs(self) -> None:
         horizon = self.wall_time - self.limits.status_s
@@ -517,11 +470,23 @@
         lost = self.ledger.lost_workers.get(heartbeat.host)
         if lost is not None and lost.incarnation > heartbeat.incarnation:
             return True
+        if known is None and self._has_run_of_newer_life(heartbeat):
+            return True
         return any(
             other.incarnation > heartbeat.incarnation
             for other in self._roster.get_host_workers(heartbeat.host)
         )
 
+    def _has_run_of_newer_life(self, heartbeat: calls.Heartbeat) -> bool:
+        """Return whether the log names a newer life of an unheard worker."""
+        runs = map(
+            self.find_run, self._unconfirmed_runs.get(heartbeat.worker, ())
+        )
+        return any(
+            run is not None and run.incarnation > heartbeat.incarnation
+            for run in runs
+        )
+
     def add_worker(self, heartbeat: calls.Heartbeat) -> workers.Worker:
         """Register the worker, or new incarnation, that sent a heartbeat."""
         old = self.workers.get(heartbeat.worker)
@@ -603,10 +568,11 @@
 
     def drain_worker(self, worker: workers.Worker) -> None:
         """Let a worker that announced its exit drain for a limited time."""
+        exit_due_at = self.now + self.limits.leave_ms / MS_PER_S
+        if worker.state is states.WorkerState.READY:
+            worker.exit_due_at = exit_due_at
         worker.state = states.WorkerState.DRAINING
-        worker.lease_end = min(
-            worker.lease_end, self.now + self.limits.leave_ms / MS_PER_S
-        )
+        worker.lease_end = min(worker.lease_end, exit_due_at)
 
     def _drop_replaced_workers(self, worker: workers.Worker) -> None:
         # A host runs one worker at a time, so a newer worker implies that
--- a/orioleshore/jobs/upkeep.py
+++ b/orioleshore/jobs/upkeep.py
@@ -13,6 +13,7 @@
 import msgspec
 
 from orioleshore.jobs import calls
+from orioleshore.jobs import eligibility
 from orioleshore.jobs import ledger
 from orioleshore.jobs import placement
 from orioleshore.jobs import progress
@@ -32,6 +33,9 @@
 # Hosts are cordoned before they go down only in this first share of the time
 # of a wave.
 CORDON_WAIT_SHARE = 0.7
+# A cordoned host is used again for a long-running task that has waited for
+# this long and has room nowhere else.
+CORDON_YIELD_S = 2.0
 # A worker that is first heard sooner after the confirmed start of an upkeep
 # was started before it. Less than the shortest upkeep of the platform, 2 s.
 MIN_UPKEEP_S = 1.5
@@ -75,6 +79,9 @@
 
     def advance(self) -> None:
         """Record hosts that are back and take down the next ones."""
+        for host in list(self._cordons):
+            if not self.is_host_due(host):
+                self._uncordon_host(host)
         for name, wave in self._scheduler.ledger.waves.items():
             self._finish_returned_hosts(name, wave)
             if not wave.is_completed:
@@ -176,9 +183,13 @@
             if down < limit:
                 down += 1
                 self._order_upkeep(name, host, ids.WorkerId(''))
+        waiting_jobs = self._find_waiting_jobs()
         for worker in self._sort_workers(waiting):
             if down >= limit:
                 break
+            if self._is_needed(worker, waiting_jobs):
+                self._uncordon_host(worker.host)
+                continue
             if not self._can_cordon(worker, wave):
                 continue
             down += 1
@@ -261,6 +272,50 @@
         cordoned = sum(member.is_cordoned for member in members)
         return cordoned < max(1, len(members) // 2)
 
+    def _is_needed(
+        self, worker: workers.Worker, waiting: list[progress.JobProgress]
+    ) -> bool:
+        """Return whether a long-running task has room on this worker only.
+
+        Without it the host could not go down either if the step of the task
+        may miss no further one. ``waiting`` holds the jobs that have waited
+        for CORDON_YIELD_S.
+        """
+        return any(
+            group.step.is_long_running
+            and self._is_only_room(worker, job, group)
+            for job in waiting
+            if job.record.pool == worker.pool
+            for group in job.find_startable_groups(self._scheduler.wall_time)
+        )
+
+    def _find_waiting_jobs(self) -> list[progress.JobProgress]:
+        scheduler = self._scheduler
+        names = scheduler.waits.find_jobs(CORDON_YIELD_S, scheduler.now)
+        return [
+            scheduler.jobs[name] for name in names if name in scheduler.jobs
+        ]
+
+    def _is_only_room(
+        self,
+        worker: workers.Worker,
+        job: progress.JobProgress,
+        group: progress.Group,
+    ) -> bool:
+        scheduler = self._scheduler
+        need = workers.get_reserved_resources(group.step)
+        if not group.can_use_worker(worker.name):
+            return False
+        if not workers.fits_into(need, worker.get_free_resources()):
+            return False
+        others = placement.find_other_workers(scheduler, worker, group)
+        return eligibility.may_become_allowed(
+            scheduler, worker, job, group
+        ) and not any(
+            eligibility.may_become_allowed(scheduler, other, job, group)
+            for other in others
+        )
+
     def _is_late(self, wave: ledger.WaveRecord) -> bool:
         """Return whether a wave has used most of its time."""
         span_s = wave.due_at - wave.opened_at
--- /dev/null
+++ b/orioleshore/tests/test_batch_approvals.py
@@ -0,0 +1,134 @@
+"""Approvals of the policy service that long-running tasks wait for."""
+
+import msgspec
+
+from fakes import workers as fake_workers
+from orioleshore.jobs import eligibility
+from orioleshore.jobs import orders
+from orioleshore.jobs import specs
+from orioleshore.model import ids
+from orioleshore.tests import builders
+from orioleshore.tests import support
+
+
+def build_fleet(hosts: int) -> fake_workers.FakeFleet:
+    """Return a fleet whose red queue needs approval and blue one does not."""
+    configuration = builders.build_configuration()
+    first, second = configuration.queues
+    queues = (
+        msgspec.structs.replace(first, needs_approval=True),
+        msgspec.structs.replace(second, pool=ids.PoolId('red')),
+    )
+    fleet = fake_workers.FakeFleet(
+        # Without a standby pool, no host leaves its pool.
+        builders.build_configuration(
+            queues=queues, pools=configuration.pools[:1]
+        ),
+        seed=support.SEED,
+    )
+    fleet.add_hosts(hosts, 'red')
+    fleet.run(0.5)
+    return fleet
+
+
+def submit(
+    fleet: fake_workers.FakeFleet, number: int, queue: str, job: specs.Job
+) -> ids.JobId:
+    """Submit a job to a queue and return its id."""
+    name = builders.build_job_id(number)
+    call = builders.build_submission(number, job)
+    call = msgspec.structs.replace(call, path=f'/{queue}/{name}')
+    assert fleet.call_scheduler(call).is_ok()
+    return name
+
+
+def test_lost_calls_do_not_keep_later_steps_from_approval():
+    """Guards against steps that wait behind calls whose answer is lost.
+
+    The steps of the lost calls run meanwhile, so nothing repeats the calls.
+    """
+    fleet = build_fleet(2)
+    approvals = fleet.scheduler.approvals
+    names = []
+    for number in range(8):
+        names.append(
+            submit(fleet, number, 'red', builders.build_lasting_job(1))
+        )
+        fleet.run(0.5)
+    for name in names:
+        # A call about workers that joined later, which is never answered.
+        approvals._pending_until[name, 0, 0] = fleet.now + 3.0
+    fleet.run(4.0)
+    late = submit(fleet, 9, 'red', builders.build_lasting_job(1))
+    fleet.run(5.0)
+    assert fleet.count_running_tasks(late) == 1
+
+
+def test_workers_that_failed_often_are_approved_if_there_are_no_others():
+    """Guards against a policy that is never asked about the only workers."""
+    fleet = build_fleet(2)
+    make_suspect(fleet)
+    lasting = submit(fleet, 1, 'red', builders.build_lasting_job(2))
+    fleet.run(5.0)
+    assert fleet.count_running_tasks(lasting) == 2
+
+
+def test_gang_starts_on_workers_that_failed_often_if_there_are_no_others():
+    """Guards against a gang that is never planned on the only workers."""
+    fleet = build_fleet(2)
+    make_suspect(fleet)
+    gang = builders.build_batch_job(
+        builders.build_step(2, is_gang=True, is_long_running=True)
+    )
+    lasting = submit(fleet, 1, 'blue', gang)
+    fleet.run(5.0)
+    assert fleet.count_running_tasks(lasting) == 2
+
+
+def test_workers_with_room_are_approved_before_full_ones():
+    """Guards against a worker with room behind many full ones.
+
+    The service takes a number of workers in a call, and its tickets expire.
+    """
+    fleet = build_fleet(70)
+    filling = builders.build_lasting_job(
+        69, need=specs.Resources(16_000, 512), max_per_worker=1
+    )
+    submit(fleet, 1, 'blue', filling)
+    fleet.run(4.0)
+    lasting = submit(fleet, 2, 'red', builders.build_lasting_job(1))
+    asked = []
+    for _ in range(20):
+        fleet.scheduler.tick(fleet.now, fleet.wall)
+        asked += [
+            order.workers
+            for order in fleet.scheduler.orders.take_orders()
+            if isinstance(order, orders.AskApproval)
+        ]
+        fleet.now += 0.1
+    free = [w.name for w in fleet.workers.values() if not w.running]
+    assert free and free[0] in asked[0]
+    assert fleet.scheduler.jobs[lasting].groups[0, 0].waiting
+
+
+def make_suspect(fleet: fake_workers.FakeFleet) -> None:
+    """Let all workers fail some runs in a row, then work again."""
+    for worker in fleet.workers.values():
+        worker.is_failing = True
+    for number in range(20, 30):
+        submit(
+            fleet,
+            number,
+            'blue',
+            builders.build_batch_job(builders.build_step(2)),
+        )
+        fleet.run(0.5)
+    # All these jobs end as failed.
+    fleet.run(60.0)
+    assert not fleet.scheduler.jobs
+    for worker in fleet.workers.values():
+        worker.is_failing = False
+    assert all(
+        worker.consecutive_failures >= eligibility.SUSPECT_FAILURE_COUNT
+        for worker in fleet.scheduler.workers.values()
+    )
