Start no planned gang on a worker whose capacity has shrunk

The test failed before with 12 cores used of 2; single tasks were placed by the newest report already.

--- a/orioleshore/jobs/placement.py
+++ b/orioleshore/jobs/placement.py
@@ -266,7 +266,12 @@
 def _start_gang_members(
     scheduler: scheduling.Scheduler, worker: workers.Worker
 ) -> list[calls.StartOrder]:
-    """Start the gang members for which the worker has reserved capacity."""
+    """Start the gang members for which the worker has reserved capacity.
+
+    A plan without room, because the capacity has shrunk since, expires.
+    """
+    if not workers.fits_into(specs.Resources(), worker.get_free_resources()):
+        return []
     orders = []
     for job, group, index in gangs.find_planned_members(scheduler, worker):
         group.waiting.remove(index)
