Play odd rows at random, and refuse members without a usable address

A process that asked to be added to the group at an address that nobody can connect to was added, and could take the place of a silent member; the leader refuses the request.

--- a/orioleshore/consensus/requests.py
+++ b/orioleshore/consensus/requests.py
@@ -7,6 +7,7 @@
 
 from orioleshore.consensus import events
 from orioleshore.consensus import packing
+from orioleshore.model import addresses
 from orioleshore.model import decoding
 from orioleshore.model import errors
 from orioleshore.model import ids
@@ -85,9 +86,13 @@
     """Return a request that may be appended to the log.
 
     Raises DecodingError if it is not valid. The leader checks a request
-    first, because an entry that cannot be decoded would stop every member.
+    first, because an entry that cannot be decoded would stop every member,
+    and a member without a usable address could take the place of another.
     """
-    return _decode_deeper(data, _CHECK_MARGIN)
+    request = _decode_deeper(data, _CHECK_MARGIN)
+    if isinstance(request, ChangeMembers) and request.add is not None:
+        addresses.parse_address(request.address)
+    return request
 
 
 def _decode_deeper(data: bytes, calls: int) -> Request:
--- a/orioleshore/tests/test_odd_entries.py
+++ b/orioleshore/tests/test_odd_entries.py
@@ -14,6 +14,7 @@
 
 from fakes import platform_fleet
 from fakes import workers
+from orioleshore.consensus import requests
 from orioleshore.jobs import calls
 from orioleshore.jobs import orders
 from orioleshore.jobs import specs
@@ -431,7 +432,7 @@
     fleet, worker = build_busy_worker()
     worker.is_silent = True
     began_at = fleet.now
-    while True:
+    for _ in range(100):
         answer = send_partial_heartbeat(fleet, worker, running=())
         if not answer.lease_ms:
             break
@@ -493,3 +494,76 @@
             dispatcher._decode_upstream(text)
     good = msgspec.structs.replace(upstream, address='127.0.0.1:7001')
     assert dispatcher._decode_upstream(msgspec.json.encode(good)) == good
+
+
+@pytest.mark.parametrize('address', [*ODD_ADDRESSES, ''])
+def test_member_with_an_odd_address_is_not_added(address):
+    """Guards against a member that nobody reaches in the place of another."""
+    request = requests.ChangeMembers(ids.NodeId('m9'), address)
+    with pytest.raises(decoding.DecodingError):
+        requests.check(requests.encode(request).unwrap())
+    for good in (
+        requests.ChangeMembers(ids.NodeId('m9'), '127.0.0.1:7001'),
+        requests.ChangeMembers(remove=ids.NodeId('m9')),
+    ):
+        assert requests.check(requests.encode(good).unwrap()) == good
+
+
+class OddFleet(workers.FakeFleet):
+    """A fleet in which rows of running tasks cannot be read at random."""
+
+    def __init__(self, seed: int) -> None:
+        self.odd_random = support.get_random(seed)
+        self.odd_share = 0.0
+        self.partial_heartbeats = 0
+        super().__init__(builders.build_configuration(), seed=seed)
+
+    def call_scheduler(self, call):
+        """Send a call; some heartbeats lack rows that could not be read."""
+        if isinstance(call, calls.Heartbeat):
+            call = self._drop_rows(call)
+        return super().call_scheduler(call)
+
+    def _drop_rows(self, call):
+        read = tuple(
+            row
+            for row in call.running
+            if self.odd_random.random() >= self.odd_share
+        )
+        unread = len(call.running) - len(read)
+        if not unread:
+            return call
+        self.partial_heartbeats += 1
+        heartbeat = msgspec.structs.replace(call, running=read)
+        return calls.PartialHeartbeat(heartbeat, unread)
+
+
+@pytest.mark.parametrize('seed', range(6))
+def test_rows_that_are_odd_at_random_double_no_run(seed):
+    """Guards against a run that is started again while it is at work.
+
+    The fleet fails if a task runs twice at a time or again after its end.
+    Answers are lost meanwhile, and the leader changes.
+    """
+    fleet = OddFleet(seed)
+    fleet.add_hosts(5, 'red')
+    fleet.odd_share = 0.2
+    fleet.lost_answer_share = 0.1
+    jobs = [builders.build_job_id(number) for number in range(1, 16)]
+    for number in range(1, 16):
+        job = builders.build_batch_job(builders.build_step(6))
+        if number % 5 == 0:
+            job = builders.build_lasting_job(3)
+        fleet.call_scheduler(builders.build_submission(number, job=job))
+        fleet.run(0.4)
+        if number in (5, 11):
+            fleet.fail_over()
+    fleet.run(20.0)
+    assert fleet.partial_heartbeats > 100
+    fleet.odd_share = 0.0
+    fleet.run(20.0)
+    for name in jobs[4::5]:
+        assert fleet.count_running_tasks(name) == 3
+    records = fleet.scheduler.ledger.jobs
+    ended = [records[name] for name in jobs if jobs.index(name) % 5 != 4]
+    assert {record.state for record in ended} == {states.BatchState.COMPLETED}
