--- a/orioleshore/jobs/crash_attribution.py
+++ b/orioleshore/jobs/crash_attribution.py
@@ -1,10 +1,10 @@
 """Attribution of worker crashes to the tasks that caused them.
 
-Answers tasks that crash each worker that starts them. All tasks that a worker
-had just started when it was lost are suspects. Suspects are started one to a
-worker and beside as little other work as possible, so that a second crash
-shows which of them is at fault and harms few others. A task is given up once
-enough workers have crashed under it, and cleared once it has run for a while.
+Answers tasks that crash each worker that starts them. The last tasks that a
+worker had started when it was lost are suspects, which ``probation`` starts
+apart from other jobs, so that a further crash shows which one is at fault. A
+task is given up once enough workers have crashed under it (``crash_limits``),
+and cleared once it has run for a while.
 
 When a lease ends it is not known whether the worker has crashed or is cut
 off. The loss counts as a crash when a newer worker reports from the same host
@@ -20,6 +20,7 @@
 import math
 import typing
 
+from orioleshore.jobs import crash_limits
 from orioleshore.jobs import eligibility
 from orioleshore.jobs import ledger
 from orioleshore.jobs import workers
@@ -38,14 +39,6 @@
 # A suspect run keeps other tasks from its worker for this long; two to three
 # heartbeats.
 PROBATION_S = 0.25
-# Losses beside which no other job had a start that it takes to blame a task
-# whose workers do not crash at once.
-MIN_LONE_LOSSES = 2
-# Such losses may be due to chance while workers are lost for which no task is
-# to blame, so it takes this many times as many then.
-UNRELATED_LOSS_FACTOR = 2
-# For this long a loss or a task that was given up says something of others.
-EVIDENCE_S = 60.0
 # Least age of the runs of a worker that never reported to this leader; one
 # heartbeat.
 UNHEARD_AGE_S = 0.1
@@ -201,7 +194,13 @@
             return
         since = self._scheduler.now
         if run.silences and run.losses > 1:
-            is_last = run.losses >= self._get_loss_limit(run)
+            loss_limit = crash_limits.get_loss_limit(
+                run,
+                self._scheduler.ledger,
+                self._scheduler.limits,
+                self._scheduler.wall_time,
+            )
+            is_last = run.losses >= loss_limit
             since += LAST_NEWS_WAIT_S if is_last else NEWS_WAIT_S
             self._scheduler.jobs[name].news_due_at = since
         self._waiting.setdefault(pool, {})[name, task] = since
@@ -415,38 +414,16 @@
     def _is_harmful(
         self, name: ids.JobId, task: ids.TaskName, is_due: bool = False
     ) -> bool:
-        """Return whether a task is to be given up.
-
-        Silent workers count only when the task is due to start again, so that
-        there has been time for news of them.
-        """
-        job = self._scheduler.jobs.get(name)
+        scheduler = self._scheduler
+        job = scheduler.jobs.get(name)
         run = job.record.tasks.get(task) if job else None
-        if run is None or not run.lone_losses:
-            return False
-        limits = self._scheduler.limits
-        if run.losses >= self._get_loss_limit(run):
-            return run.lone_losses >= MIN_LONE_LOSSES and (
-                is_due or not run.silences
-            )
-        crash_limit = limits.max_task_crashes
-        if self._is_recent(self._scheduler.ledger.given_up_at):
-            crash_limit = limits.max_further_task_crashes
-        return run.immediate_crashes >= crash_limit
-
-    def _get_loss_limit(self, run: ledger.RunRecord) -> int:
-        """Return how many losses it takes to give up a task by them alone.
-
-        The first loss of the task may look like an unrelated one.
-        """
-        unrelated_at = self._scheduler.ledger.unrelated_loss_at
-        limit = self._scheduler.limits.max_task_losses
-        if unrelated_at != run.first_loss_at and self._is_recent(unrelated_at):
-            limit *= UNRELATED_LOSS_FACTOR
-        return limit
-
-    def _is_recent(self, at: ids.WallTime) -> bool:
-        return abs(self._scheduler.wall_time - at) < EVIDENCE_S
+        return run is not None and crash_limits.is_harmful(
+            run,
+            scheduler.ledger,
+            scheduler.limits,
+            scheduler.wall_time,
+            is_due,
+        )
 
 
 def _get_run_age(worker: workers.Worker, key: workers.RunKey) -> float:
