Wait for the entry host in the tests of the platform's processes

test_acknowledged_work_survives_loss_of_the_leader failed once in a full run: it sends its only POST when the control members answer, and the log of the entry process was still empty at that moment. The tests now begin once the entry host answers; what they check is unchanged.

--- a/orioleshore/tests/test_platform_processes.py
+++ b/orioleshore/tests/test_platform_processes.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import functools
 import signal
 
 import aiohttp
@@ -49,6 +50,10 @@
     timeout = aiohttp.ClientTimeout(total=3.0)
     try:
         async with aiohttp.ClientSession(timeout=timeout) as session:
+            await wait_until(
+                functools.partial(is_listening, fleet, session),
+                'the entry host listens',
+            )
             yield fleet, runner, session
     finally:
         runner_task.cancel()
@@ -57,6 +62,13 @@
         await cloud.stop()
 
 
+async def is_listening(fleet, session) -> bool:
+    """Return whether the entry host answers, ready or not."""
+    url = fleet.get_ready_url('entry-0')
+    status, _ = await send_request(session, 'GET', url)
+    return status != 0
+
+
 async def send_request(session, method, url, **options):
     """Return status and body of a response; status 0 means no response."""
     try:
