Bound the starts of a task that crashes its workers in all cases

Suspects could wait for ever where all workers had failed often, held long-running tasks up for 13.5 s, and cost 253 ms a heartbeat with 3,000 workers. A run whose row could not be read counted as the newest.

The limit of five losses holds whatever else is lost; gangs are asked before they are planned; suspects and other tasks take turns on a worker; a pool is looked at once a tick. Each has a test that is built on the play that failed.

With the limit for all cases gives up a task under which five workers in a row crashed within 2 s of its start; the trace cannot be told from a task that does it.

--- a/orioleshore/jobs/crash_attribution.py
+++ b/orioleshore/jobs/crash_attribution.py
@@ -20,6 +20,8 @@
 import math
 import typing
 
+import msgspec
+
 from orioleshore.jobs import crash_limits
 from orioleshore.jobs import eligibility
 from orioleshore.jobs import ledger
@@ -49,8 +51,11 @@
 # Hosts are back 0.1 to 0.5 s after the lease of a crashed worker; long-running
 # tasks must run again 6 s after their last run, of which the lease takes 3 s.
 NEWS_WAIT_S = 2.0
-# The wait before a task is given up without that news.
+# The wait before a task is given up without that news, unless it is a
+# long-running one.
 LAST_NEWS_WAIT_S = 6.0
+# Age of the view of a pool; a tick.
+VIEW_S = 0.1
 # After this time a lost worker is no longer remembered.
 LOSS_MEMORY_S = 60.0
 # An order about a host explains the end of its worker for this long: the call
@@ -65,6 +70,14 @@
 _PLANNED_EXITS = frozenset({states.WorkerExit.MOVED, states.WorkerExit.UPKEEP})
 
 
+class _PoolView(msgspec.Struct, frozen=True):
+    """Workers of a pool that may get tasks; ``at`` is a monotonic time."""
+
+    at: float
+    members: int
+    fewest_runs: int
+
+
 class CrashAttribution:
     """Finds the tasks that crash workers; part of the scheduler."""
 
@@ -73,6 +86,9 @@
         # Suspect tasks that wait for a start, by pool, with the monotonic
         # time since which they may start.
         self._waiting: dict[ids.PoolId, dict[_TaskKey, float]] = {}
+        # Workers that got a suspect task.
+        self._on_probation: set[ids.WorkerId] = set()
+        self._views: dict[ids.PoolId, _PoolView] = {}
 
     def get_waiting(self, pool: ids.PoolId) -> dict[_TaskKey, float]:
         """Return the suspects of a pool that wait, and since when.
@@ -100,13 +116,7 @@
         }
         if self._is_ordered(worker.host, self._get_newest_start(ages)):
             return
-        self._record_loss(
-            worker.host,
-            worker.name,
-            worker.incarnation,
-            ages,
-            is_unrelated=not self._is_related(ages),
-        )
+        self._record_loss(worker.host, worker.name, worker.incarnation, ages)
         if reason in _RESTARTS:
             self._explain_loss(worker.host, states.LossCause.CRASHED)
 
@@ -181,6 +191,7 @@
         if not run.is_suspect:
             return
         worker.probation.add(key)
+        self._on_probation.add(worker.name)
         job = self._scheduler.jobs[key[0]]
         job.probation.add(key[1])
         self.get_waiting(job.record.pool).pop(key[:2], None)
@@ -193,16 +204,15 @@
         if not run.is_suspect or run.stage is not states.RunStage.WAITING:
             return
         since = self._scheduler.now
+        self._scheduler.jobs[name].has_passed_probation = False
         if run.silences and run.losses > 1:
-            loss_limit = crash_limits.get_loss_limit(
-                run,
-                self._scheduler.ledger,
-                self._scheduler.limits,
-                self._scheduler.wall_time,
+            job = self._scheduler.jobs[name]
+            job.news_due_at = since + NEWS_WAIT_S
+            is_last = (
+                run.losses >= self._scheduler.limits.max_task_losses
+                and not job.is_long_running
             )
-            is_last = run.losses >= loss_limit
             since += LAST_NEWS_WAIT_S if is_last else NEWS_WAIT_S
-            self._scheduler.jobs[name].news_due_at = since
         self._waiting.setdefault(pool, {})[name, task] = since
 
     def forget_job(self, name: ids.JobId, pool: ids.PoolId) -> None:
@@ -213,36 +223,61 @@
 
     def forget_old_losses(self) -> None:
         """Forget the workers of which nothing has been heard for long."""
+        self._on_probation = {
+            name
+            for name in self._on_probation
+            if name in self._scheduler.workers
+            and self._scheduler.workers[name].probation
+        }
         scheduler = self._scheduler
-        horizon = scheduler.wall_time - LOSS_MEMORY_S
         for host, lost in list(scheduler.ledger.lost_workers.items()):
-            if lost.lost_at < horizon:
+            if abs(scheduler.wall_time - lost.lost_at) >= LOSS_MEMORY_S:
                 self._explain_loss(host, states.LossCause.UNKNOWN)
 
+    def is_start_due(self, pool: ids.PoolId) -> bool:
+        """Return whether a suspect of a pool may start."""
+        now = self._scheduler.now
+        return any(now >= since for since in self.get_waiting(pool).values())
+
     def has_room(self, pool: ids.PoolId) -> bool:
         """Return whether one more worker of a pool may take suspects.
 
         Workers that have just fallen silent do not count.
         """
         scheduler = self._scheduler
+        found = map(scheduler.workers.get, self._on_probation)
+        busy = sum(
+            worker is not None
+            and bool(worker.probation)
+            and worker.pool == pool
+            and eligibility.is_in_contact(scheduler, worker)
+            for worker in found
+        )
+        members = self._get_pool_view(pool).members
+        share = scheduler.limits.max_suspect_share
+        return busy < max(1, math.ceil(share * members))
+
+    def get_fewest_runs(self, pool: ids.PoolId) -> int:
+        """Return the fewest runs of a worker of a pool that may get tasks."""
+        return self._get_pool_view(pool).fewest_runs
+
+    def _get_pool_view(self, pool: ids.PoolId) -> _PoolView:
+        """Return what is known of a pool, not older than VIEW_S."""
+        scheduler = self._scheduler
+        view = self._views.get(pool)
+        if view is not None and scheduler.now < view.at + VIEW_S:
+            return view
         members = [
             member
             for member in scheduler.get_pool_workers(pool)
-            if eligibility.is_available(scheduler, member)
+            if eligibility.is_in_contact(scheduler, member)
         ]
-        busy = sum(bool(member.probation) for member in members)
-        share = scheduler.limits.max_suspect_share
-        return busy < math.ceil(share * len(members))
-
-    def _is_related(self, ages: dict[workers.RunKey, float]) -> bool:
-        """Return whether a task may have caused the loss of its worker.
-
-        It was lost at the start of the task, or is not the first one.
-        """
-        runs = [self._scheduler.find_run(key) for key in ages]
-        return any(age_s <= 0.0 for age_s in ages.values()) or any(
-            run is not None and run.losses for run in runs
+        fewest = min(
+            (len(w.ordered) for w in members if not w.probation), default=0
         )
+        view = _PoolView(scheduler.now, len(members), fewest)
+        self._views[pool] = view
+        return view
 
     def _get_probation_s(self, key: workers.RunKey) -> float:
         """Return how long a run keeps its worker from other starts.
@@ -284,6 +319,7 @@
         ordered_at = scheduler.ledger.ordered_at.get(host)
         return (
             ordered_at is not None
+            and not scheduler.orders.is_refused(host)
             and ordered_at >= since
             and abs(scheduler.wall_time - ordered_at) < ORDER_EFFECT_S
         )
@@ -294,7 +330,6 @@
         name: ids.WorkerId,
         incarnation: ids.Incarnation,
         ages: dict[workers.RunKey, float],
-        is_unrelated: bool = False,
     ) -> None:
         """Record a lost worker with the runs younger than CLEARANCE_S."""
         scheduler = self._scheduler
@@ -311,7 +346,7 @@
             for key, age_s in ages.items()
             if age_s < CLEARANCE_S and key[0] in scheduler.jobs
         )
-        if not suspects and not is_unrelated:
+        if not suspects:
             return
         scheduler.record_change(
             ledger.WorkerLost(
@@ -321,7 +356,6 @@
                 scheduler.wall_time,
                 self._get_newest_start(ages),
                 suspects,
-                is_unrelated,
             )
         )
         LOG.info(
@@ -419,7 +453,7 @@
         run = job.record.tasks.get(task) if job else None
         return run is not None and crash_limits.is_harmful(
             run,
-            scheduler.ledger,
+            scheduler.ledger.given_up_at,
             scheduler.limits,
             scheduler.wall_time,
             is_due,
@@ -432,7 +466,7 @@
     The start of a run that an earlier leader ordered is not known, so its age
     counts from the worker's first report to this leader.
     """
-    if key not in worker.reports:
+    if key not in worker.reported:
         return 0.0
     ordered_at = worker.start_ordered_at.get(key, worker.found_at)
     return worker.last_heartbeat_at - ordered_at
--- a/orioleshore/jobs/gangs.py
+++ b/orioleshore/jobs/gangs.py
@@ -44,10 +44,27 @@
                 not group.planned_workers
                 and len(group.waiting) == group.step.tasks
                 and scheduler.now >= job.news_due_at
+                and not _give_up_members(scheduler, job, group)
             ):
                 _plan_gang(scheduler, job, group)
 
 
+def _give_up_members(
+    scheduler: scheduling.Scheduler,
+    job: progress.JobProgress,
+    group: progress.Group,
+) -> bool:
+    """Give up a gang with a member that has done too much harm."""
+    names = [
+        specs.make_task_name(group.occurrence, group.position, index)
+        for index in group.waiting
+    ]
+    return any(
+        scheduler.crashes.give_up_instead_of_start(job.name, name)
+        for name in names
+    )
+
+
 def find_planned_members(
     scheduler: scheduling.Scheduler, worker: workers.Worker
 ) -> list[tuple[progress.JobProgress, progress.Group, int]]:
--- a/orioleshore/jobs/ledger.py
+++ b/orioleshore/jobs/ledger.py
@@ -57,7 +57,6 @@
     # the crashes, those that followed the start at once.
     lone_losses: int = 0
     immediate_crashes: int = 0
-    first_loss_at: ids.WallTime = ids.WallTime(0.0)
     # The task is started apart from other work until it is cleared.
     is_suspect: bool = False
 
@@ -157,8 +156,6 @@
     # The last worker of each host, if it was lost and it is not yet known
     # why.
     lost_workers: dict[ids.HostId, LostWorker] = {}
-    # Time of the last loss of a worker that no task is likely to have caused.
-    unrelated_loss_at: ids.WallTime = ids.WallTime(0.0)
     # Time at which a task was last given up because of crashes.
     given_up_at: ids.WallTime = ids.WallTime(0.0)
 
@@ -233,7 +230,6 @@
     at: ids.WallTime
     newest_start: ids.WallTime
     suspects: tuple[Suspect, ...] = ()
-    is_unrelated: bool = False
 
 
 class LossExplained(_Change, frozen=True):
@@ -413,8 +409,6 @@
 
 @apply_change.register
 def _(change: WorkerLost, ledger: Ledger) -> None:
-    if change.is_unrelated:
-        ledger.unrelated_loss_at = change.at
     running = []
     for suspect in change.suspects:
         run = _find_suspect_run(ledger, suspect)
@@ -425,8 +419,6 @@
         ):
             continue
         running.append(suspect)
-        if not run.losses:
-            run.first_loss_at = change.at
         run.silences += 1
         run.lone_losses += suspect.is_alone
         if suspect.is_newest or run.losses > 1:
--- a/orioleshore/jobs/orders.py
+++ b/orioleshore/jobs/orders.py
@@ -95,6 +95,10 @@
         # counts as lost.
         self._answer_due_at: dict[ids.HostId, float] = {}
         self._retry_at: dict[ids.HostId, float] = {}
+        # Hosts whose last order was refused, and those with an earlier order
+        # that may have been carried out although it was not confirmed.
+        self._refused: set[ids.HostId] = set()
+        self._uncertain: set[ids.HostId] = set()
         self._hosts: dict[ids.HostId, calls.HostInfo] = {}
         # Hosts whose rows in the newest list could not be read, and whether
         # the names of all such hosts are known.
@@ -176,6 +180,10 @@
         """Return whether an order about a host has not been answered."""
         return host in self._answer_due_at
 
+    def is_refused(self, host: ids.HostId) -> bool:
+        """Return whether the last order about a host had no effect."""
+        return host in self._refused
+
     def order_upkeep(
         self, wave: ids.WaveId, host: ids.HostId, now: float
     ) -> None:
@@ -200,6 +208,13 @@
     ) -> None:
         """Record the answer to an order about a host."""
         self._answer_due_at.pop(host, None)
+        if outcome is states.HostOrderOutcome.UNKNOWN:
+            self._uncertain.add(host)
+        if outcome is states.HostOrderOutcome.ACCEPTED:
+            self._uncertain.discard(host)
+        is_refused = outcome is states.HostOrderOutcome.REFUSED
+        if is_refused and host not in self._uncertain:
+            self._refused.add(host)
         if outcome is not states.HostOrderOutcome.ACCEPTED:
             self._retry_at[host] = now + RETRY_DELAY_S
 
@@ -243,4 +258,7 @@
 
     def _begin_order(self, host: ids.HostId, now: float) -> None:
         self._record(host)
+        self._refused.discard(host)
+        if host in self._answer_due_at:
+            self._uncertain.add(host)
         self._answer_due_at[host] = now + self._limits.host_call_ms / MS_PER_S
--- a/orioleshore/jobs/placement.py
+++ b/orioleshore/jobs/placement.py
@@ -52,6 +52,8 @@
     if not can_start_tasks(scheduler, worker):
         return []
     orders = _start_gang_members(scheduler, worker)
+    if worker.probation:
+        return orders
     free = worker.get_free_resources()
     jobs = scheduler.get_pool_jobs(worker.pool)
     mean_s = scheduler.run_times.get_mean(worker.pool)
--- a/orioleshore/jobs/probation.py
+++ b/orioleshore/jobs/probation.py
@@ -35,13 +35,13 @@
 ) -> list[calls.StartOrder]:
     """Start suspects of one job on a worker; return the orders.
 
-    Jobs under which fewer workers were lost go first.
+    Long-running jobs go first, and those under which fewer workers were lost.
     """
-    waiting = scheduler.crashes.get_waiting(worker.pool)
-    if not waiting or not placement.can_start_tasks(scheduler, worker):
+    if not scheduler.crashes.is_start_due(worker.pool):
         return []
     if not scheduler.crashes.has_room(worker.pool):
         return []
+    waiting = scheduler.crashes.get_waiting(worker.pool)
     tasks_by_job: dict[ids.JobId, list[ids.TaskName]] = {}
     for name, task in waiting:
         tasks_by_job.setdefault(name, []).append(task)
@@ -50,7 +50,12 @@
         for name in tasks_by_job
         if _can_try_job(scheduler, scheduler.jobs[name])
     ]
-    jobs.sort(key=lambda job: _count_losses(job, tasks_by_job[job.name]))
+    jobs.sort(
+        key=lambda job: (
+            not job.is_long_running,
+            _count_losses(job, tasks_by_job[job.name]),
+        )
+    )
     for job in jobs:
         orders = _start_suspects_of_job(
             scheduler, worker, job, tasks_by_job[job.name]
@@ -82,22 +87,28 @@
     job: progress.JobProgress,
     tasks: list[ids.TaskName],
 ) -> list[calls.StartOrder]:
-    orders = []
     waiting = scheduler.crashes.get_waiting(worker.pool)
-    for task in tasks:
-        if scheduler.now < waiting[job.name, task]:
-            continue
+    due = [
+        task
+        for task in tasks
+        if scheduler.now >= waiting[job.name, task]
+        and not job.get_group(task).step.is_gang
+    ]
+    if not due or not _is_preferred(scheduler, worker, job, due[0]):
+        return []
+    if any(
+        scheduler.crashes.give_up_instead_of_start(job.name, task)
+        for task in due
+    ):
+        return []
+    orders = []
+    for task in due:
         group = job.get_group(task)
         _, _, index = specs.parse_task_name(task)
-        if group.step.is_gang or index not in group.waiting:
-            continue
-        # The first one has chosen the worker for all.
-        if not orders and not _is_preferred(scheduler, worker, job, task):
+        if index not in group.waiting:
             continue
         if not _fits(scheduler, worker, job, group):
             continue
-        if scheduler.crashes.give_up_instead_of_start(job.name, task):
-            return []
         group.waiting.remove(index)
         attempt = ids.Attempt(job.record.tasks[task].attempt + 1)
         orders.append(
@@ -145,14 +156,6 @@
     since = scheduler.crashes.get_waiting(worker.pool)[job.name, task]
     if scheduler.now >= since + CHOICE_S:
         return True
-    host = job.record.tasks[task].host
-    others = [
-        other
-        for other in placement.find_other_workers(
-            scheduler, worker, job.get_group(task)
-        )
-        if other.host != host and not other.probation
-    ]
-    if worker.host == host:
-        return not others
-    return all(len(worker.ordered) <= len(other.ordered) for other in others)
+    fewest = scheduler.crashes.get_fewest_runs(worker.pool)
+    is_other_host = worker.host != job.record.tasks[task].host
+    return is_other_host and len(worker.ordered) <= fewest
--- a/orioleshore/jobs/reports.py
+++ b/orioleshore/jobs/reports.py
@@ -72,9 +72,7 @@
     for key in stalls.find_stalled_runs(scheduler, worker):
         worker.evicted.add(key)
         placement.record_failed_run(worker, scheduler)
-    starts = probation.start_suspects(scheduler, worker)
-    if not starts:
-        starts = placement.choose_starts(scheduler, worker)
+    starts = _choose_starts(worker, scheduler)
     return Ok(
         calls.HeartbeatAnswer(
             observed,
@@ -89,6 +87,19 @@
     )
 
 
+def _choose_starts(
+    worker: workers.Worker, scheduler: scheduling.Scheduler
+) -> list[calls.StartOrder]:
+    """Choose suspect tasks or others; the latter by turns at least."""
+    if not placement.can_start_tasks(scheduler, worker):
+        return []
+    starts = []
+    if worker.is_turn_of_suspects:
+        starts = probation.start_suspects(scheduler, worker)
+    worker.is_turn_of_suspects = not starts
+    return starts or placement.choose_starts(scheduler, worker)
+
+
 def _build_empty_answer(scheduler: scheduling.Scheduler) -> answers.Answer:
     """Return the answer that neither extends a lease nor orders anything."""
     return Ok(calls.HeartbeatAnswer(0, scheduler.epoch, 0))
@@ -151,6 +162,8 @@
         if report.progress >= workers.READY_PERCENT
         and scheduler.is_long_running_run(key)
     }
+    worker.reported |= worker.reports.keys()
+    worker.reported &= worker.ordered.keys()
     worker.listed = {
         key: worker.ordered.get(key) or scheduler.get_reserved_resources(key)
         for key in worker.reports
--- a/orioleshore/jobs/scheduler.py
+++ b/orioleshore/jobs/scheduler.py
@@ -467,9 +467,6 @@
         known = self.workers.get(heartbeat.worker)
         if known is not None and known.incarnation > heartbeat.incarnation:
             return True
-        lost = self.ledger.lost_workers.get(heartbeat.host)
-        if lost is not None and lost.incarnation > heartbeat.incarnation:
-            return True
         if known is None and self._has_run_of_newer_life(heartbeat):
             return True
         return any(
--- a/orioleshore/jobs/workers.py
+++ b/orioleshore/jobs/workers.py
@@ -38,6 +38,8 @@
     listed: dict[RunKey, specs.Resources] = {}
     reports: dict[RunKey, calls.RunReport] = {}
     ordered: dict[RunKey, specs.Resources] = {}
+    # Ordered runs that some heartbeat has listed.
+    reported: set[RunKey] = set()
     # Resources reserved for gang members that have not started yet.
     reserved: dict[tuple[ids.JobId, ids.TaskName], specs.Resources] = {}
     # Monotonic times of the start orders.
@@ -57,6 +59,9 @@
     # that have not run for long enough yet for other tasks to start here.
     suspects: set[RunKey] = set()
     probation: set[RunKey] = set()
+    # Whether suspect tasks go before others the next time; by turns, so that
+    # neither keeps the other from the worker.
+    is_turn_of_suspects: bool = True
     # Failed or stalled runs since the last successful one, over all jobs.
     consecutive_failures: int = msgspec.field(
         default=0, name='failures_in_row'
--- a/orioleshore/tests/test_batch_crashes.py
+++ b/orioleshore/tests/test_batch_crashes.py
@@ -1,5 +1,6 @@
 """Tasks that crash the workers that start them."""
 
+import msgspec
 import pytest
 
 from fakes import workers
@@ -57,6 +58,16 @@
     return fleet.scheduler.ledger.jobs[key[0]].tasks[key[1]]
 
 
+def run_until_failed(fleet, limit_s: float = 120.0, each_s=None) -> None:
+    """Advance the fleet until the first job has failed."""
+    end = fleet.now + limit_s
+    while get_state(fleet) is not states.BatchState.FAILED:
+        assert fleet.now < end
+        if each_s is not None:
+            each_s()
+        fleet.run(0.1)
+
+
 def run_until_crash(fleet, count: int = 1, limit_s: float = 20.0) -> None:
     """Advance the fleet until some workers have crashed."""
     end = fleet.now + limit_s
@@ -363,3 +374,156 @@
     fleet.run(30.0)
     assert get_state(fleet) is states.BatchState.FAILED
     assert count_starts(fleet, key) <= MAX_STARTS
+
+
+@pytest.mark.parametrize('crash_delay_s', [0.01, 0.15, 1.5])
+@pytest.mark.parametrize('is_cut', [False, True])
+def test_other_lost_workers_raise_no_limit(crash_delay_s, is_cut):
+    """Guards against more crashes because another worker is lost as well."""
+    fleet = build_fleet()
+    fleet.crash_delay_s = crash_delay_s
+    fleet.mean_run_s = 10.0
+    fleet.restart_s = 20.0
+    key = submit_deadly_job(fleet)
+    fleet.run(1.0)
+    other = next(
+        worker
+        for worker in fleet.workers.values()
+        if not worker.running and worker.up_at <= fleet.now
+    )
+    if is_cut:
+        other.is_silent = True
+    else:
+        other.restart(other.pool, fleet.now + 3.3)
+    run_until_failed(fleet)
+    assert count_starts(fleet, key) <= MAX_STARTS
+
+
+def test_two_deadly_jobs_raise_no_limit_of_each_other():
+    """Guards against crashes of one job that excuse those of another."""
+    fleet = build_fleet()
+    fleet.crash_delay_s = 0.4
+    fleet.mean_run_s = 10.0
+    keys = [submit_deadly_job(fleet, number) for number in (1, 2)]
+    fleet.run(60.0)
+    for number, key in enumerate(keys, 1):
+        assert get_state(fleet, number) is states.BatchState.FAILED
+        assert count_starts(fleet, key) <= MAX_STARTS
+
+
+@pytest.mark.parametrize('crash_delay_s', [0.01, 0.4])
+@pytest.mark.parametrize('restart_s', [12.0, 15.0, 30.0])
+def test_gang_whose_workers_return_late_is_given_up(crash_delay_s, restart_s):
+    """Guards against a gang that starts while its last loss is unexplained."""
+    fleet = build_fleet()
+    fleet.mean_run_s = 10.0
+    fleet.restart_s = restart_s
+    fleet.crash_delay_s = crash_delay_s
+    job = builders.build_batch_job(builders.build_step(4, is_gang=True))
+    key = submit_deadly_job(fleet, job=job)
+    run_until_failed(fleet)
+    assert count_starts(fleet, key) <= MAX_STARTS
+
+
+def test_no_other_job_starts_in_the_answer_that_starts_a_suspect_gang():
+    """Guards against a gang that crashes others with it each time."""
+    fleet = build_fleet(hosts=6)
+    job = builders.build_batch_job(builders.build_step(4, is_gang=True))
+    key = submit_deadly_job(fleet, job=job)
+    numbers = iter(range(100, 10_000))
+    small = builders.build_batch_job(
+        builders.build_step(1, need=specs.Resources(200, 100))
+    )
+
+    def submit_others() -> None:
+        for _ in range(6):
+            fleet.call_scheduler(
+                builders.build_submission(next(numbers), small)
+            )
+
+    run_until_failed(fleet, 60.0, submit_others)
+    own = [start for start in fleet.starts if start[2].job == key[0]]
+    for at, host, order in own:
+        if order.attempt == 1:
+            continue
+        assert not [
+            other
+            for time, name, other in fleet.starts
+            if (time, name) == (at, host) and other.job != key[0]
+        ]
+    assert count_starts(fleet, key) <= MAX_STARTS
+
+
+def test_suspect_starts_although_all_workers_failed_often():
+    """Guards against a suspect that waits for a worker without failures.
+
+    Only a task that ends resets the count of a worker, and none does in a
+    pool of long-running tasks.
+    """
+    fleet = build_fleet(hosts=4)
+    spread = builders.build_lasting_job(4, max_per_worker=1)
+    fleet.call_scheduler(builders.build_submission(90, spread))
+    fleet.run(6.0)
+    fleet.restart_s = 300.0
+    key = submit_deadly_job(fleet, job=builders.build_lasting_job(1))
+    run_until_crash(fleet)
+    fleet.deadly_tasks.clear()
+    for worker in fleet.scheduler.workers.values():
+        worker.consecutive_failures = 3
+    fleet.run(10.0)
+    assert fleet.count_running_tasks(key[0]) == 1
+
+
+def test_suspects_do_not_hold_up_long_running_tasks():
+    """Guards against long-running tasks that wait behind many suspects."""
+    fleet = build_fleet(hosts=4)
+    spread = builders.build_lasting_job(4, max_per_worker=1)
+    fleet.call_scheduler(builders.build_submission(90, spread))
+    fleet.run(6.0)
+    small = builders.build_batch_job(
+        builders.build_step(1, need=specs.Resources(200, 100))
+    )
+    for number in range(100, 160):
+        fleet.call_scheduler(builders.build_submission(number, small))
+    fleet.run(0.3)
+    for worker in fleet.workers.values():
+        worker.restart(worker.pool, fleet.now + 3.3)
+    fleet.run(5.0)
+    assert fleet.count_running_tasks(builders.build_job_id(90)) == 4
+
+
+@pytest.mark.parametrize('seed', range(support.SEED, support.SEED + 6))
+def test_refused_order_does_not_explain_a_crash(seed):
+    """Guards against crashes that do not count beside a wave of upkeep."""
+    fleet = workers.FakeFleet(builders.build_configuration(), seed=seed)
+    fleet.add_hosts(8, 'red')
+    fleet.run(1.0)
+    spread = builders.build_lasting_job(8, max_per_worker=1)
+    fleet.call_scheduler(builders.build_submission(90, spread))
+    fleet.run(6.0)
+    fleet.crash_delay_s = 0.4
+    fleet.mean_run_s = 2.0
+    key = submit_deadly_job(fleet)
+    run_until_crash(fleet)
+    fleet.run(seed % 20 / 10.0)
+    hosts = tuple(fleet.workers)
+    fleet.call_scheduler(calls.OpenWave(ids.WaveId('1'), hosts, 40.0, 4))
+    run_until_failed(fleet)
+    assert count_starts(fleet, key) <= MAX_STARTS
+
+
+def test_run_whose_row_cannot_be_read_is_not_the_newest():
+    """Guards against an old run that is blamed because its row was odd."""
+    fleet = build_fleet(hosts=3)
+    fleet.mean_run_s = 60.0
+    key = (builders.build_job_id(), FIRST_TASK)
+    fleet.call_scheduler(builders.build_submission())
+    fleet.run(10.0)
+    worker = next(w for w in fleet.workers.values() if w.running)
+    heartbeat = msgspec.structs.replace(
+        worker.make_heartbeat(fleet.now), running=()
+    )
+    fleet.call_scheduler(calls.PartialHeartbeat(heartbeat, 1))
+    worker.restart(worker.pool, fleet.now + 0.5)
+    fleet.run(1.0)
+    assert get_run(fleet, key).losses == 0
