--- a/orioleshore/jobs/crash_attribution.py
+++ b/orioleshore/jobs/crash_attribution.py
@@ -142,7 +142,7 @@
         }
         self._record_loss(newest.host, name, newest.incarnation, ages)
 
-    def explain_loss(self, worker: workers.Worker) -> None:
+    def explain_last_loss(self, worker: workers.Worker) -> None:
         """Explain the loss of the last worker of a host that reports."""
         lost = self._scheduler.ledger.lost_workers.get(worker.host)
         if lost is None or lost.incarnation > worker.incarnation:
--- a/orioleshore/jobs/eligibility.py
+++ b/orioleshore/jobs/eligibility.py
@@ -5,6 +5,7 @@
 import typing
 
 from orioleshore.jobs import progress
+from orioleshore.jobs import specs
 from orioleshore.jobs import workers
 from orioleshore.model import states
 
@@ -21,6 +22,11 @@
 MS_PER_S = 1_000.0
 
 
+def has_required_label(worker: workers.Worker, step: specs.Step) -> bool:
+    """Return whether a worker has the label that a step requires, if any."""
+    return not step.required_label or step.required_label in worker.labels
+
+
 def is_allowed(
     scheduler: scheduling.Scheduler,
     worker: workers.Worker,
@@ -28,10 +34,8 @@
     group: progress.Group,
 ) -> bool:
     """Return whether label and policy allow a worker to run a step."""
-    label = group.step.required_label
-    if label and label not in worker.labels:
-        return False
-    return scheduler.approvals.get_ticket(worker, job, group) is not None
+    has_ticket = scheduler.approvals.get_ticket(worker, job, group) is not None
+    return has_ticket and has_required_label(worker, group.step)
 
 
 def may_become_allowed(
@@ -41,10 +45,8 @@
     group: progress.Group,
 ) -> bool:
     """Return whether a worker may run a step, now or once it is approved."""
-    label = group.step.required_label
-    if label and label not in worker.labels:
-        return False
-    return not scheduler.approvals.is_refused(worker, job, group)
+    is_refused = scheduler.approvals.is_refused(worker, job, group)
+    return not is_refused and has_required_label(worker, group.step)
 
 
 def get_heartbeat_interval_ms(scheduler: scheduling.Scheduler) -> float:
--- a/orioleshore/jobs/holds.py
+++ b/orioleshore/jobs/holds.py
@@ -182,8 +182,7 @@
         (states.HoldReason.PAUSED, scheduler.now < worker.no_starts_until),
         (
             states.HoldReason.LABEL,
-            bool(step.required_label)
-            and step.required_label not in worker.labels,
+            not eligibility.has_required_label(worker, step),
         ),
         (
             states.HoldReason.NO_APPROVAL,
--- a/orioleshore/jobs/scheduler.py
+++ b/orioleshore/jobs/scheduler.py
@@ -503,7 +503,7 @@
         self._roster.add(worker)
         self._restore_runs(worker)
         self._drop_replaced_workers(worker)
-        self.crashes.explain_loss(worker)
+        self.crashes.explain_last_loss(worker)
         LOG.info(
             logs.format_event(
                 'worker_found',
