--- a/review/standins/harness.py
+++ b/review/standins/harness.py
@@ -142,6 +142,13 @@
             return content['state']
         return f'status {status}'
 
+    def find_leader(self) -> int:
+        """Return the machine to which the runners are led."""
+        for runner in self.world.runners:
+            if runner.leader in self.deployment.control_addresses:
+                return self.deployment.control_addresses.index(runner.leader)
+        raise RuntimeError('no runner knows the leader')
+
     async def call(
         self,
         method: str,
--- a/review/standins/runners.py
+++ b/review/standins/runners.py
@@ -175,7 +175,7 @@
         self._cpus = cpus
         self._addresses = control_addresses
         self._position = 0
-        self._leader = ''
+        self.leader = ''
         self._finished: list[list] = []
         self._number = 0
         self._fence = 0
@@ -196,7 +196,7 @@
         self._fence = 0
         self._lease_end = 0.0
         self._highest = {}
-        self._leader = ''
+        self.leader = ''
         self.is_up = True
         self.world.record.add(f'runner {self.ident} is up, born {self.born}')
         self._task = asyncio.create_task(self._report_forever())
@@ -275,7 +275,7 @@
     async def _report(self, session: aiohttp.ClientSession) -> float:
         self.sequence += 1
         sent_at = time.monotonic()
-        address = self._leader or self._addresses[self._position]
+        address = self.leader or self._addresses[self._position]
         url = f'http://{address}/instances/{self.ident}'
         try:
             async with session.put(url, json=self.make_body()) as response:
@@ -284,10 +284,10 @@
         except (aiohttp.ClientError, TimeoutError, OSError, ValueError):
             is_good = False
         if not is_good or time.monotonic() - sent_at > ANSWER_S:
-            self._leader = ''
+            self.leader = ''
             self._position = (self._position + 1) % len(self._addresses)
             return END_DELAY_S
-        self._leader = answer.get('heartbeat_url') or self._leader
+        self.leader = answer.get('heartbeat_url') or self.leader
         self._apply(answer, sent_at)
         retry_ms = answer.get('retry_ms')
         return HEARTBEAT_S if retry_ms is None else retry_ms / 1_000.0
