review: case 4, tasks run twice when a runner leaves unacknowledged

Cause: the leader cuts the lease of a runner to 1 s once its DELETE has arrived, and starts its tasks elsewhere then, though a runner whose acknowledgement was lost stays up for longer.

Done: script with one runner that drains, is cut off one way and leaves.

--- a/review/standins/runners.py
+++ b/review/standins/runners.py
@@ -16,6 +16,11 @@
 # Time that a stop takes; less than `stop_timeout_ms`.
 STOP_S = 0.3
 START_UP_S = 0.3
+# Time for which a runner serves on after its draining was acknowledged, the
+# bound `drain_ms` and `linger_ms` of the site, and for which it stays after it
+# has left without an acknowledgement.
+DRAIN_S = 6.0
+LEAVE_S = 3.0
 GANG_TIMEOUT_S = 3.0
 FAIL_S = 0.1
 
@@ -168,6 +173,9 @@
         self.is_up = False
         # Fails all that it starts, with good heartbeats.
         self.is_faulty = False
+        # Answers are lost on their way to the runner; what it sends arrives.
+        self.is_cut = False
+        self.state = 'ready'
         self.running: dict[tuple[str, int], Run] = {}
         self.sequence = 0
         self.born = 0
@@ -198,6 +206,7 @@
         self._highest = {}
         self.leader = ''
         self.is_up = True
+        self.state = 'ready'
         self.world.record.add(f'runner {self.ident} is up, born {self.born}')
         self._task = asyncio.create_task(self._report_forever())
 
@@ -220,6 +229,46 @@
             self._task.cancel()
             await asyncio.gather(self._task, return_exceptions=True)
 
+    async def drain(self) -> None:
+        """Report that the runner drains, and serve on for a while."""
+        self.world.record.add(f'runner {self.ident} drains')
+        self.state = 'draining'
+        self.wake()
+        await asyncio.sleep(DRAIN_S)
+
+    async def leave(self) -> None:
+        """Announce the exit and end; without an answer, some seconds later.
+
+        No further heartbeats are sent. What runs ends with the runner, or when
+        its lease does.
+        """
+        self._task.cancel()
+        await asyncio.gather(self._task, return_exceptions=True)
+        is_acknowledged = await self._announce_exit()
+        self.world.record.add(
+            f'runner {self.ident} leaves, acknowledged: {is_acknowledged}'
+        )
+        if not is_acknowledged:
+            due = time.monotonic() + LEAVE_S
+            while time.monotonic() < due:
+                self._end_due_runs()
+                await asyncio.sleep(0.02)
+        await self.crash()
+
+    async def _announce_exit(self) -> bool:
+        address = self.leader or self._addresses[self._position]
+        url = f'http://{address}/instances/{self.ident}'
+        timeout = aiohttp.ClientTimeout(total=ANSWER_S)
+        try:
+            async with (
+                aiohttp.ClientSession(timeout=timeout) as session,
+                session.delete(url) as response,
+            ):
+                is_good = response.status // 100 == 2
+        except (aiohttp.ClientError, TimeoutError, OSError):
+            is_good = False
+        return is_good and not self.is_cut
+
     def wake(self) -> None:
         """Report soon, since a run has ended."""
         self._woken.set()
@@ -233,7 +282,7 @@
             'zone': 'kozep-a',
             'version': 'v1',
             'slots': 8,
-            'state': 'ready',
+            'state': self.state,
             'cold_left_ms': 0,
             'capacity': {'cpus': self._cpus, 'mem_mb': 65_536, 'gpus': 0},
             'labels': self.labels,
@@ -283,6 +332,9 @@
                 is_good = response.status // 100 == 2
         except (aiohttp.ClientError, TimeoutError, OSError, ValueError):
             is_good = False
+        if self.is_cut:
+            await asyncio.sleep(sent_at + ANSWER_S - time.monotonic())
+            is_good = False
         if not is_good or time.monotonic() - sent_at > ANSWER_S:
             self.leader = ''
             self._position = (self._position + 1) % len(self._addresses)
