review: case 2, tasks run twice after an upkeep whose answer was lost

Cause: the confirmed upkeep drops the worker by its name without its incarnation, so a runner that is back under its id is dropped and its tasks are started elsewhere while they run.

Done: script with one wave over one machine and one lost answer of the platform.

--- a/review/standins/platform_api.py
+++ b/review/standins/platform_api.py
@@ -8,6 +8,10 @@
 from review.standins import record
 from review.standins import runners
 
+# Length of an upkeep, and of the silence after a call without an answer.
+MAINTENANCE_S = 2.0
+SILENCE_S = 5.0
+
 
 class PlatformApi:
     """Lists the machines of the runners; policy calls are answered too.
@@ -29,13 +33,17 @@
         self._apps: list[web.AppRunner] = []
         self.approved: set[str] | None = None
         self.validity_ms = 3_000
+        # Calls for an upkeep that are carried out but get no answer.
+        self.lost_answers = 0
+        # Machines whose upkeep for a wave has begun.
+        self._begun: dict[tuple[str, int], asyncio.Task] = {}
 
     async def start(self) -> None:
         """Listen on loopback."""
         cloud = web.Application()
         cloud.router.add_get('/machines', self._list_machines)
         cloud.router.add_post('/machine-move', self._refuse)
-        cloud.router.add_post('/machine-upkeep', self._refuse)
+        cloud.router.add_post('/machine-upkeep', self._start_upkeep)
         policy = web.Application()
         policy.router.add_post('/advise', self._advise)
         for app, address in zip((cloud, policy), self._addresses, strict=True):
@@ -68,6 +76,32 @@
         self._record.add(f'platform refuses {await request.json()}')
         return web.json_response({'reason': 'busy'}, status=409)
 
+    async def _start_upkeep(self, request: web.Request) -> web.Response:
+        """Begin the upkeep of a machine; its runner is back after it."""
+        body = await request.json()
+        key = (body['machine'], body['wave'])
+        found = [r for r in self._world.runners if r.machine == key[0]]
+        self._record.add(
+            f'platform is asked for the upkeep {body}, token'
+            f' {request.headers.get("Fencing-Token")}'
+        )
+        if not found:
+            return web.json_response({}, status=400)
+        if key not in self._begun:
+            await found[0].crash()
+            self._begun[key] = asyncio.create_task(self._end_upkeep(found[0]))
+        elif not self._begun[key].done():
+            return web.json_response({'reason': 'busy'}, status=409)
+        if self.lost_answers:
+            self.lost_answers -= 1
+            self._record.add('platform gives no answer')
+            await asyncio.sleep(SILENCE_S)
+        return web.json_response({})
+
+    async def _end_upkeep(self, runner: runners.Runner) -> None:
+        await asyncio.sleep(MAINTENANCE_S)
+        runner.start()
+
     async def _advise(self, request: web.Request) -> web.Response:
         body = await request.json()
         await asyncio.sleep(0.05)
