--- a/review/standins/harness.py
+++ b/review/standins/harness.py
@@ -22,7 +22,7 @@
 POLL_S = 0.05
 HOST = 'jobs.example'
 PREFIX = '/red/'
-SERVICE = 'red'
+SERVICE = runners.SERVICE
 # Statuses, and 0 for no answer, after which a client sends again.
 RESENT = (0, 429, 502, 503, 504)
 
@@ -44,7 +44,10 @@
         self.session: aiohttp.ClientSession | None = None
 
     async def start(
-        self, runner_count: int = 6, route: dict | None = None
+        self,
+        runner_count: int = 6,
+        route: dict | None = None,
+        has_standby: bool = False,
     ) -> None:
         """Start everything and put the first configuration in force."""
         await self.platform.start()
@@ -60,7 +63,7 @@
                 self.deployment.control_addresses,
             )
             runner.start()
-        await self.put_configuration(1, route or {})
+        await self.put_configuration(1, route or {}, has_standby)
         await self._wait_for_entries()
 
     async def stop(self) -> None:
@@ -72,7 +75,9 @@
         self.deployment.stop_all()
         await self.platform.stop()
 
-    async def put_configuration(self, version: int, route: dict) -> None:
+    async def put_configuration(
+        self, version: int, route: dict, has_standby: bool
+    ) -> None:
         """Send a configuration until it is acknowledged."""
         body = {
             'version': version,
@@ -92,15 +97,8 @@
                 }
             ],
             'services': [
-                {
-                    'name': SERVICE,
-                    'health_path': '/health',
-                    'max_conns': 64,
-                    'protocol': 'h1',
-                    'tls': False,
-                    'preconditions': True,
-                    'standby': False,
-                }
+                _make_service(SERVICE, False),
+                *([_make_service('idle', True)] if has_standby else []),
             ],
             'limits': {
                 'max_header_bytes': 16_384,
@@ -195,6 +193,18 @@
             await wait_until(is_serving, START_S)
 
 
+def _make_service(name: str, is_standby: bool) -> dict:
+    return {
+        'name': name,
+        'health_path': '/health',
+        'max_conns': 64,
+        'protocol': 'h1',
+        'tls': False,
+        'preconditions': True,
+        'standby': is_standby,
+    }
+
+
 Scenario = Callable[[Case], Awaitable[None]]
 
 
--- a/review/standins/runners.py
+++ b/review/standins/runners.py
@@ -8,6 +8,7 @@
 
 from review.standins import record
 
+SERVICE = 'red'
 # Longest wait for the answer to a heartbeat; later ones are dropped.
 ANSWER_S = 1.0
 HEARTBEAT_S = 1.5
