--- a/review/standins/harness.py
+++ b/review/standins/harness.py
@@ -39,7 +39,6 @@
             self.world,
             log,
             self.deployment.cloud_address,
-            self.deployment.policy_address,
         )
         self.session: aiohttp.ClientSession | None = None
 
--- a/review/standins/platform_api.py
+++ b/review/standins/platform_api.py
@@ -1,8 +1,7 @@
-"""The platform's interface for machines, and the policy service."""
+"""The platform's interface for machines."""
 
 import asyncio
 from collections.abc import Callable
-import time
 
 from aiohttp import web
 
@@ -19,25 +18,18 @@
 
 
 class PlatformApi:
-    """Lists the machines of the runners; policy calls are answered too.
-
-    ``approved`` holds the ids of the runners that may run any step, or None
-    for all.
-    """
+    """Lists the machines of the runners, moves them and takes them down."""
 
     def __init__(
         self,
         world: runners.World,
         log: record.Record,
-        cloud: tuple[str, int],
-        policy: tuple[str, int],
+        address: tuple[str, int],
     ) -> None:
         self._world = world
         self._record = log
-        self._addresses = (cloud, policy)
-        self._apps: list[web.AppRunner] = []
-        self.approved: set[str] | None = None
-        self.validity_ms = 3_000
+        self._address = address
+        self._app: web.AppRunner | None = None
         # Machines on one page of the list; each page is in order of pool and
         # machine, and begins after the last machine of the page before.
         self.page_size = 200
@@ -57,31 +49,23 @@
 
     async def start(self) -> None:
         """Listen on loopback."""
-        cloud = web.Application()
-        cloud.router.add_get('/machines', self._list_machines)
-        cloud.router.add_post('/machine-move', self._start_move)
-        cloud.router.add_post('/machine-upkeep', self._start_upkeep)
-        policy = web.Application()
-        policy.router.add_post('/advise', self._advise)
-        for app, address in zip((cloud, policy), self._addresses, strict=True):
-            app_runner = web.AppRunner(app, access_log=None)
-            await app_runner.setup()
-            await web.TCPSite(app_runner, *address).start()
-            self._apps.append(app_runner)
+        app = web.Application()
+        app.router.add_get('/machines', self._list_machines)
+        app.router.add_post('/machine-move', self._start_move)
+        app.router.add_post('/machine-upkeep', self._start_upkeep)
+        self._app = web.AppRunner(app, access_log=None)
+        await self._app.setup()
+        await web.TCPSite(self._app, *self._address).start()
 
     async def stop(self) -> None:
-        """Close the sockets."""
-        for app in self._apps:
-            await app.cleanup()
+        """Close the socket."""
+        if self._app is not None:
+            await self._app.cleanup()
 
     def get_pool(self, machine: str) -> str:
         """Return the pool of a machine."""
         return self._pools.get(machine, runners.SERVICE)
 
-    def set_pool(self, machine: str, pool: str) -> None:
-        """Put a machine into a pool."""
-        self._pools[machine] = pool
-
     def has_begun_upkeep(self, machine: str, wave: int) -> bool:
         """Return whether the upkeep of a machine has begun for a wave."""
         return (machine, wave) in self._begun
@@ -179,24 +163,3 @@
         await asyncio.sleep(MAINTENANCE_S)
         if self.get_pool(runner.machine) != STANDBY:
             runner.start()
-
-    async def _advise(self, request: web.Request) -> web.Response:
-        body = await request.json()
-        await asyncio.sleep(0.05)
-        expires_at = time.monotonic() + self.validity_ms / 1_000.0
-        approved = []
-        for runner in self._world.runners:
-            if runner.ident not in body['workers'] or not runner.is_up:
-                continue
-            if self.approved is not None and (
-                runner.ident not in self.approved
-            ):
-                continue
-            life = f'{runner.ident}/{runner.born}'
-            ticket = f'{body["step"]}-{life}'
-            self._world.tickets[body['step'], life] = (ticket, expires_at)
-            approved.append([runner.ident, ticket])
-        self._record.add(f'policy asked {body}, approves {approved}')
-        return web.json_response(
-            {'approved': approved, 'validity_ms': self.validity_ms}
-        )
--- a/review/standins/runners.py
+++ b/review/standins/runners.py
@@ -17,12 +17,6 @@
 # Time that a stop takes; less than `stop_timeout_ms`.
 STOP_S = 0.3
 START_UP_S = 0.3
-# Time for which a runner serves on after its draining was acknowledged, the
-# bound `drain_ms` and `linger_ms` of the site, and for which it stays after it
-# has left without an acknowledgement.
-DRAIN_S = 6.0
-LEAVE_S = 3.0
-GANG_TIMEOUT_S = 3.0
 FAIL_S = 0.1
 
 
@@ -62,9 +56,6 @@
         # Times at which the runs of a job began and ended.
         self.starts: list[tuple[float, str, int, str]] = []
         self.ends: list[tuple[float, str, int, str, str]] = []
-        # Tickets by step and id of a life of a runner; None without policy.
-        self.tickets: dict[tuple[str, str], tuple[str, float]] | None = None
-        self.gangs: dict[tuple[str, int], dict[str, tuple]] = {}
 
     def get_step(self, task: str) -> dict:
         """Return the step of a task as its client sent it."""
@@ -130,29 +121,6 @@
             f'run {run.task} {run.attempt} ends {how} on {runner.ident}'
         )
 
-    def join_gang(self, runner: 'Runner', run: Run) -> None:
-        """Let the members of a gang work once all are present."""
-        step = run.task.rpartition('.')[0]
-        members = self.gangs.setdefault((step, run.attempt), {})
-        members[run.task] = (runner, run)
-        if len(members) == run.step.get('replicas', 1):
-            now = time.monotonic()
-            for _, member in members.values():
-                if member.how != 'failed':
-                    member.ends_at = now + self.get_work_s(member.task)
-                    member.how = 'done'
-
-    def break_gang(self, run: Run) -> None:
-        """End the other members of a gang."""
-        step = run.task.rpartition('.')[0]
-        members = self.gangs.pop((step, run.attempt), {})
-        for task, (runner, member) in members.items():
-            is_running = (task, member.attempt) in runner.running
-            if task != run.task and is_running and member.how != 'failed':
-                member.how = 'broken'
-                member.ends_at = time.monotonic()
-                runner.wake()
-
 
 class Runner:
     """One runner; ``crash`` and ``start`` end and begin a life of it."""
@@ -174,9 +142,6 @@
         self.is_up = False
         # Fails all that it starts, with good heartbeats.
         self.is_faulty = False
-        # Answers are lost on their way to the runner; what it sends arrives.
-        self.is_cut = False
-        self.state = 'ready'
         self.running: dict[tuple[str, int], Run] = {}
         self.sequence = 0
         self.born = 0
@@ -207,7 +172,6 @@
         self._highest = {}
         self.leader = ''
         self.is_up = True
-        self.state = 'ready'
         self.world.record.add(f'runner {self.ident} is up, born {self.born}')
         self._task = asyncio.create_task(self._report_forever())
 
@@ -219,8 +183,6 @@
         lost, self.running = list(self.running.values()), {}
         for run in lost:
             self.world.note_end(self, run, 'lost')
-            if run.step.get('gang'):
-                self.world.break_gang(run)
         await self.close()
 
     async def close(self) -> None:
@@ -230,46 +192,6 @@
             self._task.cancel()
             await asyncio.gather(self._task, return_exceptions=True)
 
-    async def drain(self) -> None:
-        """Report that the runner drains, and serve on for a while."""
-        self.world.record.add(f'runner {self.ident} drains')
-        self.state = 'draining'
-        self.wake()
-        await asyncio.sleep(DRAIN_S)
-
-    async def leave(self) -> None:
-        """Announce the exit and end; without an answer, some seconds later.
-
-        No further heartbeats are sent. What runs ends with the runner, or when
-        its lease does.
-        """
-        self._task.cancel()
-        await asyncio.gather(self._task, return_exceptions=True)
-        is_acknowledged = await self._announce_exit()
-        self.world.record.add(
-            f'runner {self.ident} leaves, acknowledged: {is_acknowledged}'
-        )
-        if not is_acknowledged:
-            due = time.monotonic() + LEAVE_S
-            while time.monotonic() < due:
-                self._end_due_runs()
-                await asyncio.sleep(0.02)
-        await self.crash()
-
-    async def _announce_exit(self) -> bool:
-        address = self.leader or self._addresses[self._position]
-        url = f'http://{address}/instances/{self.ident}'
-        timeout = aiohttp.ClientTimeout(total=ANSWER_S)
-        try:
-            async with (
-                aiohttp.ClientSession(timeout=timeout) as session,
-                session.delete(url) as response,
-            ):
-                is_good = response.status // 100 == 2
-        except (aiohttp.ClientError, TimeoutError, OSError):
-            is_good = False
-        return is_good and not self.is_cut
-
     def wake(self) -> None:
         """Report soon, since a run has ended."""
         self._woken.set()
@@ -283,7 +205,7 @@
             'zone': 'kozep-a',
             'version': 'v1',
             'slots': 8,
-            'state': self.state,
+            'state': 'ready',
             'cold_left_ms': 0,
             'capacity': {'cpus': self._cpus, 'mem_mb': 65_536, 'gpus': 0},
             'labels': self.labels,
@@ -333,9 +255,6 @@
                 is_good = response.status // 100 == 2
         except (aiohttp.ClientError, TimeoutError, OSError, ValueError):
             is_good = False
-        if self.is_cut:
-            await asyncio.sleep(sent_at + ANSWER_S - time.monotonic())
-            is_good = False
         if not is_good or time.monotonic() - sent_at > ANSWER_S:
             self.leader = ''
             self._position = (self._position + 1) % len(self._addresses)
@@ -359,8 +278,8 @@
             self._stop(task, attempt)
         if hold_ms is None:
             return
-        for task, attempt, spec, saved, *ticket in answer.get('start', ()):
-            self._start(task, attempt, spec, saved, ticket)
+        for task, attempt, spec, saved, *_ in answer.get('start', ()):
+            self._start(task, attempt, spec, saved)
 
     def _forget_ends(self, observed: int) -> None:
         for number, task, _, how, _ in self._finished:
@@ -378,9 +297,7 @@
         run.how = 'stopped'
         run.ends_at = time.monotonic() + STOP_S
 
-    def _start(
-        self, task: str, attempt: int, spec: str, saved: str, ticket: list
-    ) -> None:
+    def _start(self, task: str, attempt: int, spec: str, saved: str) -> None:
         world = self.world
         job = task.partition('.')[0]
         if job not in world.jobs or world.jobs[job]['spec'] != spec:
@@ -389,7 +306,7 @@
         step = world.get_step(task)
         now = time.monotonic()
         run = Run(task, attempt, step, saved, now, None)
-        reason = self._find_refusal(run, ticket)
+        reason = self._find_refusal(run)
         if reason:
             world.record.add(f'run {task} {attempt} is refused: {reason}')
             self._list_end(run, 'refused')
@@ -399,27 +316,15 @@
         if self.is_faulty:
             run.how = 'failed'
             run.ends_at = now + FAIL_S
-        elif step.get('gang'):
-            run.how = 'alone'
-            run.ends_at = now + GANG_TIMEOUT_S
         elif not step.get('long_running'):
             run.ends_at = now + world.get_work_s(task)
-        if step.get('gang'):
-            world.join_gang(self, run)
 
-    def _find_refusal(self, run: Run, ticket: list) -> str:
+    def _find_refusal(self, run: Run) -> str:
         if run.attempt <= self._highest.get(run.task, 0):
             return 'not a higher run'
         used = sum(r.step.get('cpus', 0) for r in self.running.values())
         if used + run.step.get('cpus', 0) > self._cpus:
             return 'no room'
-        if self.world.tickets is None:
-            return ''
-        step = run.task.rpartition('.')[0]
-        known = self.world.tickets.get((step, f'{self.ident}/{self.born}'))
-        text, expires_at = known or ('', 0.0)
-        if not ticket or ticket[0] != text or time.monotonic() > expires_at:
-            return 'no valid ticket'
         return ''
 
     def _end_due_runs(self) -> None:
@@ -432,8 +337,6 @@
             del self.running[key]
             self.world.note_end(self, run, run.how)
             self._list_end(run, run.how)
-            if run.step.get('gang') and run.how != 'done':
-                self.world.break_gang(run)
 
     def _list_end(self, run: Run, how: str) -> None:
         self._highest[run.task] = max(
