--- a/review/1/scenario.py
+++ b/review/1/scenario.py
@@ -12,6 +12,7 @@
 CALLS = 12
 FIRST_JOBS = [f'{0xA000 + number:016x}' for number in range(CALLS)]
 SECOND_JOBS = [f'{0xB000 + number:016x}' for number in range(CALLS)]
+MACHINES = 6
 # The machine whose entry process is killed, and one that clients ask later.
 ENTRY = 3
 OTHER_ENTRY = 0
@@ -77,4 +78,4 @@
 
 
 if __name__ == '__main__':
-    harness.main(__file__, play)
+    harness.main(__file__, play, MACHINES)
--- a/review/standins/deployment.py
+++ b/review/standins/deployment.py
@@ -116,7 +116,7 @@
         self,
         folder: pathlib.Path,
         log: record.Record,
-        machine_count: int = 4,
+        machine_count: int,
     ) -> None:
         self._folder = folder
         self._record = log
--- a/review/standins/harness.py
+++ b/review/standins/harness.py
@@ -30,11 +30,13 @@
 class Case:
     """The parts that a scenario uses."""
 
-    def __init__(self, folder: pathlib.Path, log: record.Record) -> None:
+    def __init__(
+        self, folder: pathlib.Path, log: record.Record, machine_count: int
+    ) -> None:
         self.trouble = os.environ.get('TROUBLE', '1') != '0'
         self.record = log
         self.world = runners.World(log)
-        self.deployment = deployment.Deployment(folder, log)
+        self.deployment = deployment.Deployment(folder, log, machine_count)
         self.platform = platform_api.PlatformApi(
             self.world,
             log,
@@ -226,13 +228,13 @@
         await case.stop()
 
 
-def main(path: str, scenario: Scenario) -> None:
+def main(path: str, scenario: Scenario, machine_count: int = 4) -> None:
     """Run a scenario; exit with 1 if a rule was broken, 2 if it failed."""
     log = record.Record(pathlib.Path(path).resolve().parent / 'record.txt')
     folder = pathlib.Path(tempfile.mkdtemp(prefix='review-'))
     code = 2
     try:
-        case = Case(folder, log)
+        case = Case(folder, log, machine_count)
         asyncio.run(_play(case, scenario))
         code = 1 if log.problems else 0
     except Exception:
