--- a/review/2/scenario.py
+++ b/review/2/scenario.py
@@ -4,14 +4,14 @@
 
 from review.standins import harness
 
-JOBS = 80
-INTERVAL_S = 0.1
+JOBS = 300
+INTERVAL_S = 0.02
 # Jobs that are submitted before the wave is ordered.
-JOBS_BEFORE = 20
+JOBS_BEFORE = 80
 BODY = {
     'spec': 'work 4',
     'steps': [
-        {'replicas': 2, 'cpus': 700, 'mem_mb': 256, 'estimate_ms': 4_000}
+        {'replicas': 2, 'cpus': 200, 'mem_mb': 256, 'estimate_ms': 4_000}
     ],
 }
 WAVE = {'wave': 1, 'duration_s': 25, 'cap': 1}
--- a/review/4/scenario.py
+++ b/review/4/scenario.py
@@ -16,6 +16,8 @@
         'constraints': LABEL,
     }
 ]
+# Runners besides the one with the label.
+RUNNERS = 11
 # Time for which the runner fails all that it starts.
 GREY_S = 5.0
 FINISH_S = 14.0
@@ -26,7 +28,7 @@
 async def play(case: harness.Case) -> None:
     """Let the task fail once; watch whether it is started again."""
     world = case.world
-    await case.start()
+    await case.start(RUNNERS)
     special = add_special_runner(case)
     await asyncio.sleep(1.0)
     special.is_faulty = case.trouble
--- a/review/standins/runners.py
+++ b/review/standins/runners.py
@@ -269,11 +269,12 @@
         if fence < self._fence:
             return
         self._fence = fence
+        has_lapsed = time.monotonic() >= self._lease_end
         hold_ms = answer.get('hold_ms')
         if hold_ms is not None:
             held_s = min(hold_ms / 1_000.0, HOLD_MAX_S)
             self._lease_end = max(self._lease_end, sent_at + held_s)
-        self._forget_ends(answer.get('observed', 0))
+        self._forget_ends(answer.get('observed', 0), has_lapsed)
         for task, attempt in answer.get('stop', ()):
             self._stop(task, attempt)
         if hold_ms is None:
@@ -281,9 +282,10 @@
         for task, attempt, spec, saved, *_ in answer.get('start', ()):
             self._start(task, attempt, spec, saved)
 
-    def _forget_ends(self, observed: int) -> None:
+    def _forget_ends(self, observed: int, has_lapsed: bool) -> None:
+        # An end does not count as noted if the lease lapsed before.
         for number, task, _, how, _ in self._finished:
-            if number <= observed and how == 'done':
+            if number <= observed and how == 'done' and not has_lapsed:
                 self.world.done.add(task)
         self._finished = [row for row in self._finished if row[0] > observed]
 
