Drop replies to an earlier process at the same address

Cause: a reply named the address and the number of the call only. Each process numbers its calls from 1, and the connection to a refused address keeps frames for up to 2 s, so the next process there matched replies to the last one with its own calls.

Change: replies to commands, queries, probes and slot requests carry the incarnation of the process that called, and a transport drops those to another incarnation, with a counter and a log line.

--- a/orioleshore/consensus/member_calls.py
+++ b/orioleshore/consensus/member_calls.py
@@ -88,9 +88,7 @@
 
     def send_reply(self, header: messages.Header, message: Any) -> None:
         """Send a reply to the process that sent a message."""
-        self._sender.put(
-            transport.SendTo(header.reply_address, message, header.correlation)
-        )
+        self._sender.put(transport.build_reply(header, message))
 
 
 def pack_query_reply(
--- a/orioleshore/consensus/redirection.py
+++ b/orioleshore/consensus/redirection.py
@@ -33,10 +33,7 @@
     def refuse_call(self, received: messages.Received) -> None:
         """Refuse one call with ``NOT_LEADER``."""
         answer = _build_refusal(received.message, self._get_next_address())
-        header = received.header
-        self._sender.put(
-            transport.SendTo(header.reply_address, answer, header.correlation)
-        )
+        self._sender.put(transport.build_reply(received.header, answer))
 
     def store_group(self, group: messages.GroupAddresses) -> None:
         """Store an announcement, unless a newer leader is known."""
--- a/orioleshore/membership/detector.py
+++ b/orioleshore/membership/detector.py
@@ -40,6 +40,7 @@
     requester_address: str
     requester_sequence: int
     subject: ids.NodeId
+    requester_incarnation: ids.Incarnation
 
 
 class Detector:
@@ -237,6 +238,7 @@
                     event.sequence,
                     self._own_peer.node,
                     batch,
+                    event.incarnation,
                 )
             )
         return actions
@@ -261,6 +263,7 @@
             relayed.requester_sequence,
             relayed.subject,
             event.updates,
+            relayed.requester_incarnation,
         )
         return [*actions, ack]
 
@@ -272,7 +275,10 @@
             self._relayed_probes.pop(next(iter(self._relayed_probes)))
         sequence = self._allocate_sequence()
         self._relayed_probes[sequence] = RelayedProbe(
-            event.reply_address, event.sequence, event.subject
+            event.reply_address,
+            event.sequence,
+            event.subject,
+            event.incarnation,
         )
         probe = self._make_probe(
             event.subject_address, sequence, event.subject
--- a/orioleshore/membership/events.py
+++ b/orioleshore/membership/events.py
@@ -20,12 +20,13 @@
 
 
 class ProbeReceived(msgspec.Struct, frozen=True):
-    """``sender`` probed this process."""
+    """``sender`` probed this process; the acknowledgement is for it alone."""
 
     sender: ids.NodeId
     reply_address: str
     sequence: int
     updates: Updates
+    incarnation: ids.Incarnation = ids.UNKNOWN_INCARNATION
 
 
 class ProbeAnswered(msgspec.Struct, frozen=True):
@@ -46,6 +47,7 @@
     subject: ids.NodeId
     subject_address: str
     updates: Updates
+    incarnation: ids.Incarnation = ids.UNKNOWN_INCARNATION
 
 
 class VersionChanged(msgspec.Struct, frozen=True):
@@ -80,12 +82,16 @@
 
 
 class SendAck(msgspec.Struct, frozen=True):
-    """Acknowledge a probe from an address on behalf of ``subject``."""
+    """Acknowledge a probe from an address on behalf of ``subject``.
+
+    ``recipient`` is the incarnation of the process that sent the probe.
+    """
 
     address: str
     sequence: int
     subject: ids.NodeId
     updates: Updates
+    recipient: ids.Incarnation = ids.UNKNOWN_INCARNATION
 
 
 class SendIndirectProbe(msgspec.Struct, frozen=True):
--- a/orioleshore/membership/gossip.py
+++ b/orioleshore/membership/gossip.py
@@ -105,8 +105,15 @@
         if has_changed:
             self._publish_peers()
 
-    def _send_message(self, address: str, message: Any) -> None:
-        self._sender.put(transport.SendTo(address, message))
+    def _send_message(
+        self,
+        address: str,
+        message: Any,
+        recipient: ids.Incarnation = ids.UNKNOWN_INCARNATION,
+    ) -> None:
+        self._sender.put(
+            transport.SendTo(address, message, recipient=recipient)
+        )
 
     def _publish_peers(self) -> None:
         change = events.PeersChanged(
@@ -179,6 +186,7 @@
             received.header.reply_address,
             message.sequence,
             packing.unpack_peers(message.rumours, gossip._odd_entries),
+            received.header.incarnation,
         )
     )
 
@@ -211,6 +219,7 @@
             ids.NodeId(message.subject),
             message.subject_address,
             packing.unpack_peers(message.rumours, gossip._odd_entries),
+            received.header.incarnation,
         )
     )
 
@@ -234,6 +243,7 @@
     gossip._send_message(
         action.address,
         messages.ProbeAck(action.sequence, action.subject, packed_updates),
+        action.recipient,
     )
 
 
--- a/orioleshore/model/ids.py
+++ b/orioleshore/model/ids.py
@@ -47,6 +47,8 @@
 # Epochs order successive leaders and owners; receivers reject older ones.
 Epoch = NewType('Epoch', int)
 Incarnation = NewType('Incarnation', int)
+# Stands for any process, and for one whose incarnation is not known.
+UNKNOWN_INCARNATION = Incarnation(0)
 Attempt = NewType('Attempt', int)
 
 # Seconds since the Unix epoch, taken from the clock of the leader.
--- a/orioleshore/protocol/codec.py
+++ b/orioleshore/protocol/codec.py
@@ -79,6 +79,7 @@
         correlation=header.correlation,
         body=TSerialization.serialize(_to_wire(message), _PROTOCOL_FACTORY),
         reply_address=header.reply_address,
+        recipient=header.recipient,
     )
     return TSerialization.serialize(envelope, _PROTOCOL_FACTORY)
 
@@ -108,6 +109,7 @@
         envelope.incarnation or 0,
         envelope.correlation,
         envelope.reply_address or '',
+        envelope.recipient or 0,
     )
     return Ok(messages.Received(header, message))
 
--- a/orioleshore/protocol/gen/wire/ttypes.py
+++ b/orioleshore/protocol/gen/wire/ttypes.py
@@ -109,11 +109,12 @@
      - correlation
      - body
      - reply_address
+     - recipient
 
     """
 
 
-    def __init__(self, protocol_version=None, sender=None, incarnation=None, kind=None, correlation=None, body=None, reply_address=None,):
+    def __init__(self, protocol_version=None, sender=None, incarnation=None, kind=None, correlation=None, body=None, reply_address=None, recipient=0,):
         self.protocol_version = protocol_version
         self.sender = sender
         self.incarnation = incarnation
@@ -121,6 +122,7 @@
         self.correlation = correlation
         self.body = body
         self.reply_address = reply_address
+        self.recipient = recipient
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -166,6 +168,11 @@
                     self.reply_address = iprot.readString()
                 else:
                     iprot.skip(ftype)
+            elif fid == 8:
+                if ftype == TType.I64:
+                    self.recipient = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -204,6 +211,10 @@
             oprot.writeFieldBegin('reply_address', TType.STRING, 7)
             oprot.writeString(self.reply_address)
             oprot.writeFieldEnd()
+        if self.recipient is not None:
+            oprot.writeFieldBegin('recipient', TType.I64, 8)
+            oprot.writeI64(self.recipient)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -2577,6 +2588,7 @@
     (5, TType.I64, 'correlation', None, None, ),  # 5
     (6, TType.STRING, 'body', 'BINARY', None, ),  # 6
     (7, TType.STRING, 'reply_address', None, None, ),  # 7
+    (8, TType.I64, 'recipient', None, 0, ),  # 8
 )
 all_structs.append(PreVote)
 PreVote.thrift_spec = (
--- a/orioleshore/protocol/messages.py
+++ b/orioleshore/protocol/messages.py
@@ -267,12 +267,15 @@
     """The sender of a message; ``correlation`` pairs calls and replies.
 
     ``reply_address`` is the address of the sender in the inner protocol.
+    ``recipient`` is the incarnation of the process that a reply is meant for,
+    0 in other messages and in those of earlier builds.
     """
 
     sender: ids.NodeId
     incarnation: ids.Incarnation
     correlation: int
     reply_address: str
+    recipient: ids.Incarnation = ids.UNKNOWN_INCARNATION
 
 
 class Received(msgspec.Struct, frozen=True):
--- a/orioleshore/protocol/orioleshore.thrift
+++ b/orioleshore/protocol/orioleshore.thrift
@@ -38,7 +38,8 @@
   4: i32 kind,
   5: i64 correlation,
   6: binary body,
-  7: string reply_address
+  7: string reply_address,
+  8: i64 recipient = 0
 }
 
 struct PreVote {
--- a/orioleshore/protocol/transport.py
+++ b/orioleshore/protocol/transport.py
@@ -36,11 +36,16 @@
 
 
 class SendTo(msgspec.Struct, frozen=True):
-    """Requests that the transport sends a message to an inner address."""
+    """Requests that the transport sends a message to an inner address.
+
+    ``recipient`` is the incarnation of the process that a reply is meant for,
+    0 for any process at the address.
+    """
 
     address: str
     message: Any
     correlation: int = 0
+    recipient: ids.Incarnation = ids.UNKNOWN_INCARNATION
 
 
 class PeerConnectionEnded(msgspec.Struct, frozen=True):
@@ -82,6 +87,8 @@
         self._sent_messages = 0
         self._sent_bytes = 0
         self._refused_connections = 0
+        # Replies to a process that used this address before.
+        self._misdirected_replies = 0
         # Frames dropped by connections that have ended.
         self._dropped_frames = 0
         self._odd_entries = odd_entries.OddEntryLog()
@@ -102,6 +109,7 @@
             'sent_messages': self._sent_messages,
             'sent_bytes': self._sent_bytes,
             'refused_connections': self._refused_connections,
+            'misdirected_replies': self._misdirected_replies,
             'outgoing_connections': len(self._outgoing_connections),
             'incoming_connections': len(self._incoming_connections),
             'queued_frames': sum(
@@ -147,7 +155,11 @@
 
     def _send_message(self, message: SendTo) -> None:
         header = messages.Header(
-            self._node, self._incarnation, message.correlation, self._address
+            self._node,
+            self._incarnation,
+            message.correlation,
+            self._address,
+            message.recipient,
         )
         if not message.address:
             # A reply to a process whose own address was odd, which is logged
@@ -271,6 +283,8 @@
                 is_first_frame = False
             self._received_messages += 1
             self._received_bytes += len(frame.unwrap())
+            if not self._is_recipient(received):
+                continue
             checked = received_addresses.check_addresses(
                 received, self._odd_entries
             )
@@ -283,6 +297,27 @@
         if connection is not None:
             connection.handle_contact(header.incarnation)
 
+    def _is_recipient(self, received: messages.Received) -> bool:
+        """Return whether a message is meant for this process.
+
+        Replies to the previous process at this address wait at their senders
+        until this one listens, with numbers that it uses for its own calls.
+        """
+        header = received.header
+        if header.recipient in (ids.UNKNOWN_INCARNATION, self._incarnation):
+            return True
+        self._misdirected_replies += 1
+        LOG.info(
+            logs.format_event(
+                'reply_misdirected',
+                sender=header.sender,
+                kind=type(received.message).__name__,
+                correlation=header.correlation,
+                recipient=header.recipient,
+            )
+        )
+        return False
+
     def _deliver(self, received: messages.Received) -> None:
         receiver = self._receivers.get(type(received.message))
         if receiver is None:
@@ -297,6 +332,13 @@
         receiver.put(received)
 
 
+def build_reply(header: messages.Header, message: Any) -> SendTo:
+    """Return a reply to the process that sent a message with ``header``."""
+    return SendTo(
+        header.reply_address, message, header.correlation, header.incarnation
+    )
+
+
 def _make_protocol_error(message: str) -> errors.Failure:
     return errors.Failure(errors.ErrorKind.PROTOCOL_ERROR, message)
 
--- a/orioleshore/routing/dispatcher.py
+++ b/orioleshore/routing/dispatcher.py
@@ -264,11 +264,17 @@
         )
 
     def _send_to_node(
-        self, node: ids.NodeId, message: Any, correlation: int = 0
+        self,
+        node: ids.NodeId,
+        message: Any,
+        correlation: int = 0,
+        recipient: ids.Incarnation = ids.UNKNOWN_INCARNATION,
     ) -> None:
         address = self._addresses.get(node)
         if address is not None:
-            self._sender.put(transport.SendTo(address, message, correlation))
+            self._sender.put(
+                transport.SendTo(address, message, correlation, recipient)
+            )
 
     def _report_demand(self) -> None:
         """Report demand to the leader; a lost report is not sent again."""
@@ -445,6 +451,7 @@
             message.wanted,
             message.held,
             header.correlation,
+            header.incarnation,
         )
     )
 
@@ -541,7 +548,9 @@
         int(action.lease_s * 1_000),
         action.lease,
     )
-    dispatcher._send_to_node(action.node, message, action.token)
+    dispatcher._send_to_node(
+        action.node, message, action.token, action.incarnation
+    )
 
 
 @_perform_action.register
--- a/orioleshore/routing/events.py
+++ b/orioleshore/routing/events.py
@@ -137,6 +137,7 @@
     """An entry host requested slots of an upstream.
 
     ``wanted`` includes the slots ``held`` by running attempts.
+    ``incarnation`` is that of the requesting process, 0 for this one.
     """
 
     node: ids.NodeId
@@ -144,6 +145,7 @@
     wanted: int
     held: int
     token: int
+    incarnation: ids.Incarnation = ids.UNKNOWN_INCARNATION
 
 
 class SlotsGranted(msgspec.Struct, frozen=True):
@@ -229,7 +231,10 @@
 
 
 class GrantSlots(msgspec.Struct, frozen=True):
-    """Lease slots to an entry host."""
+    """Lease slots to an entry host, in answer to a request of its process.
+
+    ``incarnation`` is that of the requesting process, 0 for this one.
+    """
 
     node: ids.NodeId
     upstream: ids.UpstreamId
@@ -237,6 +242,7 @@
     lease_s: float
     lease: int
     token: int
+    incarnation: ids.Incarnation = ids.UNKNOWN_INCARNATION
 
 
 class ReturnSlots(msgspec.Struct, frozen=True):
--- a/orioleshore/routing/slots.py
+++ b/orioleshore/routing/slots.py
@@ -220,6 +220,7 @@
             LEASE_S,
             self._next_lease,
             event.token,
+            event.incarnation,
         )
 
     def _compute_grant(
--- a/orioleshore/telemetry/metrics.py
+++ b/orioleshore/telemetry/metrics.py
@@ -38,6 +38,7 @@
 counter transport_sent_bytes_total | Bytes of messages queued for peers
 counter transport_dropped_frames_total | Frames dropped: full queue or too old
 counter transport_refused_connections_total | Connections closed for bad frames
+counter transport_misdirected_replies_total | Replies to a former process here
 gauge   transport_queued_frames | Frames that wait for their peers
 gauge   transport_connections direction | Open connections between processes
 counter odd_entries_total list | Entries of lists that could not be read
--- a/orioleshore/telemetry/writers.py
+++ b/orioleshore/telemetry/writers.py
@@ -21,6 +21,7 @@
         'sent_bytes',
         'dropped_frames',
         'refused_connections',
+        'misdirected_replies',
     ):
         snapshot.set(f'transport_{name}_total', counters[name])
     snapshot.set('transport_queued_frames', counters['queued_frames'])
--- a/orioleshore/tests/test_control_client.py
+++ b/orioleshore/tests/test_control_client.py
@@ -1,11 +1,17 @@
 """Calls of the control client when the leader changes or does not reply."""
 
+import asyncio
+
 import pytest
 
 from orioleshore.consensus import client
+from orioleshore.consensus import member_calls
+from orioleshore.consensus import packing
 from orioleshore.jobs import calls
 from orioleshore.model import errors
+from orioleshore.model import ids
 from orioleshore.protocol import messages
+from orioleshore.protocol import transport
 from orioleshore.tasks import mailbox
 from orioleshore.tasks import reply
 from orioleshore.tests import builders
@@ -14,6 +20,8 @@
 from orioleshore.timers import service
 
 HEADER = messages.Header('control-1', 1, 1, '127.0.0.1:1')
+# Time for a reply over loopback to arrive.
+DELIVERY_S = 0.2
 REFUSED_KIND = errors.ErrorKind.OVERLOADED.value
 UNKNOWN_KIND = errors.ErrorKind.CHANGE_UNKNOWN.value
 
@@ -47,6 +55,82 @@
             await self.client.handle(message)
 
 
+class CallingProcess:
+    """A control client with a transport of its own, over loopback."""
+
+    def __init__(self, address: str, incarnation: int, member: str) -> None:
+        self.transport = transport.Transport(
+            ids.NodeId('entry-1'), address, ids.Incarnation(incarnation)
+        )
+        self.client = client.ControlClient(
+            (member,),
+            self.transport.mailbox,
+            service.TimerService(clock.ManualClock()),
+        )
+        self.transport.register(
+            self.client.mailbox, messages.ProposeReply, messages.QueryReply
+        )
+        self.answer: reply.Reply = reply.Reply()
+
+    async def start(self, request: calls.Call) -> None:
+        """Start the process and its first call."""
+        await self.transport.start()
+        await self.client.start()
+        self.client.mailbox.put(client.Call(request, self.answer))
+
+    async def stop(self) -> None:
+        """Stop the process; its call stays unanswered at the member."""
+        await self.client.stop()
+        await self.transport.stop()
+
+
+class RecordingMember:
+    """A control member that holds its replies back until the test sends."""
+
+    def __init__(self) -> None:
+        self.transport = transport.Transport(
+            ids.NodeId('control-1'), '127.0.0.1:0', ids.Incarnation(1)
+        )
+        self.inbox: mailbox.Mailbox = mailbox.Mailbox('member', 64)
+        self.transport.register(self.inbox, messages.Query)
+        self.pending = member_calls.PendingCalls(self.transport.mailbox)
+
+    def accept(self, received: messages.Received) -> None:
+        """Reply to a call that it succeeded."""
+        answer = messages.QueryReply(
+            '', '', packing.pack(b'\xc0').unwrap(), ''
+        )
+        self.pending.send_reply(received.header, answer)
+
+
+def test_restarted_process_ignores_replies_to_its_predecessor():
+    """Guards against "accepted" for a job that no member has received.
+
+    Both processes number their calls from 1 and have the same address.
+    """
+
+    async def check():
+        member = RecordingMember()
+        await member.transport.start()
+        first = CallingProcess('127.0.0.1:0', 1, member.transport.address)
+        await first.start(builders.build_submission(1))
+        call_of_first = await member.inbox.get()
+        address = first.transport.address
+        await first.stop()
+        second = CallingProcess(address, 2, member.transport.address)
+        await second.start(builders.build_submission(2))
+        call_of_second = await member.inbox.get()
+        member.accept(call_of_first)
+        await asyncio.sleep(DELIVERY_S)
+        assert not second.answer.is_done
+        member.accept(call_of_second)
+        assert (await second.answer.wait()).is_ok()
+        await second.stop()
+        await member.transport.stop()
+
+    support.run(check())
+
+
 def test_call_is_sent_again_after_leader_change():
     """Guards against calls that fail at each election."""
 
--- a/orioleshore/tests/test_membership_detector.py
+++ b/orioleshore/tests/test_membership_detector.py
@@ -5,6 +5,7 @@
 from orioleshore.membership import events
 from orioleshore.membership import packing
 from orioleshore.membership import update_queue
+from orioleshore.model import ids
 from orioleshore.model import states
 from orioleshore.protocol import codec
 from orioleshore.protocol import messages
@@ -247,6 +248,24 @@
     assert conflict not in detector.handle(event, 1_000.0)
 
 
+def test_acknowledgements_name_the_process_that_probed():
+    """Guards against an acknowledgement that a later process takes as its own.
+
+    Each process numbers its probes from 1.
+    """
+    detector = builders.build_detector()
+    probe = events.ProbeReceived('node-2', 'node-2', 1, (), ids.Incarnation(4))
+    [ack] = detector.handle(probe, 1_000.0)
+    assert ack.recipient == 4
+    request = events.IndirectProbeRequested(
+        'node-3', 'node-3', 9, 'node-4', 'node-4', (), ids.Incarnation(6)
+    )
+    [relayed] = detector.handle(request, 1_000.0)
+    answer = events.ProbeAnswered('node-4', 'node-4', relayed.sequence, ())
+    [ack] = detector.handle(answer, 1_000.0)
+    assert (ack.sequence, ack.recipient) == (9, 6)
+
+
 def test_unreadable_rumours_are_skipped_and_logged(caplog):
     """Guards against unknown states or kinds, and excessive incarnations."""
     good = builders.build_peer(address='127.0.0.1:7001')
--- a/orioleshore/tests/test_protocol_transport.py
+++ b/orioleshore/tests/test_protocol_transport.py
@@ -34,9 +34,15 @@
 class _Node:
     """A transport that delivers version reports to an inbox."""
 
-    def __init__(self, name: str, files=None, address: str = '127.0.0.1:0'):
+    def __init__(
+        self,
+        name: str,
+        files=None,
+        address: str = '127.0.0.1:0',
+        incarnation: int = 1,
+    ):
         self.transport = transport.Transport(
-            ids.NodeId(name), address, ids.Incarnation(1), files
+            ids.NodeId(name), address, ids.Incarnation(incarnation), files
         )
         self.inbox: mailbox.Mailbox = mailbox.Mailbox(name, 4_096)
         self.transport.register(self.inbox, messages.VersionReport)
@@ -214,6 +220,51 @@
     support.run(check())
 
 
+def test_reply_to_an_earlier_process_is_not_delivered(caplog):
+    """Guards against replies that a process takes for those to its calls.
+
+    The reply waits at its sender until the next process listens at the
+    address, which numbers its calls like the one before.
+    """
+
+    async def check():
+        async with _run_nodes(_Node('a')) as (a,):
+            b, address = await _stop_new_node('b')
+            header = messages.Header(
+                ids.NodeId('b'), ids.Incarnation(1), 7, address
+            )
+            report = messages.VersionReport(ids.Version(1))
+            a.transport.mailbox.put(transport.build_reply(header, report))
+            restarted = _Node('b', None, address, incarnation=2)
+            async with _run_nodes(restarted):
+                a.send(restarted, 2)
+                await restarted.wait_for(2)
+                assert restarted.received_versions == [2]
+                counters = restarted.transport.counters
+                assert counters['misdirected_replies'] == 1
+
+    with caplog.at_level(logging.INFO):
+        support.run(check())
+    assert caplog.text.count('event=reply_misdirected') == 1
+
+
+def test_reply_of_an_earlier_build_is_delivered():
+    """Guards against an upgrade during which no call is answered.
+
+    Members of earlier builds do not name the process that they reply to.
+    """
+
+    async def check():
+        async with _run_nodes(_Node('a'), _Node('b', incarnation=2)) as (a, b):
+            report = messages.VersionReport(ids.Version(1))
+            a.transport.mailbox.put(
+                transport.SendTo(b.transport.address, report, 7)
+            )
+            await b.wait_for(1)
+
+    support.run(check())
+
+
 def test_closed_peer_is_noticed_before_the_next_frame():
     """Guards against losing the first frame after a restart of the peer."""
 
--- a/orioleshore/tests/test_routing_slots.py
+++ b/orioleshore/tests/test_routing_slots.py
@@ -3,6 +3,7 @@
 import collections
 
 from fakes import simulation
+from orioleshore.model import ids
 from orioleshore.routing import events as routing_events
 from orioleshore.routing import slots
 from orioleshore.tests import builders
@@ -49,6 +50,22 @@
         assert fake.refused == 0
 
 
+def test_grant_names_the_process_that_requested_it():
+    """Guards against a grant that the next process of a host uses.
+
+    It would count its lease from its own request, beyond the owner's end.
+    """
+    owner = slots.SlotOwner()
+    nodes = (ids.NodeId('entry-1'),)
+    owner.set_nodes(nodes[0], nodes, 0.0)
+    upstream = builders.build_upstream()
+    request = routing_events.SlotsRequested(
+        ids.NodeId('entry-2'), upstream.address, 1, 0, 1, ids.Incarnation(5)
+    )
+    [grant] = owner.handle_request(request, upstream, 60.0)
+    assert (grant.granted, grant.incarnation) == (1, 5)
+
+
 def test_burst_to_one_host_uses_all_slots_and_no_more():
     """Guards against fixed shares, and against more attempts than slots."""
     fleet = build_fleet()
