Let a confirmed upkeep end only the worker it was ordered for

Cause: the record of an upkeep named the worker without its incarnation. The platform also confirms an order that it has carried out before, and the leader dropped whichever worker had the recorded name. Cordons, retiring hosts, moves, tickets and refusals took a name or a host for one incarnation in the same way.

Change: WorkerKey, a name with an incarnation, identifies a worker wherever a decision outlives it. A record of an earlier build without an incarnation ends no worker; the lease or the successor does.

--- a/orioleshore/jobs/approvals.py
+++ b/orioleshore/jobs/approvals.py
@@ -44,9 +44,13 @@
 
     def __init__(self, scheduler: scheduling.Scheduler) -> None:
         self._scheduler = scheduler
-        self._tickets: dict[StepKey, dict[ids.WorkerId, _Ticket]] = {}
+        # A ticket is valid for one incarnation of its worker only, and the
+        # next one may be of another kind.
+        self._tickets: dict[StepKey, dict[workers.WorkerKey, _Ticket]] = {}
         # Workers that the service refused for a step; refusals are final.
-        self._refused: dict[StepKey, set[ids.WorkerId]] = {}
+        self._refused: dict[StepKey, set[workers.WorkerKey]] = {}
+        # Workers of the last call about a step, by name.
+        self._asked: dict[StepKey, dict[ids.WorkerId, workers.WorkerKey]] = {}
         self._pending_until: dict[StepKey, float] = {}
 
     def get_ticket(
@@ -62,7 +66,7 @@
         if not job.record.needs_approval:
             return ''
         key = (job.name, group.occurrence, group.position)
-        ticket = self._tickets.get(key, {}).get(worker.name)
+        ticket = self._tickets.get(key, {}).get(worker.key)
         if ticket is None or ticket.expires_at <= self._scheduler.now:
             return None
         return ticket.text
@@ -75,7 +79,7 @@
     ) -> bool:
         """Return whether the policy service refused a worker for a step."""
         key = (job.name, group.occurrence, group.position)
-        return worker.name in self._refused.get(key, ())
+        return worker.key in self._refused.get(key, ())
 
     def advance(self) -> None:
         """Request approvals for the steps that may start."""
@@ -88,7 +92,12 @@
                 key = (job.name, group.occurrence, group.position)
                 startable_keys.add(key)
                 self._request_when_due(key, job, group)
-        for entries in (self._tickets, self._refused, self._pending_until):
+        for entries in (
+            self._tickets,
+            self._refused,
+            self._asked,
+            self._pending_until,
+        ):
             for key in entries.keys() - startable_keys:
                 if key[0] not in scheduler.jobs:
                     del entries[key]
@@ -102,12 +111,16 @@
         expires_at = (
             self._scheduler.now + call.validity_ms / 1_000.0 - TICKET_MARGIN_S
         )
+        asked = self._asked.get(key, {})
         tickets = self._tickets.setdefault(key, {})
         for name, text in call.approved:
-            tickets[name] = _Ticket(text, expires_at)
+            if name in asked:
+                tickets[asked[name]] = _Ticket(text, expires_at)
         approved = {name for name, _ in call.approved}
         refused = set(call.asked) - approved
-        self._refused.setdefault(key, set()).update(refused)
+        self._refused.setdefault(key, set()).update(
+            asked[name] for name in refused if name in asked
+        )
         LOG.info(
             logs.format_event(
                 'step_approved',
@@ -140,8 +153,8 @@
             worker
             for worker in scheduler.get_pool_workers(job.record.pool)
             if eligibility.is_in_contact(scheduler, worker)
-            and worker.name not in refused
-            and not self._is_valid(tickets.get(worker.name))
+            and worker.key not in refused
+            and not self._is_valid(tickets.get(worker.key))
         ]
         # Tickets expire, so those of full workers would be asked for again
         # before a large pool has been gone through.
@@ -151,13 +164,15 @@
                 not eligibility.is_available(scheduler, worker),
             )
         )
-        names = tuple(
-            worker.name for worker in candidates[:MAX_WORKERS_PER_CALL]
-        )
-        if not names:
+        asked = {
+            worker.name: worker.key
+            for worker in candidates[:MAX_WORKERS_PER_CALL]
+        }
+        if not asked:
             return
+        self._asked[key] = asked
         self._pending_until[key] = scheduler.now + CALL_TIMEOUT_S
-        scheduler.orders.add_order(orders.AskApproval(*key, names))
+        scheduler.orders.add_order(orders.AskApproval(*key, tuple(asked)))
 
     def _is_valid(self, ticket: _Ticket | None) -> bool:
         return ticket is not None and ticket.expires_at > self._scheduler.now
--- a/orioleshore/jobs/ledger.py
+++ b/orioleshore/jobs/ledger.py
@@ -123,12 +123,16 @@
 
 
 class UpkeepRecord(msgspec.Struct, array_like=True):
-    """Upkeep of one host; ``worker`` is the worker that it ends."""
+    """Upkeep of one host.
+
+    ``worker`` and ``incarnation`` are those of the worker that it ends.
+    """
 
     is_ordered: bool = False
     is_started: bool = False
     is_finished: bool = False
     worker: ids.WorkerId = ids.WorkerId('')
+    incarnation: ids.Incarnation = ids.UNKNOWN_INCARNATION
 
 
 class WaveRecord(msgspec.Struct):
@@ -276,6 +280,7 @@
     wave: ids.WaveId
     host: ids.HostId
     worker: ids.WorkerId
+    incarnation: ids.Incarnation = ids.UNKNOWN_INCARNATION
 
 
 class UpkeepWithdrawn(_Change, frozen=True):
@@ -493,6 +498,7 @@
     record = _get_upkeep(ledger, change)
     record.is_ordered = True
     record.worker = change.worker
+    record.incarnation = change.incarnation
 
 
 @apply_change.register
--- a/orioleshore/jobs/pools.py
+++ b/orioleshore/jobs/pools.py
@@ -49,8 +49,10 @@
         # the monotonic times at which the answer counts as lost.
         self._targets: dict[ids.HostId, ids.PoolId] = {}
         self._answer_due_at: dict[ids.HostId, float] = {}
+        # Workers that the last move order about a host ends.
+        self._moved: dict[ids.HostId, workers.WorkerKey] = {}
         # Workers of hosts that are cordoned so that they can be switched off.
-        self._retiring: dict[ids.HostId, ids.WorkerId] = {}
+        self._retiring: dict[ids.HostId, workers.WorkerKey] = {}
         self._demand = demand.DemandTracker()
         # Hosts that each pool should have; what it needs unless hosts are
         # scarce.
@@ -66,6 +68,7 @@
         """Order the moves that the present demand requires."""
         self._end_unanswered_moves()
         self._forget_arrived_hosts()
+        self._forget_ended_workers()
         self._update_idle_times()
         self._update_demand()
         self._share_hosts()
@@ -106,7 +109,11 @@
             if worker is not None:
                 worker.is_cordoned = False
             return
-        if worker is not None and worker.pool != call.pool:
+        is_moved = worker is not None and (
+            worker.pool != call.pool
+            and worker.key == self._moved.get(call.host)
+        )
+        if is_moved:
             scheduler.drop_worker(worker, states.WorkerExit.MOVED)
         if not scheduler.is_standby(call.pool):
             until = scheduler.now + ARRIVAL_TIMEOUT_S
@@ -136,6 +143,12 @@
             if scheduler.now >= until:
                 del self._arriving[host]
 
+    def _forget_ended_workers(self) -> None:
+        """Forget the workers that have ended while they were retiring."""
+        for host, key in list(self._retiring.items()):
+            if self._scheduler.find_worker(key) is None:
+                del self._retiring[host]
+
     def _update_idle_times(self) -> None:
         """Record since when each worker has been idle."""
         idle = {}
@@ -252,8 +265,8 @@
     def _reuse_retiring_hosts(self, pool: ids.PoolId, missing: int) -> int:
         """Uncordon up to ``missing`` retiring hosts; return how many."""
         kept = 0
-        for host, name in list(self._retiring.items()):
-            worker = self._scheduler.workers.get(name)
+        for host, key in list(self._retiring.items()):
+            worker = self._scheduler.find_worker(key)
             if worker is None or host in self._targets:
                 del self._retiring[host]
                 continue
@@ -343,7 +356,7 @@
         self, worker: workers.Worker, host_count: int, needed: int
     ) -> None:
         worker.is_cordoned = True
-        self._retiring[worker.host] = worker.name
+        self._retiring[worker.host] = worker.key
         LOG.info(
             logs.format_event(
                 'host_retiring',
@@ -363,7 +376,7 @@
         since = self._idle_since.get(worker.host)
         if since is None:
             return False
-        if self._retiring.get(worker.host) == worker.name:
+        if self._retiring.get(worker.host) == worker.key:
             return True
         return self._scheduler.now >= since + SPARE_AFTER_S
 
@@ -403,6 +416,7 @@
         worker = self._find_worker(host)
         if worker is not None:
             worker.is_cordoned = True
+            self._moved[host] = worker.key
         self._retiring.pop(host, None)
         self._targets[host] = pool
         self._answer_due_at[host] = (
--- a/orioleshore/jobs/scheduler.py
+++ b/orioleshore/jobs/scheduler.py
@@ -212,6 +212,11 @@
         """Note the pool that a worker reports."""
         self._roster.set_pool(worker, pool)
 
+    def find_worker(self, key: workers.WorkerKey) -> workers.Worker | None:
+        """Return a worker, None if it is gone or has restarted since."""
+        worker = self.workers.get(key.name)
+        return worker if worker and worker.key == key else None
+
     def get_pools(self) -> tuple[ids.PoolId, ...]:
         """Return the names of all pools of the configuration."""
         return tuple(pool.name for pool in self.ledger.configuration.pools)
--- a/orioleshore/jobs/upkeep.py
+++ b/orioleshore/jobs/upkeep.py
@@ -41,8 +41,12 @@
 MIN_UPKEEP_S = 1.5
 
 
+# Stands for the worker of a host that is switched off.
+_NO_WORKER = workers.WorkerKey(ids.WorkerId(''), ids.UNKNOWN_INCARNATION)
+
+
 class _Cordon(msgspec.Struct):
-    worker: ids.WorkerId
+    worker: workers.WorkerKey
     since: float
 
 
@@ -135,7 +139,11 @@
         self._confirmed_at[call.host] = scheduler.now
         self._repeated.discard(call.host)
         self._cordons.pop(call.host, None)
-        worker = scheduler.workers.get(upkeep.worker)
+        # A later incarnation may run tasks: the platform also confirms an
+        # order that it has carried out before.
+        worker = scheduler.find_worker(
+            workers.WorkerKey(upkeep.worker, upkeep.incarnation)
+        )
         if worker is not None and worker.host == call.host:
             scheduler.drop_worker(worker, states.WorkerExit.UPKEEP)
 
@@ -153,7 +161,7 @@
             worker = present.get(host)
             is_back = (
                 worker is not None
-                and worker.name != upkeep.worker
+                and not _is_ended_by(upkeep, worker)
                 and worker.found_at >= confirmed_at + MIN_UPKEEP_S
             )
             if is_back or self._is_listed_as_up(host, confirmed_at):
@@ -182,7 +190,7 @@
         for host in self._find_idle_standby_hosts(name, waiting):
             if down < limit:
                 down += 1
-                self._order_upkeep(name, host, ids.WorkerId(''))
+                self._order_upkeep(name, host, _NO_WORKER)
         waiting_jobs = self._find_waiting_jobs()
         for worker in self._sort_workers(waiting):
             if down >= limit:
@@ -197,7 +205,7 @@
             if not self._is_within_limits(worker):
                 self._evict_one_task(worker)
             elif self._is_ready_to_stop(worker, wave):
-                self._order_upkeep(name, worker.host, worker.name)
+                self._order_upkeep(name, worker.host, worker.key)
 
     def _find_idle_standby_hosts(
         self, name: ids.WaveId, waiting: list[ids.HostId]
@@ -324,14 +332,14 @@
 
     def _cordon_worker(self, worker: workers.Worker) -> None:
         cordon = self._cordons.get(worker.host)
-        if cordon is not None and cordon.worker == worker.name:
+        if cordon is not None and cordon.worker == worker.key:
             return
         worker.is_cordoned = True
-        self._cordons[worker.host] = _Cordon(worker.name, self._scheduler.now)
+        self._cordons[worker.host] = _Cordon(worker.key, self._scheduler.now)
 
     def _uncordon_host(self, host: ids.HostId) -> None:
         cordon = self._cordons.pop(host, None)
-        worker = cordon and self._scheduler.workers.get(cordon.worker)
+        worker = cordon and self._scheduler.find_worker(cordon.worker)
         if worker:
             worker.is_cordoned = False
 
@@ -449,13 +457,28 @@
         return group.step.tasks - available - 1
 
     def _order_upkeep(
-        self, name: ids.WaveId, host: ids.HostId, worker: ids.WorkerId
+        self, name: ids.WaveId, host: ids.HostId, worker: workers.WorkerKey
     ) -> None:
         scheduler = self._scheduler
-        scheduler.record_change(ledger.UpkeepOrdered(name, host, worker))
+        scheduler.record_change(
+            ledger.UpkeepOrdered(name, host, worker.name, worker.incarnation)
+        )
         scheduler.orders.order_upkeep(name, host, scheduler.now)
         LOG.info(
             logs.format_event(
-                'upkeep_ordered', wave=name, host=host, worker=worker
+                'upkeep_ordered',
+                wave=name,
+                host=host,
+                worker=worker.name,
+                incarnation=worker.incarnation,
             )
         )
+
+
+def _is_ended_by(upkeep: ledger.UpkeepRecord, worker: workers.Worker) -> bool:
+    """Return whether a worker is the one that an upkeep ends.
+
+    Leaders of earlier builds recorded no incarnation.
+    """
+    known = (ids.UNKNOWN_INCARNATION, worker.incarnation)
+    return worker.name == upkeep.worker and upkeep.incarnation in known
--- a/orioleshore/jobs/workers.py
+++ b/orioleshore/jobs/workers.py
@@ -14,6 +14,13 @@
 RunKey = tuple[ids.JobId, ids.TaskName, ids.Attempt]
 
 
+class WorkerKey(msgspec.Struct, frozen=True):
+    """Identifies one incarnation of a worker, which may reuse its name."""
+
+    name: ids.WorkerId
+    incarnation: ids.Incarnation
+
+
 class Worker(msgspec.Struct):
     """One incarnation of a worker.
 
@@ -81,6 +88,11 @@
     # Monotonic time of the first heartbeat to this leader.
     found_at: float = 0.0
 
+    @property
+    def key(self) -> WorkerKey:
+        """Return the identity of this incarnation."""
+        return WorkerKey(self.name, self.incarnation)
+
     @property
     def rack(self) -> str:
         """Return the label of the worker's rack, empty if unknown."""
--- a/orioleshore/tests/test_batch_approvals.py
+++ b/orioleshore/tests/test_batch_approvals.py
@@ -132,3 +132,46 @@
         worker.consecutive_failures >= eligibility.SUSPECT_FAILURE_COUNT
         for worker in fleet.scheduler.workers.values()
     )
+
+
+def test_ticket_of_an_earlier_incarnation_is_not_used():
+    """Guards against starts that a restarted worker refuses one by one.
+
+    A ticket is valid for one incarnation of its worker, and the task waited
+    until it had expired.
+    """
+    fleet = build_fleet(1)
+    name = submit(fleet, 1, 'red', builders.build_lasting_job(1))
+    fleet.run(1.0)
+    [fake] = fleet.workers.values()
+    job = fleet.scheduler.jobs[name]
+    [group] = job.groups.values()
+
+    def get_ticket() -> str | None:
+        [worker] = fleet.scheduler.workers.values()
+        return fleet.scheduler.approvals.get_ticket(worker, job, group)
+
+    assert get_ticket()
+    fake.restart(fake.pool, fleet.now, reuses_name=True)
+    fleet.call_scheduler(fake.make_heartbeat(fleet.now))
+    assert get_ticket() is None
+    fleet.run(1.0)
+    assert get_ticket()
+
+
+def test_worker_that_was_refused_is_asked_about_again_after_a_restart():
+    """Guards against a step that no worker may run although one could.
+
+    The next incarnation of a refused worker may be of another kind.
+    """
+    fleet = build_fleet(1)
+    [fake] = fleet.workers.values()
+    fake.keeps_name = True
+    fleet.unapproved.add(fake.name)
+    name = submit(fleet, 1, 'red', builders.build_lasting_job(1))
+    fleet.run(1.0)
+    assert not fleet.count_running_tasks(name)
+    fleet.unapproved.clear()
+    fake.restart(fake.pool, fleet.now)
+    fleet.run(1.0)
+    assert fleet.count_running_tasks(name) == 1
