Leave a failed task only to workers that could run it, and not for long

Cause: a worker skipped a task that had failed on it while any other worker of the pool was available, without asking whether label, policy or size allow that one to run the task, and without a bound. Waits for a rack, evictions, cordons, released hosts and calls to the policy service counted other workers in the same way.

Change: jobs/alternatives.py says which other workers could run a task, and all these places ask it. A failed task is left to others for 2 s at most, so a worker that never gets room or approval does not hold it either.

--- a/orioleshore/jobs/approvals.py
+++ b/orioleshore/jobs/approvals.py
@@ -153,6 +153,7 @@
             worker
             for worker in scheduler.get_pool_workers(job.record.pool)
             if eligibility.is_in_contact(scheduler, worker)
+            and eligibility.has_required_label(worker, group.step)
             and worker.key not in refused
             and not self._is_valid(tickets.get(worker.key))
         ]
--- a/orioleshore/jobs/holds.py
+++ b/orioleshore/jobs/holds.py
@@ -205,9 +205,7 @@
         return states.HoldReason.UNPROVEN_RUN
     if not placement.is_rack_acceptable(scheduler, worker, job, group):
         return states.HoldReason.RACK
-    if not placement.can_place_long_running(
-        scheduler, worker, job.name, group
-    ):
+    if not placement.can_place_long_running(scheduler, worker, job, group):
         return states.HoldReason.PACKING
     return states.HoldReason.NEXT_HEARTBEAT
 
--- a/orioleshore/jobs/placement.py
+++ b/orioleshore/jobs/placement.py
@@ -10,6 +10,7 @@
 import math
 import typing
 
+from orioleshore.jobs import alternatives
 from orioleshore.jobs import calls
 from orioleshore.jobs import eligibility
 from orioleshore.jobs import gangs
@@ -29,6 +30,9 @@
 
 # A suspect worker gets no task for this long after a further failure.
 SUSPECT_PAUSE_S = 1.5
+# A task that failed on a worker is left to others for this long. A faulty
+# worker would use up all its attempts, but another one may never have room.
+RETRY_ELSEWHERE_S = 2.0
 # Pauses after the first, the second and further start orders in a row that a
 # worker did not get; no task starts there meanwhile. Other workers report
 # within them and take the task. One lost order is repeated at once, since any
@@ -96,6 +100,12 @@
     if how is states.RunEnd.DONE:
         worker.consecutive_failures = 0
     if how is states.RunEnd.FAILED:
+        worker.failed_at = {
+            task: at
+            for task, at in worker.failed_at.items()
+            if scheduler.now < at + RETRY_ELSEWHERE_S
+        }
+        worker.failed_at[key[:2]] = scheduler.now
         record_failed_run(worker, scheduler)
 
 
@@ -162,23 +172,6 @@
     return delay_ms if delay_ms < limits.heartbeat_ms else None
 
 
-def find_other_workers(
-    scheduler: scheduling.Scheduler,
-    worker: workers.Worker,
-    group: progress.Group,
-) -> list[workers.Worker]:
-    """Return the other workers that could start a task of a group now."""
-    need = workers.get_reserved_resources(group.step)
-    return [
-        other
-        for other in scheduler.get_pool_workers(worker.pool)
-        if other is not worker
-        and group.can_use_worker(other.name)
-        and eligibility.is_available(scheduler, other)
-        and workers.fits_into(need, other.get_free_resources())
-    ]
-
-
 def _start_from_group(
     scheduler: scheduling.Scheduler,
     worker: workers.Worker,
@@ -204,7 +197,7 @@
         and can_accept_more(worker, step)
         and (
             not step.is_long_running
-            or can_place_long_running(scheduler, worker, job.name, group)
+            or can_place_long_running(scheduler, worker, job, group)
         )
     ):
         index = _claim_waiting_task(scheduler, worker, job, group)
@@ -260,8 +253,8 @@
     if waited_s >= min(extra_ms / MS_PER_S, MAX_RACK_WAIT_S):
         return True
     return not any(
-        other.rack in racks and eligibility.is_available(scheduler, other)
-        for other in scheduler.get_pool_workers(job.record.pool)
+        other.rack in racks
+        for other in alternatives.iterate_others(scheduler, worker, job, group)
     )
 
 
@@ -297,31 +290,39 @@
     job: progress.JobProgress,
     group: progress.Group,
 ) -> int | None:
-    """Remove and return the first waiting task that may start on a worker.
-
-    A task whose last attempt failed on this worker is skipped if another
-    worker is available; a faulty worker would use up all its attempts.
-    """
+    """Remove and return the first waiting task that may start on a worker."""
     for index in sorted(group.waiting):
         task = specs.make_task_name(group.occurrence, group.position, index)
         run = job.record.tasks.get(task)
         if run and run.is_suspect:
             continue
-        has_failed_here = run and run.failures and run.worker == worker.name
-        if has_failed_here and _has_other_worker(scheduler, worker):
+        has_failed_here = _has_failed_here(scheduler, worker, (job.name, task))
+        if has_failed_here and any(
+            alternatives.iterate_others(scheduler, worker, job, group)
+        ):
             continue
         group.waiting.remove(index)
         return index
     return None
 
 
-def _has_other_worker(
-    scheduler: scheduling.Scheduler, worker: workers.Worker
+def _has_failed_here(
+    scheduler: scheduling.Scheduler,
+    worker: workers.Worker,
+    task: workers.TaskKey,
 ) -> bool:
-    return any(
-        other is not worker and eligibility.is_available(scheduler, other)
-        for other in scheduler.get_pool_workers(worker.pool)
-    )
+    """Return whether a task's last attempt has just failed on a worker.
+
+    A new leader does not know when, and counts from the worker's first report
+    to it.
+    """
+    run = scheduler.jobs[task[0]].record.tasks.get(task[1])
+    if run is None or not run.failures:
+        return False
+    if workers.WorkerKey(run.worker, run.incarnation) != worker.key:
+        return False
+    failed_at = worker.failed_at.get(task, worker.found_at)
+    return scheduler.now < failed_at + RETRY_ELSEWHERE_S
 
 
 def can_accept_more(worker: workers.Worker, step: specs.Step) -> bool:
@@ -340,7 +341,7 @@
 def can_place_long_running(
     scheduler: scheduling.Scheduler,
     worker: workers.Worker,
-    job: ids.JobId,
+    job: progress.JobProgress,
     group: progress.Group,
 ) -> bool:
     """Return whether a long-running task should be placed on a worker.
@@ -349,12 +350,14 @@
     can move between pools. A worker runs more than half of the tasks of a
     step only if no other worker can run them.
     """
-    if scheduler.get_long_running_wait_s(job) > PACKING_WAIT_S:
+    if scheduler.get_long_running_wait_s(job.name) > PACKING_WAIT_S:
         return True
     half = math.ceil(group.step.tasks / 2)
     others = [
         other
-        for other in find_other_workers(scheduler, worker, group)
+        for other in alternatives.find_others_with_room(
+            scheduler, worker, job, group
+        )
         if group.running_by_worker[other.name] < half
     ]
     if group.running_by_worker[worker.name] >= half:
--- a/orioleshore/jobs/pools.py
+++ b/orioleshore/jobs/pools.py
@@ -14,6 +14,7 @@
 import logging
 import typing
 
+from orioleshore.jobs import alternatives
 from orioleshore.jobs import calls
 from orioleshore.jobs import demand
 from orioleshore.jobs import sharing
@@ -319,14 +320,31 @@
             surplus = len(self._find_usable_workers(pool))
             surplus -= self._limit_to_share(pool, self._demand.get_hosts(pool))
             surplus += sum(w.host in self._retiring for w in members)
+            only_workers = self._find_only_workers(pool)
             idle = [
                 worker
                 for worker in members
-                if self._is_spare(worker) and self._can_move_host(worker.host)
+                if self._is_spare(worker)
+                and self._can_move_host(worker.host)
+                and worker.name not in only_workers
             ]
             spare += idle[: max(0, surplus)]
         return spare
 
+    def _find_only_workers(self, pool: ids.PoolId) -> set[ids.WorkerId]:
+        """Return the workers of a pool that alone could run some step."""
+        found = set()
+        for job in self._scheduler.get_pool_jobs(pool):
+            for group in job.groups.values():
+                if not group.unfinished:
+                    continue
+                worker = alternatives.find_only_worker(
+                    self._scheduler, job, group
+                )
+                if worker is not None:
+                    found.add(worker.name)
+        return found
+
     def _retire_surplus_hosts(self) -> None:
         """Cordon hosts that a pool has not needed for a while.
 
@@ -342,11 +360,13 @@
                 continue
             needed = self._limit_to_share(pool, needed)
             usable = self._find_usable_workers(pool)
+            only_workers = self._find_only_workers(pool)
             candidates = [
                 worker
                 for worker in usable
                 if self._can_move_host(worker.host)
                 and not scheduler.has_long_running_task(worker)
+                and worker.name not in only_workers
             ]
             candidates.sort(key=lambda worker: len(worker.ordered))
             for worker in candidates[: max(0, len(usable) - needed)]:
--- a/orioleshore/jobs/upkeep.py
+++ b/orioleshore/jobs/upkeep.py
@@ -12,10 +12,10 @@
 
 import msgspec
 
+from orioleshore.jobs import alternatives
 from orioleshore.jobs import calls
 from orioleshore.jobs import eligibility
 from orioleshore.jobs import ledger
-from orioleshore.jobs import placement
 from orioleshore.jobs import progress
 from orioleshore.jobs import workers
 from orioleshore.model import ids
@@ -192,10 +192,14 @@
                 down += 1
                 self._order_upkeep(name, host, _NO_WORKER)
         waiting_jobs = self._find_waiting_jobs()
+        only_workers = self._find_only_workers()
         for worker in self._sort_workers(waiting):
             if down >= limit:
                 break
-            if self._is_needed(worker, waiting_jobs):
+            is_needed = worker.name in only_workers or self._is_needed(
+                worker, waiting_jobs
+            )
+            if is_needed:
                 self._uncordon_host(worker.host)
                 continue
             if not self._can_cordon(worker, wave):
@@ -304,6 +308,27 @@
             scheduler.jobs[name] for name in names if name in scheduler.jobs
         ]
 
+    def _find_only_workers(self) -> set[ids.WorkerId]:
+        """Return the workers that alone could run a step that waits.
+
+        A long-running task of another step may keep the host from going down,
+        so that a short task would wait for as long as the host is cordoned.
+        """
+        scheduler = self._scheduler
+        latest = scheduler.wall_time - CORDON_YIELD_S
+        found = set()
+        for job in scheduler.jobs.values():
+            for group in job.find_startable_groups(scheduler.wall_time):
+                if group.startable_since > latest:
+                    continue
+                worker = alternatives.find_only_worker(scheduler, job, group)
+                if worker is not None and workers.fits_into(
+                    workers.get_reserved_resources(group.step),
+                    worker.get_free_resources(),
+                ):
+                    found.add(worker.name)
+        return found
+
     def _is_only_room(
         self,
         worker: workers.Worker,
@@ -316,12 +341,10 @@
             return False
         if not workers.fits_into(need, worker.get_free_resources()):
             return False
-        others = placement.find_other_workers(scheduler, worker, group)
         return eligibility.may_become_allowed(
             scheduler, worker, job, group
-        ) and not any(
-            eligibility.may_become_allowed(scheduler, other, job, group)
-            for other in others
+        ) and not alternatives.find_others_with_room(
+            scheduler, worker, job, group
         )
 
     def _is_late(self, wave: ledger.WaveRecord) -> bool:
@@ -411,8 +434,8 @@
             limit = group.step.max_unavailable
             if not limit or self._count_unavailable(job, group, None) >= limit:
                 continue
-            if not placement.find_other_workers(
-                self._scheduler, worker, group
+            if not alternatives.find_others_with_room(
+                self._scheduler, worker, job, group
             ):
                 continue
             worker.evicted.add(key)
--- a/orioleshore/jobs/workers.py
+++ b/orioleshore/jobs/workers.py
@@ -12,6 +12,8 @@
 
 # Identifies a run: one attempt of a task of a job.
 RunKey = tuple[ids.JobId, ids.TaskName, ids.Attempt]
+# Identifies a task of a job.
+TaskKey = tuple[ids.JobId, ids.TaskName]
 
 
 class WorkerKey(msgspec.Struct, frozen=True):
@@ -76,6 +78,8 @@
     # Monotonic time by which a worker has ended that announced its exit
     # without having reported that it drains, 0 for others.
     exit_due_at: float = 0.0
+    # Monotonic times of the last failures of tasks, each kept for a while.
+    failed_at: dict[TaskKey, float] = {}
     # Start orders in a row that did not reach the worker.
     lost_orders: int = 0
     # No task is started on the worker before this monotonic time.
