Finish the upkeep of a missing host only by a list newer than the wave

What callers saw: a wave could be completed without a host that had been added to the platform shortly before.

Cause: a host that the newest list does not have counts as gone, though the list may be 5 s older than the wave.

The log of a failed run has no upkeep_ordered, and the second list 5.1 s after the first.

Change: only a list that was asked for after this leader saw the wave shows that a host of it is gone.

--- a/orioleshore/jobs/upkeep.py
+++ b/orioleshore/jobs/upkeep.py
@@ -56,6 +56,8 @@
     def __init__(self, scheduler: scheduling.Scheduler) -> None:
         self._scheduler = scheduler
         self._cordons: dict[ids.HostId, _Cordon] = {}
+        # Monotonic time at which this leader first saw each wave.
+        self._seen_at: dict[ids.WaveId, float] = {}
         # Monotonic time at which this leader received the confirmation that
         # the upkeep of a host began.
         self._confirmed_at: dict[ids.HostId, float] = {}
@@ -87,6 +89,7 @@
             if not self.is_host_due(host):
                 self._uncordon_host(host)
         for name, wave in self._scheduler.ledger.waves.items():
+            self._seen_at.setdefault(name, self._scheduler.now)
             self._finish_returned_hosts(name, wave)
             if not wave.is_completed:
                 self._advance_wave(name, wave)
@@ -217,15 +220,18 @@
         """Return waiting hosts of standby pools, which run no tasks.
 
         Upkeep of hosts that the platform no longer lists is recorded as
-        finished.
+        finished. A list from before the wave does not count: a host of the
+        wave may have been added since.
         """
         scheduler = self._scheduler
         if scheduler.orders.listed_at < scheduler.leader_since:
             return []
+        is_list_newer = scheduler.orders.listed_at >= self._seen_at[name]
         idle = []
         for host in waiting:
             if scheduler.orders.is_gone(host):
-                scheduler.record_change(ledger.UpkeepFinished(name, host))
+                if is_list_newer:
+                    scheduler.record_change(ledger.UpkeepFinished(name, host))
             elif (
                 scheduler.orders.is_up(host)
                 and scheduler.is_standby(scheduler.orders.hosts[host].pool)
--- a/orioleshore/tests/test_batch_scheduler.py
+++ b/orioleshore/tests/test_batch_scheduler.py
@@ -341,6 +341,20 @@
     )
 
 
+def test_host_that_was_added_after_the_last_list_gets_its_upkeep():
+    """Guards against a wave that is completed without a host of it.
+
+    The list that the leader had read before the wave did not have the host.
+    """
+    fleet = build_fleet(red=2)
+    fleet.run(0.5)
+    fleet.add_hosts(1, 'standby')
+    host = list(fleet.workers)[-1]
+    fleet.call_scheduler(calls.OpenWave(ids.WaveId('1'), (host,), 60.0, 1))
+    fleet.run(10.0)
+    assert fleet.hosts_done == {host}
+
+
 def test_wave_is_completed_when_its_last_host_is_back():
     """Guards against a completed wave of which a host is still down."""
     fleet = build_fleet(red=2)
