Take the only worker for a waiting task down once its wave is late

Cause: the worker that alone could run a waiting task was kept out of its wave for as long as the task waited, also if another reason, such as a policy service that does not answer, kept the task from starting.

Evidence: test_late_wave_takes_down_the_only_worker_for_a_task fails without the change of upkeep.py and passes with it.

Change: the wave waits for such a task only in its first part.

--- a/orioleshore/jobs/upkeep.py
+++ b/orioleshore/jobs/upkeep.py
@@ -195,7 +195,7 @@
                 down += 1
                 self._order_upkeep(name, host, _NO_WORKER)
         waiting_jobs = self._find_waiting_jobs()
-        only_workers = self._find_only_workers()
+        only_workers = self._find_only_workers(wave)
         for worker in self._sort_workers(waiting):
             if down >= limit:
                 break
@@ -314,12 +314,15 @@
             scheduler.jobs[name] for name in names if name in scheduler.jobs
         ]
 
-    def _find_only_workers(self) -> set[ids.WorkerId]:
+    def _find_only_workers(self, wave: ledger.WaveRecord) -> set[ids.WorkerId]:
         """Return the workers that alone could run a step that waits.
 
         A long-running task of another step may keep the host from going down,
         so that a short task would wait for as long as the host is cordoned.
+        Once the wave is late, the host goes down all the same.
         """
+        if self._is_late(wave):
+            return set()
         scheduler = self._scheduler
         latest = scheduler.wall_time - CORDON_YIELD_S
         found = set()
--- a/orioleshore/tests/test_alternatives.py
+++ b/orioleshore/tests/test_alternatives.py
@@ -9,6 +9,7 @@
 from orioleshore.jobs import orders
 from orioleshore.jobs import placement
 from orioleshore.jobs import specs
+from orioleshore.jobs import upkeep
 from orioleshore.model import ids
 from orioleshore.model import states
 from orioleshore.tests import builders
@@ -208,6 +209,25 @@
     assert status.state is states.BatchState.COMPLETED
 
 
+def test_late_wave_takes_down_the_only_worker_for_a_task():
+    """Guards against a wave that waits for a task that never starts."""
+    fleet = build_fleet(needs_approval=True)
+    first = get_first(fleet)
+    fleet.run(0.5)
+    submit(fleet, required_label=LABEL)
+    # The policy service neither approves nor refuses the worker.
+    step = states.TickStep.APPROVALS
+    fleet.scheduler._tick_steps[step] = lambda: None
+    fleet.run(upkeep.CORDON_YIELD_S + 0.5)
+    fleet.call_scheduler(
+        calls.OpenWave(ids.WaveId('1'), (first.host,), 10.0, 1)
+    )
+    fleet.run(6.0)
+    assert not fleet.hosts_done
+    fleet.run(4.0)
+    assert fleet.hosts_done == {first.host}
+
+
 def test_pool_keeps_the_only_worker_that_may_run_a_job():
     """Guards against a job whose only worker is switched off."""
     fleet = build_fleet(6)
