Pause before a failed task is started on the same worker again

Cause: the pause depended on whether another worker could run the task. A faulty worker without an alternative used up all attempts.

Evidence: test_task_that_failed_on_its_only_worker_is_started_again asks for the pause; three cases of it fail on the change before.

Change: a failed task is started by other workers at once, and by the incarnation on which it failed after 2 s, whatever the others do.

--- a/orioleshore/jobs/alternatives.py
+++ b/orioleshore/jobs/alternatives.py
@@ -1,13 +1,12 @@
 """Which other workers could take a task that a worker gives up.
 
-Answers tasks that wait for workers that may not run them: a worker that
-leaves a task to others, or whose host goes away, first asks whether the label,
-the policy and the capacity of another worker allow it to run the task.
+Answers tasks that wait for workers that may not run them: before a worker
+leaves a task to others, or its host goes away, the label, the policy and the
+capacity of another worker have to allow it to run the task.
 """
 
 from __future__ import annotations
 
-from collections.abc import Iterable
 import itertools
 import typing
 
@@ -35,22 +34,6 @@
     )
 
 
-def iterate_others(
-    scheduler: scheduling.Scheduler,
-    worker: workers.Worker,
-    job: progress.JobProgress,
-    group: progress.Group,
-) -> Iterable[workers.Worker]:
-    """Yield the other available workers that could run a task of a step."""
-    for other in scheduler.get_pool_workers(worker.pool):
-        if (
-            other is not worker
-            and eligibility.is_available(scheduler, other)
-            and could_run(scheduler, other, job, group)
-        ):
-            yield other
-
-
 def find_others_with_room(
     scheduler: scheduling.Scheduler,
     worker: workers.Worker,
@@ -61,8 +44,11 @@
     need = workers.get_reserved_resources(group.step)
     return [
         other
-        for other in iterate_others(scheduler, worker, job, group)
-        if workers.fits_into(need, other.get_free_resources())
+        for other in scheduler.get_pool_workers(worker.pool)
+        if other is not worker
+        and eligibility.is_available(scheduler, other)
+        and workers.fits_into(need, other.get_free_resources())
+        and could_run(scheduler, other, job, group)
     ]
 
 
--- a/orioleshore/jobs/placement.py
+++ b/orioleshore/jobs/placement.py
@@ -30,9 +30,10 @@
 
 # A suspect worker gets no task for this long after a further failure.
 SUSPECT_PAUSE_S = 1.5
-# A task that failed on a worker is left to others for this long. A faulty
-# worker would use up all its attempts, but another one may never have room.
-RETRY_ELSEWHERE_S = 2.0
+# Pause before a failed task is started again on the worker on which it
+# failed. Other workers take it at once; a faulty worker that alone may run it
+# would use up all its attempts before it has recovered.
+RETRY_SAME_WORKER_S = 2.0
 # Pauses after the first, the second and further start orders in a row that a
 # worker did not get; no task starts there meanwhile. Other workers report
 # within them and take the task. One lost order is repeated at once, since any
@@ -103,7 +104,7 @@
         worker.failed_at = {
             task: at
             for task, at in worker.failed_at.items()
-            if scheduler.now < at + RETRY_ELSEWHERE_S
+            if scheduler.now < at + RETRY_SAME_WORKER_S
         }
         worker.failed_at[key[:2]] = scheduler.now
         record_failed_run(worker, scheduler)
@@ -298,10 +299,7 @@
         run = job.record.tasks.get(task)
         if run and run.is_suspect:
             continue
-        has_failed_here = _has_failed_here(scheduler, worker, (job.name, task))
-        if has_failed_here and any(
-            alternatives.iterate_others(scheduler, worker, job, group)
-        ):
+        if _has_failed_here(scheduler, worker, (job.name, task)):
             continue
         group.waiting.remove(index)
         return index
@@ -324,7 +322,7 @@
     if workers.WorkerKey(run.worker, run.incarnation) != worker.key:
         return False
     failed_at = worker.failed_at.get(task, worker.found_at)
-    return scheduler.now < failed_at + RETRY_ELSEWHERE_S
+    return scheduler.now < failed_at + RETRY_SAME_WORKER_S
 
 
 def can_accept_more(worker: workers.Worker, step: specs.Step) -> bool:
--- a/orioleshore/tests/test_alternatives.py
+++ b/orioleshore/tests/test_alternatives.py
@@ -78,7 +78,8 @@
 def test_task_that_failed_on_its_only_worker_is_started_again(restriction):
     """Guards against a failed task that waits for workers that cannot run it.
 
-    It was left to any other available worker of the pool, without a bound.
+    It was left to any other available worker of the pool, without a bound. At
+    once, it would fail again on a worker that needs a moment to recover.
     """
     fleet = build_fleet(needs_approval=restriction == 'policy')
     fields: dict = {}
@@ -93,8 +94,10 @@
     fleet.run(0.5)
     submit(fleet, **fields)
     fail_once(fleet)
-    fleet.run(1.0)
     first = get_first(fleet)
+    fleet.run(1.0)
+    assert get_started_hosts(fleet) == [first.host]
+    fleet.run(placement.RETRY_SAME_WORKER_S - 1.0)
     assert get_started_hosts(fleet) == [first.host] * 2
 
 
@@ -124,7 +127,7 @@
     fail_once(fleet)
     fleet.run(1.0)
     assert len(fleet.starts) == 1
-    fleet.run(placement.RETRY_ELSEWHERE_S)
+    fleet.run(placement.RETRY_SAME_WORKER_S)
     assert len(fleet.starts) == 2
 
 
@@ -134,14 +137,10 @@
     fleet.run(0.5)
     submit(fleet)
     fail_once(fleet)
-    worker = next(iter(fleet.scheduler.workers.values()))
-    task = (NAME, ids.TaskName('0.0.0'))
-    assert placement._has_failed_here(fleet.scheduler, worker, task)
     first = get_first(fleet)
     first.restart(first.pool, fleet.now, reuses_name=True)
-    fleet.call_scheduler(first.make_heartbeat(fleet.now))
-    worker = fleet.scheduler.workers[first.name]
-    assert not placement._has_failed_here(fleet.scheduler, worker, task)
+    fleet.run(0.1)
+    assert get_started_hosts(fleet) == [first.host] * 2
 
 
 def test_task_does_not_wait_for_a_rack_whose_workers_cannot_run_it():
