End the runs of the fake worker with its lease

The lease of i-0, whose heartbeats had unreadable rows, had ended at 35.95, but the stand-in ends runs only when it sends a report, every 0.2 s. The start on i-2 came in between; the late end then removed the record of the new run, since it did not say on which worker the run had ended.

Change: a timer ends the runs with the lease, also during a report, and the end of a run names its worker. The checks of the soak are unchanged; a second run beside one with a valid lease is reported as before.

Evidence: test_runs_of_the_fake_worker_end_with_its_lease fails before.

--- a/fakes/platform_fleet.py
+++ b/fakes/platform_fleet.py
@@ -255,9 +255,11 @@
             self.problems.append(f'{task} runs on {other} and {worker}')
         self._running[task] = worker
 
-    def end(self, task: str) -> None:
-        """Record that the run of a task has ended."""
-        self._running.pop(task, None)
+    def end(self, task: str, worker: str) -> None:
+        """Record that the run of a task on a worker has ended."""
+        if self._running.get(task) != worker:
+            return
+        del self._running[task]
         if task in self._lasting:
             self.idle_since[task] = asyncio.get_running_loop().time()
 
@@ -284,6 +286,8 @@
     ) -> None:
         self._registry = registry or RunRegistry()
         self._lease_end = 0.0
+        # Ends the runs with the lease, also while a report is under way.
+        self._lapse: asyncio.TimerHandle | None = None
         self._fleet = fleet
         self._name = name
         self._service = service
@@ -311,18 +315,27 @@
     async def run(self) -> None:
         """Send reports until cancelled."""
         timeout = aiohttp.ClientTimeout(total=ANSWER_TIMEOUT_S)
-        async with aiohttp.ClientSession(timeout=timeout) as session:
-            while True:
-                await self._send_report(session)
-                await asyncio.sleep(HEARTBEAT_S)
-
-    async def _send_report(self, session: aiohttp.ClientSession) -> None:
+        try:
+            async with aiohttp.ClientSession(timeout=timeout) as session:
+                while True:
+                    await self._send_report(session)
+                    await asyncio.sleep(HEARTBEAT_S)
+        finally:
+            if self._lapse is not None:
+                self._lapse.cancel()
+
+    def _end_due_runs(self) -> None:
+        """End the runs that are done, and all others with the lease."""
         now = asyncio.get_running_loop().time()
         for key, ends_at in list(self._running.items()):
             if now >= ends_at:
                 self._end_run(key, 'done')
             elif now >= self._lease_end:
                 self._end_run(key, 'lapsed')
+
+    async def _send_report(self, session: aiohttp.ClientSession) -> None:
+        self._end_due_runs()
+        now = asyncio.get_running_loop().time()
         self._sequence += 1
         body = {
             'service': self._service,
@@ -356,7 +369,7 @@
 
     def _end_run(self, key: tuple[str, int], how: str) -> None:
         del self._running[key]
-        self._registry.end(key[0])
+        self._registry.end(key[0], self._name)
         self._number += 1
         self._ended.append([self._number, *key, how, ''])
 
@@ -370,6 +383,10 @@
         self._answered_at = now
         lease_end = sent_at + answer['hold_ms'] / 1_000.0
         self._lease_end = max(self._lease_end, lease_end)
+        if self._lapse is not None:
+            self._lapse.cancel()
+        loop = asyncio.get_running_loop()
+        self._lapse = loop.call_at(self._lease_end, self._end_due_runs)
         observed = answer.get('observed', 0)
         for end in self._ended:
             if end[0] <= observed:
