Move the limits of long-running steps out of the upkeep module

Change: how many tasks of a step a host may take along, and the eviction of one of them, stand in jobs/step_limits.py. No decision changes.

Measured: the tests of upkeep, sharing, holds and alternatives pass unchanged, but for the name of a method that one of them replaces.

--- a/orioleshore/jobs/upkeep.py
+++ b/orioleshore/jobs/upkeep.py
@@ -17,6 +17,7 @@
 from orioleshore.jobs import eligibility
 from orioleshore.jobs import ledger
 from orioleshore.jobs import progress
+from orioleshore.jobs import step_limits
 from orioleshore.jobs import workers
 from orioleshore.model import ids
 from orioleshore.model import states
@@ -63,8 +64,7 @@
         # Hosts whose upkeep was ordered before without an answer, so that it
         # may have begun even if the repeated order is refused.
         self._repeated: set[ids.HostId] = set()
-        # The run that delays the upkeep of a host; logged once.
-        self._blocking_runs: dict[ids.HostId, workers.RunKey] = {}
+        self._step_limits = step_limits.StepLimits(scheduler)
 
     @property
     def is_busy(self) -> bool:
@@ -208,8 +208,8 @@
                 continue
             down += 1
             self._cordon_worker(worker)
-            if not self._is_within_limits(worker):
-                self._evict_one_task(worker)
+            if not self._step_limits.can_lose_worker(worker):
+                self._step_limits.evict_one_task(worker)
             elif self._is_ready_to_stop(worker, wave):
                 self._order_upkeep(name, worker.host, worker.key)
 
@@ -388,105 +388,6 @@
             return True
         return scheduler.has_only_long_running_tasks(worker)
 
-    def _is_within_limits(self, worker: workers.Worker) -> bool:
-        """Return whether all steps keep enough tasks without a worker."""
-        for key in worker.ordered:
-            job = self._scheduler.jobs.get(key[0])
-            if job is None:
-                continue
-            group = job.get_group(key[1])
-            limit = group.step.max_unavailable
-            if not limit:
-                continue
-            unavailable = self._count_unavailable(job, group, worker)
-            if unavailable >= limit:
-                self._log_blocked(worker, key, unavailable, limit)
-                return False
-        self._blocking_runs.pop(worker.host, None)
-        return True
-
-    def _log_blocked(
-        self,
-        worker: workers.Worker,
-        key: workers.RunKey,
-        unavailable: int,
-        limit: int,
-    ) -> None:
-        if self._blocking_runs.get(worker.host) == key:
-            return
-        self._blocking_runs[worker.host] = key
-        LOG.info(
-            logs.format_event(
-                'upkeep_held',
-                host=worker.host,
-                job=key[0],
-                task=key[1],
-                away=unavailable,
-                limit=limit,
-            )
-        )
-
-    def _evict_one_task(self, worker: workers.Worker) -> None:
-        """Evict one long-running task so that it restarts elsewhere.
-
-        Tasks of one step that share the host are evicted one by one, each
-        once another worker has room for it.
-        """
-        if worker.evicted:
-            return
-        for key in worker.ordered:
-            job = self._scheduler.jobs.get(key[0])
-            if job is None:
-                continue
-            group = job.get_group(key[1])
-            limit = group.step.max_unavailable
-            if not limit or self._count_unavailable(job, group, None) >= limit:
-                continue
-            if not alternatives.find_others_with_room(
-                self._scheduler, worker, job, group
-            ):
-                continue
-            worker.evicted.add(key)
-            LOG.info(
-                logs.format_event(
-                    'task_evicted',
-                    host=worker.host,
-                    job=key[0],
-                    task=key[1],
-                    attempt=key[2],
-                )
-            )
-            return
-
-    def _count_unavailable(
-        self,
-        job: progress.JobProgress,
-        group: progress.Group,
-        worker: workers.Worker | None,
-    ) -> int:
-        """Return how many tasks of a step are unavailable besides one.
-
-        The one is an available task that is to be stopped. If ``worker`` is
-        given, all its other tasks count as unavailable as well.
-        """
-        available = 0 if worker else -1
-        for task, name in job.running.items():
-            holder = self._scheduler.workers.get(name)
-            if holder is None or holder is worker:
-                continue
-            if job.get_group(task) is not group:
-                continue
-            run = job.record.tasks[task]
-            key = (job.name, task, run.attempt)
-            report = holder.reports.get(key)
-            if report is None or report.progress < workers.READY_PERCENT:
-                continue
-            if key in holder.evicted:
-                continue
-            if not self._scheduler.orders.is_answer_pending(holder.host):
-                available += 1
-        return group.step.tasks - available - 1
-
     def _order_upkeep(
         self, name: ids.WaveId, host: ids.HostId, worker: workers.WorkerKey
     ) -> None:
--- a/orioleshore/tests/test_alternatives.py
+++ b/orioleshore/tests/test_alternatives.py
@@ -198,7 +198,7 @@
     fleet.call_scheduler(
         calls.OpenWave(ids.WaveId('1'), (first.host,), 60.0, 1)
     )
-    fleet.scheduler.upkeep._is_within_limits = lambda worker: False
+    fleet.scheduler.upkeep._step_limits.can_lose_worker = lambda worker: False
     fleet.run(0.3)
     assert worker.is_cordoned
     submit(fleet, required_label=LABEL)
