Keep a host in upkeep counted when a repeated order is refused late

What callers saw: nothing yet; one host too many could be down for upkeep (LIMIT).

Cause: an order whose answer takes longer than 2 s is repeated. If the first is confirmed meanwhile, the platform refuses the repeated one as busy, since the host is down. The confirmation had ended the mark of a repeated order, so the refusal withdrew the order, and the host no longer took a place.

Change: a refusal withdraws no upkeep that has begun, and a host whose upkeep has begun takes a place until it is back.

--- a/orioleshore/jobs/upkeep.py
+++ b/orioleshore/jobs/upkeep.py
@@ -116,15 +116,17 @@
                 ledger.UpkeepFinished(call.wave, call.host)
             )
         if call.outcome is states.HostOrderOutcome.REFUSED:
-            self._withdraw_order(call)
+            self._withdraw_order(call, wave.hosts[call.host])
 
-    def _withdraw_order(self, call: calls.NoteUpkeep) -> None:
+    def _withdraw_order(
+        self, call: calls.NoteUpkeep, upkeep: ledger.UpkeepRecord
+    ) -> None:
         """Free the place of a refused host among those that are down.
 
         The platform refuses a host that is down for this very upkeep as
         busy, so a repeated order keeps its place and is repeated again.
         """
-        if call.host in self._repeated:
+        if upkeep.is_started or call.host in self._repeated:
             return
         self._scheduler.record_change(
             ledger.UpkeepWithdrawn(call.wave, call.host)
@@ -178,7 +180,7 @@
     def _advance_wave(self, name: ids.WaveId, wave: ledger.WaveRecord) -> None:
         self._resend_unanswered_orders(name, wave)
         down = sum(
-            upkeep.is_ordered and not upkeep.is_finished
+            (upkeep.is_ordered or upkeep.is_started) and not upkeep.is_finished
             for upkeep in wave.hosts.values()
         )
         limit = max(1, wave.at_once)
--- a/orioleshore/tests/test_batch_scheduler.py
+++ b/orioleshore/tests/test_batch_scheduler.py
@@ -302,6 +302,33 @@
     assert fleet.hosts_done == set(hosts)
 
 
+def test_late_refusal_of_a_repeated_order_keeps_the_host_counted():
+    """Guards against one host too many down for upkeep.
+
+    The first order is confirmed after it was repeated. The platform refuses
+    the repeated one, since the host is down.
+    """
+    fleet = build_fleet(red=4)
+    fleet.run(2.0)
+    first, *others = fleet.workers
+    wave = ids.WaveId('1')
+    fleet.call_scheduler(calls.OpenWave(wave, tuple(fleet.workers), 60.0, 1))
+    scheduler = fleet.scheduler
+    scheduler.record_change(
+        ledger.UpkeepOrdered(wave, first, ids.WorkerId('worker-before'))
+    )
+    fleet.call_scheduler(
+        calls.NoteUpkeep(wave, first, states.HostOrderOutcome.ACCEPTED)
+    )
+    fleet.call_scheduler(
+        calls.NoteUpkeep(wave, first, states.HostOrderOutcome.REFUSED, 'busy')
+    )
+    scheduler.tick(fleet.now, fleet.wall)
+    record = scheduler.ledger.waves[wave].hosts
+    assert record[first].is_started and not record[first].is_finished
+    assert not any(record[host].is_ordered for host in others)
+
+
 def test_worker_that_joins_before_its_upkeep_does_not_end_it():
     """Guards against a host that counts as back while it is down.
 
