Start no task on a host that an unanswered order may take down

What callers saw: nothing yet; tasks could be ended by an upkeep that was ordered before they were started.

Cause: an order for a host without a worker cordons nobody. If its answer is lost and a worker joins, the worker got tasks, and the repeated order took them down: they ran on in the leader's view until their leases ended.

Change: a worker is cordoned when it joins while an order for the upkeep of its host has no answer, and gets tasks again with the answer.

--- a/orioleshore/jobs/ledger.py
+++ b/orioleshore/jobs/ledger.py
@@ -134,6 +134,11 @@
     worker: ids.WorkerId = ids.WorkerId('')
     incarnation: ids.Incarnation = ids.UNKNOWN_INCARNATION
 
+    @property
+    def is_unanswered(self) -> bool:
+        """Return whether an order may still take the host down."""
+        return self.is_ordered and not self.is_started
+
 
 class WaveRecord(msgspec.Struct):
     """Upkeep of many hosts, at most ``at_once`` of them down at a time."""
--- a/orioleshore/jobs/scheduler.py
+++ b/orioleshore/jobs/scheduler.py
@@ -507,6 +507,7 @@
         self.workers[heartbeat.worker] = worker
         self._roster.add(worker)
         self._restore_runs(worker)
+        self.upkeep.cordon_ordered_host(worker)
         self._drop_replaced_workers(worker)
         self.crashes.explain_last_loss(worker)
         LOG.info(
--- a/orioleshore/jobs/upkeep.py
+++ b/orioleshore/jobs/upkeep.py
@@ -82,6 +82,13 @@
             for wave in self._scheduler.ledger.waves.values()
         )
 
+    def cordon_ordered_host(self, worker: workers.Worker) -> None:
+        """Cordon a new worker whose host an unanswered order may take down."""
+        for wave in self._scheduler.ledger.waves.values():
+            upkeep = wave.hosts.get(worker.host)
+            if upkeep is not None and upkeep.is_unanswered:
+                self._cordon_worker(worker)
+
     def advance(self) -> None:
         """Record hosts that are back and take down the next ones."""
         for host in list(self._cordons):
@@ -142,7 +149,7 @@
             scheduler.record_change(ledger.UpkeepBegun(call.wave, call.host))
         self._confirmed_at[call.host] = scheduler.now
         self._repeated.discard(call.host)
-        self._cordons.pop(call.host, None)
+        self._uncordon_host(call.host)
         # A later incarnation may run tasks: the platform also confirms an
         # order that it has carried out before.
         worker = scheduler.find_worker(
@@ -271,7 +278,7 @@
         """Resend orders whose answer was lost, also of the last leader."""
         scheduler = self._scheduler
         for host, upkeep in wave.hosts.items():
-            if not upkeep.is_ordered or upkeep.is_started:
+            if not upkeep.is_unanswered:
                 continue
             if scheduler.orders.can_order(host, scheduler.now):
                 self._repeated.add(host)
--- a/orioleshore/tests/test_worker_incarnations.py
+++ b/orioleshore/tests/test_worker_incarnations.py
@@ -13,6 +13,7 @@
 
 WAVE = ids.WaveId('1')
 ACCEPTED = states.HostOrderOutcome.ACCEPTED
+REFUSED = states.HostOrderOutcome.REFUSED
 UNKNOWN = states.HostOrderOutcome.UNKNOWN
 
 
@@ -94,6 +95,28 @@
     assert fleet.call_scheduler(calls.GetWave(WAVE)).unwrap().completed
 
 
+def test_worker_that_joins_before_an_unanswered_order_gets_no_tasks():
+    """Guards against tasks that an order ends which was given before them.
+
+    The host had no worker when the order was given, and the answer is lost.
+    """
+    fleet = build_fleet(1)
+    fleet.run(4.0)
+    host = get_first_host(fleet)
+    worker = fleet.workers[host]
+    fleet.call_scheduler(calls.OpenWave(WAVE, (host,), 25.0, 1))
+    fleet.scheduler.record_change(
+        ledger.UpkeepOrdered(WAVE, host, ids.WorkerId(''))
+    )
+    worker.restart(worker.pool, fleet.now)
+    fleet.call_scheduler(builders.build_submission())
+    fleet.send_heartbeat(worker)
+    assert not worker.running
+    fleet.call_scheduler(calls.NoteUpkeep(WAVE, host, REFUSED, 'wave'))
+    fleet.send_heartbeat(worker)
+    assert worker.running
+
+
 def test_upkeep_ends_the_worker_that_it_was_ordered_for():
     """Guards against tasks that wait for the lease of a worker that ended."""
     fleet = build_fleet()
