Take a host that a list lacks for gone only by the platform's answer

Change: KnownHosts keeps the last row of each host and says only whether the newest list lacks it. A host of a wave that is missing and has no worker is ordered like an idle standby host; the platform answers whether it exists. A missing host whose upkeep has begun is asked about by its order, repeated once for each list.

Calls: none while no list lacks a host of a wave.

test_good_hosts_beside_an_odd_one_are_followed asks is_missing in place of is_gone, with the same condition. Three tests of odd rows read the rows from their new place.

--- a/fakes/platform_fleet.py
+++ b/fakes/platform_fleet.py
@@ -485,6 +485,9 @@
         self.upkeeps: list[str] = []
         self.machines: list[dict] = []
         self.odd_rows: list[bytes] = []
+        # Hosts that stay and are in no page, and hosts that it no longer has.
+        self.missing: set[str] = set()
+        self.withdrawn: set[str] = set()
         # Number of times that the list was read.
         self.reads = 0
         self._runner: web.AppRunner | None = None
@@ -505,11 +508,19 @@
 
     async def _list_machines(self, request: web.Request) -> web.Response:
         self.reads += 1
-        rows = [json.dumps(machine).encode() for machine in self.machines]
+        hidden = self.missing | self.withdrawn
+        rows = [
+            json.dumps(machine).encode()
+            for machine in self.machines
+            if machine['machine'] not in hidden
+        ]
         rows += self.odd_rows
         body = b'{"machines":[' + b','.join(rows) + b'],"next_token":null}'
         return web.Response(body=body, content_type='application/json')
 
     async def _start_upkeep(self, request: web.Request) -> web.Response:
-        self.upkeeps.append((await request.json())['machine'])
+        machine = (await request.json())['machine']
+        if machine in self.withdrawn:
+            return web.json_response({}, status=400)
+        self.upkeeps.append(machine)
         return web.json_response({})
--- a/fakes/workers.py
+++ b/fakes/workers.py
@@ -6,6 +6,8 @@
 
 import collections
 import enum
+import functools
+import math
 import random
 
 import msgspec
@@ -220,6 +222,12 @@
         # there is a row that does not even say of which host it is.
         self.unreadable_hosts: set[ids.HostId] = set()
         self.has_nameless_row = False
+        # Hosts that stay and are in no list, as while they move between pages.
+        self.missing_hosts: set[ids.HostId] = set()
+        # Hosts that the platform no longer has.
+        self.withdrawn_hosts: set[ids.HostId] = set()
+        # Orders to the platform about hosts, including those without effect.
+        self.host_orders: list[orders.Order] = []
         # Workers that the policy service never approves.
         self.unapproved: set[ids.WorkerId] = set()
         self.starts: list[tuple[float, ids.HostId, calls.StartOrder]] = []
@@ -370,23 +378,32 @@
         if isinstance(order, orders.AskApproval):
             self.call_scheduler(self._approve_workers(order))
             return
-        worker = self.workers[order.host]
-        accepted = states.HostOrderOutcome.ACCEPTED
-        if isinstance(order, orders.TakeDown):
-            self._execute_upkeep(order, worker)
-            return
+        self.host_orders.append(order)
         if isinstance(order, orders.Move) and self.lost_moves:
             self.lost_moves -= 1
-        elif isinstance(order, orders.Move):
-            worker.restart(order.pool, self.now + MOVE_S)
-            self.call_scheduler(
-                calls.NoteMove(order.host, order.pool, accepted)
-            )
-
-    def _execute_upkeep(
-        self, order: orders.TakeDown, worker: FakeWorker
-    ) -> None:
+            return
+        is_gone = (
+            order.host not in self.workers
+            or order.host in self.withdrawn_hosts
+        )
+        execute = _refuse_unknown_host if is_gone else _execute_order
+        execute(order, self)
+
+    def withdraw_host(self, host: ids.HostId) -> None:
+        """Remove a host from the platform for good, with all it runs."""
+        self.withdrawn_hosts.add(host)
+        self.workers[host].restart(self.workers[host].pool, math.inf)
+        self._upkeep_ends.pop(host, None)
+
+    def execute_move(self, order: orders.Move) -> None:
+        """Move a host to a pool."""
+        self.workers[order.host].restart(order.pool, self.now + MOVE_S)
+        accepted = states.HostOrderOutcome.ACCEPTED
+        self.call_scheduler(calls.NoteMove(order.host, order.pool, accepted))
+
+    def execute_upkeep(self, order: orders.TakeDown) -> None:
         """Take a host down; a host that is not up is refused as busy."""
+        worker = self.workers[order.host]
         outcome, detail = states.HostOrderOutcome.ACCEPTED, ''
         if self.now < worker.up_at:
             outcome, detail = states.HostOrderOutcome.REFUSED, 'busy'
@@ -503,6 +520,9 @@
         )
 
     def _list_hosts(self, order: orders.ListHosts) -> calls.NoteHosts:
+        unlisted = (
+            self.unreadable_hosts | self.missing_hosts | self.withdrawn_hosts
+        )
         return calls.NoteHosts(
             order.asked_at,
             tuple(
@@ -515,8 +535,40 @@
                     worker.size,
                 )
                 for worker in self.workers.values()
-                if worker.host not in self.unreadable_hosts
+                if worker.host not in unlisted
             ),
             () if self.has_nameless_row else tuple(self.unreadable_hosts),
             not self.has_nameless_row,
         )
+
+
+@functools.singledispatch
+def _execute_order(order: orders.Order, fleet: FakeFleet) -> None:
+    raise TypeError(f'unknown order {type(order).__name__}')
+
+
+@_execute_order.register
+def _(order: orders.TakeDown, fleet: FakeFleet) -> None:
+    fleet.execute_upkeep(order)
+
+
+@_execute_order.register
+def _(order: orders.Move, fleet: FakeFleet) -> None:
+    fleet.execute_move(order)
+
+
+@functools.singledispatch
+def _refuse_unknown_host(order: orders.Order, fleet: FakeFleet) -> None:
+    raise TypeError(f'unknown order {type(order).__name__}')
+
+
+@_refuse_unknown_host.register
+def _(order: orders.TakeDown, fleet: FakeFleet) -> None:
+    gone = states.HostOrderOutcome.GONE
+    fleet.call_scheduler(calls.NoteUpkeep(order.wave, order.host, gone))
+
+
+@_refuse_unknown_host.register
+def _(order: orders.Move, fleet: FakeFleet) -> None:
+    gone = states.HostOrderOutcome.GONE
+    fleet.call_scheduler(calls.NoteMove(order.host, order.pool, gone))
--- a/orioleshore/history/phrases.py
+++ b/orioleshore/history/phrases.py
@@ -82,6 +82,9 @@
     'move_answered': 'the platform answered the move of {host} to {pool}: '
     '{outcome} {detail}',
     'upkeep_ordered': 'upkeep of host {host} was ordered for wave {wave}',
+    'upkeep_checked': (
+        'host {host} of wave {wave} is missing in the list and was asked about'
+    ),
     'upkeep_answered': 'the platform answered the upkeep of {host}: '
     '{outcome} {detail}',
     'upkeep_held': 'upkeep of host {host} waits for task {task}: {away} away '
--- a/orioleshore/jobs/admission.py
+++ b/orioleshore/jobs/admission.py
@@ -12,10 +12,12 @@
 import collections
 import typing
 
+from orioleshore.jobs import calls
 from orioleshore.jobs import specs
 from orioleshore.jobs import workers
 from orioleshore.model import errors
 from orioleshore.model import ids
+from orioleshore.model import states
 
 if typing.TYPE_CHECKING:
     from orioleshore.jobs import scheduler as scheduling
@@ -162,10 +164,12 @@
     """Return the CPU available for a pool's backlog, in thousandths."""
     members = scheduler.get_pool_workers(pool)
     capacity = sum(worker.capacity.cpu_millis for worker in members)
-    standby = sum(
+    present = scheduler.get_hosts_with_worker()
+    spare = sum(
         info.capacity.cpu_millis
-        for info in scheduler.orders.hosts.values()
-        if scheduler.is_standby(info.pool)
+        for host, info in scheduler.known_hosts.rows.items()
+        if host not in present
+        and (scheduler.is_standby(info.pool) or _is_arriving(info, pool))
     )
     long_running = sum(
         need.cpu_millis
@@ -173,12 +177,17 @@
         for key, need in worker.ordered.items()
         if scheduler.is_long_running_run(key)
     )
-    return max(0, capacity + standby - long_running)
+    return max(0, capacity + spare - long_running)
+
+
+def _is_arriving(info: calls.HostInfo, pool: ids.PoolId) -> bool:
+    """Return whether a host is on its way to a pool."""
+    return info.pool == pool and info.state is states.PlatformHostState.MOVING
 
 
 def _fits_anywhere(scheduler: scheduling.Scheduler, job: specs.Job) -> bool:
     sizes = [worker.capacity for worker in scheduler.workers.values()]
-    sizes += [info.capacity for info in scheduler.orders.hosts.values()]
+    sizes += [info.capacity for info in scheduler.known_hosts.rows.values()]
     if not sizes:
         return True
     return all(
--- a/orioleshore/jobs/handlers.py
+++ b/orioleshore/jobs/handlers.py
@@ -211,7 +211,8 @@
 def _(
     call: calls.NoteHosts, scheduler: scheduling.Scheduler
 ) -> answers.Answer:
-    scheduler.orders.record_hosts(call)
+    scheduler.orders.end_listing()
+    scheduler.known_hosts.record_list(call)
     return Ok(None)
 
 
--- a/orioleshore/jobs/orders.py
+++ b/orioleshore/jobs/orders.py
@@ -12,7 +12,6 @@
 
 import msgspec
 
-from orioleshore.jobs import calls
 from orioleshore.jobs import tuning
 from orioleshore.model import ids
 from orioleshore.model import states
@@ -78,7 +77,7 @@
 
 
 class OrderQueue:
-    """Orders to send and those without an answer, and the list of hosts."""
+    """Orders to send and those without an answer."""
 
     def __init__(
         self,
@@ -99,45 +98,9 @@
         # that may have been carried out although it was not confirmed.
         self._refused: set[ids.HostId] = set()
         self._uncertain: set[ids.HostId] = set()
-        self._hosts: dict[ids.HostId, calls.HostInfo] = {}
-        # Hosts whose rows in the newest list could not be read, and whether
-        # the names of all such hosts are known.
-        self._unread: set[ids.HostId] = set()
-        self._is_complete = True
-        self._listed_at = -1.0e9
         self._list_requested_at = -1.0e9
         self._is_listing = False
 
-    @property
-    def hosts(self) -> dict[ids.HostId, calls.HostInfo]:
-        """Return the hosts of the newest list by host id.
-
-        A host whose row could not be read is as an earlier list had it.
-        """
-        return self._hosts
-
-    def is_up(self, host: ids.HostId) -> bool:
-        """Return whether the newest list shows a host as up."""
-        info = self._hosts.get(host)
-        return (
-            info is not None
-            and host not in self._unread
-            and info.state is states.PlatformHostState.UP
-        )
-
-    def is_gone(self, host: ids.HostId) -> bool:
-        """Return whether the newest list proves that a host is gone."""
-        return (
-            self._is_complete
-            and host not in self._hosts
-            and host not in self._unread
-        )
-
-    @property
-    def listed_at(self) -> float:
-        """Return the monotonic time of the request for the newest list."""
-        return self._listed_at
-
     @property
     def answer_timeout_s(self) -> float:
         """Return the longest time from an order to its answer in seconds."""
@@ -218,29 +181,9 @@
         if outcome is not states.HostOrderOutcome.ACCEPTED:
             self._retry_at[host] = now + RETRY_DELAY_S
 
-    def record_hosts(self, call: calls.NoteHosts) -> None:
-        """Record a list of hosts unless a newer one is known."""
+    def end_listing(self) -> None:
+        """Record that the list of hosts was received."""
         self._is_listing = False
-        if call.asked_at > self._listed_at:
-            self._listed_at = call.asked_at
-            listed = {info.host: info for info in call.hosts}
-            self._unread = self._find_unread_hosts(call, listed)
-            kept = {
-                host: self._hosts[host]
-                for host in self._unread
-                if host in self._hosts
-            }
-            self._hosts = kept | listed
-            self._is_complete = call.is_complete
-
-    def _find_unread_hosts(
-        self, call: calls.NoteHosts, listed: dict[ids.HostId, calls.HostInfo]
-    ) -> set[ids.HostId]:
-        """Return the hosts of which a list says nothing for certain."""
-        unread = set(call.unreadable)
-        if not call.is_complete:
-            unread |= self._hosts.keys()
-        return unread - listed.keys()
 
     def request_list_when_due(self, now: float, is_busy: bool) -> None:
         """Queue a request for the list of hosts if the last one is old."""
--- a/orioleshore/jobs/pools.py
+++ b/orioleshore/jobs/pools.py
@@ -104,12 +104,16 @@
             )
         )
         worker = self._find_worker(call.host)
+        is_gone = call.outcome is states.HostOrderOutcome.GONE
+        if is_gone and scheduler.known_hosts.is_missing(call.host):
+            scheduler.known_hosts.forget(call.host)
         if call.outcome is not states.HostOrderOutcome.ACCEPTED:
             # A move without an answer may have been carried out; the list of
             # hosts and the worker's next heartbeat show whether it was.
             if worker is not None:
                 worker.is_cordoned = False
             return
+        scheduler.known_hosts.record_move(call.host, call.pool)
         is_moved = worker is not None and (
             worker.pool != call.pool
             and worker.key == self._moved.get(call.host)
@@ -195,6 +199,7 @@
     def _count_hosts(self) -> int:
         """Return how many hosts can run tasks, now or after a move."""
         scheduler = self._scheduler
+        present = scheduler.get_hosts_with_worker()
         in_pools = sum(
             worker.state is states.WorkerState.READY
             and (not worker.is_cordoned or worker.host in self._retiring)
@@ -202,10 +207,11 @@
         )
         standby = sum(
             scheduler.is_standby(info.pool)
-            and info.state is states.PlatformHostState.UP
+            and scheduler.known_hosts.may_be_up(host)
+            and host not in present
             and host not in self._arriving
             and host not in self._targets
-            for host, info in scheduler.orders.hosts.items()
+            for host, info in scheduler.known_hosts.rows.items()
         )
         return in_pools + standby + len(self._arriving) + len(self._targets)
 
@@ -294,20 +300,27 @@
         return sizes[len(sizes) // 2]
 
     def _find_movable_hosts(self) -> list[tuple[ids.HostId, ids.PoolId]]:
-        """Return the hosts that may move now, with their present pools."""
+        """Return the hosts that may move now, with their present pools.
+
+        Standby hosts that the newest list lacks come last.
+        """
         scheduler = self._scheduler
-        free = [
+        known = scheduler.known_hosts
+        present = scheduler.get_hosts_with_worker()
+        standby = [
             (host, info.pool)
-            for host, info in scheduler.orders.hosts.items()
+            for host, info in known.rows.items()
             if scheduler.is_standby(info.pool)
-            and scheduler.orders.is_up(host)
-            and self._find_worker(host) is None
+            and known.may_be_up(host)
+            and host not in present
             and self._can_move_host(host)
         ]
-        free += [
+        spare = [
             (worker.host, worker.pool) for worker in self._find_spare_workers()
         ]
-        return free
+        listed = [item for item in standby if known.is_up(item[0])]
+        missing = [item for item in standby if known.is_missing(item[0])]
+        return listed + spare + missing
 
     def _find_spare_workers(self) -> list[workers.Worker]:
         """Return idle workers that are surplus to the need of their pool."""
--- a/orioleshore/jobs/scheduler.py
+++ b/orioleshore/jobs/scheduler.py
@@ -21,6 +21,7 @@
 from orioleshore.jobs import gangs
 from orioleshore.jobs import handlers
 from orioleshore.jobs import holds
+from orioleshore.jobs import known_hosts
 from orioleshore.jobs import ledger
 from orioleshore.jobs import orders
 from orioleshore.jobs import pools
@@ -74,6 +75,7 @@
         self.workers: dict[ids.WorkerId, workers.Worker] = {}
         self._roster = roster.Roster()
         self.jobs: dict[ids.JobId, progress.JobProgress] = {}
+        self.known_hosts = known_hosts.KnownHosts()
         self.orders = orders.OrderQueue(limits, epoch, self._record_host_order)
         self.upkeep = upkeep.Upkeep(self)
         self.pools = pools.Pools(self)
@@ -190,7 +192,7 @@
     def has_complete_view(self) -> bool:
         """Return whether every live worker has reported to this leader."""
         return self.now >= self.leader_since + self.max_lease_s and (
-            self.orders.listed_at >= self.leader_since
+            self.known_hosts.listed_at >= self.leader_since
         )
 
     def record_change(self, change: ledger.Change) -> None:
@@ -206,6 +208,10 @@
         """Return the known workers of a pool."""
         return list(self._roster.iterate_pool_workers(pool))
 
+    def get_hosts_with_worker(self) -> set[ids.HostId]:
+        """Return the hosts whose workers report to this leader."""
+        return {worker.host for worker in self.workers.values()}
+
     def set_worker_pool(
         self, worker: workers.Worker, pool: ids.PoolId
     ) -> None:
--- a/orioleshore/jobs/tuning.py
+++ b/orioleshore/jobs/tuning.py
@@ -22,6 +22,8 @@
     # Shortest time between orders of two lease holders about a host.
     # Platform limit.
     host_lease_ms: int = 3_000
+    # Time that the upkeep of a host takes. Platform limit.
+    upkeep_s: float = 2.0
     # A worker that announced its exit has stopped its runs this long after
     # the acknowledgement; more than the time that a process takes to exit.
     leave_ms: int = 1_000
--- a/orioleshore/jobs/upkeep.py
+++ b/orioleshore/jobs/upkeep.py
@@ -40,6 +40,9 @@
 # A worker that is first heard sooner after the confirmed start of an upkeep
 # was started before it. Less than the shortest upkeep of the platform, 2 s.
 MIN_UPKEEP_S = 1.5
+# A missing host may be back after this many times the platform's time for an
+# upkeep; the clocks of the two may differ.
+UPKEEP_MARGIN = 1.25
 
 # Stands for the worker of a host that is switched off.
 _NO_WORKER = workers.WorkerKey(ids.WorkerId(''), ids.UNKNOWN_INCARNATION)
@@ -56,11 +59,12 @@
     def __init__(self, scheduler: scheduling.Scheduler) -> None:
         self._scheduler = scheduler
         self._cordons: dict[ids.HostId, _Cordon] = {}
-        # Monotonic time at which this leader first saw each wave.
-        self._seen_at: dict[ids.WaveId, float] = {}
         # Monotonic time at which this leader received the confirmation that
         # the upkeep of a host began.
         self._confirmed_at: dict[ids.HostId, float] = {}
+        # Monotonic time of the last order for the upkeep of a missing host
+        # that had begun before; see _check_missing_host.
+        self._checked_at: dict[ids.HostId, float] = {}
         # Hosts whose upkeep was ordered before without an answer, so that it
         # may have begun even if the repeated order is refused.
         self._repeated: set[ids.HostId] = set()
@@ -95,7 +99,6 @@
             if not self.is_host_due(host):
                 self._uncordon_host(host)
         for name, wave in self._scheduler.ledger.waves.items():
-            self._seen_at.setdefault(name, self._scheduler.now)
             self._finish_returned_hosts(name, wave)
             if not wave.is_completed:
                 self._advance_wave(name, wave)
@@ -119,6 +122,7 @@
         if call.outcome is states.HostOrderOutcome.ACCEPTED:
             self._record_start(call, wave)
         if call.outcome is states.HostOrderOutcome.GONE:
+            scheduler.known_hosts.forget(call.host)
             scheduler.record_change(
                 ledger.UpkeepFinished(call.wave, call.host)
             )
@@ -145,8 +149,10 @@
     ) -> None:
         scheduler = self._scheduler
         upkeep = wave.hosts[call.host]
-        if not upkeep.is_started:
-            scheduler.record_change(ledger.UpkeepBegun(call.wave, call.host))
+        if upkeep.is_started:
+            self._finish_checked_host(call, upkeep)
+            return
+        scheduler.record_change(ledger.UpkeepBegun(call.wave, call.host))
         self._confirmed_at[call.host] = scheduler.now
         self._repeated.discard(call.host)
         self._uncordon_host(call.host)
@@ -158,6 +164,22 @@
         if worker is not None and worker.host == call.host:
             scheduler.drop_worker(worker, states.WorkerExit.UPKEEP)
 
+    def _finish_checked_host(
+        self, call: calls.NoteUpkeep, upkeep: ledger.UpkeepRecord
+    ) -> None:
+        """Record that a missing host is back after its upkeep.
+
+        The platform has confirmed once more that the upkeep is done, asked
+        later than it can have lasted.
+        """
+        begun_at = self._confirmed_at.get(call.host, self._scheduler.now)
+        end_at = begun_at + UPKEEP_MARGIN * self._scheduler.limits.upkeep_s
+        is_late = self._checked_at.get(call.host, 0.0) >= end_at
+        if is_late and not upkeep.is_finished:
+            self._scheduler.record_change(
+                ledger.UpkeepFinished(call.wave, call.host)
+            )
+
     def _finish_returned_hosts(
         self, name: ids.WaveId, wave: ledger.WaveRecord
     ) -> None:
@@ -175,14 +197,38 @@
                 and not _is_ended_by(upkeep, worker)
                 and worker.found_at >= confirmed_at + MIN_UPKEEP_S
             )
-            if is_back or self._is_listed_as_up(host, confirmed_at):
+            known = scheduler.known_hosts
+            is_list_newer = known.listed_at > confirmed_at
+            if is_back or (is_list_newer and known.is_up(host)):
                 scheduler.record_change(ledger.UpkeepFinished(name, host))
+            elif is_list_newer and worker is None:
+                self._check_missing_host(name, host)
 
-    def _is_listed_as_up(self, host: ids.HostId, confirmed_at: float) -> bool:
-        orders = self._scheduler.orders
-        if orders.listed_at <= confirmed_at:
-            return False
-        return orders.is_gone(host) or orders.is_up(host)
+    def _check_missing_host(self, name: ids.WaveId, host: ids.HostId) -> None:
+        """Ask once for each list about a host in upkeep that it lacks.
+
+        The repeated order has no effect. The answer tells whether the host
+        still exists, and whether its upkeep is done.
+        """
+        scheduler = self._scheduler
+        listed_at = scheduler.known_hosts.listed_at
+        if (
+            not scheduler.known_hosts.is_missing(host)
+            or self._checked_at.get(host, 0.0) >= listed_at
+            or not scheduler.has_complete_view
+            or not scheduler.orders.can_order(host, scheduler.now)
+        ):
+            return
+        self._checked_at[host] = scheduler.now
+        scheduler.orders.order_upkeep(name, host, scheduler.now)
+        LOG.info(
+            logs.format_event(
+                'upkeep_checked',
+                wave=name,
+                host=host,
+                list_age_s=scheduler.now - listed_at,
+            )
+        )
 
     def _advance_wave(self, name: ids.WaveId, wave: ledger.WaveRecord) -> None:
         self._resend_unanswered_orders(name, wave)
@@ -198,7 +244,7 @@
             and not upkeep.is_started
             and self._scheduler.orders.can_order(host, self._scheduler.now)
         ]
-        for host in self._find_idle_standby_hosts(name, waiting):
+        for host in self._find_hosts_without_worker(waiting):
             if down < limit:
                 down += 1
                 self._order_upkeep(name, host, _NO_WORKER)
@@ -222,36 +268,32 @@
             elif self._is_ready_to_stop(worker, wave):
                 self._order_upkeep(name, worker.host, worker.key)
 
-    def _find_idle_standby_hosts(
-        self, name: ids.WaveId, waiting: list[ids.HostId]
+    def _find_hosts_without_worker(
+        self, waiting: list[ids.HostId]
     ) -> list[ids.HostId]:
-        """Return waiting hosts of standby pools, which run no tasks.
+        """Return waiting hosts that run no tasks and can be ordered.
 
-        Upkeep of hosts that the platform no longer lists is recorded as
-        finished. A list from before the wave does not count: a host of the
-        wave may have been added since.
+        These are hosts that are up in a standby pool, and hosts that the
+        newest list lacks: whether one of them still exists is known only by
+        the answer to its order. A worker that this leader has not heard of
+        may run tasks on the latter until its lease has ended.
         """
         scheduler = self._scheduler
-        if scheduler.orders.listed_at < scheduler.leader_since:
+        known = scheduler.known_hosts
+        if known.listed_at < scheduler.leader_since:
             return []
-        is_list_newer = scheduler.orders.listed_at >= self._seen_at[name]
-        idle = []
-        for host in waiting:
-            if scheduler.orders.is_gone(host):
-                if is_list_newer:
-                    scheduler.record_change(ledger.UpkeepFinished(name, host))
-            elif (
-                scheduler.orders.is_up(host)
-                and scheduler.is_standby(scheduler.orders.hosts[host].pool)
-                and not self._has_worker(host)
-            ):
-                idle.append(host)
-        return idle
-
-    def _has_worker(self, host: ids.HostId) -> bool:
-        return any(
-            worker.host == host for worker in self._scheduler.workers.values()
-        )
+        present = scheduler.get_hosts_with_worker()
+        return [
+            host
+            for host in waiting
+            if host not in present
+            and (
+                known.is_up(host)
+                and scheduler.is_standby(known.rows[host].pool)
+                or known.is_missing(host)
+                and scheduler.has_complete_view
+            )
+        ]
 
     def _sort_workers(self, waiting: list[ids.HostId]) -> list[workers.Worker]:
         """Return the workers of hosts, cordoned and least loaded first."""
@@ -412,6 +454,7 @@
                 host=host,
                 worker=worker.name,
                 incarnation=worker.incarnation,
+                is_missing=scheduler.known_hosts.is_missing(host),
             )
         )
 
--- a/orioleshore/platform/boot.py
+++ b/orioleshore/platform/boot.py
@@ -53,6 +53,8 @@
     gang_timeout_ms: int = 3_000
     # How many times longer a task takes outside the rack of its data or step.
     spread_factor: float = 1.5
+    # Time that the upkeep of a host takes.
+    maintenance_s: float = 2
     # Time between the order to stop and the kill.
     grace_s: float = 6
 
@@ -206,6 +208,7 @@
         lease_ms=min(tuning.SchedulerLimits().lease_ms, bounds.hold_max_ms),
         status_s=bounds.status_s,
         host_lease_ms=bounds.lease_ms,
+        upkeep_s=bounds.maintenance_s,
         gang_ms=bounds.gang_timeout_ms,
         remote_factor=bounds.spread_factor,
         heartbeat_ms=boot_file.heartbeat_ms,
--- a/orioleshore/tests/builders.py
+++ b/orioleshore/tests/builders.py
@@ -5,6 +5,7 @@
 
 import msgspec
 
+from fakes import workers
 from orioleshore.consensus import events as consensus_events
 from orioleshore.consensus import log
 from orioleshore.consensus import member_messages
@@ -28,6 +29,7 @@
 from orioleshore.state import records
 from orioleshore.tasks import mailbox
 from orioleshore.telemetry import latencies
+from orioleshore.tests import support
 from orioleshore.timers import clock
 from orioleshore.timers import service
 
@@ -431,6 +433,17 @@
     return specs.Configuration(ids.Version(version), **defaults | fields)
 
 
+def build_fleet(
+    red: int = 2, blue: int = 0, standby: int = 0
+) -> workers.FakeFleet:
+    """Return a scheduler with fake workers on hosts of three pools."""
+    fleet = workers.FakeFleet(build_configuration(), seed=support.SEED)
+    fleet.add_hosts(red, 'red')
+    fleet.add_hosts(blue, 'blue')
+    fleet.add_hosts(standby, 'standby')
+    return fleet
+
+
 def build_job_id(number: int = 1) -> ids.JobId:
     """Return the id of a caller's job."""
     return ids.JobId(f'{number:016x}')
--- a/orioleshore/tests/test_batch_scheduler.py
+++ b/orioleshore/tests/test_batch_scheduler.py
@@ -3,7 +3,6 @@
 import msgspec
 import pytest
 
-from fakes import workers
 from orioleshore.jobs import calls
 from orioleshore.jobs import ledger
 from orioleshore.jobs import specs
@@ -11,18 +10,6 @@
 from orioleshore.model import ids
 from orioleshore.model import states
 from orioleshore.tests import builders
-from orioleshore.tests import support
-
-
-def build_fleet(red: int = 2, blue: int = 0, standby: int = 0):
-    """Return a fleet with hosts in its pools."""
-    fleet = workers.FakeFleet(
-        builders.build_configuration(), seed=support.SEED
-    )
-    fleet.add_hosts(red, 'red')
-    fleet.add_hosts(blue, 'blue')
-    fleet.add_hosts(standby, 'standby')
-    return fleet
 
 
 def get_state(fleet, number: int = 1, pool: str = 'red'):
@@ -35,7 +22,7 @@
 
 def test_job_runs_its_steps_in_order():
     """Guards against a step that starts before the steps it depends on."""
-    fleet = build_fleet()
+    fleet = builders.build_fleet()
     job = builders.build_batch_job(
         builders.build_step(3), builders.build_step(2, after=(0,))
     )
@@ -49,7 +36,7 @@
 
 def test_repeated_submission_creates_one_job():
     """Guards against a job that runs twice after a lost answer."""
-    fleet = build_fleet()
+    fleet = builders.build_fleet()
     for _ in range(3):
         assert fleet.call_scheduler(builders.build_submission()).is_ok()
     fleet.run(3.0)
@@ -61,7 +48,7 @@
 
 def test_job_fails_after_its_last_attempt():
     """Guards against a failing job that is retried without limit."""
-    fleet = build_fleet()
+    fleet = builders.build_fleet()
     for worker in fleet.workers.values():
         worker.is_failing = True
     fleet.call_scheduler(builders.build_submission())
@@ -73,7 +60,7 @@
 
 def test_cancelled_job_stops_all_its_tasks():
     """Guards against tasks that keep running after their job is cancelled."""
-    fleet = build_fleet()
+    fleet = builders.build_fleet()
     job = builders.build_lasting_job(4)
     fleet.call_scheduler(builders.build_submission(job=job))
     fleet.run(1.0)
@@ -87,7 +74,7 @@
 
 def test_lost_worker_does_not_cause_two_runs():
     """Guards against a restart before the lease of a silent worker ends."""
-    fleet = build_fleet()
+    fleet = builders.build_fleet()
     fleet.call_scheduler(
         builders.build_submission(job=builders.build_lasting_job(2))
     )
@@ -104,7 +91,7 @@
 
 def test_new_leader_keeps_runs_that_workers_report():
     """Guards against tasks that restart after a change of leader."""
-    fleet = build_fleet()
+    fleet = builders.build_fleet()
     fleet.call_scheduler(
         builders.build_submission(job=builders.build_lasting_job(4))
     )
@@ -123,7 +110,7 @@
     The job is cancelled after a change of leader, before its worker has
     reported to the new leader.
     """
-    fleet = build_fleet()
+    fleet = builders.build_fleet()
     fleet.call_scheduler(
         builders.build_submission(job=builders.build_lasting_job(2))
     )
@@ -137,7 +124,7 @@
 
 def test_old_heartbeat_renews_no_lease():
     """Guards against a delayed heartbeat that is handled as a new one."""
-    fleet = build_fleet(red=0)
+    fleet = builders.build_fleet(red=0)
     fleet.call_scheduler(builders.build_heartbeat(sequence=5))
     fleet.call_scheduler(builders.build_submission())
     answer = fleet.call_scheduler(
@@ -154,7 +141,7 @@
     resumed. The host was then taken down for upkeep although it ran tasks,
     since the old worker ran none.
     """
-    fleet = build_fleet(red=0)
+    fleet = builders.build_fleet(red=0)
     host = ids.HostId('host-1')
     newer = builders.build_heartbeat(
         'worker-2', host=host, incarnation=ids.Incarnation(2)
@@ -170,7 +157,7 @@
 
 def test_lost_start_order_is_repeated_as_a_new_attempt():
     """Guards against a task that never starts after a lost answer."""
-    fleet = build_fleet(red=0)
+    fleet = builders.build_fleet(red=0)
     fleet.call_scheduler(builders.build_submission())
     first = fleet.call_scheduler(builders.build_heartbeat(sequence=1)).unwrap()
     second = fleet.call_scheduler(
@@ -186,7 +173,7 @@
     After consecutive failures, a worker got no further task for as long as
     its long-running tasks ran.
     """
-    fleet = build_fleet(red=1)
+    fleet = builders.build_fleet(red=1)
     fleet.call_scheduler(
         builders.build_submission(job=builders.build_lasting_job(2))
     )
@@ -206,7 +193,7 @@
 
 def test_pool_that_lost_its_hosts_gets_some_for_long_running_tasks():
     """Guards against a pool that stays without hosts for its tasks."""
-    fleet = build_fleet(red=2, standby=3)
+    fleet = builders.build_fleet(red=2, standby=3)
     fleet.call_scheduler(
         builders.build_submission(job=builders.build_lasting_job(4))
     )
@@ -221,7 +208,7 @@
 
 def test_standby_hosts_serve_a_demand_peak_and_return():
     """Guards against a demand peak that only its own pool serves."""
-    fleet = build_fleet(red=2, blue=2, standby=6)
+    fleet = builders.build_fleet(red=2, blue=2, standby=6)
     fleet.run(4.0)
     for number in range(40):
         fleet.call_scheduler(
@@ -248,7 +235,7 @@
 
     Two hosts with tasks of one step evicted one each at the same time.
     """
-    fleet = build_fleet(red=5)
+    fleet = builders.build_fleet(red=5)
     job = builders.build_lasting_job(4, max_unavailable=1)
     fleet.call_scheduler(builders.build_submission(job=job))
     fleet.run(4.0)
@@ -269,7 +256,7 @@
 
     Recording the refusal failed, and each new leader failed in the same way.
     """
-    fleet = build_fleet(red=2)
+    fleet = builders.build_fleet(red=2)
     scheduler = fleet.scheduler
     wave, host = ids.WaveId('1'), next(iter(fleet.workers))
     fleet.call_scheduler(calls.OpenWave(wave, (host,), 60.0, 1))
@@ -292,7 +279,7 @@
     An order is carried out and its answer lost. The host is down when the
     order is repeated, so the platform refuses it as busy.
     """
-    fleet = build_fleet(red=6)
+    fleet = builders.build_fleet(red=6)
     fleet.run(2.0)
     hosts = tuple(fleet.workers)
     fleet.lost_upkeep_answers = lost
@@ -308,7 +295,7 @@
     The first order is confirmed after it was repeated. The platform refuses
     the repeated one, since the host is down.
     """
-    fleet = build_fleet(red=4)
+    fleet = builders.build_fleet(red=4)
     fleet.run(2.0)
     first, *others = fleet.workers
     wave = ids.WaveId('1')
@@ -335,7 +322,7 @@
     Its worker crashes after the order, and the next one reports before the
     platform carries the order out.
     """
-    fleet = build_fleet(red=2)
+    fleet = builders.build_fleet(red=2)
     fleet.run(2.0)
     wave, host = ids.WaveId('1'), next(iter(fleet.workers))
     fleet.call_scheduler(calls.OpenWave(wave, (host,), 60.0, 1))
@@ -352,7 +339,7 @@
 
 def test_wave_is_not_completed_before_each_host_had_its_upkeep():
     """Guards against a wave that is reported as completed too early."""
-    fleet = build_fleet(red=3)
+    fleet = builders.build_fleet(red=3)
     fleet.run(4.0)
     hosts = tuple(fleet.workers)
     fleet.call_scheduler(calls.OpenWave(ids.WaveId('1'), hosts, 60.0, 1))
@@ -373,7 +360,7 @@
 
     The list that the leader had read before the wave did not have the host.
     """
-    fleet = build_fleet(red=2)
+    fleet = builders.build_fleet(red=2)
     fleet.run(0.5)
     fleet.add_hosts(1, 'standby')
     host = list(fleet.workers)[-1]
@@ -384,7 +371,7 @@
 
 def test_wave_is_completed_when_its_last_host_is_back():
     """Guards against a completed wave of which a host is still down."""
-    fleet = build_fleet(red=2)
+    fleet = builders.build_fleet(red=2)
     fleet.run(4.0)
     wave = ids.WaveId('1')
     hosts = tuple(fleet.workers)
@@ -397,7 +384,7 @@
 
 def test_older_configuration_changes_nothing():
     """Guards against a configuration that reverts to an older version."""
-    fleet = build_fleet()
+    fleet = builders.build_fleet()
     newer = builders.build_configuration(9, source=b'nine')
     older = builders.build_configuration(5, source=b'five')
     same = builders.build_configuration(9, source=b'other')
@@ -430,13 +417,13 @@
 )
 def test_calls_with_unknown_names_are_refused(call, kind):
     """Guards against a success for a name that does not exist."""
-    outcome = build_fleet().call_scheduler(call)
+    outcome = builders.build_fleet().call_scheduler(call)
     assert outcome.unwrap_err().kind is kind
 
 
 def test_members_of_a_gang_start_together_or_not_at_all():
     """Guards against members that occupy capacity and wait for others."""
-    fleet = build_fleet(red=3)
+    fleet = builders.build_fleet(red=3)
     need = specs.Resources(9_000, 1_024)
     gang = builders.build_step(3, is_gang=True, need=need)
     filler = builders.build_step(1, need=need)
@@ -464,7 +451,7 @@
 
 def test_gang_larger_than_its_pool_reserves_no_capacity():
     """Guards against a gang that can never start but blocks its pool."""
-    fleet = build_fleet(red=1)
+    fleet = builders.build_fleet(red=1)
     gang = builders.build_step(
         3, is_gang=True, need=specs.Resources(9_000, 1_024)
     )
@@ -480,7 +467,7 @@
 
 def test_step_with_a_policy_starts_only_with_a_ticket():
     """Guards against starts on workers that the policy did not approve."""
-    fleet = build_fleet(red=3)
+    fleet = builders.build_fleet(red=3)
     fleet.run(0.5)
     configuration = builders.build_configuration(2)
     queues = tuple(
@@ -503,7 +490,7 @@
 
 def test_step_waits_briefly_for_the_rack_of_its_data():
     """Guards against slow runs on another rack while its own is free."""
-    fleet = build_fleet(red=2)
+    fleet = builders.build_fleet(red=2)
     near, far = fleet.workers.values()
     near.labels = ('a', 'r1-1')
     far.labels = ('a', 'r1-2')
@@ -518,7 +505,7 @@
 
 def test_stalled_runs_restart_elsewhere():
     """Guards against jobs that wait for a worker that hangs."""
-    fleet = build_fleet(red=2)
+    fleet = builders.build_fleet(red=2)
     hanging = next(iter(fleet.workers.values()))
     hanging.is_hanging = True
     for number in range(1, 5):
@@ -533,7 +520,7 @@
 
 def test_failed_task_is_retried_on_another_worker():
     """Guards against a faulty worker that uses up all attempts of a job."""
-    fleet = build_fleet(red=0)
+    fleet = builders.build_fleet(red=0)
     fleet.call_scheduler(builders.build_heartbeat('worker-1', 1))
     fleet.call_scheduler(builders.build_heartbeat('worker-2', 1))
     fleet.call_scheduler(builders.build_submission())
@@ -550,7 +537,7 @@
 
 def test_slow_runs_are_not_stalled():
     """Guards against stopping runs on a worker that is only slow."""
-    fleet = build_fleet(red=1)
+    fleet = builders.build_fleet(red=1)
     fleet.mean_run_s = 8.0
     fleet.call_scheduler(builders.build_submission())
     fleet.run(14.0)
@@ -560,7 +547,7 @@
 
 def test_occurrences_start_at_their_due_times():
     """Guards against an occurrence that starts early or never."""
-    fleet = build_fleet()
+    fleet = builders.build_fleet()
     fleet.run(0.5)
     first_s = 2.0
     job = msgspec.structs.replace(
@@ -582,7 +569,7 @@
 
 def test_checkpoint_is_passed_to_the_next_attempt():
     """Guards against repeating work that was saved."""
-    fleet = build_fleet(red=0)
+    fleet = builders.build_fleet(red=0)
     step = builders.build_step(saves_progress=True)
     fleet.call_scheduler(
         builders.build_submission(job=builders.build_batch_job(step))
@@ -598,7 +585,7 @@
 
 def test_label_decides_which_worker_runs_a_step():
     """Guards against a start on a worker without the label."""
-    fleet = build_fleet(red=2)
+    fleet = builders.build_fleet(red=2)
     first, second = fleet.workers.values()
     first.labels = ('a', 'r1-1')
     second.labels = ('b', 'r1-1')
@@ -612,7 +599,7 @@
 
 def test_filler_tasks_are_paused_beside_a_slow_serving_task():
     """Guards against fillers that keep a tail latency above its target."""
-    fleet = build_fleet(red=0)
+    fleet = builders.build_fleet(red=0)
     serving = builders.build_lasting_job(1, tail_target_ms=100)
     filler = builders.build_batch_job(builders.build_step(is_filler=True))
     fleet.call_scheduler(builders.build_submission(1, serving))
@@ -638,7 +625,7 @@
 
 def test_long_running_tasks_move_off_a_draining_worker():
     """Guards against long-running tasks that end with their worker."""
-    fleet = build_fleet(red=3)
+    fleet = builders.build_fleet(red=3)
     fleet.call_scheduler(
         builders.build_submission(job=builders.build_lasting_job(2))
     )
@@ -655,7 +642,7 @@
 
     Holding all hosts instead would block moves in a demand peak.
     """
-    fleet = build_fleet(red=2, blue=2, standby=2)
+    fleet = builders.build_fleet(red=2, blue=2, standby=2)
     fleet.run(1.0)
     host, other = (
         w.host for w in fleet.workers.values() if w.pool == 'standby'
--- a/orioleshore/tests/test_odd_entries.py
+++ b/orioleshore/tests/test_odd_entries.py
@@ -325,7 +325,7 @@
     if is_new_leader:
         fleet.fail_over()
     fleet.run(6.0)
-    known = fleet.scheduler.orders.hosts.get(odd)
+    known = fleet.scheduler.known_hosts.rows.get(odd)
     wave = ids.WaveId('1')
     fleet.call_scheduler(calls.OpenWave(wave, (odd, good), 60.0, 1))
     fleet.run(12.0)
@@ -333,7 +333,7 @@
     assert record[good].is_finished
     assert good in fleet.hosts_done
     assert not record[odd].is_finished
-    assert fleet.scheduler.orders.hosts.get(odd) == known
+    assert fleet.scheduler.known_hosts.rows.get(odd) == known
     fleet.unreadable_hosts.clear()
     fleet.has_nameless_row = False
     fleet.run(12.0)
@@ -352,7 +352,7 @@
         fleet.run(0.05)
     fleet.unreadable_hosts = {host}
     fleet.run(6.0)
-    assert fleet.scheduler.orders.hosts[host].state.value == 'up'
+    assert fleet.scheduler.known_hosts.rows[host].state.value == 'up'
     assert not record[host].is_finished
 
 
--- a/orioleshore/tests/test_odd_fuzz.py
+++ b/orioleshore/tests/test_odd_fuzz.py
@@ -275,7 +275,8 @@
     ).unwrap()
     fleet.scheduler.tick(fleet.now + 0.1, fleet.wall)
     if page.odd and 'm-odd' not in found:
-        assert not fleet.scheduler.orders.is_gone(ids.HostId('m-odd')) or (
+        is_missing = fleet.scheduler.known_hosts.is_missing
+        assert not is_missing(ids.HostId('m-odd')) or (
             page.odd[0].key not in (None, 'm-odd')
         )
 
--- a/orioleshore/tests/test_platform_processes.py
+++ b/orioleshore/tests/test_platform_processes.py
@@ -438,6 +438,51 @@
     support.run(serve())
 
 
+def test_processes_complete_a_wave_only_with_the_hosts_that_stay(tmp_path):
+    """Guards against a wave that is completed without a host that stays.
+
+    One host is in no page of several lists, another one no longer exists.
+    """
+    idle = {'name': 'idle', 'preconditions': True, 'standby': True}
+    services = [*CONFIGURATION['services'], idle]
+    names = ['m-stays', 'm-gone']
+
+    async def serve():
+        async with run_fleet(tmp_path) as (fleet, _, session):
+            cloud = fleet.cloud
+            cloud.machines = [
+                {'machine': name, 'pool': 'idle', 'state': 'up'}
+                for name in names
+            ]
+            cloud.missing = {'m-stays'}
+            cloud.withdrawn = {'m-gone'}
+            await put_configuration(
+                fleet, session, CONFIGURATION | {'services': services}
+            )
+            wave = {'wave': 1, 'machines': names, 'duration_s': 20, 'cap': 1}
+            control = fleet.get_url('control-0')
+
+            async def is_wave_opened() -> bool:
+                status, _ = await send_request(
+                    session, 'POST', f'{control}/wave-start', json=wave
+                )
+                return status == 200
+
+            async def is_wave_completed() -> bool:
+                _, body = await send_request(
+                    session, 'GET', f'{control}/wave-get/1'
+                )
+                is_completed = b'completed' in body
+                assert not is_completed or 'm-stays' in cloud.upkeeps
+                return is_completed
+
+            await wait_until(is_wave_opened, 'wave is opened')
+            await wait_until(is_wave_completed, 'wave is completed')
+            assert set(cloud.upkeeps) == {'m-stays'}
+
+    support.run(serve())
+
+
 async def check_odd_entries_are_counted(fleet, session):
     """Check metric and log of the odd hosts and runs at the leader."""
     leader = find_leader(fleet)
