End the upkeep of a missing host whose worker was back before its confirmation

What callers saw: nothing yet; a wave could go on without an end while the list lacked a host of it, and its place stayed taken.

Cause: the first answer to an order is lost, the worker is back after the upkeep, and the repeated order is confirmed then. A worker that was found before the confirmation does not show that the host is back, and the host was asked about only without a worker.

Change: once the upkeep must have ended, a missing host is asked about also if it has a worker. The platform answers an order that it has carried out without any effect.

--- a/orioleshore/jobs/upkeep.py
+++ b/orioleshore/jobs/upkeep.py
@@ -172,14 +172,19 @@
         The platform has confirmed once more that the upkeep is done, asked
         later than it can have lasted.
         """
-        begun_at = self._confirmed_at.get(call.host, self._scheduler.now)
-        end_at = begun_at + UPKEEP_MARGIN * self._scheduler.limits.upkeep_s
-        is_late = self._checked_at.get(call.host, 0.0) >= end_at
+        is_late = self._checked_at.get(call.host, 0.0) >= self._get_end(
+            call.host
+        )
         if is_late and not upkeep.is_finished:
             self._scheduler.record_change(
                 ledger.UpkeepFinished(call.wave, call.host)
             )
 
+    def _get_end(self, host: ids.HostId) -> float:
+        """Return when the upkeep of a host has ended, a monotonic time."""
+        begun_at = self._confirmed_at.get(host, self._scheduler.now)
+        return begun_at + UPKEEP_MARGIN * self._scheduler.limits.upkeep_s
+
     def _finish_returned_hosts(
         self, name: ids.WaveId, wave: ledger.WaveRecord
     ) -> None:
@@ -201,7 +206,9 @@
             is_list_newer = known.listed_at > confirmed_at
             if is_back or (is_list_newer and known.is_up(host)):
                 scheduler.record_change(ledger.UpkeepFinished(name, host))
-            elif is_list_newer and worker is None:
+            elif is_list_newer and (
+                worker is None or scheduler.now >= self._get_end(host)
+            ):
                 self._check_missing_host(name, host)
 
     def _check_missing_host(self, name: ids.WaveId, host: ids.HostId) -> None:
