--- a/orioleshore/tests/test_missing_hosts.py
+++ b/orioleshore/tests/test_missing_hosts.py
@@ -20,8 +20,6 @@
 STANDBY = ids.PoolId('standby')
 # Some lists, which are requested once a second during a wave.
 SEVERAL_LISTS_S = 6.0
-ACCEPTED = states.HostOrderOutcome.ACCEPTED
-REFUSED = states.HostOrderOutcome.REFUSED
 
 
 def open_wave(fleet: workers.FakeFleet, *hosts: ids.HostId) -> None:
