--- a/review/lab/case.py
+++ b/review/lab/case.py
@@ -5,6 +5,7 @@
 from collections.abc import Callable
 import os
 import pathlib
+import signal
 import sys
 import traceback
 
@@ -145,11 +146,15 @@
 
 async def _run(folder: pathlib.Path, steps: Steps, max_attempts: int) -> int:
     case = Case(folder)
+    # Whoever ends the case early leaves no process behind.
+    task = asyncio.current_task()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        asyncio.get_running_loop().add_signal_handler(number, task.cancel)
     try:
         async with asyncio.timeout(112):
             await case.start(max_attempts)
             breaks = await steps(case)
-    except (NotRunError, TimeoutError) as error:
+    except (NotRunError, TimeoutError, asyncio.CancelledError) as error:
         case.log.add('case', 'not_run', why=repr(error))
         print(f'not run: {error!r}')
         return NOT_RUN
