Know the organisation of a call, and keep its running tasks within its limit

Nothing on the platform's path knew an organisation: callers were served whatever their key, and no limit held. The configuration now names organisations with keys, weight and limit; calls carry the key to the leader, which refuses unknown ones with 401 unless the queue is public. The job's record names its organisation, and every start (plain, gang, suspect) is checked against what all workers hold for it. A new leader counts what the log says may still run, also for jobs that have ended.

--- a/orioleshore/jobs/calls.py
+++ b/orioleshore/jobs/calls.py
@@ -141,6 +141,7 @@
     host: str
     path: str
     job: specs.Job
+    key: ids.ApiKey = ids.ApiKey('')
 
 
 class GetJob(_Call, frozen=True):
@@ -148,6 +149,7 @@
 
     host: str
     path: str
+    key: ids.ApiKey = ids.ApiKey('')
 
 
 class CancelJob(_Call, frozen=True):
@@ -155,6 +157,7 @@
 
     host: str
     path: str
+    key: ids.ApiKey = ids.ApiKey('')
 
 
 class JobStatus(msgspec.Struct, frozen=True, tag=True):
--- a/orioleshore/jobs/gangs.py
+++ b/orioleshore/jobs/gangs.py
@@ -11,6 +11,7 @@
 import typing
 
 from orioleshore.jobs import eligibility
+from orioleshore.jobs import organisations
 from orioleshore.jobs import progress
 from orioleshore.jobs import specs
 from orioleshore.jobs import workers
@@ -85,6 +86,9 @@
     job: progress.JobProgress,
     group: progress.Group,
 ) -> None:
+    whole = organisations.multiply_resources(group.step.need, group.step.tasks)
+    if not scheduler.is_within_limit(job, whole):
+        return
     waited_s = scheduler.wall_time - group.startable_since
     is_usable = (
         eligibility.is_available
@@ -143,6 +147,9 @@
         task = specs.make_task_name(group.occurrence, group.position, index)
         group.planned_workers[index] = worker.name
         worker.reserved[job.name, task] = need
+        scheduler.usage.charge(
+            worker.name, job.record.organisation, group.step.need
+        )
     LOG.info(
         logs.format_event(
             'gang_planned',
@@ -165,6 +172,10 @@
         task = specs.make_task_name(group.occurrence, group.position, index)
         if worker is not None:
             worker.reserved.pop((job.name, task), None)
+            scheduler.usage.set_worker(
+                name,
+                organisations.list_holdings(worker, scheduler.ledger.jobs),
+            )
     group.planned_workers.clear()
     LOG.info(
         logs.format_event('gang_given_up', job=job.name, step=group.position)
--- a/orioleshore/jobs/handlers.py
+++ b/orioleshore/jobs/handlers.py
@@ -8,12 +8,15 @@
 
 from result import Err
 from result import Ok
+from result import Result
 
 from orioleshore.jobs import admission
 from orioleshore.jobs import answers
 from orioleshore.jobs import calls
 from orioleshore.jobs import ledger
+from orioleshore.jobs import organisations
 from orioleshore.jobs import reports
+from orioleshore.jobs import specs
 from orioleshore.model import errors
 from orioleshore.model import ids
 from orioleshore.model import states
@@ -34,6 +37,33 @@
     )
 
 
+def _find_organisation(
+    key: ids.ApiKey, queue: specs.Queue, scheduler: scheduling.Scheduler
+) -> Result[ids.OrganisationId, errors.Failure]:
+    """Return the organisation of a caller; fails with UNAUTHORIZED.
+
+    Any organisation may ask for any job: a job is named by its random id,
+    and its callers may go on after their key has moved to another one.
+    """
+    organisation = scheduler.directory.find_by_key(key)
+    if organisation is not None:
+        return Ok(organisation)
+    if queue.is_public or not scheduler.ledger.configuration.requires_keys:
+        return Ok(organisations.NO_ORGANISATION)
+    LOG.info(
+        logs.format_event(
+            'key_refused',
+            queue=queue.name,
+            has_key=bool(key),
+            version=scheduler.ledger.configuration.version,
+        )
+    )
+    return answers.build_failure(
+        errors.ErrorKind.UNAUTHORIZED,
+        'no organisation of the configuration in force holds this key',
+    )
+
+
 @functools.singledispatch
 def handle(
     call: typing.Any, scheduler: scheduling.Scheduler
@@ -50,6 +80,9 @@
     if target.is_err():
         return target
     queue, name = target.unwrap()
+    caller = _find_organisation(call.key, queue, scheduler)
+    if caller.is_err():
+        return caller
     if not is_job_id(name):
         return answers.build_failure(
             errors.ErrorKind.INVALID_REQUEST, 'malformed job id'
@@ -69,13 +102,14 @@
             )
         )
         return Err(refusal)
-    scheduler.accept_job(name, call.job, queue)
+    scheduler.accept_job(name, call.job, queue, caller.unwrap())
     LOG.info(
         logs.format_event(
             'job_accepted',
             job=name,
             queue=queue.name,
             pool=queue.pool,
+            organisation=caller.unwrap(),
             tasks=ledger.count_tasks(call.job),
             lasting=call.job.is_long_running,
             objective_ms=scheduler.ledger.jobs[name].objective_ms,
@@ -91,6 +125,9 @@
     if target.is_err():
         return target
     queue, name = target.unwrap()
+    caller = _find_organisation(call.key, queue, scheduler)
+    if caller.is_err():
+        return caller
     if not name:
         waiting = sum(
             record.state is states.BatchState.QUEUED
@@ -114,7 +151,10 @@
     target = scheduler.find_target(call.host, call.path)
     if target.is_err():
         return target
-    _, name = target.unwrap()
+    queue, name = target.unwrap()
+    caller = _find_organisation(call.key, queue, scheduler)
+    if caller.is_err():
+        return caller
     record = scheduler.ledger.jobs.get(name)
     if record is None:
         return answers.build_failure(
@@ -143,6 +183,7 @@
             held=current,
             in_force=max(received, current),
             queues=len(call.configuration.queues),
+            organisations=len(call.configuration.organisations),
         )
     )
     return Ok(None)
--- a/orioleshore/jobs/ledger.py
+++ b/orioleshore/jobs/ledger.py
@@ -115,6 +115,10 @@
     needs_approval: bool = False
     ended_at: ids.WallTime = ids.WallTime(0.0)
     failure: states.FailureReason = states.FailureReason.NONE
+    organisation: ids.OrganisationId = ids.OrganisationId('')
+    # What each worker ran for the job when it ended; a worker that has not
+    # reported since may still run it.
+    left_running: tuple[tuple[ids.WorkerId, specs.Resources], ...] = ()
 
     @property
     def is_ended(self) -> bool:
@@ -188,6 +192,7 @@
     objective_ms: int
     at: ids.WallTime
     needs_approval: bool = False
+    organisation: ids.OrganisationId = ids.OrganisationId('')
 
 
 class JobCancelled(_Change, frozen=True):
@@ -359,6 +364,7 @@
         change.objective_ms,
         change.at,
         needs_approval=change.needs_approval,
+        organisation=change.organisation,
     )
 
 
@@ -598,6 +604,16 @@
 ) -> None:
     record.state = state
     record.ended_at = at
+    record.left_running = tuple(
+        (run.worker, _get_need(record, name))
+        for name, run in record.tasks.items()
+        if run.stage is states.RunStage.RUNNING
+    )
     # The steps are kept: they give the resources of runs not yet stopped.
     record.tasks = {}
     record.job = msgspec.structs.replace(record.job, payload='')
+
+
+def _get_need(record: JobRecord, task: ids.TaskName) -> specs.Resources:
+    _, position, _ = specs.parse_task_name(task)
+    return record.job.steps[position].need
--- a/orioleshore/jobs/placement.py
+++ b/orioleshore/jobs/placement.py
@@ -196,6 +196,7 @@
         and group.can_use_worker(worker.name)
         and workers.fits_into(need, free)
         and can_accept_more(worker, step)
+        and scheduler.is_within_limit(job, step.need)
         and (
             not step.is_long_running
             or can_place_long_running(scheduler, worker, job, group)
@@ -378,7 +379,7 @@
     """Record the start of a task that no longer waits; return the order."""
     task = specs.make_task_name(group.occurrence, group.position, index)
     run = job.record.tasks.get(task)
-    worker.reserved.pop((job.name, task), None)
+    was_reserved = worker.reserved.pop((job.name, task), None) is not None
     checkpoint = run.checkpoint if run else ''
     scheduler.record_change(
         ledger.TaskStarted(
@@ -396,6 +397,10 @@
     key = (job.name, task, attempt)
     scheduler.crashes.record_start(worker, key, job.record.tasks[task])
     worker.ordered[key] = workers.get_reserved_resources(group.step)
+    if not was_reserved:
+        scheduler.usage.charge(
+            worker.name, job.record.organisation, group.step.need
+        )
     worker.unproven_runs.add(key)
     worker.start_ordered_at[key] = scheduler.now
     return calls.StartOrder(
--- a/orioleshore/jobs/reports.py
+++ b/orioleshore/jobs/reports.py
@@ -10,6 +10,7 @@
 from orioleshore.jobs import answers
 from orioleshore.jobs import calls
 from orioleshore.jobs import interference
+from orioleshore.jobs import organisations
 from orioleshore.jobs import placement
 from orioleshore.jobs import probation
 from orioleshore.jobs import stalls
@@ -58,6 +59,10 @@
     lease_end = worker.lease_end
     _update_worker(worker, call, scheduler)
     observed = _record_ended_runs(worker, call, scheduler)
+    scheduler.usage.set_worker(
+        worker.name,
+        organisations.list_holdings(worker, scheduler.ledger.jobs),
+    )
     missing = _find_missing_runs(worker, scheduler)
     if unread_runs and missing:
         return _hold_missing_runs(
--- a/orioleshore/jobs/scheduler.py
+++ b/orioleshore/jobs/scheduler.py
@@ -24,6 +24,7 @@
 from orioleshore.jobs import known_hosts
 from orioleshore.jobs import ledger
 from orioleshore.jobs import orders
+from orioleshore.jobs import organisations
 from orioleshore.jobs import pools
 from orioleshore.jobs import progress
 from orioleshore.jobs import roster
@@ -86,6 +87,13 @@
         self._changes: list[ledger.Change] = []
         self._has_held_ordered_hosts = False
         self.waits = holds.LongRunningWaits()
+        self.usage = organisations.Usage()
+        self._directory = organisations.Directory(job_ledger.configuration)
+        logged = organisations.list_logged_holdings(
+            job_ledger.jobs, self.max_lease_s
+        )
+        for worker, holdings in logged.items():
+            self.usage.set_worker(worker, holdings)
         # Runs according to the log whose worker has not yet reported to
         # this leader.
         self._unconfirmed_runs: dict[
@@ -200,6 +208,23 @@
         ledger.apply_change(change, self.ledger)
         self._changes.append(change)
 
+    @property
+    def directory(self) -> organisations.Directory:
+        """Return the organisations of the configuration in force."""
+        configuration = self.ledger.configuration
+        if self._directory.version != configuration.version:
+            self._directory = organisations.Directory(configuration)
+        return self._directory
+
+    def is_within_limit(
+        self, job: progress.JobProgress, need: specs.Resources
+    ) -> bool:
+        """Return whether the organisation of a job may start more."""
+        name = job.record.organisation
+        return organisations.fits_limit(
+            self.usage.get_used(name), need, self.directory.get_limit(name)
+        )
+
     def get_pool_jobs(self, pool: ids.PoolId) -> list[progress.JobProgress]:
         """Return the unfinished jobs of a pool."""
         return [self.jobs[name] for name in self._jobs_by_pool.get(pool, ())]
@@ -264,7 +289,11 @@
         return Ok((queue, ids.JobId(path[len(queue.prefix) :])))
 
     def accept_job(
-        self, name: ids.JobId, spec: specs.Job, queue: specs.Queue
+        self,
+        name: ids.JobId,
+        spec: specs.Job,
+        queue: specs.Queue,
+        organisation: ids.OrganisationId = organisations.NO_ORGANISATION,
     ) -> None:
         """Record an accepted job and make its tasks eligible to start."""
         self.record_change(
@@ -279,6 +308,7 @@
                 admission.get_objective_ms(spec, queue),
                 self.wall_time,
                 queue.needs_approval,
+                organisation,
             )
         )
         self._track_job(name, self.ledger.jobs[name])
@@ -597,6 +627,7 @@
         """Remove a worker that has ended, and end its runs as lost."""
         del self.workers[worker.name]
         self._roster.remove(worker)
+        self.usage.drop_worker(worker.name)
         LOG.warning(
             logs.format_event(
                 'worker_lost',
@@ -615,6 +646,7 @@
     def _end_unconfirmed_runs(self) -> None:
         unconfirmed, self._unconfirmed_runs = self._unconfirmed_runs, {}
         self._unconfirmed_hosts = {}
+        self.usage.keep_workers(self.workers)
         for worker, runs in unconfirmed.items():
             LOG.warning(
                 logs.format_event(
--- a/orioleshore/jobs/specs.py
+++ b/orioleshore/jobs/specs.py
@@ -83,6 +83,8 @@
     objective_ms: int = 0
     # Steps may run only on workers that the policy service approves.
     needs_approval: bool = False
+    # Calls need no key.
+    is_public: bool = False
 
 
 class Pool(msgspec.Struct, frozen=True, omit_defaults=True):
@@ -97,6 +99,20 @@
     is_standby: bool = False
 
 
+class Organisation(msgspec.Struct, frozen=True, omit_defaults=True):
+    """A customer whose callers use its keys.
+
+    ``weight`` is its share of capacity relative to other organisations, and
+    also the number of jobs per second up to which its share is guaranteed.
+    ``limit`` bounds what all its running tasks need; 0 sets no limit.
+    """
+
+    name: ids.OrganisationId
+    keys: tuple[ids.ApiKey, ...] = ()
+    weight: float = 1.0
+    limit: Resources = Resources()
+
+
 class Configuration(msgspec.Struct, frozen=True):
     """One version of all queues and pools.
 
@@ -108,6 +124,9 @@
     queues: tuple[Queue, ...] = ()
     pools: tuple[Pool, ...] = ()
     source: bytes = b''
+    organisations: tuple[Organisation, ...] = ()
+    # Calls to queues that are not public need the key of an organisation.
+    requires_keys: bool = False
 
 
 def find_queue(
--- a/orioleshore/platform/front_server.py
+++ b/orioleshore/platform/front_server.py
@@ -10,6 +10,7 @@
 from orioleshore.frontends import web as frontend_web
 from orioleshore.jobs import calls
 from orioleshore.model import errors
+from orioleshore.model import ids
 from orioleshore.model import numbers
 from orioleshore.platform import forwarding
 from orioleshore.platform import wire
@@ -19,6 +20,7 @@
 LOG = logging.getLogger(__name__)
 
 MS_PER_S = 1_000.0
+KEY_SCHEME = 'bearer'
 # Deadline of a request without the header Timeout-Ms.
 DEFAULT_TIMEOUT_S = 3.0
 # Share of the caller's deadline after which a call is abandoned, so that the
@@ -114,13 +116,14 @@
     async def _make_call(
         self, request: web.BaseRequest, host: str, path: str
     ) -> calls.Call | None:
+        key = _get_key(request)
         if request.method == 'POST':
             job = wire.decode_job(await request.read())
-            return calls.SubmitJob(host, path, job)
+            return calls.SubmitJob(host, path, job, key)
         if request.method == 'GET':
-            return calls.GetJob(host, path)
+            return calls.GetJob(host, path, key)
         if request.method == 'DELETE':
-            return calls.CancelJob(host, path)
+            return calls.CancelJob(host, path, key)
         return None
 
     def _refuse_request(
@@ -172,6 +175,13 @@
         return forwarding.make_success()
 
 
+def _get_key(request: web.BaseRequest) -> ids.ApiKey:
+    """Return the key that a caller sent, empty if it sent none."""
+    scheme, _, key = request.headers.get('Authorization', '').partition(' ')
+    is_key = scheme.lower() == KEY_SCHEME
+    return ids.ApiKey(key.strip() if is_key else '')
+
+
 def _get_timeout(request: web.BaseRequest) -> float:
     timeout_ms = numbers.parse_count(request.headers.get('Timeout-Ms', ''))
     timeout_s = DEFAULT_TIMEOUT_S
--- a/orioleshore/platform/wire.py
+++ b/orioleshore/platform/wire.py
@@ -24,6 +24,10 @@
 # Larger figures fit no message as whole numbers.
 _MAX_FIGURE = 1e15
 _Figure = Annotated[float, msgspec.Meta(ge=-_MAX_FIGURE, le=_MAX_FIGURE)]
+_Weight = Annotated[float, msgspec.Meta(ge=0, le=_MAX_FIGURE)]
+_Name = Annotated[str, msgspec.Meta(min_length=1)]
+# The characters that a header can carry.
+_Key = Annotated[str, msgspec.Meta(pattern=r'\A[!-~]+\Z', max_length=256)]
 _Seconds = Annotated[float, msgspec.Meta(ge=0, le=_MAX_FIGURE)]
 
 
@@ -78,6 +82,8 @@
     priority: _Number = 0
     max_attempts: _Number = 1
     stretch_factor: _Figure = 1.0
+    # Callers need no key.
+    public: bool = False
     # If set, workers need the approval of the policy service.
     recommendation: Any = None
 
@@ -89,18 +95,28 @@
     standby: bool = False
 
 
-class _ConfigBody(msgspec.Struct):
-    version: _Number
-    routes: tuple[_RouteBody, ...]
-    services: tuple[_ServiceBody, ...]
-
-
 class _CapacityBody(msgspec.Struct, frozen=True):
     cpus: _Count = 0
     mem_mb: _Count = 0
     gpus: _Count = 0
 
 
+class _TenantBody(msgspec.Struct):
+    name: _Name
+    api_keys: tuple[_Key, ...] = ()
+    weight: _Weight = 1.0
+    # What the tasks of the organisation may need together, 0 for no limit.
+    cap: _CapacityBody = _CapacityBody()
+
+
+class _ConfigBody(msgspec.Struct):
+    version: _Number
+    routes: tuple[_RouteBody, ...]
+    services: tuple[_ServiceBody, ...]
+    # Organisations; callers need no keys where the member is missing.
+    tenants: tuple[_TenantBody, ...] | None = None
+
+
 # The id of a job and the name of its task, "job.occurrence.step.index".
 _FullTaskName = Annotated[
     str, msgspec.Meta(pattern=rf'\A[^.]+\.{ids.TASK_NAME_PATTERN}\Z')
@@ -187,6 +203,7 @@
                 f'another route has the host and prefix of {route.name!r}'
             )
         route_keys.add(route_key)
+    _check_tenants(content.tenants or ())
     if content.version < 1:
         raise decoding.DecodingError('the version is not positive')
     return specs.Configuration(
@@ -194,6 +211,8 @@
         tuple(_make_queue(route) for route in content.routes),
         tuple(_make_pool(service) for service in content.services),
         body,
+        tuple(_make_organisation(item) for item in content.tenants or ()),
+        content.tenants is not None,
     )
 
 
@@ -376,6 +395,34 @@
         route.stretch_factor,
         route.slo_ms,
         bool(route.recommendation),
+        route.public,
+    )
+
+
+def _check_tenants(tenants: tuple[_TenantBody, ...]) -> None:
+    """Raise DecodingError if two tenants share a name or a key."""
+    names: set[str] = set()
+    keys: set[str] = set()
+    for tenant in tenants:
+        if tenant.name in names:
+            raise decoding.DecodingError(
+                f'two tenants have the name {tenant.name!r}'
+            )
+        # Keys are secret, so the message names their owner only.
+        if not keys.isdisjoint(tenant.api_keys):
+            raise decoding.DecodingError(
+                f'a key of tenant {tenant.name!r} belongs to another one too'
+            )
+        names.add(tenant.name)
+        keys.update(tenant.api_keys)
+
+
+def _make_organisation(tenant: _TenantBody) -> specs.Organisation:
+    return specs.Organisation(
+        ids.OrganisationId(tenant.name),
+        tuple(ids.ApiKey(key) for key in tenant.api_keys),
+        tenant.weight,
+        specs.Resources(tenant.cap.cpus, tenant.cap.mem_mb, tenant.cap.gpus),
     )
 
 
