Split the scheduler by concern: registry, table of jobs, unconfirmed runs

The workers that report, the unfinished jobs, the runs that the log names but no worker has reported, the steps of the periodic work and the targets of paths now have modules of their own that take values. No behaviour changes.

--- a/orioleshore/history/phrases.py
+++ b/orioleshore/history/phrases.py
@@ -29,6 +29,8 @@
     'within {objective_ms} ms, under configuration {version}',
     'job_refused': 'refused and not run, {error}: {reason} (Retry-After '
     '{retry_after_s} s)',
+    'key_refused': 'refused and not run: no organisation of configuration '
+    '{version} holds the key; a key was sent: {has_key}',
     'job_cancelled': 'cancelled by its caller',
     'job_ended': '{state} after {age_s} s; the objective was {objective_ms} '
     'ms; reason of failure: {failure}',
--- a/orioleshore/jobs/admission.py
+++ b/orioleshore/jobs/admission.py
@@ -13,6 +13,7 @@
 import typing
 
 from orioleshore.jobs import calls
+from orioleshore.jobs import ledger
 from orioleshore.jobs import specs
 from orioleshore.jobs import workers
 from orioleshore.model import errors
@@ -82,6 +83,29 @@
     return int(queue.stretch * chain_ms) + queue.objective_ms
 
 
+def build_acceptance(
+    name: ids.JobId,
+    job: specs.Job,
+    queue: specs.Queue,
+    organisation: ids.OrganisationId,
+    wall_time: ids.WallTime,
+) -> ledger.JobAccepted:
+    """Return the record of an accepted job; its queue may change later."""
+    return ledger.JobAccepted(
+        name,
+        job,
+        queue.host,
+        queue.prefix,
+        queue.pool,
+        queue.priority,
+        queue.max_attempts,
+        get_objective_ms(job, queue),
+        wall_time,
+        queue.needs_approval,
+        organisation,
+    )
+
+
 def find_refusal(
     scheduler: scheduling.Scheduler,
     job: specs.Job,
--- a/orioleshore/jobs/crash_attribution.py
+++ b/orioleshore/jobs/crash_attribution.py
@@ -112,7 +112,7 @@
         ages = {
             key: _get_run_age(worker, key)
             for key in worker.ordered
-            if self._scheduler.find_run(key) is not None
+            if self._scheduler.job_table.find_run(key) is not None
         }
         if self._is_ordered(worker.host, self._get_newest_start(ages)):
             return
@@ -127,7 +127,7 @@
 
         How old its runs were is known only relative to the newest one.
         """
-        runs = {key: self._scheduler.find_run(key) for key in keys}
+        runs = {key: self._scheduler.job_table.find_run(key) for key in keys}
         known = {key: run for key, run in runs.items() if run is not None}
         if not known:
             return
@@ -285,7 +285,7 @@
         A task may crash its workers some time after its start. It has to
         remain the newest one until then.
         """
-        run = self._scheduler.find_run(key)
+        run = self._scheduler.job_table.find_run(key)
         is_slow = run is not None and run.crashes > run.immediate_crashes
         if is_slow and run.losses > 1:
             return CLEARANCE_S
@@ -303,7 +303,7 @@
     def _get_newest_start(
         self, keys: Iterable[workers.RunKey]
     ) -> ids.WallTime:
-        runs = [self._scheduler.find_run(key) for key in keys]
+        runs = [self._scheduler.job_table.find_run(key) for key in keys]
         return max(
             (run.started_at for run in runs if run is not None),
             default=ids.WallTime(0.0),
--- a/orioleshore/jobs/handlers.py
+++ b/orioleshore/jobs/handlers.py
@@ -17,6 +17,7 @@
 from orioleshore.jobs import organisations
 from orioleshore.jobs import reports
 from orioleshore.jobs import specs
+from orioleshore.jobs import targets
 from orioleshore.model import errors
 from orioleshore.model import ids
 from orioleshore.model import states
@@ -37,6 +38,15 @@
     )
 
 
+def _find_target(
+    call: calls.SubmitJob | calls.GetJob | calls.CancelJob,
+    scheduler: scheduling.Scheduler,
+) -> Result[tuple[specs.Queue, ids.JobId], errors.Failure]:
+    return targets.find_target(
+        scheduler.ledger.configuration, call.host, call.path
+    )
+
+
 def _find_organisation(
     key: ids.ApiKey, queue: specs.Queue, scheduler: scheduling.Scheduler
 ) -> Result[ids.OrganisationId, errors.Failure]:
@@ -76,7 +86,7 @@
 def _(
     call: calls.SubmitJob, scheduler: scheduling.Scheduler
 ) -> answers.Answer:
-    target = scheduler.find_target(call.host, call.path)
+    target = _find_target(call, scheduler)
     if target.is_err():
         return target
     queue, name = target.unwrap()
@@ -121,7 +131,7 @@
 
 @handle.register(calls.GetJob)
 def _(call: calls.GetJob, scheduler: scheduling.Scheduler) -> answers.Answer:
-    target = scheduler.find_target(call.host, call.path)
+    target = _find_target(call, scheduler)
     if target.is_err():
         return target
     queue, name = target.unwrap()
@@ -148,7 +158,7 @@
 def _(
     call: calls.CancelJob, scheduler: scheduling.Scheduler
 ) -> answers.Answer:
-    target = scheduler.find_target(call.host, call.path)
+    target = _find_target(call, scheduler)
     if target.is_err():
         return target
     queue, name = target.unwrap()
--- a/orioleshore/jobs/placement.py
+++ b/orioleshore/jobs/placement.py
@@ -363,9 +363,11 @@
     ]
     if group.running_by_worker[worker.name] >= half:
         return not others
-    if scheduler.has_long_running_task(worker):
+    if scheduler.job_table.has_long_running_task(worker):
         return True
-    return not any(scheduler.has_long_running_task(other) for other in others)
+    return not any(
+        scheduler.job_table.has_long_running_task(other) for other in others
+    )
 
 
 def start_task(
--- a/orioleshore/jobs/pools.py
+++ b/orioleshore/jobs/pools.py
@@ -378,7 +378,7 @@
                 worker
                 for worker in usable
                 if self._can_move_host(worker.host)
-                and not scheduler.has_long_running_task(worker)
+                and not scheduler.job_table.has_long_running_task(worker)
                 and worker.name not in only_workers
             ]
             candidates.sort(key=lambda worker: len(worker.ordered))
--- a/orioleshore/jobs/reports.py
+++ b/orioleshore/jobs/reports.py
@@ -153,13 +153,13 @@
     _update_state(worker, call, scheduler)
     worker.sequence = call.sequence
     worker.capacity = call.capacity
-    scheduler.set_worker_pool(worker, call.pool)
+    scheduler.registry.set_pool(worker, call.pool)
     worker.last_heartbeat_at = scheduler.now
     worker.lease_end = scheduler.now + scheduler.max_lease_s
     worker.reports = {
         (report.job, report.task, report.attempt): report
         for report in call.running
-        if scheduler.is_valid_task(report.job, report.task)
+        if scheduler.job_table.is_valid_task(report.job, report.task)
     }
     worker.unproven_runs -= {
         key
@@ -170,7 +170,8 @@
     worker.reported |= worker.reports.keys()
     worker.reported &= worker.ordered.keys()
     worker.listed = {
-        key: worker.ordered.get(key) or scheduler.get_reserved_resources(key)
+        key: worker.ordered.get(key)
+        or scheduler.job_table.get_reserved_resources(key)
         for key in worker.reports
     }
 
@@ -213,17 +214,31 @@
     for end in call.ended:
         observed = max(observed, end.number)
         key = (end.job, end.task, end.attempt)
-        if not scheduler.is_valid_task(end.job, end.task):
+        if not scheduler.job_table.is_valid_task(end.job, end.task):
             continue
         was_ordered = worker.ordered.pop(key, None) is not None
         worker.rates.pop(key, None)
         if was_ordered:
-            scheduler.record_run_time(worker, key, end.how)
+            _record_run_time(worker, key, end.how, scheduler)
             placement.record_run_end(worker, key, end.how, scheduler)
         scheduler.end_run(key, end.how, end.checkpoint, worker.name)
     return observed
 
 
+def _record_run_time(
+    worker: workers.Worker,
+    key: workers.RunKey,
+    how: states.RunEnd,
+    scheduler: scheduling.Scheduler,
+) -> None:
+    """Add the duration of a successful run to the pool's statistics."""
+    started_at = worker.start_ordered_at.pop(key, None)
+    if started_at is not None and how is states.RunEnd.DONE:
+        scheduler.run_times.add_run_time(
+            worker.pool, scheduler.now - started_at
+        )
+
+
 def _find_missing_runs(
     worker: workers.Worker, scheduler: scheduling.Scheduler
 ) -> list[workers.RunKey]:
--- a/orioleshore/jobs/scheduler.py
+++ b/orioleshore/jobs/scheduler.py
@@ -10,9 +10,6 @@
 from collections.abc import Sequence
 import logging
 
-from result import Ok
-from result import Result
-
 from orioleshore.jobs import admission
 from orioleshore.jobs import answers
 from orioleshore.jobs import approvals
@@ -21,18 +18,20 @@
 from orioleshore.jobs import gangs
 from orioleshore.jobs import handlers
 from orioleshore.jobs import holds
+from orioleshore.jobs import job_table
 from orioleshore.jobs import known_hosts
 from orioleshore.jobs import ledger
 from orioleshore.jobs import orders
 from orioleshore.jobs import organisations
 from orioleshore.jobs import pools
 from orioleshore.jobs import progress
-from orioleshore.jobs import roster
+from orioleshore.jobs import registry
 from orioleshore.jobs import specs
+from orioleshore.jobs import ticking
 from orioleshore.jobs import tuning
+from orioleshore.jobs import unconfirmed
 from orioleshore.jobs import upkeep
 from orioleshore.jobs import workers
-from orioleshore.model import errors
 from orioleshore.model import ids
 from orioleshore.model import states
 from orioleshore.telemetry import logs
@@ -42,14 +41,6 @@
 MS_PER_S = 1_000.0
 
 
-class TickError(Exception):
-    """A step of the periodic work failed; the cause is chained."""
-
-    def __init__(self, step: states.TickStep) -> None:
-        super().__init__(f'step {step.value} failed')
-        self.step = step
-
-
 class Scheduler:
     """Schedules the tasks of jobs on workers; all times are in seconds.
 
@@ -72,10 +63,14 @@
         self.now = now
         self.wall_time = ids.WallTime(0.0)
         self.leader_since = now
-        # Changed only by add_worker and drop_worker.
-        self.workers: dict[ids.WorkerId, workers.Worker] = {}
-        self._roster = roster.Roster()
-        self.jobs: dict[ids.JobId, progress.JobProgress] = {}
+        self.registry = registry.WorkerRegistry()
+        self.job_table = job_table.JobTable(job_ledger.jobs)
+        # Changed by the registry and the table only.
+        self.workers = self.registry.workers
+        self.jobs = self.job_table.jobs
+        self._unconfirmed = unconfirmed.UnconfirmedRuns(
+            self.job_table.find_run
+        )
         self.known_hosts = known_hosts.KnownHosts()
         self.orders = orders.OrderQueue(limits, epoch, self._record_host_order)
         self.upkeep = upkeep.Upkeep(self)
@@ -94,14 +89,6 @@
         )
         for worker, holdings in logged.items():
             self.usage.set_worker(worker, holdings)
-        # Runs according to the log whose worker has not yet reported to
-        # this leader.
-        self._unconfirmed_runs: dict[
-            ids.WorkerId, dict[workers.RunKey, specs.Resources]
-        ] = {}
-        # The hosts of these workers, as far as the log names them.
-        self._unconfirmed_hosts: dict[ids.HostId, ids.WorkerId] = {}
-        self._jobs_by_pool: dict[ids.PoolId, dict[ids.JobId, None]] = {}
         self._tick_steps: dict[states.TickStep, Callable[[], None]] = {
             states.TickStep.LEASES: self._end_expired_leases,
             states.TickStep.JOBS: self._update_jobs,
@@ -113,7 +100,7 @@
         }
         for name, record in job_ledger.jobs.items():
             if not record.is_ended:
-                self._track_job(name, record)
+                self._track_job(name)
 
     # Entry points, called by JobsTask.
 
@@ -138,18 +125,11 @@
         """
         self.now = now
         self.wall_time = wall_time
-        for step, run in self._tick_steps.items():
-            if step in paused:
-                continue
-            try:
-                run()
-            except Exception as error:
-                raise TickError(step) from error
+        ticking.run_steps(self._tick_steps, paused)
 
     def _end_expired_leases(self) -> None:
-        for worker in list(self.workers.values()):
-            if self.now >= worker.lease_end:
-                self.drop_worker(worker, states.WorkerExit.LEASE_ENDED)
+        for worker in self.registry.find_expired(self.now):
+            self.drop_worker(worker, states.WorkerExit.LEASE_ENDED)
         if self.now >= self.leader_since + self.max_lease_s:
             self._end_unconfirmed_runs()
 
@@ -227,26 +207,19 @@
 
     def get_pool_jobs(self, pool: ids.PoolId) -> list[progress.JobProgress]:
         """Return the unfinished jobs of a pool."""
-        return [self.jobs[name] for name in self._jobs_by_pool.get(pool, ())]
+        return self.job_table.get_pool_jobs(pool)
 
     def get_pool_workers(self, pool: ids.PoolId) -> list[workers.Worker]:
         """Return the known workers of a pool."""
-        return list(self._roster.iterate_pool_workers(pool))
+        return self.registry.get_pool_workers(pool)
 
     def get_hosts_with_worker(self) -> set[ids.HostId]:
         """Return the hosts whose workers report to this leader."""
-        return {worker.host for worker in self.workers.values()}
-
-    def set_worker_pool(
-        self, worker: workers.Worker, pool: ids.PoolId
-    ) -> None:
-        """Note the pool that a worker reports."""
-        self._roster.set_pool(worker, pool)
+        return self.registry.get_hosts()
 
     def find_worker(self, key: workers.WorkerKey) -> workers.Worker | None:
         """Return a worker, None if it is gone or has restarted since."""
-        worker = self.workers.get(key.name)
-        return worker if worker and worker.key == key else None
+        return self.registry.find(key)
 
     def get_pools(self) -> tuple[ids.PoolId, ...]:
         """Return the names of all pools of the configuration."""
@@ -259,35 +232,8 @@
             for pool in self.ledger.configuration.pools
         )
 
-    def has_long_running_task(self, worker: workers.Worker) -> bool:
-        """Return whether a worker was ordered to run a long-running task."""
-        return any(self.is_long_running_run(key) for key in worker.ordered)
-
-    def has_only_long_running_tasks(self, worker: workers.Worker) -> bool:
-        """Return whether a worker runs nothing but long-running tasks."""
-        for key in (*worker.ordered, *worker.listed):
-            job = self.jobs.get(key[0])
-            if job is None or not job.get_step(key[1]).is_long_running:
-                return False
-        return True
-
     # Jobs.
 
-    def find_target(
-        self, host: str, path: str
-    ) -> Result[tuple[specs.Queue, ids.JobId], errors.Failure]:
-        """Return the queue of a path and the job id, which may be empty."""
-        if not self.ledger.configuration.version:
-            return answers.build_failure(
-                errors.ErrorKind.NOT_READY, 'no configuration yet'
-            )
-        queue = specs.find_queue(self.ledger.configuration, host, path)
-        if queue is None:
-            return answers.build_failure(
-                errors.ErrorKind.NOT_FOUND, f'no queue for {host}{path}'
-            )
-        return Ok((queue, ids.JobId(path[len(queue.prefix) :])))
-
     def accept_job(
         self,
         name: ids.JobId,
@@ -297,21 +243,11 @@
     ) -> None:
         """Record an accepted job and make its tasks eligible to start."""
         self.record_change(
-            ledger.JobAccepted(
-                name,
-                spec,
-                queue.host,
-                queue.prefix,
-                queue.pool,
-                queue.priority,
-                queue.max_attempts,
-                admission.get_objective_ms(spec, queue),
-                self.wall_time,
-                queue.needs_approval,
-                organisation,
+            admission.build_acceptance(
+                name, spec, queue, organisation, self.wall_time
             )
         )
-        self._track_job(name, self.ledger.jobs[name])
+        self._track_job(name)
         self.pools.record_accepted_job(queue.pool, spec)
 
     def cancel_job(self, name: ids.JobId) -> None:
@@ -386,38 +322,14 @@
         key: workers.RunKey,
         worker: ids.WorkerId,
     ) -> None:
-        """Mark a run as running again that was given up but has succeeded.
-
-        Its worker was silent for longer than its lease. If the task has not
-        been started again, its result counts. Both changes are of kinds that
-        members of earlier builds apply in the same way.
-        """
+        """Count the result of a run that was given up but has succeeded."""
+        change = job_table.find_succeeded_run(job, key, worker)
+        if change is None:
+            return
         name, task, attempt = key
-        run = job.record.tasks[task]
-        group = job.get_group(task)
         _, _, index = specs.parse_task_name(task)
-        if (
-            run.stage is not states.RunStage.WAITING
-            or run.attempt != attempt
-            or run.worker != worker
-            or group.step.is_gang
-            or group.step.is_long_running
-            or index not in group.waiting
-        ):
-            return
-        group.waiting.remove(index)
-        self.record_change(
-            ledger.TaskStarted(
-                name,
-                task,
-                attempt,
-                worker,
-                run.incarnation,
-                run.sequence,
-                run.host,
-                run.started_at,
-            )
-        )
+        job.get_group(task).waiting.remove(index)
+        self.record_change(change)
         job.record_start(task, worker)
         LOG.info(
             logs.format_event(
@@ -429,24 +341,18 @@
             )
         )
 
-    def _track_job(self, name: ids.JobId, record: ledger.JobRecord) -> None:
-        job = progress.JobProgress(name, record)
-        self.jobs[name] = job
-        self._jobs_by_pool.setdefault(record.pool, {})[name] = None
-        for task, run in record.tasks.items():
-            self.crashes.track_waiting(name, task, record.pool)
-            if run.stage is not states.RunStage.RUNNING:
-                continue
-            key = (name, task, run.attempt)
-            need = workers.get_reserved_resources(job.get_step(task))
-            self._unconfirmed_runs.setdefault(run.worker, {})[key] = need
-            if run.host:
-                self._unconfirmed_hosts[run.host] = run.worker
+    def _track_job(self, name: ids.JobId) -> None:
+        job = self.job_table.add(name)
+        for task, run in job.record.tasks.items():
+            self.crashes.track_waiting(name, task, job.record.pool)
+            if run.stage is states.RunStage.RUNNING:
+                need = workers.get_reserved_resources(job.get_step(task))
+                key = (name, task, run.attempt)
+                self._unconfirmed.add(key, run, need)
 
     def _untrack_job(self, name: ids.JobId) -> None:
-        job = self.jobs.pop(name, None)
+        job = self.job_table.remove(name)
         if job is not None:
-            self._jobs_by_pool[job.record.pool].pop(name, None)
             self.crashes.forget_job(name, job.record.pool)
 
     def get_long_running_wait_s(self, name: ids.JobId) -> float:
@@ -463,41 +369,7 @@
 
     def is_long_running_run(self, key: workers.RunKey) -> bool:
         """Return whether a run belongs to a long-running task."""
-        job = self.jobs.get(key[0])
-        return job is not None and job.get_step(key[1]).is_long_running
-
-    def record_run_time(
-        self,
-        worker: workers.Worker,
-        key: workers.RunKey,
-        how: states.RunEnd,
-    ) -> None:
-        """Add the duration of a successful run to the pool's statistics."""
-        started_at = worker.start_ordered_at.pop(key, None)
-        if started_at is not None and how is states.RunEnd.DONE:
-            self.run_times.add_run_time(worker.pool, self.now - started_at)
-
-    def is_valid_task(self, name: ids.JobId, task: ids.TaskName) -> bool:
-        """Return whether a job has this task, or the job is unknown."""
-        record = self.ledger.jobs.get(name)
-        if record is None:
-            return True
-        occurrence, position, index = specs.parse_task_name(task)
-        return (
-            occurrence < record.job.occurrence_count
-            and position < len(record.job.steps)
-            and index < record.job.steps[position].tasks
-        )
-
-    def get_reserved_resources(self, key: workers.RunKey) -> specs.Resources:
-        """Return the resources that a run reserves on its worker."""
-        record = self.ledger.jobs.get(key[0])
-        if record is None:
-            return specs.Resources()
-        _, position, _ = specs.parse_task_name(key[1])
-        if position >= len(record.job.steps):
-            return specs.Resources()
-        return workers.get_reserved_resources(record.job.steps[position])
+        return self.job_table.is_long_running_run(key)
 
     def has_newer_incarnation(self, heartbeat: calls.Heartbeat) -> bool:
         """Return whether a newer worker is known with this name or host.
@@ -505,24 +377,13 @@
         A heartbeat that a network partition delayed may arrive after its
         worker has ended and a newer one runs on the same host.
         """
-        known = self.workers.get(heartbeat.worker)
-        if known is not None and known.incarnation > heartbeat.incarnation:
-            return True
-        if known is None and self._has_run_of_newer_life(heartbeat):
+        if self.registry.has_newer_incarnation(heartbeat):
             return True
-        return any(
-            other.incarnation > heartbeat.incarnation
-            for other in self._roster.get_host_workers(heartbeat.host)
-        )
-
-    def _has_run_of_newer_life(self, heartbeat: calls.Heartbeat) -> bool:
-        """Return whether the log names a newer life of an unheard worker."""
-        runs = map(
-            self.find_run, self._unconfirmed_runs.get(heartbeat.worker, ())
-        )
-        return any(
-            run is not None and run.incarnation > heartbeat.incarnation
-            for run in runs
+        return (
+            heartbeat.worker not in self.workers
+            and self._unconfirmed.has_newer_incarnation(
+                heartbeat.worker, heartbeat.incarnation
+            )
         )
 
     def add_worker(self, heartbeat: calls.Heartbeat) -> workers.Worker:
@@ -530,32 +391,12 @@
         old = self.workers.get(heartbeat.worker)
         if old is not None:
             self.drop_worker(old, states.WorkerExit.RESTARTED)
-        worker = workers.Worker(
-            heartbeat.worker,
-            heartbeat.incarnation,
-            heartbeat.host,
-            heartbeat.pool,
-            heartbeat.zone,
-            heartbeat.capacity,
-            heartbeat.labels,
-            found_at=self.now,
-        )
-        self.workers[heartbeat.worker] = worker
-        self._roster.add(worker)
+        worker = self.registry.add(heartbeat, self.now)
         self._restore_runs(worker)
         self.upkeep.cordon_ordered_host(worker)
-        self._drop_replaced_workers(worker)
+        for other in self.registry.find_replaced(worker):
+            self.drop_worker(other, states.WorkerExit.REPLACED)
         self.crashes.explain_last_loss(worker)
-        LOG.info(
-            logs.format_event(
-                'worker_found',
-                worker=worker.name,
-                incarnation=worker.incarnation,
-                host=worker.host,
-                pool=worker.pool,
-                rack=worker.rack,
-            )
-        )
         return worker
 
     def _restore_runs(self, worker: workers.Worker) -> None:
@@ -563,39 +404,17 @@
 
         Runs of an earlier worker of the same host have ended as well.
         """
-        previous = self._unconfirmed_hosts.get(worker.host, worker.name)
-        for name in dict.fromkeys((previous, worker.name)):
-            self._end_older_runs(name, worker.incarnation)
-        runs = self._unconfirmed_runs.get(worker.name, {})
-        for key, need in list(runs.items()):
-            run = self.find_run(key)
-            # If its job has ended since, the heartbeat answer stops the run.
-            if run is None or run.incarnation == worker.incarnation:
-                del runs[key]
-            if run is not None and run.incarnation == worker.incarnation:
-                worker.ordered[key] = need
-                self.crashes.record_start(worker, key, run)
-
-    def _end_older_runs(
-        self, name: ids.WorkerId, incarnation: ids.Incarnation
-    ) -> None:
-        """End the unconfirmed runs of a worker's older incarnations."""
-        runs = self._unconfirmed_runs.get(name, {})
-        found = {key: self.find_run(key) for key in runs}
-        older = [
-            key
-            for key, run in found.items()
-            if run is not None and run.incarnation < incarnation
-        ]
-        self._end_unheard_worker(name, older)
-        for key in older:
-            del runs[key]
-
-    def find_run(self, key: workers.RunKey) -> ledger.RunRecord | None:
-        """Return the record of a run if it is its task's newest attempt."""
-        job = self.jobs.get(key[0])
-        run = job.record.tasks.get(key[1]) if job else None
-        return run if run and run.attempt == key[2] else None
+        older = self._unconfirmed.take_older(
+            worker.name, worker.host, worker.incarnation
+        )
+        for name, keys in older:
+            self._end_unheard_worker(name, keys)
+        confirmed = self._unconfirmed.take_confirmed(
+            worker.name, worker.incarnation
+        )
+        for key, run, need in confirmed:
+            worker.ordered[key] = need
+            self.crashes.record_start(worker, key, run)
 
     def _end_unheard_worker(
         self, name: ids.WorkerId, keys: Sequence[workers.RunKey]
@@ -613,44 +432,23 @@
         worker.state = states.WorkerState.DRAINING
         worker.lease_end = min(worker.lease_end, exit_due_at)
 
-    def _drop_replaced_workers(self, worker: workers.Worker) -> None:
-        # A host runs one worker at a time, so a newer worker implies that
-        # the previous one and all its runs have ended.
-        for other in self._roster.get_host_workers(worker.host):
-            is_older = other.incarnation < worker.incarnation
-            if other.name != worker.name and is_older:
-                self.drop_worker(other, states.WorkerExit.REPLACED)
-
     def drop_worker(
         self, worker: workers.Worker, reason: states.WorkerExit
     ) -> None:
         """Remove a worker that has ended, and end its runs as lost."""
-        del self.workers[worker.name]
-        self._roster.remove(worker)
+        self.registry.remove(worker, reason, self.now)
         self.usage.drop_worker(worker.name)
-        LOG.warning(
-            logs.format_event(
-                'worker_lost',
-                worker=worker.name,
-                host=worker.host,
-                pool=worker.pool,
-                why=reason,
-                runs=len(worker.ordered),
-                silent_s=self.now - worker.last_heartbeat_at,
-            )
-        )
         self.crashes.record_lost_worker(worker, reason)
         for key in list(worker.ordered):
             self.end_run(key, states.RunEnd.LOST, '', worker.name)
 
     def _end_unconfirmed_runs(self) -> None:
-        unconfirmed, self._unconfirmed_runs = self._unconfirmed_runs, {}
-        self._unconfirmed_hosts = {}
+        unheard = self._unconfirmed.take_all()
         self.usage.keep_workers(self.workers)
-        for worker, runs in unconfirmed.items():
+        for worker, runs in unheard.items():
             LOG.warning(
                 logs.format_event(
                     'worker_unheard', worker=worker, runs=len(runs)
                 )
             )
-            self._end_unheard_worker(worker, tuple(runs))
+            self._end_unheard_worker(worker, runs)
--- a/orioleshore/jobs/task.py
+++ b/orioleshore/jobs/task.py
@@ -13,6 +13,7 @@
 from orioleshore.jobs import calls
 from orioleshore.jobs import ledger
 from orioleshore.jobs import scheduler
+from orioleshore.jobs import ticking
 from orioleshore.jobs import tuning
 from orioleshore.model import errors
 from orioleshore.model import ids
@@ -190,7 +191,7 @@
         )
         try:
             self._scheduler.tick(now, self._timers.clock.get_wall(), paused)
-        except scheduler.TickError as error:
+        except ticking.TickError as error:
             self._fail_step(error.step)
             return
         for reason, count in self._scheduler.waits.take_counts().items():
--- a/orioleshore/jobs/upkeep.py
+++ b/orioleshore/jobs/upkeep.py
@@ -315,7 +315,7 @@
             found,
             key=lambda worker: (
                 worker.host not in self._cordons,
-                self._scheduler.has_long_running_task(worker),
+                self._scheduler.job_table.has_long_running_task(worker),
                 len(worker.ordered),
                 worker.host,
             ),
@@ -444,7 +444,7 @@
             >= self._cordons[worker.host].since + CORDON_TIMEOUT_S
         ):
             return True
-        return scheduler.has_only_long_running_tasks(worker)
+        return scheduler.job_table.has_only_long_running_tasks(worker)
 
     def _order_upkeep(
         self, name: ids.WaveId, host: ids.HostId, worker: workers.WorkerKey
