Count for an organisation all that may run, and nothing that cannot

It now counts all that are not forgotten, until the worker's first heartbeat or the end of a lease. - Reservations for a cancelled job counted on a cordoned worker for good. - A stopped run hidden by an unreadable row no longer counted. - A job with a task or gang above its organisation's whole limit was accepted and waited for ever; it is refused and has not run.

Workers without a heartbeat to a new leader are left out once, not each tick.

--- a/orioleshore/jobs/gangs.py
+++ b/orioleshore/jobs/gangs.py
@@ -11,7 +11,6 @@
 import typing
 
 from orioleshore.jobs import eligibility
-from orioleshore.jobs import organisations
 from orioleshore.jobs import progress
 from orioleshore.jobs import specs
 from orioleshore.jobs import workers
@@ -77,7 +76,9 @@
             del worker.reserved[name, task]
             continue
         _, _, index = specs.parse_task_name(task)
-        found.append((job, job.get_group(task), index))
+        group = job.get_group(task)
+        if scheduler.is_reservation_within_limit(job, group.step.need):
+            found.append((job, group, index))
     return found
 
 
@@ -170,11 +171,11 @@
     for index, name in group.planned_workers.items():
         worker = scheduler.workers.get(name)
         task = specs.make_task_name(group.occurrence, group.position, index)
-        if worker is not None:
-            worker.reserved.pop((job.name, task), None)
-            scheduler.usage.set_worker(
-                name,
-                organisations.list_holdings(worker, scheduler.ledger.jobs),
+        if worker is None:
+            continue
+        if worker.reserved.pop((job.name, task), None) is not None:
+            scheduler.usage.refund(
+                name, job.record.organisation, group.step.need
             )
     group.planned_workers.clear()
     LOG.info(
--- a/orioleshore/jobs/handlers.py
+++ b/orioleshore/jobs/handlers.py
@@ -89,13 +89,17 @@
         )
     if name in scheduler.ledger.jobs:
         return Ok(None)
-    refusal = admission.find_refusal(scheduler, call.job, queue)
+    limit = scheduler.directory.get_limit(caller.unwrap())
+    refusal = admission.find_refusal(
+        scheduler, call.job, queue
+    ) or organisations.find_refusal(call.job, limit)
     if refusal is not None:
         LOG.info(
             logs.format_event(
                 'job_refused',
                 job=name,
                 queue=queue.name,
+                organisation=caller.unwrap(),
                 error=refusal.kind,
                 reason=refusal.message,
                 retry_after_s=refusal.retry_after_s,
--- a/orioleshore/jobs/organisations.py
+++ b/orioleshore/jobs/organisations.py
@@ -14,6 +14,7 @@
 from orioleshore.jobs import ledger
 from orioleshore.jobs import specs
 from orioleshore.jobs import workers
+from orioleshore.model import errors
 from orioleshore.model import ids
 from orioleshore.model import states
 from orioleshore.quotas import shares
@@ -21,6 +22,8 @@
 NO_ORGANISATION = ids.OrganisationId('')
 # Room of an organisation in a kind of resource without a limit.
 UNLIMITED = 2**53
+# Only a new configuration lets a job in that exceeds a limit by itself.
+REFUSAL_RETRY_AFTER_S = 30.0
 
 Holdings = Mapping[ids.OrganisationId, specs.Resources]
 
@@ -122,6 +125,17 @@
         held[name] = held.get(name, specs.Resources()).plus(need)
         self._totals.charge(name, need)
 
+    def refund(
+        self,
+        worker: ids.WorkerId,
+        name: ids.OrganisationId,
+        need: specs.Resources,
+    ) -> None:
+        """Subtract what was reserved on a worker and is not started."""
+        held = self._by_worker[worker]
+        held[name] = held[name].minus(need)
+        self._totals.refund(name, need)
+
     def keep_workers(self, names: Container[ids.WorkerId]) -> None:
         """Forget all workers but those named."""
         for worker in list(self._by_worker):
@@ -133,13 +147,52 @@
         self.set_worker(worker, {})
 
 
+def find_refusal(
+    job: specs.Job, limit: specs.Resources
+) -> errors.Failure | None:
+    """Return why a job can never run within the limit of its organisation.
+
+    All members of a gang run at once; of other steps at least one task does.
+    """
+    for position, step in enumerate(job.steps):
+        need = step.need.times(step.tasks) if step.is_gang else step.need
+        if not shares.fits_limit(specs.Resources(), need, limit):
+            unit = 'gang' if step.is_gang else 'task'
+            return errors.Failure(
+                errors.ErrorKind.DEADLINE_UNREACHABLE,
+                f'a {unit} of step {position} needs {_format(need)}, more '
+                f'than the limit of its organisation, {_format(limit)}',
+                retry_after_s=REFUSAL_RETRY_AFTER_S,
+            )
+    return None
+
+
+def _format(amount: specs.Resources) -> str:
+    return (
+        f'{amount.cpu_millis} thousandths of a core, {amount.memory_mb} MB '
+        f'and {amount.accelerators} accelerators'
+    )
+
+
 def list_holdings(
-    worker: workers.Worker, jobs: Mapping[ids.JobId, ledger.JobRecord]
+    worker: workers.Worker,
+    jobs: Mapping[ids.JobId, ledger.JobRecord],
+    unread: Iterable[workers.RunKey] = (),
 ) -> dict[ids.OrganisationId, specs.Resources]:
-    """Return what a worker runs, or has reserved, for each organisation."""
-    held = [key[:2] for key in worker.listed.keys() | worker.ordered.keys()]
+    """Return what a worker runs, or has reserved, for each organisation.
+
+    What is reserved for a job that has ended since never starts. ``unread``
+    are runs that may be in rows of the last heartbeat that cannot be read.
+    """
+    runs = worker.listed.keys() | worker.ordered.keys() | set(unread)
+    held = [key[:2] for key in runs]
+    reserved = [
+        key
+        for key in worker.reserved
+        if key[0] in jobs and not jobs[key[0]].is_ended
+    ]
     holdings = []
-    for name, task in [*held, *worker.reserved]:
+    for name, task in [*held, *reserved]:
         record = jobs.get(name)
         if record is None:
             continue
@@ -151,23 +204,20 @@
 
 
 def list_logged_holdings(
-    jobs: Mapping[ids.JobId, ledger.JobRecord], lease_s: float
+    jobs: Mapping[ids.JobId, ledger.JobRecord],
 ) -> dict[ids.WorkerId, dict[ids.OrganisationId, specs.Resources]]:
     """Return what may be running by the log, for a new leader.
 
     Runs of a job that has ended are stopped by the answers to heartbeats, so
-    they may go on until their lease ends. ``lease_s`` is the longest lease
-    in seconds. Ends are compared with the newest one, since the clocks of two
-    leaders may differ.
+    they may go on until their lease ends. All jobs count that are not yet
+    forgotten: the time since their end is unknown, as the clocks of two
+    leaders may differ. The first heartbeat of each worker corrects this, and
+    workers without one are left out after a lease.
     """
-    newest = max((record.ended_at for record in jobs.values()), default=0.0)
     found: dict[ids.WorkerId, list] = {}
     for record in jobs.values():
-        if record.is_ended and record.ended_at >= newest - lease_s:
-            for worker, need in record.left_running:
-                found.setdefault(worker, []).append(
-                    (record.organisation, need)
-                )
+        for worker, need in record.left_running:
+            found.setdefault(worker, []).append((record.organisation, need))
         for task, run in record.tasks.items():
             if run.stage is states.RunStage.RUNNING:
                 _, position, _ = specs.parse_task_name(task)
--- a/orioleshore/jobs/reports.py
+++ b/orioleshore/jobs/reports.py
@@ -57,11 +57,18 @@
     if not is_known or worker.incarnation < call.incarnation:
         worker = scheduler.add_worker(call)
     lease_end = worker.lease_end
+    earlier = worker.listed.keys() if unread_runs else ()
     _update_worker(worker, call, scheduler)
     observed = _record_ended_runs(worker, call, scheduler)
     scheduler.usage.set_worker(
         worker.name,
-        organisations.list_holdings(worker, scheduler.ledger.jobs),
+        organisations.list_holdings(
+            worker,
+            scheduler.ledger.jobs,
+            {*earlier}.difference(
+                (end.job, end.task, end.attempt) for end in call.ended
+            ),
+        ),
     )
     missing = _find_missing_runs(worker, scheduler)
     if unread_runs and missing:
--- a/orioleshore/jobs/scheduler.py
+++ b/orioleshore/jobs/scheduler.py
@@ -90,11 +90,10 @@
         self.waits = holds.LongRunningWaits()
         self.usage = organisations.Usage()
         self._directory = organisations.Directory(job_ledger.configuration)
-        logged = organisations.list_logged_holdings(
-            job_ledger.jobs, self.max_lease_s
-        )
+        logged = organisations.list_logged_holdings(job_ledger.jobs)
         for worker, holdings in logged.items():
             self.usage.set_worker(worker, holdings)
+        self._has_dropped_unheard_usage = False
         # Runs according to the log whose worker has not yet reported to
         # this leader.
         self._unconfirmed_runs: dict[
@@ -226,6 +225,17 @@
             self.usage.get_used(name), need, self.directory.get_limit(name)
         )
 
+    def is_reservation_within_limit(
+        self, job: progress.JobProgress, need: specs.Resources
+    ) -> bool:
+        """Return whether a task may start whose need counts as used already.
+
+        The limit may have been lowered since the reservation.
+        """
+        name = job.record.organisation
+        others = self.usage.get_used(name).minus(need)
+        return shares.fits_limit(others, need, self.directory.get_limit(name))
+
     def get_pool_jobs(self, pool: ids.PoolId) -> list[progress.JobProgress]:
         """Return the unfinished jobs of a pool."""
         return [self.jobs[name] for name in self._jobs_by_pool.get(pool, ())]
@@ -647,7 +657,9 @@
     def _end_unconfirmed_runs(self) -> None:
         unconfirmed, self._unconfirmed_runs = self._unconfirmed_runs, {}
         self._unconfirmed_hosts = {}
-        self.usage.keep_workers(self.workers)
+        if not self._has_dropped_unheard_usage:
+            self._has_dropped_unheard_usage = True
+            self.usage.keep_workers(self.workers)
         for worker, runs in unconfirmed.items():
             LOG.warning(
                 logs.format_event(
--- a/orioleshore/tests/builders.py
+++ b/orioleshore/tests/builders.py
@@ -450,11 +450,40 @@
 
 
 def build_submission(
-    number: int = 1, job: specs.Job | None = None, pool: str = 'red'
+    number: int = 1,
+    job: specs.Job | None = None,
+    pool: str = 'red',
+    key: str = '',
 ) -> calls.SubmitJob:
     """Return the call that submits a job."""
     path = f'/{pool}/{build_job_id(number)}'
-    return calls.SubmitJob('jobs.example', path, job or build_batch_job())
+    return calls.SubmitJob(
+        'jobs.example', path, job or build_batch_job(), ids.ApiKey(key)
+    )
+
+
+def build_organisation(
+    name: str = 'north', cores: int = 0, **fields
+) -> specs.Organisation:
+    """Return an organisation with one key; 0 cores set no limit."""
+    defaults: dict[str, Any] = {
+        'keys': (ids.ApiKey(f'key-of-{name}'),),
+        'limit': specs.Resources(1_000 * cores),
+    }
+    return specs.Organisation(ids.OrganisationId(name), **defaults | fields)
+
+
+def build_shared_configuration(
+    version: int = 1, **cores: int
+) -> specs.Configuration:
+    """Return a configuration with organisations and their limits in cores."""
+    return build_configuration(
+        version,
+        requires_keys=True,
+        organisations=tuple(
+            build_organisation(name, limit) for name, limit in cores.items()
+        ),
+    )
 
 
 def build_heartbeat(
