Refuse organisations whose weight, limit, keys or name are missing or absurd

A missing weight counted as 1 and a missing limit as none, and figures up to 2**63 were taken. The configuration is refused now, the version in force stays, and the message names the field but never the key. A key in a call that is not ASCII raised an error between processes; it counts as none.

--- a/orioleshore/platform/front_server.py
+++ b/orioleshore/platform/front_server.py
@@ -116,7 +116,7 @@
     async def _make_call(
         self, request: web.BaseRequest, host: str, path: str
     ) -> calls.Call | None:
-        key = _get_key(request)
+        key = read_key(request.headers.get('Authorization', ''))
         if request.method == 'POST':
             job = wire.decode_job(await request.read())
             return calls.SubmitJob(host, path, job, key)
@@ -175,10 +175,14 @@
         return forwarding.make_success()
 
 
-def _get_key(request: web.BaseRequest) -> ids.ApiKey:
-    """Return the key that a caller sent, empty if it sent none."""
-    scheme, _, key = request.headers.get('Authorization', '').partition(' ')
-    is_key = scheme.lower() == KEY_SCHEME
+def read_key(header: str) -> ids.ApiKey:
+    """Return the key in an Authorization header, empty if there is none.
+
+    Bytes that are not ASCII have no encoding between processes, and no key
+    contains them.
+    """
+    scheme, _, key = header.partition(' ')
+    is_key = scheme.lower() == KEY_SCHEME and key.isascii()
     return ids.ApiKey(key.strip() if is_key else '')
 
 
--- a/orioleshore/platform/wire.py
+++ b/orioleshore/platform/wire.py
@@ -24,8 +24,13 @@
 # Larger figures fit no message as whole numbers.
 _MAX_FIGURE = 1e15
 _Figure = Annotated[float, msgspec.Meta(ge=-_MAX_FIGURE, le=_MAX_FIGURE)]
-_Weight = Annotated[float, msgspec.Meta(ge=0, le=_MAX_FIGURE)]
-_Name = Annotated[str, msgspec.Meta(min_length=1)]
+# No organisation has a larger weight or limit: 10**12 thousandths of a core
+# are a thousand times the largest fleet.
+_MAX_SHARE = 10**12
+_Weight = Annotated[float, msgspec.Meta(ge=0, le=_MAX_SHARE)]
+_Limit = Annotated[int, msgspec.Meta(ge=0, le=_MAX_SHARE)]
+# Names are label values of metrics and stand in log lines.
+_Name = Annotated[str, msgspec.Meta(pattern=r'\A[!-~]+\Z', max_length=128)]
 # The characters that a header can carry.
 _Key = Annotated[str, msgspec.Meta(pattern=r'\A[!-~]+\Z', max_length=256)]
 _Seconds = Annotated[float, msgspec.Meta(ge=0, le=_MAX_FIGURE)]
@@ -101,12 +106,19 @@
     gpus: _Count = 0
 
 
+class _LimitBody(msgspec.Struct, frozen=True):
+    # Thousandths of a core, like the capacity of workers.
+    cpus: _Limit
+    mem_mb: _Limit
+    gpus: _Limit
+
+
 class _TenantBody(msgspec.Struct):
     name: _Name
-    api_keys: tuple[_Key, ...] = ()
-    weight: _Weight = 1.0
+    api_keys: tuple[_Key, ...]
+    weight: _Weight
     # What the tasks of the organisation may need together, 0 for no limit.
-    cap: _CapacityBody = _CapacityBody()
+    cap: _LimitBody
 
 
 class _ConfigBody(msgspec.Struct):
--- a/orioleshore/tests/builders.py
+++ b/orioleshore/tests/builders.py
@@ -548,6 +548,17 @@
     } | fields
 
 
+def build_tenant_body(name: str = 'north', **fields) -> dict:
+    """Return the fields of an organisation as the operator sends them."""
+    return {
+        'name': name,
+        'api_keys': [f'key-of-{name}'],
+        'priority': 1,
+        'weight': 3,
+        'cap': {'cpus': 20_000, 'mem_mb': 4_096, 'gpus': 0},
+    } | fields
+
+
 def build_jobs_task() -> tuple[jobs_task.JobsTask, mailbox.Mailbox]:
     """Return the task of the scheduler and the mailbox of its member."""
     consensus: mailbox.Mailbox = mailbox.Mailbox('consensus', 100)
