--- a/orioleshore/jobs/scheduler.py
+++ b/orioleshore/jobs/scheduler.py
@@ -34,6 +34,7 @@
 from orioleshore.jobs import workers
 from orioleshore.model import ids
 from orioleshore.model import states
+from orioleshore.quotas import shares
 from orioleshore.telemetry import logs
 
 LOG = logging.getLogger(__name__)
@@ -84,11 +85,10 @@
         self.waits = holds.LongRunningWaits()
         self.usage = organisations.Usage()
         self._directory = organisations.Directory(job_ledger.configuration)
-        logged = organisations.list_logged_holdings(
-            job_ledger.jobs, self.max_lease_s
-        )
+        logged = organisations.list_logged_holdings(job_ledger.jobs)
         for worker, holdings in logged.items():
             self.usage.set_worker(worker, holdings)
+        self._has_dropped_unheard_usage = False
         self._tick_steps: dict[states.TickStep, Callable[[], None]] = {
             states.TickStep.LEASES: self._end_expired_leases,
             states.TickStep.JOBS: self._update_jobs,
@@ -201,10 +201,21 @@
     ) -> bool:
         """Return whether the organisation of a job may start more."""
         name = job.record.organisation
-        return organisations.fits_limit(
+        return shares.fits_limit(
             self.usage.get_used(name), need, self.directory.get_limit(name)
         )
 
+    def is_reservation_within_limit(
+        self, job: progress.JobProgress, need: specs.Resources
+    ) -> bool:
+        """Return whether a task may start whose need counts as used already.
+
+        The limit may have been lowered since the reservation.
+        """
+        name = job.record.organisation
+        others = self.usage.get_used(name).minus(need)
+        return shares.fits_limit(others, need, self.directory.get_limit(name))
+
     def get_pool_jobs(self, pool: ids.PoolId) -> list[progress.JobProgress]:
         """Return the unfinished jobs of a pool."""
         return self.job_table.get_pool_jobs(pool)
@@ -444,7 +455,9 @@
 
     def _end_unconfirmed_runs(self) -> None:
         unheard = self._unconfirmed.take_all()
-        self.usage.keep_workers(self.workers)
+        if not self._has_dropped_unheard_usage:
+            self._has_dropped_unheard_usage = True
+            self.usage.keep_workers(self.workers)
         for worker, runs in unheard.items():
             LOG.warning(
                 logs.format_event(
