Wait for ends that a worker holds back before runs count as lost

A heartbeat lists 500 ended runs at most.

The decoder of heartbeats now says whether the list of ends is full, counting rows that cannot be read. While it is, no run of the worker is taken for lost; its lease is extended, the listed ends are recorded, and the next heartbeat is due after the shortest interval.

--- a/fakes/workers.py
+++ b/fakes/workers.py
@@ -38,6 +38,8 @@
 # the crash to the first heartbeat of the next worker, as in the deployments.
 CRASH_DELAY_S = 0.01
 RESTART_S = 3.3
+# Ends that a heartbeat lists at most, as in the deployments.
+MAX_LISTED_ENDS = 500
 
 TaskKey = tuple[ids.JobId, ids.TaskName]
 
@@ -160,7 +162,8 @@
                 calls.RunReport(*key, '', self._get_progress(run, now))
                 for key, run in self.running.items()
             ),
-            ended=tuple(self.ended),
+            ended=tuple(self.ended[:MAX_LISTED_ENDS]),
+            has_more_ends=len(self.ended) >= MAX_LISTED_ENDS,
         )
 
 
--- a/orioleshore/jobs/calls.py
+++ b/orioleshore/jobs/calls.py
@@ -50,7 +50,9 @@
     """State of a worker, sent periodically.
 
     ``incarnation`` is the Unix time of the worker's start in milliseconds.
-    ``remaining_ms`` is set only while the worker drains.
+    ``remaining_ms`` is set only while the worker drains. ``has_more_ends``
+    is set if the worker may hold back further ends, since ``ended`` is as long
+    as it may be.
     """
 
     worker: ids.WorkerId
@@ -65,6 +67,7 @@
     remaining_ms: int = 0
     running: tuple[RunReport, ...] = ()
     ended: tuple[EndReport, ...] = ()
+    has_more_ends: bool = False
 
 
 class PartialHeartbeat(_Call, frozen=True):
--- a/orioleshore/jobs/reports.py
+++ b/orioleshore/jobs/reports.py
@@ -58,7 +58,7 @@
     lease_end = worker.lease_end
     _update_worker(worker, call, scheduler)
     observed = _record_ended_runs(worker, call, scheduler)
-    missing = _find_missing_runs(worker, scheduler)
+    missing = _find_missing_runs(worker, call, scheduler)
     if unread_runs and missing:
         return _hold_missing_runs(
             worker, observed, lease_end, len(missing), scheduler
@@ -81,12 +81,23 @@
             tuple(starts),
             tuple(_build_stop_orders(worker, scheduler)),
             tuple(_build_rate_orders(worker, scheduler)),
-            placement.get_heartbeat_delay_ms(scheduler, worker),
+            _get_heartbeat_delay_ms(worker, call, scheduler),
             scheduler.leader_address,
         )
     )
 
 
+def _get_heartbeat_delay_ms(
+    worker: workers.Worker,
+    call: calls.Heartbeat,
+    scheduler: scheduling.Scheduler,
+) -> int | None:
+    """Return the delay of the next heartbeat, the least if ends are left."""
+    if call.has_more_ends:
+        return scheduler.limits.idle_retry_ms
+    return placement.get_heartbeat_delay_ms(scheduler, worker)
+
+
 def _choose_starts(
     worker: workers.Worker, scheduler: scheduling.Scheduler
 ) -> list[calls.StartOrder]:
@@ -220,9 +231,22 @@
 
 
 def _find_missing_runs(
-    worker: workers.Worker, scheduler: scheduling.Scheduler
+    worker: workers.Worker,
+    call: calls.Heartbeat,
+    scheduler: scheduling.Scheduler,
 ) -> list[workers.RunKey]:
-    """Return ordered runs that a later heartbeat does not list."""
+    """Return ordered runs that a later heartbeat does not list.
+
+    Returns none while the worker may hold back ends: a run that is not listed
+    may have succeeded, and would run again if it were taken for lost.
+    """
+    if call.has_more_ends:
+        LOG.info(
+            logs.format_event(
+                'ends_held_back', worker=worker.name, listed=len(call.ended)
+            )
+        )
+        return []
     missing = []
     for key in worker.ordered:
         if key in worker.listed:
--- a/orioleshore/platform/wire.py
+++ b/orioleshore/platform/wire.py
@@ -152,8 +152,11 @@
 _HEARTBEAT_DECODER = decoding.make_json_decoder(_HeartbeatBody)
 _RUN_ROWS = json_rows.RowDecoder(_RunRow, json_rows.make_item_reader(0))
 _END_ROWS = json_rows.RowDecoder(_EndRow, json_rows.make_item_reader(1))
-# A worker lists up to 500 ended tasks; larger heartbeats are refused whole if
-# they cannot be read, since splitting them would hold up the process.
+# A heartbeat lists at most this many ended tasks; the worker holds back the
+# others until these are acknowledged.
+MAX_LISTED_ENDS = 500
+# Larger heartbeats are refused whole if they cannot be read, since splitting
+# them would hold up the process.
 _MAX_SPLIT_BYTES = 65_536
 _WAVE_DECODER = decoding.make_json_decoder(_WaveBody)
 _WORKER_STATES = {state.value: state for state in states.WorkerState}
@@ -215,7 +218,8 @@
     as good as none, since its run is no longer listed as running.
     """
     try:
-        return _make_heartbeat(worker, _HEARTBEAT_DECODER.decode(body))
+        content = _HEARTBEAT_DECODER.decode(body)
+        return _make_heartbeat(worker, content, len(content.finished))
     except decoding.DecodingError:
         if len(body) > _MAX_SPLIT_BYTES:
             raise
@@ -225,7 +229,9 @@
     content = _HEARTBEAT_DECODER.decode(_join_known_members(members))
     content.running = running.rows
     content.finished = finished.rows
-    heartbeat = _make_heartbeat(worker, content)
+    # Odd rows take up space in the list as well.
+    listed_ends = len(finished.rows) + len(finished.odd)
+    heartbeat = _make_heartbeat(worker, content, listed_ends)
     odd = odd or odd_entries.OddEntryLog()
     for entry_list, rows in (
         (odd_entries.EntryList.RUNNING, running),
@@ -248,7 +254,9 @@
     return b'{' + b','.join(known) + b'}'
 
 
-def _make_heartbeat(worker: str, content: _HeartbeatBody) -> calls.Heartbeat:
+def _make_heartbeat(
+    worker: str, content: _HeartbeatBody, listed_ends: int
+) -> calls.Heartbeat:
     state = _WORKER_STATES.get(content.state)
     if state is None:
         raise decoding.DecodingError(f'unknown state {content.state!r}')
@@ -271,6 +279,7 @@
         int(content.remaining_ms),
         tuple(_make_run(row) for row in content.running),
         tuple(_make_end(row) for row in content.finished),
+        listed_ends >= MAX_LISTED_ENDS,
     )
 
 
--- a/orioleshore/tests/test_platform_wire.py
+++ b/orioleshore/tests/test_platform_wire.py
@@ -78,6 +78,22 @@
         assert call == good
 
 
+@pytest.mark.parametrize(
+    ('good', 'odd', 'more'), [(499, 0, False), (499, 1, True), (500, 0, True)]
+)
+def test_full_list_of_ends_is_noted(good, odd, more):
+    """Guards against runs taken for lost whose ends the worker holds back.
+
+    Rows that cannot be read take up space in the list too.
+    """
+    row = [58, TASK, 1, 'done', '']
+    fields = builders.build_heartbeat_body(finished=[row] * good + [[]] * odd)
+    body = json.dumps(fields).encode()
+    heartbeat = wire.decode_heartbeat('i-1', body)
+    assert len(heartbeat.ended) == good
+    assert heartbeat.has_more_ends is more
+
+
 def test_orders_are_encoded_for_workers():
     """Guards against rows whose values are in the wrong order."""
     job = ids.JobId('5c0e7a21d94b36f8')
