Bound the start and stop orders of one answer to a heartbeat

An answer holds at most 256 start orders with 256 KiB of texts and 2,000 stop orders; the next heartbeat is then due after the shortest interval. Each lost answer in a row halves the bounds of starts, since a slow link may not carry more within the second for which a worker waits.

Tests in test_batch_bounds.py; 600 starts in one answer before.

--- a/orioleshore/jobs/placement.py
+++ b/orioleshore/jobs/placement.py
@@ -11,6 +11,7 @@
 import typing
 
 from orioleshore.jobs import alternatives
+from orioleshore.jobs import answer_limits
 from orioleshore.jobs import calls
 from orioleshore.jobs import eligibility
 from orioleshore.jobs import gangs
@@ -52,10 +53,10 @@
 
 def choose_starts(
     scheduler: scheduling.Scheduler, worker: workers.Worker
-) -> list[calls.StartOrder]:
+) -> answer_limits.StartOrders:
     """Choose tasks for a worker's free capacity, and record their starts."""
     if not can_start_tasks(scheduler, worker):
-        return []
+        return answer_limits.make_start_orders(worker)
     orders = _start_gang_members(scheduler, worker)
     if worker.probation:
         return orders
@@ -68,6 +69,8 @@
     for job in jobs:
         if free.cpu_millis <= 0 and free.memory_mb <= 0:
             break
+        if not orders.has_room:
+            break
         for group in job.find_startable_groups(scheduler.wall_time):
             free = _start_from_group(
                 scheduler, worker, job, group, free, orders
@@ -179,7 +182,7 @@
     job: progress.JobProgress,
     group: progress.Group,
     free: specs.Resources,
-    orders: list[calls.StartOrder],
+    orders: answer_limits.StartOrders,
 ) -> specs.Resources:
     """Start tasks of one group; return the capacity that is left."""
     step = group.step
@@ -192,7 +195,8 @@
     need = workers.get_reserved_resources(step)
     started = []
     while (
-        group.waiting
+        orders.has_room
+        and group.waiting
         and group.can_use_worker(worker.name)
         and workers.fits_into(need, free)
         and can_accept_more(worker, step)
@@ -263,15 +267,17 @@
 
 def _start_gang_members(
     scheduler: scheduling.Scheduler, worker: workers.Worker
-) -> list[calls.StartOrder]:
+) -> answer_limits.StartOrders:
     """Start the gang members for which the worker has reserved capacity.
 
     A plan without room, because the capacity has shrunk since, expires.
     """
+    orders = answer_limits.make_start_orders(worker)
     if not workers.fits_into(specs.Resources(), worker.get_free_resources()):
-        return []
-    orders = []
+        return orders
     for job, group, index in gangs.find_planned_members(scheduler, worker):
+        if not orders.has_room:
+            break
         group.waiting.remove(index)
         group.planned_workers.pop(index, None)
         # The other members must start in time: a member gives up waiting
--- a/orioleshore/jobs/probation.py
+++ b/orioleshore/jobs/probation.py
@@ -11,7 +11,7 @@
 import logging
 import typing
 
-from orioleshore.jobs import calls
+from orioleshore.jobs import answer_limits
 from orioleshore.jobs import eligibility
 from orioleshore.jobs import placement
 from orioleshore.jobs import progress
@@ -32,15 +32,16 @@
 
 def start_suspects(
     scheduler: scheduling.Scheduler, worker: workers.Worker
-) -> list[calls.StartOrder]:
+) -> answer_limits.StartOrders:
     """Start suspects of one job on a worker; return the orders.
 
     Long-running jobs go first, and those under which fewer workers were lost.
     """
+    none = answer_limits.make_start_orders(worker)
     if not scheduler.crashes.is_start_due(worker.pool):
-        return []
+        return none
     if not scheduler.crashes.has_room(worker.pool):
-        return []
+        return none
     waiting = scheduler.crashes.get_waiting(worker.pool)
     tasks_by_job: dict[ids.JobId, list[ids.TaskName]] = {}
     for name, task in waiting:
@@ -62,7 +63,7 @@
         )
         if orders:
             return orders
-    return []
+    return none
 
 
 def _can_try_job(
@@ -86,7 +87,8 @@
     worker: workers.Worker,
     job: progress.JobProgress,
     tasks: list[ids.TaskName],
-) -> list[calls.StartOrder]:
+) -> answer_limits.StartOrders:
+    orders = answer_limits.make_start_orders(worker)
     waiting = scheduler.crashes.get_waiting(worker.pool)
     due = [
         task
@@ -95,14 +97,15 @@
         and not job.get_group(task).step.is_gang
     ]
     if not due or not _is_preferred(scheduler, worker, job, due[0]):
-        return []
+        return orders
     if any(
         scheduler.crashes.give_up_instead_of_start(job.name, task)
         for task in due
     ):
-        return []
-    orders = []
+        return orders
     for task in due:
+        if not orders.has_room:
+            break
         group = job.get_group(task)
         _, _, index = specs.parse_task_name(task)
         if index not in group.waiting:
--- a/orioleshore/jobs/reports.py
+++ b/orioleshore/jobs/reports.py
@@ -7,6 +7,7 @@
 
 from result import Ok
 
+from orioleshore.jobs import answer_limits
 from orioleshore.jobs import answers
 from orioleshore.jobs import calls
 from orioleshore.jobs import interference
@@ -73,38 +74,50 @@
         worker.evicted.add(key)
         placement.record_failed_run(worker, scheduler)
     starts = _choose_starts(worker, scheduler)
+    stops = _build_stop_orders(worker, scheduler)
+    has_more = call.has_more_ends or _log_full_answer(worker, starts, stops)
     return Ok(
         calls.HeartbeatAnswer(
             observed,
             scheduler.epoch,
             scheduler.limits.lease_ms,
             tuple(starts),
-            tuple(_build_stop_orders(worker, scheduler)),
+            tuple(stops[: answer_limits.MAX_STOPS]),
             tuple(_build_rate_orders(worker, scheduler)),
-            _get_heartbeat_delay_ms(worker, call, scheduler),
+            scheduler.limits.idle_retry_ms
+            if has_more
+            else placement.get_heartbeat_delay_ms(scheduler, worker),
             scheduler.leader_address,
         )
     )
 
 
-def _get_heartbeat_delay_ms(
+def _log_full_answer(
     worker: workers.Worker,
-    call: calls.Heartbeat,
-    scheduler: scheduling.Scheduler,
-) -> int | None:
-    """Return the delay of the next heartbeat, the least if ends are left."""
-    if call.has_more_ends:
-        return scheduler.limits.idle_retry_ms
-    return placement.get_heartbeat_delay_ms(scheduler, worker)
+    starts: answer_limits.StartOrders,
+    stops: list[calls.StopOrder],
+) -> bool:
+    """Return whether an answer may leave orders to the next one."""
+    if starts.has_room and len(stops) <= answer_limits.MAX_STOPS:
+        return False
+    LOG.info(
+        logs.format_event(
+            'answer_full',
+            worker=worker.name,
+            starts=len(starts),
+            stops=len(stops),
+        )
+    )
+    return True
 
 
 def _choose_starts(
     worker: workers.Worker, scheduler: scheduling.Scheduler
-) -> list[calls.StartOrder]:
+) -> answer_limits.StartOrders:
     """Choose suspect tasks or others; the latter by turns at least."""
+    starts = answer_limits.make_start_orders(worker)
     if not placement.can_start_tasks(scheduler, worker):
-        return []
-    starts = []
+        return starts
     if worker.is_turn_of_suspects:
         starts = probation.start_suspects(scheduler, worker)
     worker.is_turn_of_suspects = not starts
@@ -144,7 +157,11 @@
             observed,
             scheduler.epoch,
             scheduler.limits.lease_ms,
-            stops=tuple(_build_stop_orders(worker, scheduler)),
+            stops=tuple(
+                _build_stop_orders(worker, scheduler)[
+                    : answer_limits.MAX_STOPS
+                ]
+            ),
             retry_ms=placement.get_heartbeat_delay_ms(scheduler, worker),
             leader=scheduler.leader_address,
         )
--- a/orioleshore/tests/test_batch_bounds.py
+++ b/orioleshore/tests/test_batch_bounds.py
@@ -1,6 +1,8 @@
 """Messages and turns of the leader that stay bounded under a large load."""
 
 from fakes import workers as fake_workers
+from orioleshore.jobs import answer_limits
+from orioleshore.jobs import calls
 from orioleshore.jobs import specs
 from orioleshore.model import ids
 from orioleshore.model import states
@@ -89,3 +91,70 @@
     assert attempts == [ids.Attempt(1), ids.Attempt(2)]
     assert len(fleet.starts) == 641
     assert record.state is states.BatchState.RUNNING
+
+
+def test_starts_that_exceed_one_answer_follow_in_the_next():
+    """Guards against an answer that its worker drops since it is too large.
+
+    1,200 tasks with a text of 4,000 bytes went into one answer of 4.8 MB,
+    again and again, and the job never started.
+    """
+    fleet = build_fleet()
+    step = builders.build_step(600, need=SMALL)
+    job = specs.Job('x' * 4_000, (step,))
+    fleet.mean_run_s = 100.0
+    submit(fleet, job)
+    [worker] = fleet.workers.values()
+    answer = fleet.call_scheduler(worker.make_heartbeat(fleet.now)).unwrap()
+    size = len(calls.encode_answer(answer))
+    assert size <= answer_limits.MAX_START_BYTES + 5_000
+    assert len(answer.starts) >= 60
+    assert answer.retry_ms == fleet.scheduler.limits.idle_retry_ms
+    fleet.run(3.0)
+    assert len(worker.running) == 600
+
+
+def test_number_of_starts_in_one_answer_is_bounded():
+    """Guards against a turn that takes as long as a job has small tasks."""
+    fleet = build_fleet()
+    submit(
+        fleet, builders.build_batch_job(builders.build_step(640, need=SMALL))
+    )
+    [worker] = fleet.workers.values()
+    answer = fleet.call_scheduler(worker.make_heartbeat(fleet.now)).unwrap()
+    assert len(answer.starts) == answer_limits.MAX_STARTS
+
+
+def test_lost_answers_make_the_next_ones_smaller():
+    """Guards against answers that are too large for the link of a worker."""
+    fleet = build_fleet()
+    submit(
+        fleet, builders.build_batch_job(builders.build_step(640, need=SMALL))
+    )
+    [worker] = fleet.workers.values()
+    counts = []
+    for _ in range(13):
+        heartbeat = worker.make_heartbeat(fleet.now)
+        answer = fleet.call_scheduler(heartbeat).unwrap()
+        # After a lost order, the worker gets none for a while.
+        counts += [len(answer.starts)] if answer.starts else []
+        fleet.now += 2.1
+    assert counts[:7] == [256, 128, 64, 32, 16, 8, 8]
+
+
+def test_stops_that_exceed_one_answer_follow_in_the_next():
+    """Guards against an answer as large as the number of runs to stop."""
+    fleet = build_fleet(cores=300)
+    name, _ = submit(
+        fleet, builders.build_batch_job(builders.build_step(2_500, need=SMALL))
+    )
+    fleet.mean_run_s = 100.0
+    fleet.run(2.0)
+    [worker] = fleet.workers.values()
+    assert len(worker.running) == 2_500
+    fleet.call_scheduler(calls.CancelJob('jobs.example', f'/red/{name}'))
+    answer = fleet.call_scheduler(worker.make_heartbeat(fleet.now)).unwrap()
+    assert len(answer.stops) == answer_limits.MAX_STOPS
+    assert answer.retry_ms == fleet.scheduler.limits.idle_retry_ms
+    fleet.run(1.0)
+    assert not worker.running
