Keep the state of a job small however many tasks it has

Waiting tasks are now counted from the first new one, an occurrence takes up state once it is due until it is done (64 at a time), and the groups that may start are kept. Ended jobs are forgotten from a queue, the runs of lost workers end over several ticks, and the records of runs are left out of the cyclic garbage collection.

--- a/orioleshore/jobs/calls.py
+++ b/orioleshore/jobs/calls.py
@@ -19,7 +19,7 @@
     """Base class of all calls; each is tagged with its class name."""
 
 
-class RunReport(msgspec.Struct, frozen=True, array_like=True):
+class RunReport(msgspec.Struct, frozen=True, array_like=True, gc=False):
     """State of one run on a worker.
 
     ``progress`` is in percent; a long-running task is ready at 100.
@@ -35,7 +35,7 @@
     metric_value: float = 0.0
 
 
-class EndReport(msgspec.Struct, frozen=True, array_like=True):
+class EndReport(msgspec.Struct, frozen=True, array_like=True, gc=False):
     """End of one run; each worker numbers its ended runs from 1."""
 
     number: int
@@ -85,7 +85,7 @@
         return self.heartbeat.worker
 
 
-class StartOrder(msgspec.Struct, frozen=True, array_like=True):
+class StartOrder(msgspec.Struct, frozen=True, array_like=True, gc=False):
     """Order to a worker to start an attempt of a task."""
 
     job: ids.JobId
--- a/orioleshore/jobs/demand.py
+++ b/orioleshore/jobs/demand.py
@@ -82,7 +82,7 @@
     spread = 0
     mean_s = scheduler.run_times.get_mean(pool)
     for job in scheduler.get_pool_jobs(pool):
-        startable_groups = job.find_startable_groups(scheduler.wall_time)
+        startable_groups = set(job.find_startable_groups(scheduler.wall_time))
         is_waiting = is_waiting or bool(startable_groups)
         is_timely = not ordering.is_late(job, scheduler.wall_time, mean_s)
         for group in job.groups.values():
--- a/orioleshore/jobs/handlers.py
+++ b/orioleshore/jobs/handlers.py
@@ -93,10 +93,10 @@
     queue, name = target.unwrap()
     if not name:
         waiting = sum(
-            record.state is states.BatchState.QUEUED
-            and record.host == queue.host
-            and record.prefix == queue.prefix
-            for record in scheduler.ledger.jobs.values()
+            job.record.state is states.BatchState.QUEUED
+            and job.record.host == queue.host
+            and job.record.prefix == queue.prefix
+            for job in scheduler.jobs.values()
         )
         return Ok(calls.QueueStatus(waiting))
     record = scheduler.ledger.jobs.get(name)
--- a/orioleshore/jobs/ledger.py
+++ b/orioleshore/jobs/ledger.py
@@ -32,7 +32,7 @@
 )
 
 
-class RunRecord(msgspec.Struct, array_like=True):
+class RunRecord(msgspec.Struct, array_like=True, gc=False):
     """State of a task: its newest attempt and the worker that runs it.
 
     ``sequence`` is the number of the heartbeat whose answer carried the
--- a/orioleshore/jobs/placement.py
+++ b/orioleshore/jobs/placement.py
@@ -43,6 +43,9 @@
 # A long-running task that waits for longer is no longer packed with others;
 # it goes to any worker with free capacity.
 PACKING_WAIT_S = 1.0
+# Requeued tasks of a step, and new ones, of which one may be claimed; others
+# wait for the next claim.
+MAX_CLAIM_LOOKS = 32
 MS_PER_S = 1_000.0
 # Longest wait for the preferred rack; half of what the objective allows
 # beyond the work itself.
@@ -299,13 +302,17 @@
     job: progress.JobProgress,
     group: progress.Group,
 ) -> int | None:
-    """Remove and return the first waiting task that may start on a worker."""
-    for index in sorted(group.waiting):
+    """Remove and return the first waiting task that may start on a worker.
+
+    Those passed over go behind the others, so that the next claim looks at
+    further ones.
+    """
+    for index in group.waiting.get_candidates(MAX_CLAIM_LOOKS):
         task = specs.make_task_name(group.occurrence, group.position, index)
         run = job.record.tasks.get(task)
-        if run and run.is_suspect:
-            continue
-        if _has_failed_here(scheduler, worker, (job.name, task)):
+        is_suspect = run is not None and run.is_suspect
+        if is_suspect or _has_failed_here(scheduler, worker, (job.name, task)):
+            group.waiting.defer(index)
             continue
         group.waiting.remove(index)
         return index
--- a/orioleshore/jobs/progress.py
+++ b/orioleshore/jobs/progress.py
@@ -1,13 +1,27 @@
-"""Progress of a job and the tasks that may start, derived from its record."""
+"""Progress of a job and the tasks that may start, derived from its record.
+
+Answers jobs of many tasks and many occurrences: an occurrence takes up state
+from the time at which it is due until it is done, and the steps that may start
+are known without a look at the others.
+"""
+
+from __future__ import annotations
 
 import collections
+from collections.abc import Iterator
 
 from orioleshore.jobs import ledger
 from orioleshore.jobs import specs
+from orioleshore.jobs import waiting
 from orioleshore.model import ids
 from orioleshore.model import states
 
 MS_PER_S = 1_000.0
+# Occurrences of a job that are due and not done, and take up state. Further
+# ones wait for these; a job that falls so far behind lacks capacity anyway.
+MAX_OPEN_OCCURRENCES = 64
+
+GroupKey = tuple[int, int]
 
 
 class Group:
@@ -20,8 +34,8 @@
         self.position = position
         self.step = step
         self.unfinished = step.tasks
-        self.waiting: list[int] = list(range(step.tasks))
-        # Number of running tasks on each worker.
+        self.waiting = waiting.WaitingTasks(step.tasks)
+        # Number of running tasks on each worker that runs any.
         self.running_by_worker: collections.Counter[ids.WorkerId] = (
             collections.Counter()
         )
@@ -33,18 +47,33 @@
         self.plan_expires_at = 0.0
         self.plan_attempt = ids.Attempt(0)
 
-    def requeue_task(self, index: int) -> None:
-        """Add a task to those that wait for a start."""
-        self.waiting.append(index)
-
     def can_use_worker(self, worker: ids.WorkerId) -> bool:
         """Return whether the step's limit per worker allows another task."""
         limit = self.step.max_per_worker
         return not limit or self.running_by_worker[worker] < limit
 
+    def record_start(self, worker: ids.WorkerId) -> None:
+        """Count a task that runs on a worker."""
+        self.running_by_worker[worker] += 1
+
+    def record_end(self, worker: ids.WorkerId) -> None:
+        """Count a task that no longer runs on a worker."""
+        self.running_by_worker[worker] -= 1
+        if not self.running_by_worker[worker]:
+            del self.running_by_worker[worker]
+
+    def finish(self) -> None:
+        """Record that no task is left to do."""
+        self.unfinished = 0
+        self.waiting.clear()
+
 
 class JobProgress:
-    """Scheduling state of a job that has not ended."""
+    """Scheduling state of a job that has not ended.
+
+    ``groups`` holds the steps of the occurrences that are open: those that are
+    due and not done, and the next one.
+    """
 
     def __init__(self, name: ids.JobId, record: ledger.JobRecord) -> None:
         self.name = name
@@ -58,34 +87,54 @@
         self.probation: set[ids.TaskName] = set()
         self.news_due_at = 0.0
         self.has_passed_probation = False
-        self.groups: dict[tuple[int, int], Group] = {}
-        for occurrence in range(record.job.occurrence_count):
-            for position, step in enumerate(record.job.steps):
-                self.groups[occurrence, position] = Group(
-                    occurrence, position, step
-                )
-        for task, run in record.tasks.items():
-            self._restore_run(task, run)
-        # Length of the longest chain of dependent steps that remain.
-        self.steps_left = self._count_steps_left()
+        self.groups: dict[GroupKey, Group] = {}
+        # Open groups whose earlier steps are done and that have not finished.
+        self._startable: dict[GroupKey, Group] = {}
+        # The next occurrence to open, and the length of the longest chain of
+        # steps that remain in each open one.
+        self._next_occurrence = 0
+        self._steps_left: dict[int, int] = {}
+        self._all_steps = specs.count_longest_chain(
+            record.job.steps, [False] * len(record.job.steps)
+        )
+        self._restore_runs()
+        self._open_due_occurrences(ids.WallTime(0.0))
+
+    @property
+    def steps_left(self) -> int:
+        """Return the longest chain of steps that remains in an occurrence."""
+        if self._next_occurrence < self.record.job.occurrence_count:
+            return self._all_steps
+        return max(self._steps_left.values(), default=0)
 
     def get_group(self, name: ids.TaskName) -> Group:
-        """Return the group of a task."""
+        """Return the group of a task; a finished one if it is not open."""
         occurrence, position, _ = specs.parse_task_name(name)
-        return self.groups[occurrence, position]
+        group = self.groups.get((occurrence, position))
+        if group is None:
+            group = Group(
+                occurrence, position, self.record.job.steps[position]
+            )
+            group.finish()
+        return group
 
     def get_step(self, name: ids.TaskName) -> specs.Step:
         """Return the step of a task."""
-        return self.get_group(name).step
+        _, position, _ = specs.parse_task_name(name)
+        return self.record.job.steps[position]
 
     def find_startable_groups(self, wall_time: ids.WallTime) -> list[Group]:
         """Return the groups that have waiting tasks and may start them.
 
         ``wall_time`` is in seconds; an occurrence starts at its due time.
         """
+        self._open_due_occurrences(wall_time)
         found = []
-        for group in self.groups.values():
-            if not group.waiting or not self._is_startable(group, wall_time):
+        for group in self._startable.values():
+            # The time of day may step back after an occurrence was opened.
+            if not group.waiting or wall_time < self.get_due_time(
+                group.occurrence
+            ):
                 continue
             if group.startable_since is None:
                 group.startable_since = wall_time
@@ -103,7 +152,7 @@
     def record_start(self, name: ids.TaskName, worker: ids.WorkerId) -> None:
         """Record that a task, already removed from the waiting ones, runs."""
         self.running[name] = worker
-        self.get_group(name).running_by_worker[worker] += 1
+        self.get_group(name).record_start(worker)
 
     def record_end(self, name: ids.TaskName) -> None:
         """Record that the newest attempt of a task ended."""
@@ -112,7 +161,7 @@
         if worker is None:
             return
         group = self.get_group(name)
-        group.running_by_worker[worker] -= 1
+        group.record_end(worker)
         run = self.record.tasks.get(name)
         if run is None:
             return
@@ -120,46 +169,111 @@
             self._count_done(group)
             return
         _, _, index = specs.parse_task_name(name)
-        group.requeue_task(index)
+        group.waiting.append(index)
 
     def _count_done(self, group: Group) -> None:
         if group.step.is_gang:
-            group.unfinished = 0
-            group.waiting.clear()
-        else:
+            group.finish()
+        elif group.unfinished:
             group.unfinished -= 1
-        if not group.unfinished:
-            self.steps_left = self._count_steps_left()
-
-    def _count_steps_left(self) -> int:
-        """Return the longest remaining chain over all occurrences."""
-        steps = self.record.job.steps
-        return max(
-            specs.count_longest_chain(
-                steps,
-                [
-                    not self.groups[occurrence, position].unfinished
-                    for position in range(len(steps))
-                ],
-            )
-            for occurrence in range(self.record.job.occurrence_count)
-        )
+        key = (group.occurrence, group.position)
+        if not group.unfinished and key in self.groups:
+            self._update_occurrence(group.occurrence)
+
+    def _open_due_occurrences(self, wall_time: ids.WallTime) -> None:
+        """Open the occurrences that are due, and the one after them.
 
-    def _is_startable(self, group: Group, wall_time: ids.WallTime) -> bool:
-        if wall_time < self.get_due_time(group.occurrence):
+        The hosts that alone could run the next occurrence are kept for it.
+        """
+        while self._can_open_next(wall_time):
+            self._add_groups(self._next_occurrence)
+            self._update_occurrence(self._next_occurrence)
+            self._next_occurrence += 1
+
+    def _can_open_next(self, wall_time: ids.WallTime) -> bool:
+        number = self._next_occurrence
+        if number >= self.record.job.occurrence_count:
+            return False
+        if len(self._steps_left) >= MAX_OPEN_OCCURRENCES:
             return False
-        return all(
-            self.groups[group.occurrence, earlier].unfinished == 0
-            for earlier in group.step.after
+        return not number or wall_time >= self.get_due_time(number - 1)
+
+    def _add_groups(self, occurrence: int) -> None:
+        for position, step in enumerate(self.record.job.steps):
+            key = (occurrence, position)
+            self.groups[key] = Group(occurrence, position, step)
+
+    def _update_occurrence(self, occurrence: int) -> None:
+        """Note which steps of an occurrence may start; close it if done."""
+        groups = list(self._iterate_groups(occurrence))
+        if not any(group.unfinished for group in groups):
+            self._close_occurrence(occurrence)
+            return
+        self._steps_left[occurrence] = specs.count_longest_chain(
+            self.record.job.steps, [not group.unfinished for group in groups]
         )
+        for group in groups:
+            key = (occurrence, group.position)
+            if group.unfinished and not any(
+                groups[earlier].unfinished for earlier in group.step.after
+            ):
+                self._startable[key] = group
+            else:
+                self._startable.pop(key, None)
 
-    def _restore_run(self, name: ids.TaskName, run: ledger.RunRecord) -> None:
-        _, _, index = specs.parse_task_name(name)
-        group = self.get_group(name)
+    def _close_occurrence(self, occurrence: int) -> None:
+        self._steps_left.pop(occurrence, None)
+        for position in range(len(self.record.job.steps)):
+            self._startable.pop((occurrence, position), None)
+            self.groups.pop((occurrence, position), None)
+
+    def _iterate_groups(self, occurrence: int) -> Iterator[Group]:
+        for position in range(len(self.record.job.steps)):
+            yield self.groups[occurrence, position]
+
+    def _restore_runs(self) -> None:
+        """Restore the open occurrences from the records of the tasks."""
+        for occurrence in self._find_begun_occurrences():
+            self._add_groups(occurrence)
+        for name, run in self.record.tasks.items():
+            occurrence, position, index = specs.parse_task_name(name)
+            group = self.groups.get((occurrence, position))
+            if group is not None:
+                self._restore_run(group, index, name, run)
+        for occurrence in dict.fromkeys(key[0] for key in self.groups):
+            self._update_occurrence(occurrence)
+
+    def _find_begun_occurrences(self) -> list[int]:
+        """Return the occurrences up to the last begun one that are not done.
+
+        Sets the next occurrence to open.
+        """
+        if not self.record.tasks:
+            return []
+        if not self.record.job.occurrences:
+            self._next_occurrence = 1
+            return [0]
+        tasks = sum(step.tasks for step in self.record.job.steps)
+        done: collections.Counter[int] = collections.Counter()
+        for name, run in self.record.tasks.items():
+            occurrence, _, _ = specs.parse_task_name(name)
+            done[occurrence] += run.stage is states.RunStage.DONE
+        self._next_occurrence = max(done) + 1
+        return [n for n in range(self._next_occurrence) if done[n] < tasks]
+
+    def _restore_run(
+        self,
+        group: Group,
+        index: int,
+        name: ids.TaskName,
+        run: ledger.RunRecord,
+    ) -> None:
         if run.stage is states.RunStage.WAITING:
+            group.waiting.defer(index)
             return
         group.waiting.remove(index)
         if run.stage is states.RunStage.DONE:
             group.unfinished -= 1
             return
-        self.record_start(name, run.worker)
+        self.running[name] = run.worker
+        group.record_start(run.worker)
--- a/orioleshore/jobs/scheduler.py
+++ b/orioleshore/jobs/scheduler.py
@@ -26,6 +26,7 @@
 from orioleshore.jobs import orders
 from orioleshore.jobs import pools
 from orioleshore.jobs import progress
+from orioleshore.jobs import retention
 from orioleshore.jobs import roster
 from orioleshore.jobs import specs
 from orioleshore.jobs import tuning
@@ -86,6 +87,7 @@
         self._changes: list[ledger.Change] = []
         self._has_held_ordered_hosts = False
         self.waits = holds.LongRunningWaits()
+        self._ended_jobs = retention.EndedJobs(job_ledger)
         # Runs according to the log whose worker has not yet reported to
         # this leader.
         self._unconfirmed_runs: dict[
@@ -139,11 +141,15 @@
                 raise TickError(step) from error
 
     def _end_expired_leases(self) -> None:
+        ended_runs = 0
         for worker in list(self.workers.values()):
+            if ended_runs >= tuning.MAX_LOST_RUNS_PER_TICK:
+                return
             if self.now >= worker.lease_end:
+                ended_runs += len(worker.ordered)
                 self.drop_worker(worker, states.WorkerExit.LEASE_ENDED)
         if self.now >= self.leader_since + self.max_lease_s:
-            self._end_unconfirmed_runs()
+            self._end_unconfirmed_runs(ended_runs)
 
     def _update_jobs(self) -> None:
         self._forget_ended_jobs()
@@ -404,7 +410,8 @@
         self.jobs[name] = job
         self._jobs_by_pool.setdefault(record.pool, {})[name] = None
         for task, run in record.tasks.items():
-            self.crashes.track_waiting(name, task, record.pool)
+            if run.is_suspect:
+                self.crashes.track_waiting(name, task, record.pool)
             if run.stage is not states.RunStage.RUNNING:
                 continue
             key = (name, task, run.attempt)
@@ -418,6 +425,7 @@
         if job is not None:
             self._jobs_by_pool[job.record.pool].pop(name, None)
             self.crashes.forget_job(name, job.record.pool)
+            self._ended_jobs.add(name, job.record.ended_at)
 
     def get_long_running_wait_s(self, name: ids.JobId) -> float:
         """Return how long a long-running job has had a task waiting."""
@@ -425,9 +433,8 @@
 
     def _forget_ended_jobs(self) -> None:
         horizon = self.wall_time - self.limits.status_s
-        for name, record in list(self.ledger.jobs.items()):
-            if record.is_ended and record.ended_at < horizon:
-                self.record_change(ledger.JobForgotten(name))
+        for name in self._ended_jobs.take_older(horizon):
+            self.record_change(ledger.JobForgotten(name))
 
     # Workers.
 
@@ -450,14 +457,7 @@
     def is_valid_task(self, name: ids.JobId, task: ids.TaskName) -> bool:
         """Return whether a job has this task, or the job is unknown."""
         record = self.ledger.jobs.get(name)
-        if record is None:
-            return True
-        occurrence, position, index = specs.parse_task_name(task)
-        return (
-            occurrence < record.job.occurrence_count
-            and position < len(record.job.steps)
-            and index < record.job.steps[position].tasks
-        )
+        return record is None or specs.has_task(record.job, task)
 
     def get_reserved_resources(self, key: workers.RunKey) -> specs.Resources:
         """Return the resources that a run reserves on its worker."""
@@ -612,13 +612,17 @@
         for key in list(worker.ordered):
             self.end_run(key, states.RunEnd.LOST, '', worker.name)
 
-    def _end_unconfirmed_runs(self) -> None:
-        unconfirmed, self._unconfirmed_runs = self._unconfirmed_runs, {}
-        self._unconfirmed_hosts = {}
-        for worker, runs in unconfirmed.items():
+    def _end_unconfirmed_runs(self, ended_runs: int) -> None:
+        while self._unconfirmed_runs:
+            if ended_runs >= tuning.MAX_LOST_RUNS_PER_TICK:
+                return
+            worker = next(iter(self._unconfirmed_runs))
+            runs = self._unconfirmed_runs.pop(worker)
+            ended_runs += len(runs)
             LOG.warning(
                 logs.format_event(
                     'worker_unheard', worker=worker, runs=len(runs)
                 )
             )
             self._end_unheard_worker(worker, tuple(runs))
+        self._unconfirmed_hosts = {}
--- a/orioleshore/jobs/specs.py
+++ b/orioleshore/jobs/specs.py
@@ -1,5 +1,7 @@
 """Jobs that callers submit, and the configuration of queues and pools."""
 
+import functools
+
 import msgspec
 
 from orioleshore.model import ids
@@ -146,7 +148,19 @@
     return ids.TaskName(f'{occurrence}.{step}.{index}')
 
 
+# Each heartbeat asks several times for each of its runs.
+@functools.lru_cache(maxsize=32_768)
 def parse_task_name(name: ids.TaskName) -> tuple[int, int, int]:
     """Return occurrence, step and index; raises ValueError if malformed."""
     occurrence, step, index = name.split('.')
     return int(occurrence), int(step), int(index)
+
+
+def has_task(job: Job, name: ids.TaskName) -> bool:
+    """Return whether a job has the task of this name."""
+    occurrence, position, index = parse_task_name(name)
+    return (
+        occurrence < job.occurrence_count
+        and position < len(job.steps)
+        and index < job.steps[position].tasks
+    )
--- a/orioleshore/jobs/tuning.py
+++ b/orioleshore/jobs/tuning.py
@@ -5,6 +5,9 @@
 # Clocks of workers may run slower than the leader's by this share, according
 # to the platform.
 WORKER_CLOCK_DRIFT = 0.02
+# Runs of lost workers that one tick ends, and those of one more worker. The
+# loss of a whole zone takes some ticks, so that the leader keeps its lease.
+MAX_LOST_RUNS_PER_TICK = 2_000
 
 
 class SchedulerLimits(msgspec.Struct, frozen=True):
