Commit in bounded batches and give other tasks a turn

JobsTask handled all queued calls, up to 4,096, before anything else in the process ran, and committed all their changes in one entry of the log. A burst of 400 jobs with long texts fits into no entry; a mailbox that is full dropped the outcome of a commit, after which the task waited for it for ever.

Calls are handled for 20 ms at a time, their changes form batches of 256 KiB that never split those of one call, outcomes of commits pass the queue of calls, and a new leader restores its jobs in several turns. The metrics of changes and the answers of failed calls move to modules of their own.

Tests in test_batch_commits.py; each failed before.

--- a/orioleshore/jobs/answers.py
+++ b/orioleshore/jobs/answers.py
@@ -15,3 +15,19 @@
 ) -> Err[errors.Failure]:
     """Return a failure; ``retry_after_s`` is in seconds."""
     return Err(errors.Failure(kind, message, retry_after_s=retry_after_s))
+
+
+def build_failed_call_error() -> Err[errors.Failure]:
+    """Return the answer to a call that raised an error."""
+    return Err(
+        errors.Failure(errors.ErrorKind.INTERNAL, 'the call cannot be handled')
+    )
+
+
+def build_not_leader_error(kind: errors.ErrorKind) -> Err[errors.Failure]:
+    """Return the answer of a member that does not or no longer leads."""
+    return Err(
+        errors.Failure(
+            kind, 'this member is not the leader', retry_after_s=1.0
+        )
+    )
--- a/orioleshore/jobs/progress.py
+++ b/orioleshore/jobs/progress.py
@@ -171,6 +171,28 @@
         _, _, index = specs.parse_task_name(name)
         group.waiting.append(index)
 
+    def reclaim_task(
+        self, name: ids.TaskName, attempt: ids.Attempt, worker: ids.WorkerId
+    ) -> bool:
+        """Let a task no longer wait if its last run, given up, may count.
+
+        Returns whether it was the run of this attempt on this worker.
+        """
+        run = self.record.tasks[name]
+        group = self.get_group(name)
+        _, _, index = specs.parse_task_name(name)
+        if (
+            run.stage is not states.RunStage.WAITING
+            or run.attempt != attempt
+            or run.worker != worker
+            or group.step.is_gang
+            or group.step.is_long_running
+            or index not in group.waiting
+        ):
+            return False
+        group.waiting.remove(index)
+        return True
+
     def _count_done(self, group: Group) -> None:
         if group.step.is_gang:
             group.finish()
--- a/orioleshore/jobs/reports.py
+++ b/orioleshore/jobs/reports.py
@@ -13,6 +13,7 @@
 from orioleshore.jobs import interference
 from orioleshore.jobs import placement
 from orioleshore.jobs import probation
+from orioleshore.jobs import specs
 from orioleshore.jobs import stalls
 from orioleshore.jobs import workers
 from orioleshore.model import states
@@ -193,11 +194,24 @@
     worker.reported |= worker.reports.keys()
     worker.reported &= worker.ordered.keys()
     worker.listed = {
-        key: worker.ordered.get(key) or scheduler.get_reserved_resources(key)
+        key: worker.ordered.get(key) or _get_reserved_resources(key, scheduler)
         for key in worker.reports
     }
 
 
+def _get_reserved_resources(
+    key: workers.RunKey, scheduler: scheduling.Scheduler
+) -> specs.Resources:
+    """Return the resources that a run reserves on its worker."""
+    record = scheduler.ledger.jobs.get(key[0])
+    if record is None:
+        return specs.Resources()
+    _, position, _ = specs.parse_task_name(key[1])
+    if position >= len(record.job.steps):
+        return specs.Resources()
+    return workers.get_reserved_resources(record.job.steps[position])
+
+
 def _update_state(
     worker: workers.Worker,
     call: calls.Heartbeat,
--- a/orioleshore/jobs/scheduler.py
+++ b/orioleshore/jobs/scheduler.py
@@ -6,7 +6,9 @@
 rebuilt from the log.
 """
 
+import collections
 from collections.abc import Callable
+from collections.abc import Iterator
 from collections.abc import Sequence
 import logging
 
@@ -64,6 +66,7 @@
         limits: tuning.SchedulerLimits,
         leader_address: str,
         now: float,
+        restores_jobs: bool = True,
     ) -> None:
         self.ledger = job_ledger
         self.epoch = epoch
@@ -105,9 +108,20 @@
             states.TickStep.UPKEEP: self._advance_upkeep,
             states.TickStep.POOLS: self._advance_pools,
         }
-        for name, record in job_ledger.jobs.items():
-            if not record.is_ended:
-                self._track_job(name, record)
+        if restores_jobs:
+            collections.deque(self.restore_jobs(), maxlen=0)
+
+    def restore_jobs(self) -> Iterator[None]:
+        """Track the jobs of the log; yields between jobs with many tasks."""
+        restored_tasks = 0
+        for name, record in self.ledger.jobs.items():
+            if record.is_ended:
+                continue
+            self._track_job(name, record)
+            restored_tasks += 1 + len(record.tasks)
+            if restored_tasks >= tuning.MAX_RESTORED_TASKS_PER_TURN:
+                restored_tasks = 0
+                yield
 
     # Entry points, called by JobsTask.
 
@@ -369,19 +383,9 @@
         members of earlier builds apply in the same way.
         """
         name, task, attempt = key
-        run = job.record.tasks[task]
-        group = job.get_group(task)
-        _, _, index = specs.parse_task_name(task)
-        if (
-            run.stage is not states.RunStage.WAITING
-            or run.attempt != attempt
-            or run.worker != worker
-            or group.step.is_gang
-            or group.step.is_long_running
-            or index not in group.waiting
-        ):
+        if not job.reclaim_task(task, attempt, worker):
             return
-        group.waiting.remove(index)
+        run = job.record.tasks[task]
         self.record_change(
             ledger.TaskStarted(
                 name,
@@ -459,16 +463,6 @@
         record = self.ledger.jobs.get(name)
         return record is None or specs.has_task(record.job, task)
 
-    def get_reserved_resources(self, key: workers.RunKey) -> specs.Resources:
-        """Return the resources that a run reserves on its worker."""
-        record = self.ledger.jobs.get(key[0])
-        if record is None:
-            return specs.Resources()
-        _, position, _ = specs.parse_task_name(key[1])
-        if position >= len(record.job.steps):
-            return specs.Resources()
-        return workers.get_reserved_resources(record.job.steps[position])
-
     def has_newer_incarnation(self, heartbeat: calls.Heartbeat) -> bool:
         """Return whether a newer worker is known with this name or host.
 
--- a/orioleshore/jobs/task.py
+++ b/orioleshore/jobs/task.py
@@ -1,17 +1,21 @@
 """Task that runs the scheduler on the leader and commits its changes."""
 
+import asyncio
+import collections
+from collections.abc import Iterator
 import functools
 import logging
 from typing import Any
 
 import msgspec
-from result import Err
 from result import Ok
 from result import Result
 
 from orioleshore.consensus import member_messages
+from orioleshore.jobs import answers
 from orioleshore.jobs import calls
-from orioleshore.jobs import ledger
+from orioleshore.jobs import change_metrics
+from orioleshore.jobs import commits
 from orioleshore.jobs import scheduler
 from orioleshore.jobs import tuning
 from orioleshore.model import errors
@@ -32,6 +36,9 @@
 TICK = ids.TimerId('jobs-tick')
 # Interval at which leases and waves are checked; well below their timeouts.
 TICK_S = 0.1
+# Calls are handled for this long before the other tasks of the process get a
+# turn. Without one, this member's own lease of about 0.8 s would lapse.
+TURN_S = 0.02
 # Seconds for which calls of a source are refused after one of them failed, and
 # for which a failed step of the tick is left out. Both are repeated, and each
 # failure costs a rebuild.
@@ -46,17 +53,14 @@
     outcome: Result[Any, errors.Failure]
 
 
-class GetJobsDump(msgspec.Struct, frozen=True):
-    """Requests a dump of the scheduler's state."""
+class _CommitEnded(msgspec.Struct, frozen=True):
+    """The outcome of a commit waits to be handled."""
 
-    answer: reply.Reply
 
-
-class _PendingAnswer(msgspec.Struct, frozen=True):
-    """An answer that is sent once all changes before it are committed."""
+class GetJobsDump(msgspec.Struct, frozen=True):
+    """Requests a dump of the scheduler's state."""
 
     answer: reply.Reply
-    outcome: Result[Any, errors.Failure]
 
 
 class JobsTask(task.Task):
@@ -83,17 +87,19 @@
         self._timers = timers
         self._hosts_mailbox: mailbox.Mailbox | None = None
         self._scheduler: scheduler.Scheduler | None = None
-        self._pending: list[_PendingAnswer] = []
-        self._in_flight: list[_PendingAnswer] = []
-        self._orders: list[Any] = []
-        self._is_committing = False
+        # Restores the jobs of the log a few at a time, None once done.
+        self._restoring: Iterator[None] | None = None
+        self._queue = commits.CommitQueue()
+        self._in_flight: commits.Batch | None = None
         self._committing_since = 0.0
+        # Kept apart from the mailbox, where they would wait behind the calls,
+        # and be lost while it is full.
+        self._outcomes: collections.deque[_Committed] = collections.deque()
         # True after a call failed, until the scheduler is rebuilt from the
         # log.
         self._is_rebuilding = False
         self._failed_sources: dict[str, float] = {}
         self._failed_steps: dict[states.TickStep, float] = {}
-        self._changes: tuple[ledger.Change, ...] = ()
         self._latencies = recorder
 
     def set_hosts_mailbox(self, hosts: mailbox.Mailbox) -> None:
@@ -111,18 +117,33 @@
 
     async def handle(self, message: Any) -> None:
         """Handle all queued messages, then commit their changes."""
+        turn_end = self._get_monotonic() + TURN_S
         while message is not None:
             _handle_message(message, self)
+            await self._restore_jobs()
+            if self._get_monotonic() >= turn_end:
+                self._commit_changes()
+                await asyncio.sleep(0)
+                turn_end = self._get_monotonic() + TURN_S
+            self._finish_commits()
             message = self.mailbox.get_nowait()
         self._commit_changes()
 
+    async def _restore_jobs(self) -> None:
+        """Restore the jobs of a new leader, with turns for other tasks."""
+        if self._restoring is None:
+            return
+        for _ in self._restoring:
+            await asyncio.sleep(0)
+        self._restoring = None
+
     def _get_monotonic(self) -> float:
         return self._timers.clock.get_monotonic()
 
     def _handle_call(self, request: calls.CallRequest) -> None:
         if self._scheduler is None or self._is_rebuilding:
             request.answer.resolve(
-                _build_not_leader_error(errors.ErrorKind.NOT_LEADER)
+                answers.build_not_leader_error(errors.ErrorKind.NOT_LEADER)
             )
             return
         if isinstance(request.call, calls.NoteUpkeep | calls.NoteMove):
@@ -131,7 +152,7 @@
             )
         source = calls.get_source(request.call)
         if self._get_monotonic() < self._failed_sources.get(source, 0.0):
-            request.answer.resolve(_build_failed_call_error())
+            request.answer.resolve(answers.build_failed_call_error())
             return
         try:
             outcome = self._scheduler.handle(
@@ -142,15 +163,8 @@
         except Exception:
             self._fail_call(request, source)
             return
-        if outcome.is_err():
-            error = outcome.unwrap_err().kind.value
-            self._latencies.count('refusals_total', error=error)
-        elif isinstance(
-            request.call, calls.Heartbeat | calls.PartialHeartbeat
-        ):
-            result = 'taken' if outcome.unwrap().lease_ms else 'ignored'
-            self._latencies.count('heartbeats_total', result=result)
-        self._pending.append(_PendingAnswer(request.answer, outcome))
+        change_metrics.count_outcome(request.call, outcome, self._latencies)
+        self._queue_changes(commits.PendingAnswer(request.answer, outcome))
 
     def _fail_call(self, request: calls.CallRequest, source: str) -> None:
         """Refuse a call that raised, and rebuild the scheduler.
@@ -169,8 +183,8 @@
         until = self._get_monotonic() + FAILURE_PAUSE_S
         self._failed_sources[source] = until
         self._is_rebuilding = True
-        request.answer.resolve(_build_failed_call_error())
-        if not self._is_committing:
+        request.answer.resolve(answers.build_failed_call_error())
+        if self._in_flight is None:
             self._rebuild_scheduler()
 
     def _rebuild_scheduler(self) -> None:
@@ -197,6 +211,7 @@
             self._latencies.count(
                 'lasting_task_holds_total', count, reason=reason.value
             )
+        self._queue_changes()
 
     def _fail_step(self, step: states.TickStep) -> None:
         """Pause a step of the periodic work, and rebuild the scheduler.
@@ -208,34 +223,47 @@
         self._latencies.count('failed_ticks_total', step=step.value)
         self._failed_steps[step] = self._get_monotonic() + FAILURE_PAUSE_S
         self._is_rebuilding = True
-        if not self._is_committing:
+        if self._in_flight is None:
             self._rebuild_scheduler()
 
+    def _queue_changes(
+        self, answer: commits.PendingAnswer | None = None
+    ) -> None:
+        """Queue what the last call or tick has changed, and its answer."""
+        self._queue.add(
+            self._scheduler.take_changes(),
+            self._scheduler.orders.take_orders(),
+            answer,
+        )
+
     def _commit_changes(self) -> None:
-        if self._scheduler is None or self._is_committing:
+        if self._scheduler is None or self._in_flight is not None:
             return
         if self._is_rebuilding:
             return
-        changes = self._scheduler.take_changes()
-        orders = self._scheduler.orders.take_orders()
-        if not changes and not orders and not self._pending:
+        self._in_flight = self._queue.take()
+        if self._in_flight is None:
             return
-        self._in_flight, self._pending = self._pending, []
-        self._orders = orders
-        self._is_committing = True
         self._committing_since = self._get_monotonic()
-        self._changes = changes
         command = None
-        if changes:
+        if self._in_flight.changes:
             command = commands.RecordProgress(
                 time=self._timers.clock.get_wall(),
                 epoch=self._scheduler.epoch,
-                changes=changes,
+                changes=tuple(self._in_flight.changes),
+            )
+        if len(self._queue):
+            LOG.info(
+                logs.format_event(
+                    'changes_queued',
+                    batches=len(self._queue),
+                    bytes=self._in_flight.size,
+                )
             )
         answer: reply.Reply = reply.Reply()
         epoch = self._scheduler.epoch
         answer.add_callback(
-            lambda outcome: self.mailbox.put(_Committed(epoch, outcome))
+            lambda outcome: self._note_outcome(_Committed(epoch, outcome))
         )
         sent = self._consensus.put(
             member_messages.SubmitCommand(command, answer)
@@ -243,10 +271,22 @@
         if sent.is_err():
             answer.resolve(sent)
 
+    def _note_outcome(self, message: _Committed) -> None:
+        self._outcomes.append(message)
+        # Wakes the task up; a full mailbox does as well.
+        self.mailbox.put(_CommitEnded())
+
+    def _finish_commits(self) -> None:
+        while self._outcomes:
+            self._finish_commit(self._outcomes.popleft())
+            self._commit_changes()
+
     def _finish_commit(self, message: _Committed) -> None:
+        batch = self._in_flight
         if self._scheduler is None or message.epoch != self._scheduler.epoch:
             return
-        self._is_committing = False
+        if batch is None:
+            return
         if message.outcome.is_err():
             # The scheduler's state may now differ from the log.
             LOG.warning(
@@ -258,21 +298,19 @@
             )
             self._rebuild_scheduler()
             return
+        self._in_flight = None
         self._latencies.observe(
             'commit_seconds', self._get_monotonic() - self._committing_since
         )
-        for change in self._changes:
-            _count_change(change, self._latencies)
-        self._changes = ()
-        for pending in self._in_flight:
-            pending.answer.resolve(pending.outcome)
-        self._in_flight = []
+        for change in batch.changes:
+            change_metrics.count_change(change, self._latencies)
+        for pending in batch.answers:
+            pending.send()
         if self._hosts_mailbox is not None:
-            for order in self._orders:
+            for order in batch.orders:
                 self._hosts_mailbox.put(order)
                 kind = type(order).__name__
                 self._latencies.count('host_orders_total', kind=kind)
-        self._orders = []
         if self._is_rebuilding:
             self._rebuild_scheduler()
 
@@ -287,7 +325,9 @@
             self._limits,
             self._public_address,
             self._get_monotonic(),
+            restores_jobs=False,
         )
+        self._restoring = self._scheduler.restore_jobs()
         self._latencies.count('elections_total')
         LOG.info(
             logs.format_event(
@@ -299,9 +339,10 @@
         )
 
     def _stop_leading(self) -> None:
-        pending = [*self._in_flight, *self._pending]
-        self._in_flight, self._pending, self._orders = [], [], []
-        self._is_committing = False
+        pending = self._in_flight.answers if self._in_flight else []
+        pending = [*pending, *self._queue.clear()]
+        self._in_flight = None
+        self._restoring = None
         self._is_rebuilding = False
         if self._scheduler is not None:
             LOG.info(
@@ -314,7 +355,7 @@
         self._scheduler = None
         for item in pending:
             item.answer.resolve(
-                _build_not_leader_error(errors.ErrorKind.CHANGE_UNKNOWN)
+                answers.build_not_leader_error(errors.ErrorKind.CHANGE_UNKNOWN)
             )
 
     def _get_dump(self) -> dict[str, Any]:
@@ -346,8 +387,8 @@
 
 
 @_handle_message.register
-def _(message: _Committed, owner: JobsTask) -> None:
-    owner._finish_commit(message)
+def _(message: _CommitEnded, owner: JobsTask) -> None:
+    owner._finish_commits()
 
 
 @_handle_message.register
@@ -363,52 +404,3 @@
 @_handle_message.register
 def _(message: GetJobsDump, owner: JobsTask) -> None:
     message.answer.resolve(Ok(owner._get_dump()))
-
-
-@functools.singledispatch
-def _count_change(change: Any, recorder: latencies.Recorder) -> None:
-    """Count a committed change in the metrics; others are not counted."""
-
-
-@_count_change.register
-def _(change: ledger.JobAccepted, recorder: latencies.Recorder) -> None:
-    recorder.count('jobs_total', decision='accepted')
-
-
-@_count_change.register
-def _(change: ledger.JobCancelled, recorder: latencies.Recorder) -> None:
-    recorder.count('jobs_total', decision='cancelled')
-
-
-@_count_change.register
-def _(change: ledger.TaskStarted, recorder: latencies.Recorder) -> None:
-    recorder.count('starts_total')
-
-
-@_count_change.register
-def _(change: ledger.TaskEnded, recorder: latencies.Recorder) -> None:
-    recorder.count('ends_total', how=change.how.value)
-
-
-@_count_change.register
-def _(change: ledger.LossExplained, recorder: latencies.Recorder) -> None:
-    recorder.count('worker_losses_total', cause=change.cause.value)
-
-
-@_count_change.register
-def _(change: ledger.TaskGivenUp, recorder: latencies.Recorder) -> None:
-    recorder.count('tasks_given_up_total')
-
-
-def _build_failed_call_error() -> Err[errors.Failure]:
-    return Err(
-        errors.Failure(errors.ErrorKind.INTERNAL, 'the call cannot be handled')
-    )
-
-
-def _build_not_leader_error(kind: errors.ErrorKind) -> Err[errors.Failure]:
-    return Err(
-        errors.Failure(
-            kind, 'this member is not the leader', retry_after_s=1.0
-        )
-    )
--- /dev/null
+++ b/orioleshore/tests/test_batch_commits.py
@@ -0,0 +1,181 @@
+"""Batches of changes and turns of the task that runs the scheduler."""
+
+import asyncio
+
+import msgspec
+from result import Ok
+
+from orioleshore.consensus import member_messages
+from orioleshore.jobs import calls
+from orioleshore.jobs import commits
+from orioleshore.jobs import specs
+from orioleshore.jobs import task as jobs_task
+from orioleshore.state import records
+from orioleshore.tasks import reply
+from orioleshore.tests import builders
+from orioleshore.tests import support
+
+# An entry of the log holds this many bytes.
+MAX_ENTRY_BYTES = 983_040
+
+
+def build_long_submission(number: int) -> calls.SubmitJob:
+    """Return the submission of a job with the longest text."""
+    job = specs.Job(f'{number:04}' * 1_000, (builders.build_step(),))
+    return builders.build_submission(number, job)
+
+
+def send(task: jobs_task.JobsTask, call: calls.Call, outcomes: list) -> None:
+    """Put a call into the mailbox of a task."""
+    answer = reply.Reply()
+    answer.add_callback(outcomes.append)
+    task.mailbox.put(calls.CallRequest(call, answer))
+
+
+async def commit_all(task: jobs_task.JobsTask, consensus) -> list:
+    """Confirm the commits of a task one by one, and return them."""
+    found = []
+    while True:
+        sent = [
+            message
+            for message in builders.take_messages(consensus)
+            if isinstance(message, member_messages.SubmitCommand)
+        ]
+        if not sent:
+            return found
+        (commit,) = sent
+        found.append(commit)
+        commit.answer.resolve(Ok(None))
+        await asyncio.sleep(0)
+        await task.handle(task.mailbox.get_nowait())
+        await asyncio.sleep(0)
+
+
+def test_changes_of_many_calls_fit_into_entries_of_the_log():
+    """Guards against a burst of jobs whose changes fit into no entry.
+
+    The commit failed, the state was read anew, and all callers had to repeat
+    their calls, in another burst.
+    """
+    task, consensus = builders.build_jobs_task()
+    outcomes: list = []
+
+    async def check():
+        await builders.start_leading(task)
+        for number in range(400):
+            send(task, build_long_submission(number), outcomes)
+        await task.handle(task.mailbox.get_nowait())
+        sent = await commit_all(task, consensus)
+        sizes = [len(msgspec.msgpack.encode(s.command)) for s in sent]
+        assert len(sent) > 4
+        assert max(sizes) < commits.MAX_BATCH_BYTES + 8_192 < MAX_ENTRY_BYTES
+        assert sum(len(s.command.changes) for s in sent) == 400
+        assert len(outcomes) == 400
+        assert all(outcome.is_ok() for outcome in outcomes)
+
+    support.run(check())
+
+
+def test_answers_wait_for_the_batch_of_their_changes():
+    """Guards against a caller that is told of a job that is not committed."""
+    task, consensus = builders.build_jobs_task()
+    outcomes: list = []
+
+    async def check():
+        await builders.start_leading(task)
+        for number in range(100):
+            send(task, build_long_submission(number), outcomes)
+        await task.handle(task.mailbox.get_nowait())
+        (commit,) = builders.take_messages(consensus)
+        commit.answer.resolve(Ok(None))
+        await asyncio.sleep(0)
+        await task.handle(task.mailbox.get_nowait())
+        await asyncio.sleep(0)
+        assert len(outcomes) == len(commit.command.changes) < 100
+        await task.handle(member_messages.LeadershipLost())
+        await asyncio.sleep(0)
+        assert len(outcomes) == 100
+        assert sum(outcome.is_ok() for outcome in outcomes) == len(
+            commit.command.changes
+        )
+
+    support.run(check())
+
+
+def test_outcome_of_a_commit_passes_a_full_mailbox():
+    """Guards against a leader that waits for an outcome that was dropped."""
+    task, consensus = builders.build_jobs_task()
+    outcomes: list = []
+
+    async def check():
+        await builders.start_leading(task)
+        send(task, builders.build_submission(), outcomes)
+        await task.handle(task.mailbox.get_nowait())
+        (commit,) = builders.take_messages(consensus)
+        status = calls.GetJob('jobs.example', '/red/')
+        for _ in range(jobs_task.MAILBOX_CAPACITY):
+            send(task, status, [])
+        commit.answer.resolve(Ok(None))
+        await asyncio.sleep(0)
+        await task.handle(task.mailbox.get_nowait())
+        await asyncio.sleep(0)
+        assert [outcome.is_ok() for outcome in outcomes] == [True]
+        assert len(builders.take_messages(consensus)) == 1
+
+    support.run(check())
+
+
+def test_other_tasks_get_a_turn_while_calls_are_handled(monkeypatch):
+    """Guards against a leader whose lease lapses while it handles calls."""
+    task, _ = builders.build_jobs_task()
+    monkeypatch.setattr(jobs_task, 'TURN_S', 0.0)
+    turns = []
+
+    async def take_turns():
+        while True:
+            turns.append(len(task.mailbox))
+            await asyncio.sleep(0)
+
+    async def check():
+        await builders.start_leading(task)
+        for number in range(10):
+            send(task, builders.build_submission(number), [])
+        other = asyncio.create_task(take_turns())
+        await task.handle(task.mailbox.get_nowait())
+        other.cancel()
+        assert len(turns) >= 9
+
+    support.run(check())
+
+
+def test_new_leader_restores_large_jobs_in_several_turns(monkeypatch):
+    """Guards against an election that is lost while jobs are restored."""
+    monkeypatch.setattr(
+        jobs_task.scheduler.tuning, 'MAX_RESTORED_TASKS_PER_TURN', 2
+    )
+    task, _ = builders.build_jobs_task()
+    state = records.State()
+    state.ledger.configuration = builders.build_configuration()
+    fleet = builders.build_fleet()
+    for number in range(10):
+        fleet.call_scheduler(builders.build_submission(number))
+    state.ledger.jobs = fleet.scheduler.ledger.jobs
+    turns = []
+
+    async def take_turns():
+        while True:
+            turns.append(len(task._scheduler.jobs) if task._scheduler else 0)
+            await asyncio.sleep(0)
+
+    async def check():
+        other = asyncio.create_task(take_turns())
+        await task.handle(
+            member_messages.LeadershipGained(
+                builders.ids.Epoch(1), records.encode_state(state)
+            )
+        )
+        other.cancel()
+        assert len(task._scheduler.jobs) == 10
+        assert turns == [2, 4, 6, 8, 10]
+
+    support.run(check())
