--- a/orioleshore/jobs/job_table.py
+++ b/orioleshore/jobs/job_table.py
@@ -7,7 +7,6 @@
 from orioleshore.jobs import specs
 from orioleshore.jobs import workers
 from orioleshore.model import ids
-from orioleshore.model import states
 
 
 class JobTable:
@@ -64,14 +63,7 @@
     def is_valid_task(self, name: ids.JobId, task: ids.TaskName) -> bool:
         """Return whether a job has this task, or the job is unknown."""
         record = self._records.get(name)
-        if record is None:
-            return True
-        occurrence, position, index = specs.parse_task_name(task)
-        return (
-            occurrence < record.job.occurrence_count
-            and position < len(record.job.steps)
-            and index < record.job.steps[position].tasks
-        )
+        return record is None or specs.has_task(record.job, task)
 
     def get_reserved_resources(self, key: workers.RunKey) -> specs.Resources:
         """Return the resources that a run reserves on its worker."""
@@ -82,40 +74,3 @@
         if position >= len(record.job.steps):
             return specs.Resources()
         return workers.get_reserved_resources(record.job.steps[position])
-
-
-def find_succeeded_run(
-    job: progress.JobProgress,
-    key: workers.RunKey,
-    worker: ids.WorkerId,
-) -> ledger.TaskStarted | None:
-    """Return the start of a run that was given up but has succeeded.
-
-    Its worker was silent for longer than its lease. If the task has not been
-    started again, its result counts, and the run is recorded once more before
-    its end. Both changes are of kinds that members of earlier builds apply in
-    the same way.
-    """
-    name, task, attempt = key
-    run = job.record.tasks[task]
-    group = job.get_group(task)
-    _, _, index = specs.parse_task_name(task)
-    if (
-        run.stage is not states.RunStage.WAITING
-        or run.attempt != attempt
-        or run.worker != worker
-        or group.step.is_gang
-        or group.step.is_long_running
-        or index not in group.waiting
-    ):
-        return None
-    return ledger.TaskStarted(
-        name,
-        task,
-        attempt,
-        worker,
-        run.incarnation,
-        run.sequence,
-        run.host,
-        run.started_at,
-    )
--- a/orioleshore/jobs/placement.py
+++ b/orioleshore/jobs/placement.py
@@ -11,6 +11,7 @@
 import typing
 
 from orioleshore.jobs import alternatives
+from orioleshore.jobs import answer_limits
 from orioleshore.jobs import calls
 from orioleshore.jobs import eligibility
 from orioleshore.jobs import gangs
@@ -42,6 +43,9 @@
 # A long-running task that waits for longer is no longer packed with others;
 # it goes to any worker with free capacity.
 PACKING_WAIT_S = 1.0
+# Requeued tasks of a step, and new ones, of which one may be claimed; others
+# wait for the next claim.
+MAX_CLAIM_LOOKS = 32
 MS_PER_S = 1_000.0
 # Longest wait for the preferred rack; half of what the objective allows
 # beyond the work itself.
@@ -52,10 +56,10 @@
 
 def choose_starts(
     scheduler: scheduling.Scheduler, worker: workers.Worker
-) -> list[calls.StartOrder]:
+) -> answer_limits.StartOrders:
     """Choose tasks for a worker's free capacity, and record their starts."""
     if not can_start_tasks(scheduler, worker):
-        return []
+        return answer_limits.make_start_orders(worker)
     orders = _start_gang_members(scheduler, worker)
     if worker.probation:
         return orders
@@ -68,6 +72,8 @@
     for job in jobs:
         if free.cpu_millis <= 0 and free.memory_mb <= 0:
             break
+        if not orders.has_room:
+            break
         for group in job.find_startable_groups(scheduler.wall_time):
             free = _start_from_group(
                 scheduler, worker, job, group, free, orders
@@ -179,7 +185,7 @@
     job: progress.JobProgress,
     group: progress.Group,
     free: specs.Resources,
-    orders: list[calls.StartOrder],
+    orders: answer_limits.StartOrders,
 ) -> specs.Resources:
     """Start tasks of one group; return the capacity that is left."""
     step = group.step
@@ -192,7 +198,8 @@
     need = workers.get_reserved_resources(step)
     started = []
     while (
-        group.waiting
+        orders.has_room
+        and group.waiting
         and group.can_use_worker(worker.name)
         and workers.fits_into(need, free)
         and can_accept_more(worker, step)
@@ -264,15 +271,17 @@
 
 def _start_gang_members(
     scheduler: scheduling.Scheduler, worker: workers.Worker
-) -> list[calls.StartOrder]:
+) -> answer_limits.StartOrders:
     """Start the gang members for which the worker has reserved capacity.
 
     A plan without room, because the capacity has shrunk since, expires.
     """
+    orders = answer_limits.make_start_orders(worker)
     if not workers.fits_into(specs.Resources(), worker.get_free_resources()):
-        return []
-    orders = []
+        return orders
     for job, group, index in gangs.find_planned_members(scheduler, worker):
+        if not orders.has_room:
+            break
         group.waiting.remove(index)
         group.planned_workers.pop(index, None)
         # The other members must start in time: a member gives up waiting
@@ -294,13 +303,17 @@
     job: progress.JobProgress,
     group: progress.Group,
 ) -> int | None:
-    """Remove and return the first waiting task that may start on a worker."""
-    for index in sorted(group.waiting):
+    """Remove and return the first waiting task that may start on a worker.
+
+    Those passed over go behind the others, so that the next claim looks at
+    further ones.
+    """
+    for index in group.waiting.get_candidates(MAX_CLAIM_LOOKS):
         task = specs.make_task_name(group.occurrence, group.position, index)
         run = job.record.tasks.get(task)
-        if run and run.is_suspect:
-            continue
-        if _has_failed_here(scheduler, worker, (job.name, task)):
+        is_suspect = run is not None and run.is_suspect
+        if is_suspect or _has_failed_here(scheduler, worker, (job.name, task)):
+            group.waiting.defer(index)
             continue
         group.waiting.remove(index)
         return index
--- a/orioleshore/jobs/scheduler.py
+++ b/orioleshore/jobs/scheduler.py
@@ -6,7 +6,9 @@
 rebuilt from the log.
 """
 
+import collections
 from collections.abc import Callable
+from collections.abc import Iterator
 from collections.abc import Sequence
 import logging
 
@@ -26,6 +28,7 @@
 from orioleshore.jobs import pools
 from orioleshore.jobs import progress
 from orioleshore.jobs import registry
+from orioleshore.jobs import retention
 from orioleshore.jobs import specs
 from orioleshore.jobs import ticking
 from orioleshore.jobs import tuning
@@ -56,6 +59,7 @@
         limits: tuning.SchedulerLimits,
         leader_address: str,
         now: float,
+        restores_jobs: bool = True,
     ) -> None:
         self.ledger = job_ledger
         self.epoch = epoch
@@ -89,6 +93,7 @@
         for worker, holdings in logged.items():
             self.usage.set_worker(worker, holdings)
         self._has_dropped_unheard_usage = False
+        self._ended_jobs = retention.EndedJobs(job_ledger)
         self._tick_steps: dict[states.TickStep, Callable[[], None]] = {
             states.TickStep.LEASES: self._end_expired_leases,
             states.TickStep.JOBS: self._update_jobs,
@@ -98,9 +103,20 @@
             states.TickStep.UPKEEP: self._advance_upkeep,
             states.TickStep.POOLS: self._advance_pools,
         }
-        for name, record in job_ledger.jobs.items():
-            if not record.is_ended:
-                self._track_job(name)
+        if restores_jobs:
+            collections.deque(self.restore_jobs(), maxlen=0)
+
+    def restore_jobs(self) -> Iterator[None]:
+        """Track the jobs of the log; yields between jobs with many tasks."""
+        restored_tasks = 0
+        for name, record in self.ledger.jobs.items():
+            if record.is_ended:
+                continue
+            self._track_job(name)
+            restored_tasks += 1 + len(record.tasks)
+            if restored_tasks >= tuning.MAX_RESTORED_TASKS_PER_TURN:
+                restored_tasks = 0
+                yield
 
     # Entry points, called by JobsTask.
 
@@ -128,10 +144,14 @@
         ticking.run_steps(self._tick_steps, paused)
 
     def _end_expired_leases(self) -> None:
+        ended_runs = 0
         for worker in self.registry.find_expired(self.now):
+            if ended_runs >= tuning.MAX_LOST_RUNS_PER_TICK:
+                return
+            ended_runs += len(worker.ordered)
             self.drop_worker(worker, states.WorkerExit.LEASE_ENDED)
         if self.now >= self.leader_since + self.max_lease_s:
-            self._end_unconfirmed_runs()
+            self._end_unconfirmed_runs(ended_runs)
 
     def _update_jobs(self) -> None:
         self._forget_ended_jobs()
@@ -333,14 +353,29 @@
         key: workers.RunKey,
         worker: ids.WorkerId,
     ) -> None:
-        """Count the result of a run that was given up but has succeeded."""
-        change = job_table.find_succeeded_run(job, key, worker)
-        if change is None:
-            return
+        """Count the result of a run that was given up but has succeeded.
+
+        Its worker was silent for longer than its lease. If the task has not
+        been started again, the run is recorded once more before its end. Both
+        changes are of kinds that members of earlier builds apply in the same
+        way.
+        """
         name, task, attempt = key
-        _, _, index = specs.parse_task_name(task)
-        job.get_group(task).waiting.remove(index)
-        self.record_change(change)
+        if not job.reclaim_task(task, attempt, worker):
+            return
+        run = job.record.tasks[task]
+        self.record_change(
+            ledger.TaskStarted(
+                name,
+                task,
+                attempt,
+                worker,
+                run.incarnation,
+                run.sequence,
+                run.host,
+                run.started_at,
+            )
+        )
         job.record_start(task, worker)
         LOG.info(
             logs.format_event(
@@ -355,7 +390,8 @@
     def _track_job(self, name: ids.JobId) -> None:
         job = self.job_table.add(name)
         for task, run in job.record.tasks.items():
-            self.crashes.track_waiting(name, task, job.record.pool)
+            if run.is_suspect:
+                self.crashes.track_waiting(name, task, job.record.pool)
             if run.stage is states.RunStage.RUNNING:
                 need = workers.get_reserved_resources(job.get_step(task))
                 key = (name, task, run.attempt)
@@ -365,6 +401,7 @@
         job = self.job_table.remove(name)
         if job is not None:
             self.crashes.forget_job(name, job.record.pool)
+            self._ended_jobs.add(name, job.record.ended_at)
 
     def get_long_running_wait_s(self, name: ids.JobId) -> float:
         """Return how long a long-running job has had a task waiting."""
@@ -372,9 +409,8 @@
 
     def _forget_ended_jobs(self) -> None:
         horizon = self.wall_time - self.limits.status_s
-        for name, record in list(self.ledger.jobs.items()):
-            if record.is_ended and record.ended_at < horizon:
-                self.record_change(ledger.JobForgotten(name))
+        for name in self._ended_jobs.take_older(horizon):
+            self.record_change(ledger.JobForgotten(name))
 
     # Workers.
 
@@ -453,15 +489,17 @@
         for key in list(worker.ordered):
             self.end_run(key, states.RunEnd.LOST, '', worker.name)
 
-    def _end_unconfirmed_runs(self) -> None:
-        unheard = self._unconfirmed.take_all()
+    def _end_unconfirmed_runs(self, ended_runs: int) -> None:
         if not self._has_dropped_unheard_usage:
             self._has_dropped_unheard_usage = True
             self.usage.keep_workers(self.workers)
-        for worker, runs in unheard.items():
+        for worker, runs in self._unconfirmed.take_all():
+            ended_runs += len(runs)
             LOG.warning(
                 logs.format_event(
                     'worker_unheard', worker=worker, runs=len(runs)
                 )
             )
             self._end_unheard_worker(worker, runs)
+            if ended_runs >= tuning.MAX_LOST_RUNS_PER_TICK:
+                return
--- a/orioleshore/jobs/unconfirmed.py
+++ b/orioleshore/jobs/unconfirmed.py
@@ -80,8 +80,11 @@
             if run is not None and run.incarnation == incarnation:
                 yield key, run, need
 
-    def take_all(self) -> dict[ids.WorkerId, tuple[workers.RunKey, ...]]:
-        """Remove and return all runs by worker."""
-        runs, self._runs = self._runs, {}
+    def take_all(
+        self,
+    ) -> Iterator[tuple[ids.WorkerId, tuple[workers.RunKey, ...]]]:
+        """Remove and yield the runs worker by worker."""
+        while self._runs:
+            worker, runs = self._runs.popitem()
+            yield worker, tuple(runs)
         self._workers_by_host = {}
-        return {worker: tuple(keys) for worker, keys in runs.items()}
