Check configurations before they are sent

Cause: validate stopped at the mistakes for which a document is refused. Entries that never match and limits that contradict each other were accepted without a word, and the platform's configuration could only be checked by sending it.

Change: findings have a kind, a severity, a place, a reason and a remedy. Errors come from the code of the receiving side: wire.decode_configuration and the check share configuration_errors, documents.find_inconsistencies formats documents.find_errors; their texts are unchanged.

--- a/orioleshore/cli/application.py
+++ b/orioleshore/cli/application.py
@@ -6,6 +6,8 @@
 
 import orioleshore
 from orioleshore.cli import commands
+from orioleshore.cli import document_commands
+from orioleshore.cli import member_commands
 
 
 def create_application() -> Application:
@@ -14,17 +16,17 @@
     for command in (
         commands.RunCommand,
         commands.CheckCommand,
-        commands.ValidateCommand,
-        commands.DiffCommand,
-        commands.ApplyCommand,
-        commands.ShowCommand,
+        document_commands.ValidateCommand,
+        document_commands.DiffCommand,
+        document_commands.ApplyCommand,
+        document_commands.ShowCommand,
         commands.StatusCommand,
         commands.DumpCommand,
         commands.ExplainCommand,
-        commands.MemberListCommand,
-        commands.MemberAddCommand,
-        commands.MemberRemoveCommand,
-        commands.MemberReplaceCommand,
+        member_commands.MemberListCommand,
+        member_commands.MemberAddCommand,
+        member_commands.MemberRemoveCommand,
+        member_commands.MemberReplaceCommand,
     ):
         application.add(command())
     return application
--- a/orioleshore/cli/output.py
+++ b/orioleshore/cli/output.py
@@ -27,6 +27,36 @@
     return '\n'.join(lines)
 
 
+def format_finding(finding: dict[str, str]) -> str:
+    """Return a finding as one line: where, why, and how to mend it."""
+    text = (
+        f'{finding["severity"]} {finding["place"]}: {finding["reason"]} '
+        f'({finding["kind"]})'
+    )
+    return f'{text}; {finding["remedy"]}' if finding['remedy'] else text
+
+
+def format_report(report: dict[str, Any]) -> str:
+    """Return the report of a check as text for people."""
+    items = ', '.join(f'{n} {name}' for name, n in report['items'].items())
+    lines = [format_finding(finding) for finding in report['findings']]
+    return '\n'.join([*lines, f'valid: {items}'])
+
+
+def format_comparison(comparison: dict[str, Any]) -> str:
+    """Return differences as text for people, with one entry a line."""
+    lines = []
+    if comparison['version'] is not None:
+        lines.append(f'version {comparison["version"]} is in force')
+    for difference in comparison['differences']:
+        lines.append(f'{difference["kind"]} {difference["entry"]}')
+        lines += [f'  {field}' for field in difference['fields']]
+    if not comparison['differences']:
+        lines.append('no differences')
+    lines += [format_finding(finding) for finding in comparison['findings']]
+    return '\n'.join(lines)
+
+
 def format_status(status: dict[str, Any]) -> str:
     """Return the status of the fleet as text for people."""
     lines = _format_group(status.get('group', {}), status['version'])
--- a/orioleshore/cli/remote.py
+++ b/orioleshore/cli/remote.py
@@ -17,10 +17,10 @@
 
 
 class Remote(msgspec.Struct, frozen=True):
-    """Base URL of the operators' interface and the token to use."""
+    """Base URL of an operators' interface and the token, empty for none."""
 
     url: str
-    token: str
+    token: str = ''
 
 
 def read_token(path: str) -> Result[str, errors.Failure]:
@@ -47,7 +47,9 @@
     remote: Remote, method: str, path: str, body: str | None
 ) -> Result[Any, errors.Failure]:
     timeout = aiohttp.ClientTimeout(total=CALL_TIMEOUT_S)
-    headers = {'Authorization': f'Bearer {remote.token}'}
+    headers = {}
+    if remote.token:
+        headers['Authorization'] = f'Bearer {remote.token}'
     try:
         async with (
             aiohttp.ClientSession(timeout=timeout) as session,
@@ -82,6 +84,6 @@
                 errors.ErrorKind.PROTOCOL_ERROR, f'answer with status {status}'
             )
         )
-    return Err(
-        errors.Failure(kind, content['message'], tuple(content['details']))
-    )
+    message = content.get('message', f'answer with status {status}')
+    details = tuple(content.get('details', ()))
+    return Err(errors.Failure(kind, message, details))
--- /dev/null
+++ b/orioleshore/findings/__init__.py
@@ -0,0 +1,1 @@
+"""Findings in configurations: errors, entries without effect, differences."""
--- a/orioleshore/frontends/submission.py
+++ b/orioleshore/frontends/submission.py
@@ -14,6 +14,7 @@
 from orioleshore.model import decoding
 from orioleshore.model import documents
 from orioleshore.model import errors
+from orioleshore.model import findings
 from orioleshore.model import ids
 from orioleshore.state import commands
 
@@ -129,10 +130,31 @@
 
     Fails with ``INVALID_DOCUMENT``.
     """
+    outcome = inspect_document(content)
+    if outcome.is_ok():
+        return outcome
+    return _make_error(
+        'the document is not valid',
+        [
+            f'{finding.place}: {finding.reason}'
+            for finding in outcome.unwrap_err()
+        ],
+    )
+
+
+def inspect_document(
+    content: Any,
+) -> Result[documents.Document, list[findings.Finding]]:
+    """Return a document, or all the errors for which it is refused."""
     outcome = checks.convert(content, documents.Document)
     if outcome.is_err():
-        return _make_error('the document is not valid', outcome.unwrap_err())
-    problems = documents.find_inconsistencies(outcome.unwrap())
-    if problems:
-        return _make_error('the document is not valid', problems)
-    return Ok(outcome.unwrap())
+        return Err([_make_field_error(line) for line in outcome.unwrap_err()])
+    problems = documents.find_errors(outcome.unwrap())
+    return Err(problems) if problems else Ok(outcome.unwrap())
+
+
+def _make_field_error(line: str) -> findings.Finding:
+    place, separator, reason = line.partition(': ')
+    if not separator:
+        place, reason = '$', line
+    return findings.Finding(findings.Kind.INVALID_FIELD, place, reason)
--- a/orioleshore/model/documents.py
+++ b/orioleshore/model/documents.py
@@ -4,6 +4,7 @@
 
 import msgspec
 
+from orioleshore.model import findings
 from orioleshore.model import ids
 
 NAME_PATTERN = r'^[a-z0-9][a-z0-9._-]{0,62}$'
@@ -143,59 +144,83 @@
 
 def find_inconsistencies(document: Document) -> list[str]:
     """Return one line per unknown reference, or duplicate name or brand."""
-    problems = _find_duplicate_names(document)
+    return [
+        f'{finding.place}: {finding.reason}'
+        for finding in find_errors(document)
+    ]
+
+
+def find_errors(document: Document) -> list[findings.Finding]:
+    """Return a finding per unknown reference, or duplicate name or brand."""
+    errors = _find_duplicate_names(document)
     pools = {pool.name for pool in document.pools}
     teams = {team.name for team in document.teams}
-    problems += _find_unknown_pools(document, pools)
-    for position, job in enumerate(document.jobs):
-        if job.team not in teams:
-            problems.append(
-                f'$.jobs[{position}].team: no team is named {job.team!r}'
-            )
-    return problems + _find_duplicate_brands(document)
+    errors += _find_unknown_pools(document, pools)
+    errors += [
+        _make_unknown_name(f'$.jobs[{position}].team', 'team', job.team)
+        for position, job in enumerate(document.jobs)
+        if job.team not in teams
+    ]
+    return errors + _find_duplicate_brands(document)
 
 
-def _find_duplicate_names(document: Document) -> list[str]:
-    problems = []
+def _find_duplicate_names(document: Document) -> list[findings.Finding]:
+    errors = []
     for section in ('pools', 'services', 'hosts', 'teams', 'waves', 'jobs'):
         seen = set()
         for position, item in enumerate(getattr(document, section)):
             if item.name in seen:
-                problems.append(
-                    f'$.{section}[{position}].name: '
-                    f'{item.name!r} is used more than once'
+                errors.append(
+                    findings.Finding(
+                        findings.Kind.DUPLICATE_NAME,
+                        f'$.{section}[{position}].name',
+                        f'{item.name!r} is used more than once',
+                        'merge the entries, or rename one',
+                    )
                 )
             seen.add(item.name)
-    return problems
-
-
-def _find_unknown_pools(document: Document, pools: set) -> list[str]:
-    problems = []
-    for section in ('services', 'hosts', 'jobs'):
-        for position, item in enumerate(getattr(document, section)):
-            if item.pool not in pools:
-                problems.append(
-                    f'$.{section}[{position}].pool: '
-                    f'no pool is named {item.pool!r}'
-                )
-    for position, wave in enumerate(document.waves):
-        problems += [
-            f'$.waves[{position}].pools: no pool is named {pool!r}'
-            for pool in wave.pools
-            if pool not in pools
-        ]
-    return problems
-
-
-def _find_duplicate_brands(document: Document) -> list[str]:
-    problems = []
+    return errors
+
+
+def _find_unknown_pools(
+    document: Document, pools: set[ids.PoolId]
+) -> list[findings.Finding]:
+    errors = [
+        _make_unknown_name(f'$.{section}[{position}].pool', 'pool', item.pool)
+        for section in ('services', 'hosts', 'jobs')
+        for position, item in enumerate(getattr(document, section))
+        if item.pool not in pools
+    ]
+    return errors + [
+        _make_unknown_name(f'$.waves[{position}].pools', 'pool', pool)
+        for position, wave in enumerate(document.waves)
+        for pool in wave.pools
+        if pool not in pools
+    ]
+
+
+def _make_unknown_name(place: str, noun: str, name: str) -> findings.Finding:
+    return findings.Finding(
+        findings.Kind.UNKNOWN_NAME,
+        place,
+        f'no {noun} is named {name!r}',
+        f'add it to {noun}s, or name one that is listed there',
+    )
+
+
+def _find_duplicate_brands(document: Document) -> list[findings.Finding]:
+    errors = []
     owners = {}
     for position, service in enumerate(document.services):
         for brand in service.brands:
             owner = owners.setdefault(brand.lower(), service.name)
             if owner != service.name:
-                problems.append(
-                    f'$.services[{position}].brands: '
-                    f'{brand!r} belongs to service {owner!r}'
+                errors.append(
+                    findings.Finding(
+                        findings.Kind.DUPLICATE_BRAND,
+                        f'$.services[{position}].brands',
+                        f'{brand!r} belongs to service {owner!r}',
+                        'remove it from one of the services',
+                    )
                 )
-    return problems
+    return errors
--- a/orioleshore/platform/wire.py
+++ b/orioleshore/platform/wire.py
@@ -9,12 +9,14 @@
 
 import msgspec
 
+from orioleshore.findings import configuration_errors
 from orioleshore.jobs import calls
 from orioleshore.jobs import specs
 from orioleshore.model import decoding
 from orioleshore.model import ids
 from orioleshore.model import json_rows
 from orioleshore.model import states
+from orioleshore.platform import vocabulary
 from orioleshore.telemetry import odd_entries
 
 # Larger numbers fit no message between processes.
@@ -192,21 +194,23 @@
 
     Raises decoding.DecodingError with the first problem otherwise.
     """
+    configuration, timeouts_ms = read_configuration(body)
+    for finding in configuration_errors.find_errors(
+        configuration, timeouts_ms, vocabulary.WORDS
+    ):
+        raise decoding.DecodingError(finding.reason)
+    return configuration
+
+
+def read_configuration(
+    body: bytes,
+) -> tuple[specs.Configuration, tuple[int, ...]]:
+    """Return a configuration, which may be inconsistent, and its timeouts.
+
+    The timeouts are those of the queues, in milliseconds.
+    """
     content = _CONFIG_DECODER.decode(body)
-    services = {service.name for service in content.services}
-    route_keys = set()
-    for route in content.routes:
-        _check_route(route, services)
-        route_key = (route.host, route.path_prefix)
-        if route_key in route_keys:
-            raise decoding.DecodingError(
-                f'another route has the host and prefix of {route.name!r}'
-            )
-        route_keys.add(route_key)
-    _check_tenants(content.tenants or ())
-    if content.version < 1:
-        raise decoding.DecodingError('the version is not positive')
-    return specs.Configuration(
+    configuration = specs.Configuration(
         ids.Version(content.version),
         tuple(_make_queue(route) for route in content.routes),
         tuple(_make_pool(service) for service in content.services),
@@ -214,6 +218,7 @@
         tuple(_make_organisation(item) for item in content.tenants or ()),
         content.tenants is not None,
     )
+    return configuration, tuple(route.timeout_ms for route in content.routes)
 
 
 def decode_worker_name(text: str) -> ids.WorkerId:
@@ -373,17 +378,6 @@
     )
 
 
-def _check_route(route: _RouteBody, services: set[str]) -> None:
-    if route.service not in services:
-        raise decoding.DecodingError(
-            f'route {route.name!r} names the unknown service {route.service!r}'
-        )
-    if route.timeout_ms <= 0:
-        raise decoding.DecodingError(
-            f'route {route.name!r} has no positive timeout'
-        )
-
-
 def _make_queue(route: _RouteBody) -> specs.Queue:
     return specs.Queue(
         ids.QueueId(route.name),
@@ -399,24 +393,6 @@
     )
 
 
-def _check_tenants(tenants: tuple[_TenantBody, ...]) -> None:
-    """Raise DecodingError if two tenants share a name or a key."""
-    names: set[str] = set()
-    keys: set[str] = set()
-    for tenant in tenants:
-        if tenant.name in names:
-            raise decoding.DecodingError(
-                f'two tenants have the name {tenant.name!r}'
-            )
-        # Keys are secret, so the message names their owner only.
-        if not keys.isdisjoint(tenant.api_keys):
-            raise decoding.DecodingError(
-                f'a key of tenant {tenant.name!r} belongs to another one too'
-            )
-        names.add(tenant.name)
-        keys.update(tenant.api_keys)
-
-
 def _make_organisation(tenant: _TenantBody) -> specs.Organisation:
     return specs.Organisation(
         ids.OrganisationId(tenant.name),
--- a/orioleshore/tests/test_design.py
+++ b/orioleshore/tests/test_design.py
@@ -48,6 +48,13 @@
     'jobs/demand.py',
     'jobs/pools.py',
     'jobs/stalls.py',
+    'model/findings.py',
+    'findings/configuration_errors.py',
+    'findings/configuration_warnings.py',
+    'findings/organisation_warnings.py',
+    'findings/document_warnings.py',
+    'findings/availability_warnings.py',
+    'findings/differences.py',
     'state/machine.py',
     'state/feed.py',
 )
