--- a/orioleshore/cli/files.py
+++ b/orioleshore/cli/files.py
@@ -56,10 +56,6 @@
     def is_valid(self) -> bool:
         return not findings.has_errors(self.findings)
 
-    @property
-    def has_warnings(self) -> bool:
-        return self.is_valid and bool(self.findings)
-
 
 def read_file(path: str, form: Form) -> Result[File, errors.Failure]:
     """Return the file at a path; fails with INVALID_DOCUMENT."""
