Pass demand reports and explanations to an idle fleet manager

Cause: the leader asked for the truth of the manager's mailbox, which is false while the mailbox is empty. Reports of demand were dropped, and explanations left out of answers, whenever the manager had nothing else to do. No other place in orioleshore asks for the truth of a mailbox (grep over all packages).

Change: compare with None.

Result: test_idle_manager_gets_queries fails for both queries before the change, and passes after it.

--- a/orioleshore/consensus/member_reads.py
+++ b/orioleshore/consensus/member_reads.py
@@ -32,12 +32,14 @@
     if isinstance(call, member_calls.LocalCall):
         core.answer_call(token, Ok(None))
         return
-    if isinstance(call.query, queries.Explain) and core.manager:
+    # An empty mailbox is false, so it is compared with None.
+    has_manager = core.manager is not None
+    if isinstance(call.query, queries.Explain) and has_manager:
         # The answer includes explanations from the fleet manager.
         core.calls.remove(token)
         _request_explanation(core, call)
         return
-    if isinstance(call.query, queries.ReportDemand) and core.manager:
+    if isinstance(call.query, queries.ReportDemand) and has_manager:
         # A report that the mailbox rejects is replaced by the next one.
         core.manager.put(member_messages.DemandReceived(call.query))
     content = _get_query_answer(core, call.query)
--- /dev/null
+++ b/orioleshore/tests/test_member_task.py
@@ -0,0 +1,42 @@
+"""What a leading control member passes on to the fleet manager."""
+
+import pytest
+
+from orioleshore.consensus import member_messages
+from orioleshore.model import ids
+from orioleshore.state import queries
+from orioleshore.tasks import mailbox
+from orioleshore.tests import builders
+from orioleshore.tests import member_builders
+from orioleshore.tests import support
+from orioleshore.timers import clock
+
+EXPLAIN = queries.Explain(queries.SubjectKind.HOST, 'freight-1')
+DEMAND = queries.ReportDemand(ids.NodeId('entry-1'), ())
+
+
+@pytest.mark.parametrize(
+    ('query', 'expected'),
+    [
+        (EXPLAIN, member_messages.ExplainRequested),
+        (DEMAND, member_messages.DemandReceived),
+    ],
+)
+def test_idle_manager_gets_queries(tmp_path, query, expected):
+    """Guards against an empty mailbox that is taken for a missing one.
+
+    Reports of demand were dropped, and explanations left out, whenever the
+    fleet manager had nothing else to do.
+    """
+
+    async def check():
+        manager = mailbox.Mailbox('fleet', 100)
+        source = clock.ManualClock()
+        task = member_builders.build_member(str(tmp_path), manager, source)
+        await member_builders.start_leading(task, source)
+        builders.take_messages(manager)
+        await task.handle(member_builders.build_query(query))
+        taken = builders.take_messages(manager)
+        assert [type(message) for message in taken] == [expected]
+
+    support.run(check())
