Send the state once to a fleet manager that missed a command

Cause: nothing cleared the flag that the manager is behind. After one overflow of its mailbox, each batch of messages at the leader encoded the whole state for the manager, and the ledger for the job scheduler.

Change: the flag says whether the last state was refused.

Result: test_manager_that_missed_a_command_gets_the_state_once fails before the change (the state came with each tick), and passes after it.

--- a/orioleshore/consensus/leader_tasks.py
+++ b/orioleshore/consensus/leader_tasks.py
@@ -35,9 +35,10 @@
                 ledger=ledger.Ledger(),
             )
         )
-        core.manager.put(
+        outcome = core.manager.put(
             member_messages.LeadershipGained(epoch, encoded_state)
         )
+        core.is_manager_behind = outcome.is_err()
     resend_ledger(core)
 
 
