Send no state of a new term before its first entry is applied

Cause: a leader whose fleet manager was behind, and that lost and regained the leadership, sent its state at once. That state lacks entries of earlier terms until the first entry of the new term is applied.

Change: the state is repeated only once the tasks at the leader have been started in this term.

Result: test_state_waits_for_the_first_entry_of_a_new_term fails before the change, and passes after it.

--- a/orioleshore/consensus/member.py
+++ b/orioleshore/consensus/member.py
@@ -140,7 +140,7 @@
         while actions:
             actions = await persistence.perform_actions(core, actions)
         await persistence.write_waiting_when_due(core)
-        if core.is_manager_behind and core.is_leader:
+        if core.is_manager_behind and core.has_started_leader_tasks:
             leader_tasks.start_leader_tasks(core)
         await persistence.take_snapshot_when_due(core)
 
--- a/orioleshore/tests/member_builders.py
+++ b/orioleshore/tests/member_builders.py
@@ -5,7 +5,9 @@
 import msgspec
 
 from orioleshore import settings
+from orioleshore.consensus import events
 from orioleshore.consensus import member
+from orioleshore.consensus import member_actions
 from orioleshore.consensus import storage
 from orioleshore.model import ids
 from orioleshore.model import states
@@ -62,3 +64,9 @@
     )
     message = messages.Query('', queries.encode_query(query))
     return messages.Received(header, message)
+
+
+def change_role(task: member.MemberTask, role: states.RaftRole) -> None:
+    """Let the Raft member report a role in the next term."""
+    changed = events.RoleChanged(role, ids.Term(2), None)
+    member_actions.perform_action(changed, task._core)
--- a/orioleshore/tests/test_member_task.py
+++ b/orioleshore/tests/test_member_task.py
@@ -5,6 +5,7 @@
 from orioleshore.consensus import member
 from orioleshore.consensus import member_messages
 from orioleshore.model import ids
+from orioleshore.model import states
 from orioleshore.state import queries
 from orioleshore.tasks import mailbox
 from orioleshore.tasks import reply
@@ -62,3 +63,22 @@
             assert len(builders.take_messages(manager)) == expected
 
     support.run(check())
+
+
+def test_state_waits_for_the_first_entry_of_a_new_term(tmp_path):
+    """Guards against an incomplete state after an overflow as old leader."""
+
+    async def check():
+        manager = mailbox.Mailbox('fleet', 1)
+        source = clock.ManualClock()
+        task = member_builders.build_member(str(tmp_path), manager, source)
+        await member_builders.start_leading(task, source)
+        change = builders.build_change(builders.build_document())
+        await task.handle(member_messages.SubmitCommand(change, reply.Reply()))
+        for role in (states.RaftRole.FOLLOWER, states.RaftRole.LEADER):
+            member_builders.change_role(task, role)
+        builders.take_messages(manager)
+        await task.handle(service.TimerFired(member.TICK))
+        assert not builders.take_messages(manager)
+
+    support.run(check())
