Report a configuration that is too large to be sent

Cause: the control server refuses bodies above 1 MiB with 413, and validate called such a file valid.

Change: a finding of the kind too_large, for the same limit.

Result: test_size_limit_agrees_with_the_control_server sends bodies of the limit and one byte more to a control server: 200 and 413, as the check says.

--- a/orioleshore/model/findings.py
+++ b/orioleshore/model/findings.py
@@ -17,6 +17,7 @@
     """Every kind of finding."""
 
     # Refused by the receiving side.
+    TOO_LARGE = 'too_large'
     UNREADABLE = 'unreadable'
     INVALID_FIELD = 'invalid_field'
     INVALID_VERSION = 'invalid_version'
@@ -65,6 +66,7 @@
 
 ERROR_KINDS = frozenset(
     {
+        Kind.TOO_LARGE,
         Kind.UNREADABLE,
         Kind.INVALID_FIELD,
         Kind.INVALID_VERSION,
--- a/orioleshore/platform/checking.py
+++ b/orioleshore/platform/checking.py
@@ -13,6 +13,8 @@
 
 SECRET_FIELDS = frozenset({vocabulary.WORDS.keys})
 PATH_IN_FORCE = '/config'
+# The HTTP library refuses larger bodies unless its server is told otherwise.
+MAX_BODY_BYTES = 1_048_576
 
 _PLACE_PATTERN = re.compile(r'(?P<reason>.*) - at `(?P<place>[^`]*)`', re.S)
 
@@ -20,8 +22,18 @@
 def find_findings(body: bytes) -> list[findings.Finding]:
     """Return all errors of a configuration, or its warnings if it has none.
 
-    There are errors exactly if ``wire.decode_configuration`` refuses the body.
+    There are errors exactly if the control server refuses the body, for its
+    size or in ``wire.decode_configuration``.
     """
+    if len(body) > MAX_BODY_BYTES:
+        return [
+            findings.Finding(
+                findings.Kind.TOO_LARGE,
+                '$',
+                f'{len(body)} bytes exceed the limit of {MAX_BODY_BYTES}',
+                'leave out indentation and members that are not used',
+            )
+        ]
     try:
         configuration, timeouts_ms = wire.read_configuration(body)
     except decoding.DecodingError as error:
--- a/orioleshore/tests/test_validate.py
+++ b/orioleshore/tests/test_validate.py
@@ -5,8 +5,10 @@
 import random
 import threading
 
+import aiohttp
 from cleo.testers.application_tester import ApplicationTester
 import pytest
+from result import Ok
 import yaml
 
 from orioleshore.cli import application
@@ -15,6 +17,8 @@
 from orioleshore.model import decoding
 from orioleshore.model import documents
 from orioleshore.model import errors
+from orioleshore.platform import checking
+from orioleshore.platform import control_server
 from orioleshore.platform import wire
 from orioleshore.state import machine
 from orioleshore.state import records
@@ -187,6 +191,34 @@
     assert min(counts.values()) > 100
 
 
+def test_size_limit_agrees_with_the_control_server():
+    """Guards against a file that is valid, but too large to be sent."""
+
+    class Forwarder:
+        async def forward(self, call, timeout_s):
+            return Ok(None)
+
+    async def put(session, url, body):
+        async with session.put(f'{url}/config', data=body) as response:
+            return response.status
+
+    async def check():
+        server = control_server.ControlServer('127.0.0.1:0', Forwarder())
+        await server.start()
+        async with aiohttp.ClientSession() as session:
+            for excess, status in ((0, 200), (1, 413)):
+                size = checking.MAX_BODY_BYTES + excess
+                body = json.dumps(build.build_doubtful_body()).encode()
+                body = body.ljust(size)
+                url = f'http://{server.address}'
+                assert await put(session, url, body) == status
+                report = files.check(files.PlatformFile(body))
+                assert report.is_valid == (status == 200)
+        await server.stop()
+
+    support.run(check())
+
+
 def test_odd_bodies_agree_with_the_receiver_of_configurations():
     """Guards against a check that ends with an error of a library."""
     for value in odd_values.VALUES:
