Show who uses how much of which limit, and which jobs wait for it

A job that waited for its organisation's limit looked like one without a reason. The leader now counts held starts, logs job_held_by_limit for a job that waits longer than 1 s, and names the limit among the holds of long-running tasks.

The dump held the keys of all callers, in the configuration and in its source; it holds neither now, and a test looks for keys in the log too.

--- a/orioleshore/cli/output.py
+++ b/orioleshore/cli/output.py
@@ -28,7 +28,12 @@
 
 
 def format_status(status: dict[str, Any]) -> str:
-    """Return the status of the fleet as text for people."""
+    """Return the status of the fleet as text for people.
+
+    Processes on the users' platform show their organisations instead.
+    """
+    if 'organisations' in status:
+        return '\n'.join(map(_format_organisation, status['organisations']))
     lines = _format_group(status.get('group', {}), status['version'])
     hosts = _format_counts(status['hosts'])
     lines.append(f'hosts      {hosts}')
@@ -70,6 +75,21 @@
     return '\n'.join(lines)
 
 
+def _format_organisation(row: dict[str, Any]) -> str:
+    kinds = ('thousandths of a core', 'MB', 'accelerators')
+    usage = ', '.join(
+        f'{used} of {limit or "any"} {kind}'
+        for kind, used, limit in zip(
+            kinds, row['used'], row['limit'], strict=True
+        )
+    )
+    return (
+        f'{row["name"]}: {usage}; weight {row["weight"]:g}, weighted share '
+        f'{row["share"]:.4f}; {row["unfinished_jobs"]} unfinished jobs, '
+        f'{row["held_jobs"]} held by the limit'
+    )
+
+
 def _format_group(group: dict[str, Any], version: int) -> list[str]:
     lines = [
         f'version    {version}',
--- a/orioleshore/history/phrases.py
+++ b/orioleshore/history/phrases.py
@@ -27,6 +27,14 @@
     # Jobs.
     'job_accepted': 'accepted into pool {pool}: {tasks} tasks, to be done '
     'within {objective_ms} ms, under configuration {version}',
+    'job_held_by_limit': 'held for {held_s} s by the limit of organisation '
+    '{organisation}: the next start needs {need_cpu} thousandths of a core, '
+    '{need_memory_mb} MB and {need_accelerators} accelerators; in use are '
+    '{used_cpu}, {used_memory_mb} and {used_accelerators} of {limit_cpu}, '
+    '{limit_memory_mb} and {limit_accelerators} (0: no limit), by '
+    'configuration {version}',
+    'key_refused': 'a call to queue {queue} was refused: no organisation of '
+    'configuration {version} holds its key (key sent: {has_key})',
     'job_refused': 'refused and not run, {error}: {reason} (Retry-After '
     '{retry_after_s} s)',
     'job_cancelled': 'cancelled by its caller',
--- a/orioleshore/history/story.py
+++ b/orioleshore/history/story.py
@@ -22,6 +22,7 @@
     POOL = 'pool'
     WAVE = 'wave'
     CHANGE = 'change'
+    ORGANISATION = 'organisation'
 
 
 # The pairs that name a subject. A request or a job is found by its id, which
@@ -32,6 +33,7 @@
     Subject.POOL: ('pool', 'from_pool'),
     Subject.WAVE: ('wave',),
     Subject.CHANGE: ('version', 'in_force'),
+    Subject.ORGANISATION: ('organisation',),
 }
 
 
@@ -150,6 +152,9 @@
         _make_sentence(phrases.describe(line))
         for line in by_event.get('task_given_up', [])
     ]
+    holds = by_event.get('job_held_by_limit', [])
+    if holds:
+        found.append(_make_sentence(phrases.describe(holds[-1])))
     found += _summarize_runs(by_event)
     changes = len(by_event.get('scheduling_started', []))
     if changes:
--- a/orioleshore/jobs/calls.py
+++ b/orioleshore/jobs/calls.py
@@ -172,6 +172,26 @@
     waiting: int
 
 
+class GetOrganisations(_Call, frozen=True):
+    """Get what each organisation uses, and what holds its jobs back."""
+
+
+class OrganisationStatus(msgspec.Struct, frozen=True):
+    """Usage of one organisation at the leader.
+
+    ``share`` is its dominant share of all capacity per unit of weight. Of its
+    unfinished jobs, ``held_jobs`` wait because of its limit.
+    """
+
+    name: ids.OrganisationId
+    weight: float
+    used: specs.Resources
+    limit: specs.Resources
+    share: float
+    unfinished_jobs: int
+    held_jobs: int
+
+
 class PutConfiguration(_Call, frozen=True):
     """Put a configuration in force unless a newer one is in force."""
 
@@ -269,6 +289,7 @@
     | CancelJob
     | PutConfiguration
     | GetConfiguration
+    | GetOrganisations
     | OpenWave
     | GetWave
     | NoteUpkeep
@@ -283,6 +304,7 @@
     PartialHeartbeat: HeartbeatAnswer,
     GetJob: JobStatus | QueueStatus | None,
     GetConfiguration: specs.Configuration,
+    GetOrganisations: tuple[OrganisationStatus, ...],
     GetWave: WaveStatus,
 }
 
--- a/orioleshore/jobs/gangs.py
+++ b/orioleshore/jobs/gangs.py
@@ -88,7 +88,7 @@
     group: progress.Group,
 ) -> None:
     whole = group.step.need.times(group.step.tasks)
-    if not scheduler.is_within_limit(job, whole):
+    if not scheduler.can_start_within_limit(job, whole):
         return
     waited_s = scheduler.wall_time - group.startable_since
     is_usable = (
--- a/orioleshore/jobs/handlers.py
+++ b/orioleshore/jobs/handlers.py
@@ -14,6 +14,7 @@
 from orioleshore.jobs import answers
 from orioleshore.jobs import calls
 from orioleshore.jobs import ledger
+from orioleshore.jobs import organisation_status
 from orioleshore.jobs import organisations
 from orioleshore.jobs import reports
 from orioleshore.jobs import specs
@@ -204,6 +205,13 @@
     return Ok(scheduler.ledger.configuration)
 
 
+@handle.register(calls.GetOrganisations)
+def _(
+    call: calls.GetOrganisations, scheduler: scheduling.Scheduler
+) -> answers.Answer:
+    return Ok(organisation_status.list_organisations(scheduler))
+
+
 @handle.register(calls.OpenWave)
 def _(call: calls.OpenWave, scheduler: scheduling.Scheduler) -> answers.Answer:
     if call.wave not in scheduler.ledger.waves:
--- a/orioleshore/jobs/holds.py
+++ b/orioleshore/jobs/holds.py
@@ -196,6 +196,10 @@
             states.HoldReason.NO_ROOM,
             not workers.fits_into(need, worker.get_free_resources()),
         ),
+        (
+            states.HoldReason.ORGANISATION_LIMIT,
+            not scheduler.is_within_limit(job, step.need),
+        ),
         (states.HoldReason.GANG_PLAN, step.is_gang),
     )
     for reason, is_held in checks:
--- a/orioleshore/jobs/organisations.py
+++ b/orioleshore/jobs/organisations.py
@@ -20,6 +20,9 @@
 from orioleshore.quotas import shares
 
 NO_ORGANISATION = ids.OrganisationId('')
+# Stands for NO_ORGANISATION where operators see it. No organisation has this
+# name, since theirs contain no space.
+UNNAMED = ids.OrganisationId('without key')
 # Room of an organisation in a kind of resource without a limit.
 UNLIMITED = 2**53
 # Only a new configuration lets a job in that exceeds a limit by itself.
@@ -75,6 +78,10 @@
         """Return the resources of everything that may be running."""
         return self._totals.get_used(name)
 
+    def list_organisations(self) -> set[ids.OrganisationId]:
+        """Return the organisations that use anything."""
+        return set(self._totals.list_owners())
+
     def get_room(
         self, name: ids.OrganisationId, limit: specs.Resources
     ) -> specs.Resources:
--- a/orioleshore/jobs/placement.py
+++ b/orioleshore/jobs/placement.py
@@ -196,7 +196,7 @@
         and group.can_use_worker(worker.name)
         and workers.fits_into(need, free)
         and can_accept_more(worker, step)
-        and scheduler.is_within_limit(job, step.need)
+        and scheduler.can_start_within_limit(job, step.need)
         and (
             not step.is_long_running
             or can_place_long_running(scheduler, worker, job, group)
--- a/orioleshore/jobs/probation.py
+++ b/orioleshore/jobs/probation.py
@@ -139,7 +139,7 @@
         workers.fits_into(need, worker.get_free_resources())
         and group.can_use_worker(worker.name)
         and eligibility.is_allowed(scheduler, worker, job, group)
-        and scheduler.is_within_limit(job, group.step.need)
+        and scheduler.can_start_within_limit(job, group.step.need)
     )
 
 
--- a/orioleshore/jobs/scheduler.py
+++ b/orioleshore/jobs/scheduler.py
@@ -23,6 +23,7 @@
 from orioleshore.jobs import holds
 from orioleshore.jobs import known_hosts
 from orioleshore.jobs import ledger
+from orioleshore.jobs import limit_holds
 from orioleshore.jobs import orders
 from orioleshore.jobs import organisations
 from orioleshore.jobs import pools
@@ -88,6 +89,7 @@
         self._changes: list[ledger.Change] = []
         self._has_held_ordered_hosts = False
         self.waits = holds.LongRunningWaits()
+        self.limit_holds = limit_holds.LimitHolds()
         self.usage = organisations.Usage()
         self._directory = organisations.Directory(job_ledger.configuration)
         logged = organisations.list_logged_holdings(job_ledger.jobs)
@@ -157,6 +159,7 @@
         self._forget_ended_jobs()
         self.crashes.forget_old_losses()
         self.waits.update(self)
+        self.limit_holds.update(self)
 
     def _plan_gangs(self) -> None:
         gangs.plan_gangs(self)
@@ -219,12 +222,21 @@
     def is_within_limit(
         self, job: progress.JobProgress, need: specs.Resources
     ) -> bool:
-        """Return whether the organisation of a job may start more."""
+        """Return whether the organisation of a job may use more."""
         name = job.record.organisation
         return shares.fits_limit(
             self.usage.get_used(name), need, self.directory.get_limit(name)
         )
 
+    def can_start_within_limit(
+        self, job: progress.JobProgress, need: specs.Resources
+    ) -> bool:
+        """Return whether a job may start more, and note it if not."""
+        is_within = self.is_within_limit(job, need)
+        if not is_within:
+            self.limit_holds.note(job, need, self.now)
+        return is_within
+
     def is_reservation_within_limit(
         self, job: progress.JobProgress, need: specs.Resources
     ) -> bool:
--- a/orioleshore/jobs/task.py
+++ b/orioleshore/jobs/task.py
@@ -12,6 +12,7 @@
 from orioleshore.consensus import member_messages
 from orioleshore.jobs import calls
 from orioleshore.jobs import ledger
+from orioleshore.jobs import organisation_status
 from orioleshore.jobs import scheduler
 from orioleshore.jobs import tuning
 from orioleshore.model import errors
@@ -52,6 +53,12 @@
     answer: reply.Reply
 
 
+class GetOrganisationMetrics(msgspec.Struct, frozen=True):
+    """Requests the usage of organisations, none if this member follows."""
+
+    answer: reply.Reply
+
+
 class _PendingAnswer(msgspec.Struct, frozen=True):
     """An answer that is sent once all changes before it are committed."""
 
@@ -197,6 +204,10 @@
             self._latencies.count(
                 'lasting_task_holds_total', count, reason=reason.value
             )
+        self._latencies.count(
+            'starts_held_by_limit_total',
+            self._scheduler.limit_holds.take_count(),
+        )
 
     def _fail_step(self, step: states.TickStep) -> None:
         """Pause a step of the periodic work, and rebuild the scheduler.
@@ -326,9 +337,17 @@
             'workers': msgspec.to_builtins(
                 list(self._scheduler.workers.values()), str_keys=True
             ),
-            'ledger': msgspec.to_builtins(self._scheduler.ledger),
+            'ledger': organisation_status.dump_ledger(self._scheduler.ledger),
+            'organisations': self._list_organisations(),
         }
 
+    def _list_organisations(self) -> list[dict[str, Any]]:
+        if self._scheduler is None:
+            return []
+        return msgspec.to_builtins(
+            list(organisation_status.list_organisations(self._scheduler))
+        )
+
 
 @functools.singledispatch
 def _handle_message(message: Any, owner: JobsTask) -> None:
@@ -365,6 +384,11 @@
     message.answer.resolve(Ok(owner._get_dump()))
 
 
+@_handle_message.register
+def _(message: GetOrganisationMetrics, owner: JobsTask) -> None:
+    message.answer.resolve(Ok(owner._list_organisations()))
+
+
 @functools.singledispatch
 def _count_change(change: Any, recorder: latencies.Recorder) -> None:
     """Count a committed change in the metrics; others are not counted."""
--- a/orioleshore/model/states.py
+++ b/orioleshore/model/states.py
@@ -218,6 +218,8 @@
     # The step's limit of tasks on one worker is reached.
     WORKER_LIMIT = 'worker_limit'
     NO_ROOM = 'no_room'
+    # The organisation of the job has reached its limit over all pools.
+    ORGANISATION_LIMIT = 'organisation_limit'
     # A worker that failed often has a run that is not ready yet.
     UNPROVEN_RUN = 'unproven_run'
     # Tasks of a gang start only as planned.
--- a/orioleshore/platform/control_role.py
+++ b/orioleshore/platform/control_role.py
@@ -22,6 +22,7 @@
 from orioleshore.platform import hosts
 from orioleshore.platform import process
 from orioleshore.protocol import messages
+from orioleshore.telemetry import writers
 
 
 def build(
@@ -95,6 +96,11 @@
             handover.Handover(consensus.mailbox),
             functools.partial(loading.load_member, consensus),
             seed_listeners=(announcer.mailbox,),
+            add_metrics=lambda collector: collector.add_task(
+                jobs.mailbox,
+                jobs_task.GetOrganisationMetrics,
+                writers.write_organisations,
+            ),
         )
     )
 
--- a/orioleshore/platform/control_server.py
+++ b/orioleshore/platform/control_server.py
@@ -3,6 +3,7 @@
 import logging
 
 from aiohttp import web
+import msgspec
 
 from orioleshore.frontends import web as frontend_web
 from orioleshore.jobs import calls
@@ -20,6 +21,8 @@
 # Operators try another node after one second without an answer.
 OPERATOR_TIMEOUT_S = 0.95
 
+# The project's own path; the platform calls none of this name.
+STATUS_PATH = '/v1/status'
 _INSTANCES_PREFIX = '/instances/'
 _WAVES_PREFIX = '/wave-get/'
 
@@ -73,6 +76,8 @@
             )
         if path == '/config' and request.method == 'GET':
             return await self._get_configuration()
+        if path == STATUS_PATH and request.method == 'GET':
+            return await self._get_status()
         if path == '/wave-start' and request.method == 'POST':
             return await self._forward_call(
                 wire.decode_wave(await request.read())
@@ -112,6 +117,15 @@
             outcome, lambda configuration: configuration.source
         )
 
+    async def _get_status(self) -> web.StreamResponse:
+        outcome = await self._forwarder.forward(
+            calls.GetOrganisations(), OPERATOR_TIMEOUT_S
+        )
+        return forwarding.make_response(
+            outcome,
+            lambda rows: msgspec.json.encode({'organisations': rows}),
+        )
+
     async def _get_wave(self, wave: ids.WaveId) -> web.StreamResponse:
         outcome = await self._forwarder.forward(
             calls.GetWave(wave), OPERATOR_TIMEOUT_S
--- a/orioleshore/platform/process.py
+++ b/orioleshore/platform/process.py
@@ -72,6 +72,8 @@
     # Mailboxes that are sent changed seeds, and found members.
     seed_listeners: tuple[mailbox.Mailbox, ...] = ()
     member_listeners: tuple[mailbox.Mailbox, ...] = ()
+    # Adds metrics that tasks are asked for at each scrape.
+    add_metrics: Callable[[collection.Collector], None] | None = None
 
 
 RoleBuilder = Callable[[Dependencies], Result[RoleTasks, errors.Failure]]
@@ -139,7 +141,13 @@
             self._discovery.add_listener(listener)
         tasks = [self._discovery, control_client, *role_tasks.tasks]
         tasks.append(
-            _make_metrics_server(deployment, peer_transport, recorder, tasks)
+            _make_metrics_server(
+                deployment,
+                peer_transport,
+                recorder,
+                tasks,
+                role_tasks.add_metrics,
+            )
         )
         for item in tasks:
             await item.start()
@@ -225,6 +233,7 @@
     peer_transport: transport.Transport,
     recorder: latencies.Recorder,
     tasks: list[task.Task],
+    add_metrics: Callable[[collection.Collector], None] | None,
 ) -> metrics_server.MetricsServer:
     collector = collection.Collector(deployment.settings.node)
     collector.add_recorder(recorder)
@@ -235,4 +244,6 @@
         collector.add_mailbox(item.mailbox)
         if item.odd_entries is not None:
             collector.add_odd_entries(item.odd_entries)
+    if add_metrics is not None:
+        add_metrics(collector)
     return metrics_server.MetricsServer(deployment.metrics_address, collector)
--- a/orioleshore/quotas/shares.py
+++ b/orioleshore/quotas/shares.py
@@ -54,6 +54,10 @@
         else:
             self._used[owner] = left
 
+    def list_owners(self) -> list[OwnerT]:
+        """Return the owners that use anything."""
+        return list(self._used)
+
     def get_total(self) -> AmountT:
         """Return what all owners use together."""
         total = self._nothing
--- a/orioleshore/telemetry/latencies.py
+++ b/orioleshore/telemetry/latencies.py
@@ -64,6 +64,7 @@
     'failed_ticks_total': 'Steps of the periodic work that raised',
     'starts_total': 'Ordered starts of tasks',
     'lasting_task_holds_total': 'Reasons that held long-running tasks back',
+    'starts_held_by_limit_total': 'Starts held by limits of organisations',
     'ends_total': 'Ended runs of tasks by outcome',
     'worker_losses_total': 'Lost workers with new runs, by what became known',
     'tasks_given_up_total': 'Tasks given up because they crash workers',
--- a/orioleshore/telemetry/metrics.py
+++ b/orioleshore/telemetry/metrics.py
@@ -64,6 +64,11 @@
 gauge   fleet_budget_left_cores service scope | Cores that may still go down
 gauge   fleet_wave_hosts wave state | Hosts of unfinished waves by progress
 gauge   fleet_jobs state | Jobs by state, at the leader
+gauge   organisation_used organisation resource | What running tasks need
+gauge   organisation_limit organisation resource | Limits, 0 for none
+gauge   organisation_share organisation | Dominant share per unit of weight
+gauge   organisation_jobs organisation | Unfinished jobs
+gauge   organisation_held_jobs organisation | Jobs held by the limit
 """
 
 
--- a/orioleshore/telemetry/writers.py
+++ b/orioleshore/telemetry/writers.py
@@ -8,6 +8,7 @@
 
 # Limits the number of series; finished waves have none.
 MAX_WAVES = 64
+MAX_ORGANISATIONS = 200
 
 
 def write_transport(
@@ -111,3 +112,30 @@
     for name, wave in sorted(status['waves'].items())[:MAX_WAVES]:
         for state, count in wave['hosts'].items():
             snapshot.set('fleet_wave_hosts', count, wave=name, state=state)
+
+
+def write_organisations(
+    rows: list[dict[str, Any]], snapshot: metrics.MetricsSnapshot
+) -> None:
+    """Write usage and limits of organisations, at the leader."""
+    for row in rows[:MAX_ORGANISATIONS]:
+        name = row['name']
+        for metric in ('used', 'limit'):
+            for resource, value in zip(
+                ('cpu_millis', 'memory_mb', 'accelerators'),
+                row[metric],
+                strict=True,
+            ):
+                snapshot.set(
+                    f'organisation_{metric}',
+                    value,
+                    organisation=name,
+                    resource=resource,
+                )
+        snapshot.set('organisation_share', row['share'], organisation=name)
+        snapshot.set(
+            'organisation_jobs', row['unfinished_jobs'], organisation=name
+        )
+        snapshot.set(
+            'organisation_held_jobs', row['held_jobs'], organisation=name
+        )
--- a/orioleshore/tests/test_organisations.py
+++ b/orioleshore/tests/test_organisations.py
@@ -1,16 +1,26 @@
 """Organisations on the platform's path: keys, limits, refusals."""
 
+import json
+import logging
+
 import msgspec
 import pytest
 
 from fakes import limited
+from orioleshore.cli import output
+from orioleshore.history import lines
+from orioleshore.history import phrases
 from orioleshore.jobs import calls
+from orioleshore.jobs import holds
 from orioleshore.jobs import ledger
+from orioleshore.jobs import organisation_status
 from orioleshore.jobs import organisations
 from orioleshore.jobs import specs
 from orioleshore.model import errors
 from orioleshore.model import ids
 from orioleshore.model import states
+from orioleshore.telemetry import metrics
+from orioleshore.telemetry import writers
 from orioleshore.tests import builders
 from orioleshore.tests import support
 
@@ -224,3 +234,95 @@
     del fields['organisation'], fields['left_running']
     read = msgspec.convert(fields, ledger.JobRecord)
     assert read.organisation == organisations.NO_ORGANISATION
+
+
+def _hold_lasting_job() -> limited.LimitedFleet:
+    """Return a fleet with a job at its limit and another one that waits."""
+    fleet = _build_fleet(north=4, south=4)
+    for number in (1, 2):
+        job = builders.build_lasting_job(4)
+        fleet.call_scheduler(builders.build_submission(number, job, key=KEY))
+        fleet.run(1.0)
+    fleet.run(1.0)
+    return fleet
+
+
+def test_status_and_log_name_the_job_that_a_limit_holds(caplog):
+    # Guards against a job that waits beside free workers without a reason.
+    caplog.set_level(logging.INFO)
+    fleet = _hold_lasting_job()
+    rows = fleet.call_scheduler(calls.GetOrganisations()).unwrap()
+    assert [(row.name, row.held_jobs) for row in rows] == [
+        ('north', 1),
+        ('south', 0),
+    ]
+    assert rows[0].used == rows[0].limit.plus(specs.Resources(0, 2_048))
+    line = next(
+        lines.parse_line(f'time=1 {record.message}')
+        for record in caplog.records
+        if 'job_held_by_limit' in record.message
+    )
+    assert line.pairs['job'] == builders.build_job_id(2)
+    assert 'limit of organisation north' in phrases.describe(line)
+    job = fleet.scheduler.jobs[builders.build_job_id(2)]
+    assert holds.find_holds(fleet.scheduler, job) == {
+        states.HoldReason.ORGANISATION_LIMIT: 2
+    }
+    assert fleet.scheduler.limit_holds.take_count() > 0
+
+
+def test_hold_ends_with_the_limit():
+    # Guards against a job that is shown as held after it has started.
+    fleet = _hold_lasting_job()
+    fleet.call_scheduler(
+        calls.PutConfiguration(builders.build_shared_configuration(2, north=8))
+    )
+    fleet.run(4.0)
+    (row,) = fleet.call_scheduler(calls.GetOrganisations()).unwrap()
+    assert row.held_jobs == 0
+    assert row.used.cpu_millis == 8_000
+
+
+def test_organisation_without_configuration_is_shown_while_it_runs():
+    # Guards against usage that no operator sees after a withdrawal.
+    fleet = _hold_lasting_job()
+    fleet.call_scheduler(
+        calls.PutConfiguration(builders.build_shared_configuration(2, south=4))
+    )
+    rows = fleet.call_scheduler(calls.GetOrganisations()).unwrap()
+    assert [row.name for row in rows] == ['south', 'north']
+
+
+def test_dump_and_log_contain_no_key(caplog):
+    # Guards against keys that leave the leader with its dump or its log.
+    caplog.set_level(logging.DEBUG)
+    fleet = _hold_lasting_job()
+    fleet.call_scheduler(builders.build_submission(9, key='other-key'))
+    configuration = msgspec.structs.replace(
+        builders.build_shared_configuration(2, north=4),
+        source=b'{"api_keys":["key-of-north"]}',
+    )
+    fleet.call_scheduler(calls.PutConfiguration(configuration))
+    dump = organisation_status.dump_ledger(fleet.scheduler.ledger)
+    assert dump['configuration']['organisations'][0]['name'] == 'north'
+    for text in (json.dumps(dump), caplog.text):
+        assert 'key-of-' not in text
+        assert 'other-key' not in text
+
+
+def test_usage_is_written_as_metrics_and_as_status():
+    # Guards against rows that the metrics or the command line cannot read.
+    fleet = _hold_lasting_job()
+    rows = msgspec.to_builtins(
+        fleet.call_scheduler(calls.GetOrganisations()).unwrap()
+    )
+    snapshot = metrics.MetricsSnapshot('node-1')
+    writers.write_organisations(list(rows), snapshot)
+    text = snapshot.render().decode()
+    assert (
+        'orioleshore_organisation_used{node="node-1",organisation="north",'
+        'resource="cpu_millis"} 4000' in text
+    )
+    shown = output.format_status({'organisations': list(rows)})
+    assert 'north: 4000 of 4000 thousandths of a core' in shown
+    assert '1 held by the limit' in shown
