--- a/fakes/workers.py
+++ b/fakes/workers.py
@@ -15,6 +15,7 @@
 from fakes import lasting
 from orioleshore.jobs import calls
 from orioleshore.jobs import ledger
+from orioleshore.jobs import ledger_updates
 from orioleshore.jobs import orders
 from orioleshore.jobs import scheduler as scheduling
 from orioleshore.jobs import specs
@@ -256,7 +257,7 @@
         self.leader_since = self.now + election_s
         job_ledger = ledger.Ledger()
         for change in self.log:
-            ledger.apply_change(change, job_ledger)
+            ledger_updates.apply_change(change, job_ledger)
         self.scheduler = scheduling.Scheduler(
             job_ledger,
             ids.Epoch(self.scheduler.epoch + 1),
--- a/orioleshore/jobs/scheduler.py
+++ b/orioleshore/jobs/scheduler.py
@@ -23,6 +23,7 @@
 from orioleshore.jobs import holds
 from orioleshore.jobs import known_hosts
 from orioleshore.jobs import ledger
+from orioleshore.jobs import ledger_updates
 from orioleshore.jobs import limit_holds
 from orioleshore.jobs import orders
 from orioleshore.jobs import organisations
@@ -208,7 +209,7 @@
 
     def record_change(self, change: ledger.Change) -> None:
         """Apply a change to the ledger and queue it for the log."""
-        ledger.apply_change(change, self.ledger)
+        ledger_updates.apply_change(change, self.ledger)
         self._changes.append(change)
 
     @property
--- a/orioleshore/state/ledger_commands.py
+++ b/orioleshore/state/ledger_commands.py
@@ -2,7 +2,7 @@
 
 from result import Ok
 
-from orioleshore.jobs import ledger
+from orioleshore.jobs import ledger_updates
 from orioleshore.state import commands
 from orioleshore.state import records
 from orioleshore.state import registry
@@ -16,5 +16,5 @@
         return registry.refuse_stale_epoch(command.epoch, state.ledger_epoch)
     state.ledger_epoch = command.epoch
     for change in command.changes:
-        ledger.apply_change(change, state.ledger)
+        ledger_updates.apply_change(change, state.ledger)
     return Ok(None)
--- a/orioleshore/tests/test_batch_crashes.py
+++ b/orioleshore/tests/test_batch_crashes.py
@@ -6,6 +6,7 @@
 from fakes import workers
 from orioleshore.jobs import calls
 from orioleshore.jobs import ledger
+from orioleshore.jobs import ledger_updates
 from orioleshore.jobs import specs
 from orioleshore.model import ids
 from orioleshore.model import states
@@ -354,7 +355,7 @@
     explained = ledger.LossExplained(host, states.LossCause.CRASHED)
     recorded = (lost, ended, explained)
     for change in (accepted, started, *recorded, *recorded):
-        ledger.apply_change(change, state)
+        ledger_updates.apply_change(change, state)
     run = state.jobs[name].tasks[FIRST_TASK]
     assert (run.crashes, run.silences, run.lone_losses) == (1, 0, 1)
 
--- a/orioleshore/tests/test_design.py
+++ b/orioleshore/tests/test_design.py
@@ -31,6 +31,7 @@
     'jobs/handlers.py',
     'jobs/reports.py',
     'jobs/ledger.py',
+    'jobs/ledger_updates.py',
     'jobs/progress.py',
     'jobs/admission.py',
     'jobs/ordering.py',
