--- a/orioleshore/jobs/task.py
+++ b/orioleshore/jobs/task.py
@@ -16,6 +16,7 @@
 from orioleshore.jobs import calls
 from orioleshore.jobs import change_metrics
 from orioleshore.jobs import commits
+from orioleshore.jobs import organisation_status
 from orioleshore.jobs import scheduler
 from orioleshore.jobs import ticking
 from orioleshore.jobs import tuning
@@ -64,6 +65,12 @@
     answer: reply.Reply
 
 
+class GetOrganisationMetrics(msgspec.Struct, frozen=True):
+    """Requests the usage of organisations, none if this member follows."""
+
+    answer: reply.Reply
+
+
 class JobsTask(task.Task):
     """Runs the scheduler while this member leads.
 
@@ -212,6 +219,10 @@
             self._latencies.count(
                 'lasting_task_holds_total', count, reason=reason.value
             )
+        self._latencies.count(
+            'starts_held_by_limit_total',
+            self._scheduler.limit_holds.take_count(),
+        )
         self._queue_changes()
 
     def _fail_step(self, step: states.TickStep) -> None:
@@ -368,9 +379,17 @@
             'workers': msgspec.to_builtins(
                 list(self._scheduler.workers.values()), str_keys=True
             ),
-            'ledger': msgspec.to_builtins(self._scheduler.ledger),
+            'ledger': organisation_status.dump_ledger(self._scheduler.ledger),
+            'organisations': self._list_organisations(),
         }
 
+    def _list_organisations(self) -> list[dict[str, Any]]:
+        if self._scheduler is None:
+            return []
+        return msgspec.to_builtins(
+            list(organisation_status.list_organisations(self._scheduler))
+        )
+
 
 @functools.singledispatch
 def _handle_message(message: Any, owner: JobsTask) -> None:
@@ -405,3 +424,8 @@
 @_handle_message.register
 def _(message: GetJobsDump, owner: JobsTask) -> None:
     message.answer.resolve(Ok(owner._get_dump()))
+
+
+@_handle_message.register
+def _(message: GetOrganisationMetrics, owner: JobsTask) -> None:
+    message.answer.resolve(Ok(owner._list_organisations()))
