--- a/orioleshore/jobs/calls.py
+++ b/orioleshore/jobs/calls.py
@@ -219,7 +219,8 @@
     """Record the policy service's answer about a step.
 
     ``approved`` holds the approved ones of the workers ``asked``, each with
-    its ticket.
+    its ticket. ``is_busy`` says that the service refused the call since too
+    many wait there.
     """
 
     job: ids.JobId
@@ -229,6 +230,7 @@
     is_answered: bool
     approved: tuple[tuple[ids.WorkerId, str], ...] = ()
     validity_ms: int = 0
+    is_busy: bool = False
 
 
 class HostInfo(msgspec.Struct, frozen=True, array_like=True):
--- a/orioleshore/jobs/orders.py
+++ b/orioleshore/jobs/orders.py
@@ -30,6 +30,8 @@
 # in progress, and otherwise, to detect added and removed hosts.
 LIST_BUSY_S = 1.0
 LIST_IDLE_S = 5.0
+# Shortest time after which a call to the policy service is given up.
+APPROVAL_TIMEOUT_S = 2.0
 # An unanswered request for the list is repeated after this time.
 LIST_TIMEOUT_S = 2.0
 
@@ -65,12 +67,16 @@
 
 
 class AskApproval(msgspec.Struct, frozen=True):
-    """Request to the policy service for the workers that may run a step."""
+    """Request to the policy service for the workers that may run a step.
+
+    The call is given up after ``timeout_s`` seconds.
+    """
 
     job: ids.JobId
     occurrence: int
     step: int
     workers: tuple[ids.WorkerId, ...]
+    timeout_s: float = APPROVAL_TIMEOUT_S
 
 
 Order = TakeDown | Move | ListHosts | AskApproval
--- a/orioleshore/jobs/specs.py
+++ b/orioleshore/jobs/specs.py
@@ -85,6 +85,9 @@
     objective_ms: int = 0
     # Steps may run only on workers that the policy service approves.
     needs_approval: bool = False
+    # How long the policy service takes for a call, and for each worker in it.
+    approval_ms: int = 0
+    approval_worker_ms: int = 0
 
 
 class Pool(msgspec.Struct, frozen=True, omit_defaults=True):
--- a/orioleshore/platform/hosts.py
+++ b/orioleshore/platform/hosts.py
@@ -194,17 +194,23 @@
 
     async def request_approvals(
         self, order: orders.AskApproval
-    ) -> host_rows.Approvals | None:
-        """Return the approved workers, or None without an answer."""
+    ) -> calls.NoteApprovals:
+        """Return the report of the approved workers."""
         step = f'{order.job}.{order.occurrence}.{order.step}'
+        is_busy = False
         body = {'step': step, 'workers': list(order.workers)}
         try:
             async with self._session.post(
-                f'{self._policy_url}/advise', json=body
+                f'{self._policy_url}/advise',
+                json=body,
+                timeout=aiohttp.ClientTimeout(total=order.timeout_s),
             ) as response:
                 content = await _read_body(response)
                 if response.status == 200:
-                    return self._decode_approvals(content)
+                    return _make_approval_report(
+                        order, self._decode_approvals(content)
+                    )
+                is_busy = response.status == 429
                 error: object = f'status {response.status}'
         except (aiohttp.ClientError, TimeoutError, OSError) as failure:
             error = failure or type(failure).__name__
@@ -213,7 +219,7 @@
         LOG.warning(
             logs.format_event('approval_failed', step=step, error=error)
         )
-        return None
+        return _make_approval_failure(order, is_busy)
 
     def _decode_approvals(self, content: bytes) -> host_rows.Approvals:
         approvals = host_rows.decode_approvals(content)
@@ -247,21 +253,7 @@
 
 @_execute_order.register
 async def _(message: orders.AskApproval, client: HostsClient) -> None:
-    approvals = await client.request_approvals(message)
-    if approvals is None:
-        client.report_outcome(_make_approval_failure(message))
-        return
-    client.report_outcome(
-        calls.NoteApprovals(
-            message.job,
-            message.occurrence,
-            message.step,
-            _find_answered_workers(message, approvals),
-            True,
-            approvals.approved,
-            approvals.validity_ms,
-        )
-    )
+    client.report_outcome(await client.request_approvals(message))
 
 
 @_execute_order.register
@@ -363,7 +355,28 @@
     return _make_approval_failure(order)
 
 
-def _make_approval_failure(order: orders.AskApproval) -> calls.NoteApprovals:
+def _make_approval_report(
+    order: orders.AskApproval, approvals: host_rows.Approvals
+) -> calls.NoteApprovals:
+    return calls.NoteApprovals(
+        order.job,
+        order.occurrence,
+        order.step,
+        _find_answered_workers(order, approvals),
+        True,
+        approvals.approved,
+        approvals.validity_ms,
+    )
+
+
+def _make_approval_failure(
+    order: orders.AskApproval, is_busy: bool = False
+) -> calls.NoteApprovals:
     return calls.NoteApprovals(
-        order.job, order.occurrence, order.step, order.workers, False
+        order.job,
+        order.occurrence,
+        order.step,
+        order.workers,
+        False,
+        is_busy=is_busy,
     )
--- a/orioleshore/platform/wire.py
+++ b/orioleshore/platform/wire.py
@@ -385,9 +385,20 @@
         route.stretch_factor,
         route.slo_ms,
         bool(route.recommendation),
+        _read_duration_ms(route.recommendation, 'decide_ms'),
+        _read_duration_ms(route.recommendation, 'per_worker_ms'),
     )
 
 
+def _read_duration_ms(recommendation: Any, name: str) -> int:
+    """Return a duration of the policy service, 0 if it is not given."""
+    if not isinstance(recommendation, dict):
+        return 0
+    value = recommendation.get(name)
+    is_number = isinstance(value, int | float) and 0 <= value < _MAX_FIGURE
+    return int(value) if is_number else 0
+
+
 def _make_pool(service: _ServiceBody) -> specs.Pool:
     return specs.Pool(
         ids.PoolId(service.name), service.preconditions, service.standby
