--- a/orioleshore/history/phrases.py
+++ b/orioleshore/history/phrases.py
@@ -33,12 +33,15 @@
     '{used_cpu}, {used_memory_mb} and {used_accelerators} of {limit_cpu}, '
     '{limit_memory_mb} and {limit_accelerators} (0: no limit), by '
     'configuration {version}',
+    'answer_full': '{starts} start and {stops} stop orders filled the answer '
+    'to {worker}; the rest follow with its next heartbeat',
+    'ends_held_back': '{worker} listed {listed} ended runs and may hold back '
+    'others; no run of it counts as lost meanwhile',
+    'changes_queued': 'changes wait for a commit in more than one batch',
     'key_refused': 'a call to queue {queue} was refused: no organisation of '
     'configuration {version} holds its key (key sent: {has_key})',
     'job_refused': 'refused and not run, {error}: {reason} (Retry-After '
     '{retry_after_s} s)',
-    'key_refused': 'refused and not run: no organisation of configuration '
-    '{version} holds the key; a key was sent: {has_key}',
     'job_cancelled': 'cancelled by its caller',
     'job_ended': '{state} after {age_s} s; the objective was {objective_ms} '
     'ms; reason of failure: {failure}',
--- a/orioleshore/jobs/specs.py
+++ b/orioleshore/jobs/specs.py
@@ -111,6 +111,9 @@
     needs_approval: bool = False
     # Calls need no key.
     is_public: bool = False
+    # How long the policy service takes for a call, and for each worker in it.
+    approval_ms: int = 0
+    approval_worker_ms: int = 0
 
 
 class Pool(msgspec.Struct, frozen=True, omit_defaults=True):
--- a/orioleshore/platform/wire.py
+++ b/orioleshore/platform/wire.py
@@ -411,6 +411,8 @@
         route.slo_ms,
         bool(route.recommendation),
         route.public,
+        _read_duration_ms(route.recommendation, 'decide_ms'),
+        _read_duration_ms(route.recommendation, 'per_worker_ms'),
     )
 
 
@@ -423,6 +425,15 @@
     )
 
 
+def _read_duration_ms(recommendation: Any, name: str) -> int:
+    """Return a duration of the policy service, 0 if it is not given."""
+    if not isinstance(recommendation, dict):
+        return 0
+    value = recommendation.get(name)
+    is_number = isinstance(value, int | float) and 0 <= value < _MAX_FIGURE
+    return int(value) if is_number else 0
+
+
 def _make_pool(service: _ServiceBody) -> specs.Pool:
     return specs.Pool(
         ids.PoolId(service.name), service.preconditions, service.standby
