--- a/orioleshore/history/phrases.py
+++ b/orioleshore/history/phrases.py
@@ -59,6 +59,8 @@
     'gang_planned': 'all members of a gang got workers',
     'gang_given_up': 'a gang did not start in time and is planned again',
     'step_approved': 'the policy service approved workers for a step',
+    'approval_unanswered': 'the policy service did not answer about step '
+    '{step} (busy: {busy}, {in_row} calls in a row)',
     'approval_failed': 'the policy service gave no answer: {error}',
     # Tasks under which workers were lost.
     'loss_recorded': 'worker {worker} on host {host} was lost soon after the '
