Check the limit before the costlier checks of a start

Jobs that a limit holds back wait beside free workers, so each heartbeat looks at all of them.

test_organisations*, test_batch_scheduler, test_batch_holds and test_alternatives pass.

--- a/orioleshore/jobs/placement.py
+++ b/orioleshore/jobs/placement.py
@@ -183,13 +183,17 @@
 ) -> specs.Resources:
     """Start tasks of one group; return the capacity that is left."""
     step = group.step
-    if step.is_gang or not eligibility.is_allowed(
-        scheduler, worker, job, group
-    ):
+    need = workers.get_reserved_resources(step)
+    if step.is_gang or not workers.fits_into(need, free):
+        return free
+    # Before the costlier checks: one organisation above its limit may have
+    # hundreds of jobs that wait beside free workers.
+    if not scheduler.can_start_within_limit(job, step.need):
+        return free
+    if not eligibility.is_allowed(scheduler, worker, job, group):
         return free
     if not is_rack_acceptable(scheduler, worker, job, group):
         return free
-    need = workers.get_reserved_resources(step)
     started = []
     while (
         group.waiting
