Bound the unanswered orders about hosts, and count reached bounds

The task that sends the orders takes up 256 and drops others; 64 are on their way now.

bounds_reached_total counts full answers, batches, turns and lists.

--- a/orioleshore/jobs/change_metrics.py
+++ b/orioleshore/jobs/change_metrics.py
@@ -1,5 +1,6 @@
 """Metrics of the calls to the scheduler and of the changes it commits."""
 
+import collections
 import functools
 from typing import Any
 
@@ -8,6 +9,7 @@
 from orioleshore.jobs import calls
 from orioleshore.jobs import ledger
 from orioleshore.model import errors
+from orioleshore.model import states
 from orioleshore.telemetry import latencies
 
 
@@ -25,6 +27,15 @@
         recorder.count('heartbeats_total', result=result)
 
 
+def count_bounds(
+    reached: collections.Counter[states.Bound], recorder: latencies.Recorder
+) -> None:
+    """Count the bounds that were reached, and begin anew."""
+    for bound, count in reached.items():
+        recorder.count('bounds_reached_total', count, bound=bound.value)
+    reached.clear()
+
+
 @functools.singledispatch
 def count_change(change: Any, recorder: latencies.Recorder) -> None:
     """Count a committed change in the metrics; others are not counted."""
--- a/orioleshore/jobs/orders.py
+++ b/orioleshore/jobs/orders.py
@@ -21,6 +21,9 @@
 # new leader may order the host after the lease. A process that was paused
 # finds its orders expired.
 SEND_SHARE = 0.5
+# Orders about hosts without an answer at a time. The platform accepts 64 a
+# second, and the task that sends them takes up 256.
+MAX_PENDING_HOST_ORDERS = 64
 # Delay before an order is repeated after a refusal or a missing answer.
 RETRY_DELAY_S = 0.7
 # Clocks of two hosts may differ by this much; the clocks of the platform may
@@ -140,10 +143,22 @@
                 self._retry_at[host] = now + lease_s
 
     def can_order(self, host: ids.HostId, now: float) -> bool:
-        """Return whether a host has no pending order and no retry delay."""
-        return now >= self._answer_due_at.get(
-            host, 0.0
-        ) and now >= self._retry_at.get(host, 0.0)
+        """Return whether a host has no pending order and no retry delay.
+
+        False for all hosts while too many orders have no answer.
+        """
+        return (
+            now >= self._answer_due_at.get(host, 0.0)
+            and now >= self._retry_at.get(host, 0.0)
+            and self.has_room(now)
+        )
+
+    def has_room(self, now: float) -> bool:
+        """Return whether few enough orders about hosts have no answer."""
+        if len(self._answer_due_at) < MAX_PENDING_HOST_ORDERS:
+            return True
+        pending = sum(now < due for due in self._answer_due_at.values())
+        return pending < MAX_PENDING_HOST_ORDERS
 
     def is_answer_pending(self, host: ids.HostId) -> bool:
         """Return whether an order about a host has not been answered."""
--- a/orioleshore/jobs/pools.py
+++ b/orioleshore/jobs/pools.py
@@ -225,7 +225,8 @@
         """Give each pool that lacks hosts one free host in turn."""
         missing = self._find_pools_short_of_hosts()
         free = self._find_movable_hosts() if missing else []
-        while free and missing:
+        queue = self._scheduler.orders
+        while free and missing and queue.has_room(self._scheduler.now):
             for pool in list(missing):
                 host = next((h for h, source in free if source != pool), None)
                 if host is None:
@@ -469,7 +470,5 @@
         )
 
     def _find_worker(self, host: ids.HostId) -> workers.Worker | None:
-        for worker in self._scheduler.workers.values():
-            if worker.host == host:
-                return worker
-        return None
+        found = self._scheduler.roster.get_host_workers(host)
+        return found[0] if found else None
--- a/orioleshore/jobs/reports.py
+++ b/orioleshore/jobs/reports.py
@@ -76,7 +76,8 @@
         placement.record_failed_run(worker, scheduler)
     starts = _choose_starts(worker, scheduler)
     stops = _build_stop_orders(worker, scheduler)
-    has_more = call.has_more_ends or _log_full_answer(worker, starts, stops)
+    is_full = _is_answer_full(worker, starts, stops, scheduler)
+    has_more = call.has_more_ends or is_full
     return Ok(
         calls.HeartbeatAnswer(
             observed,
@@ -93,14 +94,16 @@
     )
 
 
-def _log_full_answer(
+def _is_answer_full(
     worker: workers.Worker,
     starts: answer_limits.StartOrders,
     stops: list[calls.StopOrder],
+    scheduler: scheduling.Scheduler,
 ) -> bool:
     """Return whether an answer may leave orders to the next one."""
     if starts.has_room and len(stops) <= answer_limits.MAX_STOPS:
         return False
+    scheduler.bounds[states.Bound.ANSWER] += 1
     LOG.info(
         logs.format_event(
             'answer_full',
@@ -272,6 +275,7 @@
     may have succeeded, and would run again if it were taken for lost.
     """
     if call.has_more_ends:
+        scheduler.bounds[states.Bound.ENDED_RUNS] += 1
         LOG.info(
             logs.format_event(
                 'ends_held_back', worker=worker.name, listed=len(call.ended)
--- a/orioleshore/jobs/scheduler.py
+++ b/orioleshore/jobs/scheduler.py
@@ -77,7 +77,7 @@
         self.leader_since = now
         # Changed only by add_worker and drop_worker.
         self.workers: dict[ids.WorkerId, workers.Worker] = {}
-        self._roster = roster.Roster()
+        self.roster = roster.Roster()
         self.jobs: dict[ids.JobId, progress.JobProgress] = {}
         self.known_hosts = known_hosts.KnownHosts()
         self.orders = orders.OrderQueue(limits, epoch, self._record_host_order)
@@ -90,6 +90,7 @@
         self._changes: list[ledger.Change] = []
         self._has_held_ordered_hosts = False
         self.waits = holds.LongRunningWaits()
+        self.bounds = collections.Counter[states.Bound]()
         self._ended_jobs = retention.EndedJobs(job_ledger)
         # Runs according to the log whose worker has not yet reported to
         # this leader.
@@ -158,6 +159,7 @@
         ended_runs = 0
         for worker in list(self.workers.values()):
             if ended_runs >= tuning.MAX_LOST_RUNS_PER_TICK:
+                self.bounds[states.Bound.LOST_RUNS] += 1
                 return
             if self.now >= worker.lease_end:
                 ended_runs += len(worker.ordered)
@@ -226,7 +228,7 @@
 
     def get_pool_workers(self, pool: ids.PoolId) -> list[workers.Worker]:
         """Return the known workers of a pool."""
-        return list(self._roster.iterate_pool_workers(pool))
+        return list(self.roster.iterate_pool_workers(pool))
 
     def get_hosts_with_worker(self) -> set[ids.HostId]:
         """Return the hosts whose workers report to this leader."""
@@ -236,7 +238,7 @@
         self, worker: workers.Worker, pool: ids.PoolId
     ) -> None:
         """Note the pool that a worker reports."""
-        self._roster.set_pool(worker, pool)
+        self.roster.set_pool(worker, pool)
 
     def find_worker(self, key: workers.WorkerKey) -> workers.Worker | None:
         """Return a worker, None if it is gone or has restarted since."""
@@ -476,7 +478,7 @@
             return True
         return any(
             other.incarnation > heartbeat.incarnation
-            for other in self._roster.get_host_workers(heartbeat.host)
+            for other in self.roster.get_host_workers(heartbeat.host)
         )
 
     def _has_run_of_newer_life(self, heartbeat: calls.Heartbeat) -> bool:
@@ -505,7 +507,7 @@
             found_at=self.now,
         )
         self.workers[heartbeat.worker] = worker
-        self._roster.add(worker)
+        self.roster.add(worker)
         self._restore_runs(worker)
         self.upkeep.cordon_ordered_host(worker)
         self._drop_replaced_workers(worker)
@@ -580,7 +582,7 @@
     def _drop_replaced_workers(self, worker: workers.Worker) -> None:
         # A host runs one worker at a time, so a newer worker implies that
         # the previous one and all its runs have ended.
-        for other in self._roster.get_host_workers(worker.host):
+        for other in self.roster.get_host_workers(worker.host):
             is_older = other.incarnation < worker.incarnation
             if other.name != worker.name and is_older:
                 self.drop_worker(other, states.WorkerExit.REPLACED)
@@ -590,7 +592,7 @@
     ) -> None:
         """Remove a worker that has ended, and end its runs as lost."""
         del self.workers[worker.name]
-        self._roster.remove(worker)
+        self.roster.remove(worker)
         LOG.warning(
             logs.format_event(
                 'worker_lost',
--- a/orioleshore/jobs/task.py
+++ b/orioleshore/jobs/task.py
@@ -122,6 +122,8 @@
             _handle_message(message, self)
             await self._restore_jobs()
             if self._get_monotonic() >= turn_end:
+                if self._scheduler is not None:
+                    self._scheduler.bounds[states.Bound.TURN] += 1
                 self._commit_changes()
                 await asyncio.sleep(0)
                 turn_end = self._get_monotonic() + TURN_S
@@ -211,6 +213,7 @@
             self._latencies.count(
                 'lasting_task_holds_total', count, reason=reason.value
             )
+        change_metrics.count_bounds(self._scheduler.bounds, self._latencies)
         self._queue_changes()
 
     def _fail_step(self, step: states.TickStep) -> None:
@@ -253,6 +256,7 @@
                 changes=tuple(self._in_flight.changes),
             )
         if len(self._queue):
+            self._scheduler.bounds[states.Bound.COMMIT] += 1
             LOG.info(
                 logs.format_event(
                     'changes_queued',
--- a/orioleshore/model/states.py
+++ b/orioleshore/model/states.py
@@ -197,6 +197,16 @@
     DRAINING = 'draining'
 
 
+class Bound(enum.Enum):
+    """What a message or a turn of the leader may hold at most."""
+
+    ENDED_RUNS = 'ended_runs'
+    ANSWER = 'answer'
+    LOST_RUNS = 'lost_runs'
+    COMMIT = 'commit'
+    TURN = 'turn'
+
+
 class HoldReason(enum.Enum):
     """Why a long-running task that waits is not started."""
 
--- a/orioleshore/telemetry/latencies.py
+++ b/orioleshore/telemetry/latencies.py
@@ -63,6 +63,7 @@
     'failed_calls_total': 'Calls that raised and were refused',
     'failed_ticks_total': 'Steps of the periodic work that raised',
     'starts_total': 'Ordered starts of tasks',
+    'bounds_reached_total': 'Full answers, batches and turns of the leader',
     'lasting_task_holds_total': 'Reasons that held long-running tasks back',
     'ends_total': 'Ended runs of tasks by outcome',
     'worker_losses_total': 'Lost workers with new runs, by what became known',
