--- a/orioleshore/jobs/admission.py
+++ b/orioleshore/jobs/admission.py
@@ -31,6 +31,9 @@
 MIN_RUNS = 20
 # Weight of the newest run in the moving average of run times.
 SMOOTHING_FACTOR = 0.05
+# Each started task takes up 0.5 kB in each of two copies of the state, of
+# 300 MB that a process has.
+MAX_TASKS_PER_OCCURRENCE = 200_000
 # Longest retry delay given to a refused caller. Demand changes with each
 # peak, so a longer forecast is unreliable.
 MAX_RETRY_AFTER_S = 30.0
@@ -203,6 +206,8 @@
     """Return why a job is invalid, empty if it is valid."""
     if not job.steps:
         return 'the job has no steps'
+    if sum(step.tasks for step in job.steps) > MAX_TASKS_PER_OCCURRENCE:
+        return f'the job has more than {MAX_TASKS_PER_OCCURRENCE} tasks'
     for position, step in enumerate(job.steps):
         if step.tasks < 1:
             return f'step {position} has no tasks'
--- a/orioleshore/jobs/placement.py
+++ b/orioleshore/jobs/placement.py
@@ -307,7 +307,7 @@
     Those passed over go behind the others, so that the next claim looks at
     further ones.
     """
-    for index in group.waiting.get_candidates(MAX_CLAIM_LOOKS):
+    for index in group.waiting.iterate_candidates(MAX_CLAIM_LOOKS):
         task = specs.make_task_name(group.occurrence, group.position, index)
         run = job.record.tasks.get(task)
         is_suspect = run is not None and run.is_suspect
--- a/orioleshore/jobs/progress.py
+++ b/orioleshore/jobs/progress.py
@@ -94,6 +94,7 @@
         # steps that remain in each open one.
         self._next_occurrence = 0
         self._steps_left: dict[int, int] = {}
+        self._longest_chain = 0
         self._all_steps = specs.count_longest_chain(
             record.job.steps, [False] * len(record.job.steps)
         )
@@ -103,9 +104,7 @@
     @property
     def steps_left(self) -> int:
         """Return the longest chain of steps that remains in an occurrence."""
-        if self._next_occurrence < self.record.job.occurrence_count:
-            return self._all_steps
-        return max(self._steps_left.values(), default=0)
+        return self._longest_chain
 
     def get_group(self, name: ids.TaskName) -> Group:
         """Return the group of a task; a finished one if it is not open."""
@@ -128,13 +127,15 @@
 
         ``wall_time`` is in seconds; an occurrence starts at its due time.
         """
-        self._open_due_occurrences(wall_time)
+        has_times = self.record.job.occurrences > 0
+        if has_times:
+            self._open_due_occurrences(wall_time)
         found = []
         for group in self._startable.values():
-            # The time of day may step back after an occurrence was opened.
-            if not group.waiting or wall_time < self.get_due_time(
-                group.occurrence
-            ):
+            if not group.waiting:
+                continue
+            # The next occurrence is open before it is due.
+            if has_times and wall_time < self.get_due_time(group.occurrence):
                 continue
             if group.startable_since is None:
                 group.startable_since = wall_time
@@ -211,6 +212,7 @@
             self._add_groups(self._next_occurrence)
             self._update_occurrence(self._next_occurrence)
             self._next_occurrence += 1
+            self._update_longest_chain()
 
     def _can_open_next(self, wall_time: ids.WallTime) -> bool:
         number = self._next_occurrence
@@ -230,10 +232,12 @@
         groups = list(self._iterate_groups(occurrence))
         if not any(group.unfinished for group in groups):
             self._close_occurrence(occurrence)
+            self._update_longest_chain()
             return
         self._steps_left[occurrence] = specs.count_longest_chain(
             self.record.job.steps, [not group.unfinished for group in groups]
         )
+        self._update_longest_chain()
         for group in groups:
             key = (occurrence, group.position)
             if group.unfinished and not any(
@@ -243,6 +247,12 @@
             else:
                 self._startable.pop(key, None)
 
+    def _update_longest_chain(self) -> None:
+        if self._next_occurrence < self.record.job.occurrence_count:
+            self._longest_chain = self._all_steps
+        else:
+            self._longest_chain = max(self._steps_left.values(), default=0)
+
     def _close_occurrence(self, occurrence: int) -> None:
         self._steps_left.pop(occurrence, None)
         for position in range(len(self.record.job.steps)):
--- a/orioleshore/jobs/waiting.py
+++ b/orioleshore/jobs/waiting.py
@@ -5,6 +5,7 @@
 """
 
 from collections.abc import Iterator
+import itertools
 
 
 class WaitingTasks:
@@ -23,6 +24,10 @@
         new = self._count - self._first_new - len(self._removed)
         return new + len(self._requeued)
 
+    def __bool__(self) -> bool:
+        is_any_new = self._count - self._first_new > len(self._removed)
+        return is_any_new or bool(self._requeued)
+
     def __contains__(self, index: int) -> bool:
         return index in self._requeued or self._is_new(index)
 
@@ -61,10 +66,13 @@
         self._removed.clear()
         self._requeued.clear()
 
-    def get_candidates(self, limit: int) -> list[int]:
-        """Return up to ``limit`` requeued indexes and as many new ones."""
-        found = _take(iter(self._requeued), limit)
-        return found + _take(self._iterate_new(), limit)
+    def iterate_candidates(self, limit: int) -> Iterator[int]:
+        """Yield up to ``limit`` requeued indexes, then as many new ones.
+
+        The last one that was yielded may be removed or deferred.
+        """
+        yield from list(itertools.islice(self._requeued, limit))
+        yield from itertools.islice(self._iterate_new(), limit)
 
     def _is_new(self, index: int) -> bool:
         is_above = self._first_new <= index < self._count
@@ -74,7 +82,3 @@
         for index in range(self._first_new, self._count):
             if index not in self._removed:
                 yield index
-
-
-def _take(indexes: Iterator[int], limit: int) -> list[int]:
-    return [index for _, index in zip(range(limit), indexes, strict=False)]
--- a/orioleshore/tests/test_batch_bounds.py
+++ b/orioleshore/tests/test_batch_bounds.py
@@ -1,11 +1,19 @@
 """Messages and turns of the leader that stay bounded under a large load."""
 
+import collections
+
 from fakes import workers as fake_workers
+from orioleshore.jobs import admission
 from orioleshore.jobs import answer_limits
 from orioleshore.jobs import calls
+from orioleshore.jobs import change_metrics
+from orioleshore.jobs import orders
 from orioleshore.jobs import specs
+from orioleshore.jobs import tuning
+from orioleshore.model import errors
 from orioleshore.model import ids
 from orioleshore.model import states
+from orioleshore.telemetry import latencies
 from orioleshore.tests import builders
 from orioleshore.tests import support
 
@@ -158,3 +166,47 @@
     assert answer.retry_ms == fleet.scheduler.limits.idle_retry_ms
     fleet.run(1.0)
     assert not worker.running
+
+
+def test_job_of_too_many_tasks_is_refused_and_not_recorded():
+    """Guards against a job whose state does not fit into the memory."""
+    fleet = build_fleet()
+    limit = admission.MAX_TASKS_PER_OCCURRENCE
+    for number, tasks in ((1, limit), (2, limit + 1)):
+        job = builders.build_batch_job(builders.build_step(tasks, need=SMALL))
+        outcome = fleet.call_scheduler(builders.build_submission(number, job))
+        assert outcome.is_ok() is (tasks <= limit)
+    assert outcome.unwrap_err().kind is errors.ErrorKind.INVALID_REQUEST
+    assert builders.build_job_id(2) not in fleet.scheduler.ledger.jobs
+
+
+def test_unanswered_orders_about_hosts_are_bounded():
+    """Guards against orders that are dropped since too many come at once.
+
+    When 3,000 hosts were idle, all were ordered to move within a second.
+    """
+    queue = orders.OrderQueue(
+        tuning.SchedulerLimits(), ids.Epoch(1), lambda host: None
+    )
+    ordered = 0
+    for number in range(100):
+        host = ids.HostId(f'host-{number}')
+        if queue.can_order(host, 10.0):
+            queue.order_move(host, ids.PoolId('standby'), 10.0)
+            ordered += 1
+    assert ordered == orders.MAX_PENDING_HOST_ORDERS
+    assert queue.can_order(ids.HostId('host-99'), 13.0)
+    accepted = states.HostOrderOutcome.ACCEPTED
+    queue.record_answer(ids.HostId('host-1'), accepted, 10.5)
+    assert queue.can_order(ids.HostId('host-99'), 10.5)
+
+
+def test_reached_bounds_are_counted():
+    """Guards against a bound without a counter, which ends the task."""
+    recorder = latencies.Recorder('control-1')
+    reached = collections.Counter(states.Bound)
+    change_metrics.count_bounds(reached, recorder)
+    assert not reached
+    text = recorder.render().decode()
+    for bound in states.Bound:
+        assert f'bound="{bound.value}"' in text
--- a/orioleshore/tests/test_batch_progress.py
+++ b/orioleshore/tests/test_batch_progress.py
@@ -83,7 +83,7 @@
     tasks = waiting.WaitingTasks(100)
     seen = set()
     for _ in range(20):
-        for index in tasks.get_candidates(5):
+        for index in tasks.iterate_candidates(5):
             tasks.defer(index)
             seen.add(index)
     assert seen == set(range(100))
