--- a/orioleshore/tests/test_batch_bounds.py
+++ b/orioleshore/tests/test_batch_bounds.py
@@ -8,6 +8,7 @@
 from orioleshore.jobs import calls
 from orioleshore.jobs import change_metrics
 from orioleshore.jobs import orders
+from orioleshore.jobs import placement
 from orioleshore.jobs import specs
 from orioleshore.jobs import tuning
 from orioleshore.model import errors
@@ -210,3 +211,14 @@
     text = recorder.render().decode()
     for bound in states.Bound:
         assert f'bound="{bound.value}"' in text
+
+
+def test_fillers_of_one_worker_are_bounded():
+    """Guards against rate orders for as many fillers as a job has."""
+    fleet = build_fleet()
+    fleet.mean_run_s = 100.0
+    step = builders.build_step(20, is_filler=True)
+    submit(fleet, builders.build_batch_job(step))
+    fleet.run(2.0)
+    [worker] = fleet.workers.values()
+    assert len(worker.running) == placement.MAX_FILLERS_PER_WORKER
