--- a/orioleshore/jobs/registry.py
+++ b/orioleshore/jobs/registry.py
@@ -28,6 +28,10 @@
         """Return the known workers of a pool."""
         return list(self._roster.iterate_pool_workers(pool))
 
+    def get_host_workers(self, host: ids.HostId) -> list[workers.Worker]:
+        """Return the workers of a host, none for an empty name."""
+        return self._roster.get_host_workers(host)
+
     def get_hosts(self) -> set[ids.HostId]:
         """Return the hosts whose workers report to this leader."""
         return {worker.host for worker in self.workers.values()}
--- a/orioleshore/jobs/scheduler.py
+++ b/orioleshore/jobs/scheduler.py
@@ -96,6 +96,7 @@
         for worker, holdings in logged.items():
             self.usage.set_worker(worker, holdings)
         self._has_dropped_unheard_usage = False
+        self.bounds = collections.Counter[states.Bound]()
         self._ended_jobs = retention.EndedJobs(job_ledger)
         self._tick_steps: dict[states.TickStep, Callable[[], None]] = {
             states.TickStep.LEASES: self._end_expired_leases,
@@ -150,6 +151,7 @@
         ended_runs = 0
         for worker in self.registry.find_expired(self.now):
             if ended_runs >= tuning.MAX_LOST_RUNS_PER_TICK:
+                self.bounds[states.Bound.LOST_RUNS] += 1
                 return
             ended_runs += len(worker.ordered)
             self.drop_worker(worker, states.WorkerExit.LEASE_ENDED)
--- a/orioleshore/jobs/task.py
+++ b/orioleshore/jobs/task.py
@@ -130,6 +130,8 @@
             _handle_message(message, self)
             await self._restore_jobs()
             if self._get_monotonic() >= turn_end:
+                if self._scheduler is not None:
+                    self._scheduler.bounds[states.Bound.TURN] += 1
                 self._commit_changes()
                 await asyncio.sleep(0)
                 turn_end = self._get_monotonic() + TURN_S
@@ -223,6 +225,7 @@
             'starts_held_by_limit_total',
             self._scheduler.limit_holds.take_count(),
         )
+        change_metrics.count_bounds(self._scheduler.bounds, self._latencies)
         self._queue_changes()
 
     def _fail_step(self, step: states.TickStep) -> None:
@@ -265,6 +268,7 @@
                 changes=tuple(self._in_flight.changes),
             )
         if len(self._queue):
+            self._scheduler.bounds[states.Bound.COMMIT] += 1
             LOG.info(
                 logs.format_event(
                     'changes_queued',
