Refuse heartbeats whose workers no longer wait

A worker drops an answer that comes after a second. A leader that is late handled such heartbeats all the same: it extended leases that the worker did not see and gave start orders that were lost, and was later still.

Calls carry the time at which they came. Pauses after errors and the dump of the scheduler's state move to modules of their own; a test names the pause by its new module. The new test fails without the refusal.

--- a/orioleshore/consensus/member.py
+++ b/orioleshore/consensus/member.py
@@ -679,7 +679,8 @@
         answer.add_callback(
             lambda outcome: self._send_jobs_answer(header, outcome)
         )
-        outcome = self._jobs.put(job_calls.CallRequest(call, answer))
+        request = job_calls.CallRequest(call, answer, self._get_now())
+        outcome = self._jobs.put(request)
         if outcome.is_err():
             answer.resolve(outcome)
 
--- a/orioleshore/jobs/answers.py
+++ b/orioleshore/jobs/answers.py
@@ -24,6 +24,13 @@
     )
 
 
+def build_late_heartbeat_error() -> Err[errors.Failure]:
+    """Return the answer to a heartbeat that waited for too long."""
+    return build_failure(
+        errors.ErrorKind.OVERLOADED, 'the worker no longer waits'
+    )
+
+
 def build_not_leader_error(kind: errors.ErrorKind) -> Err[errors.Failure]:
     """Return the answer of a member that does not or no longer leads."""
     return Err(
--- a/orioleshore/jobs/calls.py
+++ b/orioleshore/jobs/calls.py
@@ -288,6 +288,9 @@
     GetWave: WaveStatus,
 }
 
+# Workers drop an answer after 1 s; commit and answer take some of it.
+MAX_HEARTBEAT_AGE_S = 0.8
+
 # Subject of the queries that carry calls between processes.
 SUBJECT = 'jobs'
 
@@ -310,10 +313,14 @@
 
 
 class CallRequest(msgspec.Struct, frozen=True):
-    """Message to JobsTask: a call and the reply for its answer."""
+    """Message to JobsTask: a call and the reply for its answer.
+
+    ``received_at`` is the monotonic time at which the call came.
+    """
 
     call: Call
     answer: reply.Reply
+    received_at: float | None = None
 
 
 def get_source(call: Call) -> str:
@@ -322,6 +329,18 @@
     return f'{type(call).__name__} {name}'
 
 
+def is_late_heartbeat(request: CallRequest, now: float) -> bool:
+    """Return whether a call is a heartbeat whose worker has given up.
+
+    Orders in its answer would be lost, and their tasks wait for the next one.
+    ``now`` is a monotonic time.
+    """
+    if request.received_at is None:
+        return False
+    is_late = now - request.received_at > MAX_HEARTBEAT_AGE_S
+    return is_late and isinstance(request.call, Heartbeat | PartialHeartbeat)
+
+
 def is_call(value: Any) -> bool:
     """Return whether a value is a call to the scheduler."""
     return isinstance(value, Call)
--- a/orioleshore/jobs/task.py
+++ b/orioleshore/jobs/task.py
@@ -16,6 +16,8 @@
 from orioleshore.jobs import calls
 from orioleshore.jobs import change_metrics
 from orioleshore.jobs import commits
+from orioleshore.jobs import dump
+from orioleshore.jobs import failure_pauses
 from orioleshore.jobs import scheduler
 from orioleshore.jobs import tuning
 from orioleshore.model import errors
@@ -39,11 +41,6 @@
 # Calls are handled for this long before the other tasks of the process get a
 # turn. Without one, this member's own lease of about 0.8 s would lapse.
 TURN_S = 0.02
-# Seconds for which calls of a source are refused after one of them failed, and
-# for which a failed step of the tick is left out. Both are repeated, and each
-# failure costs a rebuild.
-FAILURE_PAUSE_S = 30.0
-MAX_FAILED_SOURCES = 1_024
 
 
 class _Committed(msgspec.Struct, frozen=True):
@@ -98,8 +95,7 @@
         # True after a call failed, until the scheduler is rebuilt from the
         # log.
         self._is_rebuilding = False
-        self._failed_sources: dict[str, float] = {}
-        self._failed_steps: dict[states.TickStep, float] = {}
+        self._pauses = failure_pauses.FailurePauses()
         self._latencies = recorder
 
     def set_hosts_mailbox(self, hosts: mailbox.Mailbox) -> None:
@@ -152,8 +148,12 @@
             self._latencies.count(
                 'host_answers_total', outcome=request.call.outcome.value
             )
+        if calls.is_late_heartbeat(request, self._get_monotonic()):
+            self._latencies.count('heartbeats_total', result='late')
+            request.answer.resolve(answers.build_late_heartbeat_error())
+            return
         source = calls.get_source(request.call)
-        if self._get_monotonic() < self._failed_sources.get(source, 0.0):
+        if self._pauses.is_source_paused(source, self._get_monotonic()):
             request.answer.resolve(answers.build_failed_call_error())
             return
         try:
@@ -180,10 +180,7 @@
             )
         )
         self._latencies.count('failed_calls_total')
-        if len(self._failed_sources) >= MAX_FAILED_SOURCES:
-            self._failed_sources.pop(next(iter(self._failed_sources)))
-        until = self._get_monotonic() + FAILURE_PAUSE_S
-        self._failed_sources[source] = until
+        self._pauses.add_source(source, self._get_monotonic())
         self._is_rebuilding = True
         request.answer.resolve(answers.build_failed_call_error())
         if self._in_flight is None:
@@ -201,9 +198,7 @@
         if self._scheduler is None or self._is_rebuilding:
             return
         now = self._get_monotonic()
-        paused = frozenset(
-            step for step, until in self._failed_steps.items() if now < until
-        )
+        paused = self._pauses.get_paused_steps(now)
         try:
             self._scheduler.tick(now, self._timers.clock.get_wall(), paused)
         except scheduler.TickError as error:
@@ -224,7 +219,7 @@
         """
         LOG.exception(logs.format_event('tick_failed', step=step))
         self._latencies.count('failed_ticks_total', step=step.value)
-        self._failed_steps[step] = self._get_monotonic() + FAILURE_PAUSE_S
+        self._pauses.add_step(step, self._get_monotonic())
         self._is_rebuilding = True
         if self._in_flight is None:
             self._rebuild_scheduler()
@@ -362,18 +357,6 @@
                 answers.build_not_leader_error(errors.ErrorKind.CHANGE_UNKNOWN)
             )
 
-    def _get_dump(self) -> dict[str, Any]:
-        if self._scheduler is None:
-            return {'leads': False}
-        return {
-            'leads': True,
-            'epoch': self._scheduler.epoch,
-            'workers': msgspec.to_builtins(
-                list(self._scheduler.workers.values()), str_keys=True
-            ),
-            'ledger': msgspec.to_builtins(self._scheduler.ledger),
-        }
-
 
 @functools.singledispatch
 def _handle_message(message: Any, owner: JobsTask) -> None:
@@ -407,4 +390,4 @@
 
 @_handle_message.register
 def _(message: GetJobsDump, owner: JobsTask) -> None:
-    message.answer.resolve(Ok(owner._get_dump()))
+    message.answer.resolve(Ok(dump.build_dump(owner._scheduler)))
--- a/orioleshore/platform/control_role.py
+++ b/orioleshore/platform/control_role.py
@@ -72,7 +72,9 @@
     server = control_server.ControlServer(
         deployment.control_address,
         forwarding.CallForwarder(
-            dependencies.control_client.mailbox, jobs.mailbox
+            dependencies.control_client.mailbox,
+            jobs.mailbox,
+            dependencies.timers.clock,
         ),
     )
     join_task = joining_tasks.JoinTask(
--- a/orioleshore/platform/forwarding.py
+++ b/orioleshore/platform/forwarding.py
@@ -12,6 +12,7 @@
 from orioleshore.model import errors
 from orioleshore.tasks import mailbox
 from orioleshore.tasks import reply
+from orioleshore.timers import clock
 
 # Failures of the local scheduler after which the leader is called.
 _FORWARDABLE_KINDS = frozenset(
@@ -29,10 +30,14 @@
     """
 
     def __init__(
-        self, control: mailbox.Mailbox, jobs: mailbox.Mailbox | None = None
+        self,
+        control: mailbox.Mailbox,
+        jobs: mailbox.Mailbox | None = None,
+        source: clock.Clock | None = None,
     ) -> None:
         self._control = control
         self._jobs = jobs
+        self._clock = source or clock.SystemClock()
 
     async def forward(
         self, call: calls.Call, timeout_s: float
@@ -43,7 +48,10 @@
         """
         if self._jobs is not None:
             answer: reply.Reply = reply.Reply()
-            if self._jobs.put(calls.CallRequest(call, answer)).is_ok():
+            request = calls.CallRequest(
+                call, answer, self._clock.get_monotonic()
+            )
+            if self._jobs.put(request).is_ok():
                 outcome = await answer.wait()
                 if not _is_forwardable(outcome):
                     return outcome
--- a/orioleshore/tests/test_batch_commits.py
+++ b/orioleshore/tests/test_batch_commits.py
@@ -179,3 +179,29 @@
         assert turns == [2, 4, 6, 8, 10]
 
     support.run(check())
+
+
+def test_heartbeat_whose_worker_has_given_up_starts_nothing():
+    """Guards against start orders that are lost since the leader is late.
+
+    A leader that answered after the second for which workers wait kept doing
+    so: its orders were lost, and the workers sent again sooner.
+    """
+    task, _ = builders.build_jobs_task()
+    outcomes: list = []
+
+    async def check():
+        await builders.start_leading(task)
+        send(task, builders.build_submission(), [])
+        now = task._get_monotonic()
+        for number, age_s in ((1, 0.5), (2, 0.9)):
+            answer = reply.Reply()
+            answer.add_callback(outcomes.append)
+            call = builders.build_heartbeat(f'worker-{number}')
+            task.mailbox.put(calls.CallRequest(call, answer, now - age_s))
+        await task.handle(task.mailbox.get_nowait())
+        await asyncio.sleep(0)
+        assert [outcome.is_err() for outcome in outcomes] == [True]
+        assert list(task._scheduler.workers) == ['worker-1']
+
+    support.run(check())
--- a/orioleshore/tests/test_malformed.py
+++ b/orioleshore/tests/test_malformed.py
@@ -20,6 +20,7 @@
 from orioleshore.consensus import validation
 from orioleshore.frontends import access
 from orioleshore.jobs import calls
+from orioleshore.jobs import failure_pauses
 from orioleshore.jobs import ledger
 from orioleshore.jobs import pools
 from orioleshore.jobs import scheduler
@@ -312,7 +313,7 @@
         (commit,) = builders.take_messages(consensus)
         assert isinstance(commit, member_messages.SubmitCommand)
         assert len(advanced) == 1
-        await tick(jobs_task.FAILURE_PAUSE_S)
+        await tick(failure_pauses.FAILURE_PAUSE_S)
         assert len(advanced) == 2
 
     support.run(check())
