--- /dev/null
+++ b/orioleshore/tests/load_builders.py
@@ -0,0 +1,80 @@
+"""Builders of test data for large loads: many tasks, occurrences and calls."""
+
+import msgspec
+
+from fakes import policy
+from fakes import workers as fake_workers
+from orioleshore.jobs import calls
+from orioleshore.jobs import ledger
+from orioleshore.jobs import progress
+from orioleshore.jobs import specs
+from orioleshore.model import ids
+from orioleshore.tests import builders
+from orioleshore.tests import support
+
+# A task of which a worker of 64 cores runs 640 at a time.
+SMALL = specs.Resources(100, 64)
+MINUTES_IN_TWO_WEEKS = 20_160
+MINUTE_MS = 60_000
+
+
+def build_small_tasks(count: int) -> specs.Job:
+    """Return a job of many tasks that each need a tenth of a core."""
+    return builders.build_batch_job(builders.build_step(count, need=SMALL))
+
+
+def build_large_workers(
+    hosts: int = 1, cores: int = 64
+) -> fake_workers.FakeFleet:
+    """Return a fleet of large workers, which all have reported."""
+    fleet = fake_workers.FakeFleet(
+        builders.build_configuration(), seed=support.SEED
+    )
+    fleet.add_hosts(hosts, 'red', cores)
+    fleet.run(0.5)
+    return fleet
+
+
+def build_schedule(first_due_s: float, *steps: specs.Step) -> specs.Job:
+    """Return a job that runs each minute for two weeks."""
+    job = builders.build_batch_job(*steps)
+    return msgspec.structs.replace(
+        job,
+        occurrences=MINUTES_IN_TWO_WEEKS,
+        first_due_ms=int(first_due_s * 1_000),
+        interval_ms=MINUTE_MS,
+    )
+
+
+def build_progress(job: specs.Job) -> progress.JobProgress:
+    """Return the progress of a job that was accepted at time 0."""
+    record = ledger.JobRecord(
+        job, 'jobs.example', '/red/', ids.PoolId('red'), 0, 2, 3_600, 0.0
+    )
+    return progress.JobProgress(builders.build_job_id(), record)
+
+
+def build_long_submission(number: int) -> calls.SubmitJob:
+    """Return the submission of a job with the longest text."""
+    job = specs.Job(f'{number:04}' * 1_000, (builders.build_step(),))
+    return builders.build_submission(number, job)
+
+
+def build_slow_fleet(
+    call_s: float, declared_ms: int = 0
+) -> policy.SlowPolicyFleet:
+    """Return six workers and a policy service that takes long for a call."""
+    configuration = builders.build_configuration()
+    queue = msgspec.structs.replace(
+        configuration.queues[0], needs_approval=True, approval_ms=declared_ms
+    )
+    fleet = policy.SlowPolicyFleet(
+        builders.build_configuration(
+            queues=(queue,), pools=configuration.pools[:1]
+        ),
+        call_s,
+        support.SEED,
+    )
+    fleet.add_hosts(6, 'red')
+    fleet.run(0.5)
+    return fleet
--- a/orioleshore/tests/test_batch_approvals.py
+++ b/orioleshore/tests/test_batch_approvals.py
@@ -2,13 +2,13 @@
 
 import msgspec
 
-from fakes import policy
 from fakes import workers as fake_workers
 from orioleshore.jobs import eligibility
 from orioleshore.jobs import orders
 from orioleshore.jobs import specs
 from orioleshore.model import ids
 from orioleshore.tests import builders
+from orioleshore.tests import load_builders
 from orioleshore.tests import support
 
 
@@ -178,33 +178,13 @@
     assert fleet.count_running_tasks(name) == 1
 
 
-def build_slow_fleet(
-    call_s: float, declared_ms: int = 0
-) -> policy.SlowPolicyFleet:
-    """Return six workers and a policy service that takes long for a call."""
-    configuration = builders.build_configuration()
-    queue = msgspec.structs.replace(
-        configuration.queues[0], needs_approval=True, approval_ms=declared_ms
-    )
-    fleet = policy.SlowPolicyFleet(
-        builders.build_configuration(
-            queues=(queue,), pools=configuration.pools[:1]
-        ),
-        call_s,
-        support.SEED,
-    )
-    fleet.add_hosts(6, 'red')
-    fleet.run(0.5)
-    return fleet
-
-
 def test_calls_are_not_given_up_before_their_turn():
     """Guards against steps that are never approved by a slow service.
 
     Sixteen steps asked at once. Most calls were given up before their turn,
     and made again behind those that nobody waited for.
     """
-    fleet = build_slow_fleet(call_s=0.42)
+    fleet = load_builders.build_slow_fleet(call_s=0.42)
     for number in range(16):
         submit(fleet, number, 'red', builders.build_batch_job())
     fleet.run(20.0)
@@ -215,7 +195,7 @@
 
 def test_declared_time_of_the_service_is_waited_for():
     """Guards against a call that is given up before its answer is due."""
-    fleet = build_slow_fleet(call_s=5.0, declared_ms=5_000)
+    fleet = load_builders.build_slow_fleet(call_s=5.0, declared_ms=5_000)
     for number in range(3):
         submit(fleet, number, 'red', builders.build_batch_job())
     fleet.run(21.0)
@@ -225,7 +205,7 @@
 
 def test_service_that_is_slower_than_declared_is_waited_for_longer():
     """Guards against calls that are given up and repeated for ever."""
-    fleet = build_slow_fleet(call_s=9.0)
+    fleet = load_builders.build_slow_fleet(call_s=9.0)
     submit(fleet, 1, 'red', builders.build_batch_job())
     fleet.run(60.0)
     assert len(fleet.starts) == 1
@@ -234,7 +214,7 @@
 
 def test_full_service_is_asked_again_after_a_pause():
     """Guards against a service that is called in every tick while full."""
-    fleet = build_slow_fleet(call_s=0.1)
+    fleet = load_builders.build_slow_fleet(call_s=0.1)
     others = orders.AskApproval(builders.build_job_id(99), 0, 0, ())
     fleet.fill_line(others)
     fleet.busy_until = fleet.now + 2.0
--- a/orioleshore/tests/test_batch_bounds.py
+++ b/orioleshore/tests/test_batch_bounds.py
@@ -16,22 +16,11 @@
 from orioleshore.model import states
 from orioleshore.telemetry import latencies
 from orioleshore.tests import builders
-from orioleshore.tests import support
+from orioleshore.tests import load_builders
 
-SMALL = specs.Resources(100, 64)
 WIDE = 7
 
 
-def build_fleet(hosts: int = 1, cores: int = 64) -> fake_workers.FakeFleet:
-    """Return a fleet of large workers, which all have reported."""
-    fleet = fake_workers.FakeFleet(
-        builders.build_configuration(), seed=support.SEED
-    )
-    fleet.add_hosts(hosts, 'red', cores)
-    fleet.run(0.5)
-    return fleet
-
-
 def submit(fleet: fake_workers.FakeFleet, job: specs.Job, number: int = WIDE):
     """Submit a job to the red queue; return its id and its record."""
     assert fleet.call_scheduler(builders.build_submission(number, job)).is_ok()
@@ -52,10 +41,11 @@
 
     A heartbeat lists 500 ends. The runs beyond counted as lost orders.
     """
-    fleet = build_fleet()
+    fleet = load_builders.build_large_workers()
     fleet.mean_run_s = 100.0
     _, record = submit(
-        fleet, builders.build_batch_job(builders.build_step(640, need=SMALL))
+        fleet,
+        load_builders.build_small_tasks(640),
     )
     fleet.run(1.0)
     [worker] = fleet.workers.values()
@@ -67,10 +57,11 @@
 
 def test_new_leader_waits_for_ends_that_are_held_back():
     """Guards against tasks that run twice after a change of leader."""
-    fleet = build_fleet()
+    fleet = load_builders.build_large_workers()
     fleet.mean_run_s = 100.0
     _, record = submit(
-        fleet, builders.build_batch_job(builders.build_step(640, need=SMALL))
+        fleet,
+        load_builders.build_small_tasks(640),
     )
     fleet.run(1.0)
     [worker] = fleet.workers.values()
@@ -85,10 +76,11 @@
 
 def test_order_lost_beside_a_full_list_is_given_again():
     """Guards against a lost order that nobody repeats after a full list."""
-    fleet = build_fleet()
+    fleet = load_builders.build_large_workers()
     fleet.mean_run_s = 100.0
     _, record = submit(
-        fleet, builders.build_batch_job(builders.build_step(640, need=SMALL))
+        fleet,
+        load_builders.build_small_tasks(640),
     )
     fleet.run(1.0)
     [worker] = fleet.workers.values()
@@ -108,8 +100,8 @@
     1,200 tasks with a text of 4,000 bytes went into one answer of 4.8 MB,
     again and again, and the job never started.
     """
-    fleet = build_fleet()
-    step = builders.build_step(600, need=SMALL)
+    fleet = load_builders.build_large_workers()
+    step = builders.build_step(600, need=load_builders.SMALL)
     job = specs.Job('x' * 4_000, (step,))
     fleet.mean_run_s = 100.0
     submit(fleet, job)
@@ -125,9 +117,10 @@
 
 def test_number_of_starts_in_one_answer_is_bounded():
     """Guards against a turn that takes as long as a job has small tasks."""
-    fleet = build_fleet()
+    fleet = load_builders.build_large_workers()
     submit(
-        fleet, builders.build_batch_job(builders.build_step(640, need=SMALL))
+        fleet,
+        load_builders.build_small_tasks(640),
     )
     [worker] = fleet.workers.values()
     answer = fleet.call_scheduler(worker.make_heartbeat(fleet.now)).unwrap()
@@ -136,9 +129,10 @@
 
 def test_lost_answers_make_the_next_ones_smaller():
     """Guards against answers that are too large for the link of a worker."""
-    fleet = build_fleet()
+    fleet = load_builders.build_large_workers()
     submit(
-        fleet, builders.build_batch_job(builders.build_step(640, need=SMALL))
+        fleet,
+        load_builders.build_small_tasks(640),
     )
     [worker] = fleet.workers.values()
     counts = []
@@ -153,9 +147,10 @@
 
 def test_stops_that_exceed_one_answer_follow_in_the_next():
     """Guards against an answer as large as the number of runs to stop."""
-    fleet = build_fleet(cores=300)
+    fleet = load_builders.build_large_workers(cores=300)
     name, _ = submit(
-        fleet, builders.build_batch_job(builders.build_step(2_500, need=SMALL))
+        fleet,
+        load_builders.build_small_tasks(2_500),
     )
     fleet.mean_run_s = 100.0
     fleet.run(2.0)
@@ -171,10 +166,10 @@
 
 def test_job_of_too_many_tasks_is_refused_and_not_recorded():
     """Guards against a job whose state does not fit into the memory."""
-    fleet = build_fleet()
+    fleet = load_builders.build_large_workers()
     limit = admission.MAX_TASKS_PER_OCCURRENCE
     for number, tasks in ((1, limit), (2, limit + 1)):
-        job = builders.build_batch_job(builders.build_step(tasks, need=SMALL))
+        job = load_builders.build_small_tasks(tasks)
         outcome = fleet.call_scheduler(builders.build_submission(number, job))
         assert outcome.is_ok() is (tasks <= limit)
     assert outcome.unwrap_err().kind is errors.ErrorKind.INVALID_REQUEST
@@ -215,7 +210,7 @@
 
 def test_fillers_of_one_worker_are_bounded():
     """Guards against rate orders for as many fillers as a job has."""
-    fleet = build_fleet()
+    fleet = load_builders.build_large_workers()
     fleet.mean_run_s = 100.0
     step = builders.build_step(20, is_filler=True)
     submit(fleet, builders.build_batch_job(step))
--- a/orioleshore/tests/test_batch_commits.py
+++ b/orioleshore/tests/test_batch_commits.py
@@ -8,23 +8,17 @@
 from orioleshore.consensus import member_messages
 from orioleshore.jobs import calls
 from orioleshore.jobs import commits
-from orioleshore.jobs import specs
 from orioleshore.jobs import task as jobs_task
 from orioleshore.state import records
 from orioleshore.tasks import reply
 from orioleshore.tests import builders
+from orioleshore.tests import load_builders
 from orioleshore.tests import support
 
 # An entry of the log holds this many bytes.
 MAX_ENTRY_BYTES = 983_040
 
 
-def build_long_submission(number: int) -> calls.SubmitJob:
-    """Return the submission of a job with the longest text."""
-    job = specs.Job(f'{number:04}' * 1_000, (builders.build_step(),))
-    return builders.build_submission(number, job)
-
-
 def send(task: jobs_task.JobsTask, call: calls.Call, outcomes: list) -> None:
     """Put a call into the mailbox of a task."""
     answer = reply.Reply()
@@ -63,7 +57,7 @@
     async def check():
         await builders.start_leading(task)
         for number in range(400):
-            send(task, build_long_submission(number), outcomes)
+            send(task, load_builders.build_long_submission(number), outcomes)
         await task.handle(task.mailbox.get_nowait())
         sent = await commit_all(task, consensus)
         sizes = [len(msgspec.msgpack.encode(s.command)) for s in sent]
@@ -84,7 +78,7 @@
     async def check():
         await builders.start_leading(task)
         for number in range(100):
-            send(task, build_long_submission(number), outcomes)
+            send(task, load_builders.build_long_submission(number), outcomes)
         await task.handle(task.mailbox.get_nowait())
         (commit,) = builders.take_messages(consensus)
         commit.answer.resolve(Ok(None))
--- a/orioleshore/tests/test_batch_progress.py
+++ b/orioleshore/tests/test_batch_progress.py
@@ -2,7 +2,6 @@
 
 import random
 
-import msgspec
 import pytest
 
 from fakes import workers as fake_workers
@@ -15,30 +14,10 @@
 from orioleshore.model import ids
 from orioleshore.model import states
 from orioleshore.tests import builders
+from orioleshore.tests import load_builders
 from orioleshore.tests import support
 
 MANY = 100_000
-MINUTES_IN_TWO_WEEKS = 20_160
-MINUTE_MS = 60_000
-
-
-def build_schedule(first_due_s: float, *steps: specs.Step) -> specs.Job:
-    """Return a job that runs each minute for two weeks."""
-    job = builders.build_batch_job(*steps)
-    return msgspec.structs.replace(
-        job,
-        occurrences=MINUTES_IN_TWO_WEEKS,
-        first_due_ms=int(first_due_s * 1_000),
-        interval_ms=MINUTE_MS,
-    )
-
-
-def build_progress(job: specs.Job) -> progress.JobProgress:
-    """Return the progress of a job that was accepted at time 0."""
-    record = ledger.JobRecord(
-        job, 'jobs.example', '/red/', ids.PoolId('red'), 0, 2, 3_600, 0.0
-    )
-    return progress.JobProgress(builders.build_job_id(), record)
 
 
 def finish_task(
@@ -95,7 +74,9 @@
     Each of 20,160 occurrences had its own state, which every heartbeat and
     every tick went through.
     """
-    job = build_progress(build_schedule(600.0, builders.build_step()))
+    job = load_builders.build_progress(
+        load_builders.build_schedule(600.0, builders.build_step())
+    )
     assert len(job.groups) == 1
     assert not job.find_startable_groups(ids.WallTime(599.9))
     [group] = job.find_startable_groups(ids.WallTime(600.0))
@@ -110,7 +91,9 @@
 
 def test_overdue_occurrences_are_opened_a_few_at_a_time():
     """Guards against a schedule that is far behind and fills the memory."""
-    job = build_progress(build_schedule(0.0, builders.build_step()))
+    job = load_builders.build_progress(
+        load_builders.build_schedule(0.0, builders.build_step())
+    )
     now = ids.WallTime(1e9)
     limit = progress.MAX_OPEN_OCCURRENCES
     assert len(job.find_startable_groups(now)) == limit
@@ -122,7 +105,9 @@
 def test_new_leader_opens_what_the_last_one_had_open():
     """Guards against an occurrence that is skipped or repeated."""
     steps = (builders.build_step(), builders.build_step(after=(0,)))
-    job = build_progress(build_schedule(0.0, *steps))
+    job = load_builders.build_progress(
+        load_builders.build_schedule(0.0, *steps)
+    )
     job.find_startable_groups(ids.WallTime(200.0))
     for occurrence, position in ((0, 0), (0, 1), (2, 0)):
         finish_task(job, occurrence, position)
