--- a/orioleshore/history/phrases.py
+++ b/orioleshore/history/phrases.py
@@ -47,6 +47,15 @@
     'gang_given_up': 'a gang did not start in time and is planned again',
     'step_approved': 'the policy service approved workers for a step',
     'approval_failed': 'the policy service gave no answer: {error}',
+    'approval_unanswered': 'the approval of step {step} is asked for again '
+    'after a pause; calls without an answer in a row: {in_row}, refused since '
+    'too many wait: {busy}',
+    'ends_held_back': 'worker {worker} listed {listed} ended tasks and may '
+    'hold back more, so no run of it counts as lost',
+    'answer_full': 'the answer to {worker} is full with {starts} starts and '
+    '{stops} stops; the rest follow in the next one',
+    'changes_queued': '{batches} further batches of changes wait while '
+    '{bytes} bytes of changes are committed',
     # Tasks under which workers were lost.
     'loss_recorded': 'worker {worker} on host {host} was lost soon after the '
     'start of {suspects}, {newest} of them the newest',
