--- a/orioleshore/jobs/orders.py
+++ b/orioleshore/jobs/orders.py
@@ -9,6 +9,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable
+import itertools
 
 import msgspec
 
@@ -100,7 +101,7 @@
         self._record = record
         self._orders: list[Order] = []
         # Hosts with an unanswered order, and the time at which its answer
-        # counts as lost.
+        # counts as lost; the oldest order first.
         self._answer_due_at: dict[ids.HostId, float] = {}
         self._retry_at: dict[ids.HostId, float] = {}
         # Hosts whose last order was refused, and those with an earlier order
@@ -157,7 +158,10 @@
         """Return whether few enough orders about hosts have no answer."""
         if len(self._answer_due_at) < MAX_PENDING_HOST_ORDERS:
             return True
-        pending = sum(now < due for due in self._answer_due_at.values())
+        lost = itertools.takewhile(
+            lambda due: due <= now, self._answer_due_at.values()
+        )
+        pending = len(self._answer_due_at) - sum(1 for _ in lost)
         return pending < MAX_PENDING_HOST_ORDERS
 
     def is_answer_pending(self, host: ids.HostId) -> bool:
@@ -223,6 +227,6 @@
     def _begin_order(self, host: ids.HostId, now: float) -> None:
         self._record(host)
         self._refused.discard(host)
-        if host in self._answer_due_at:
+        if self._answer_due_at.pop(host, None) is not None:
             self._uncertain.add(host)
         self._answer_due_at[host] = now + self._limits.host_call_ms / MS_PER_S
--- a/orioleshore/jobs/pools.py
+++ b/orioleshore/jobs/pools.py
@@ -205,8 +205,11 @@
             and (not worker.is_cordoned or worker.host in self._retiring)
             for worker in scheduler.workers.values()
         )
+        standby_pools = set(
+            filter(scheduler.is_standby, scheduler.get_pools())
+        )
         standby = sum(
-            scheduler.is_standby(info.pool)
+            info.pool in standby_pools
             and scheduler.known_hosts.may_be_up(host)
             and host not in present
             and host not in self._arriving
@@ -437,6 +440,8 @@
         if standby is None:
             return
         for host in list(self._retiring):
+            if not self._scheduler.orders.has_room(self._scheduler.now):
+                return
             worker = self._find_worker(host)
             if (
                 worker is not None
