--- a/orioleshore/consensus/leader_tasks.py
+++ b/orioleshore/consensus/leader_tasks.py
@@ -86,7 +86,8 @@
     answer.add_callback(
         lambda outcome: _send_jobs_answer(core, header, outcome)
     )
-    outcome = core.jobs.put(job_calls.CallRequest(call, answer))
+    request = job_calls.CallRequest(call, answer, core.get_now())
+    outcome = core.jobs.put(request)
     if outcome.is_err():
         answer.resolve(outcome)
 
--- a/orioleshore/history/phrases.py
+++ b/orioleshore/history/phrases.py
@@ -33,11 +33,6 @@
     '{used_cpu}, {used_memory_mb} and {used_accelerators} of {limit_cpu}, '
     '{limit_memory_mb} and {limit_accelerators} (0: no limit), by '
     'configuration {version}',
-    'answer_full': '{starts} start and {stops} stop orders filled the answer '
-    'to {worker}; the rest follow with its next heartbeat',
-    'ends_held_back': '{worker} listed {listed} ended runs and may hold back '
-    'others; no run of it counts as lost meanwhile',
-    'changes_queued': 'changes wait for a commit in more than one batch',
     'key_refused': 'a call to queue {queue} was refused: no organisation of '
     'configuration {version} holds its key (key sent: {has_key})',
     'job_refused': 'refused and not run, {error}: {reason} (Retry-After '
@@ -59,9 +54,16 @@
     'gang_planned': 'all members of a gang got workers',
     'gang_given_up': 'a gang did not start in time and is planned again',
     'step_approved': 'the policy service approved workers for a step',
-    'approval_unanswered': 'the policy service did not answer about step '
-    '{step} (busy: {busy}, {in_row} calls in a row)',
     'approval_failed': 'the policy service gave no answer: {error}',
+    'approval_unanswered': 'the approval of step {step} is asked for again '
+    'after a pause; calls without an answer in a row: {in_row}, refused since '
+    'too many wait: {busy}',
+    'ends_held_back': 'worker {worker} listed {listed} ended tasks and may '
+    'hold back more, so no run of it counts as lost',
+    'answer_full': 'the answer to {worker} is full with {starts} starts and '
+    '{stops} stops; the rest follow in the next one',
+    'changes_queued': '{batches} further batches of changes wait while '
+    '{bytes} bytes of changes are committed',
     # Tasks under which workers were lost.
     'loss_recorded': 'worker {worker} on host {host} was lost soon after the '
     'start of {suspects}, {newest} of them the newest',
--- a/orioleshore/jobs/job_table.py
+++ b/orioleshore/jobs/job_table.py
@@ -20,12 +20,10 @@
         self._records = records
         self._by_pool: dict[ids.PoolId, dict[ids.JobId, None]] = {}
 
-    def add(self, name: ids.JobId) -> progress.JobProgress:
-        """Add a job that is in the records; return its progress."""
-        job = progress.JobProgress(name, self._records[name])
-        self.jobs[name] = job
-        self._by_pool.setdefault(job.record.pool, {})[name] = None
-        return job
+    def add(self, job: progress.JobProgress) -> None:
+        """Add a job that has not ended."""
+        self.jobs[job.name] = job
+        self._by_pool.setdefault(job.record.pool, {})[job.name] = None
 
     def remove(self, name: ids.JobId) -> progress.JobProgress | None:
         """Remove and return a job, None if it is not in the table."""
--- a/orioleshore/jobs/organisation_status.py
+++ b/orioleshore/jobs/organisation_status.py
@@ -41,6 +41,13 @@
     )
 
 
+def describe_organisations(
+    scheduler: scheduling.Scheduler,
+) -> list[dict[str, Any]]:
+    """Return the organisations as plain values, for dumps and metrics."""
+    return msgspec.to_builtins(list(list_organisations(scheduler)))
+
+
 def get_total_capacity(scheduler: scheduling.Scheduler) -> specs.Resources:
     """Return the capacity of all workers that report to this leader."""
     total = specs.Resources()
--- a/orioleshore/jobs/scheduler.py
+++ b/orioleshore/jobs/scheduler.py
@@ -111,16 +111,14 @@
             collections.deque(self.restore_jobs(), maxlen=0)
 
     def restore_jobs(self) -> Iterator[None]:
-        """Track the jobs of the log; yields between jobs with many tasks."""
-        restored_tasks = 0
+        """Track the jobs of the log; yields after each, and within each."""
         for name, record in self.ledger.jobs.items():
             if record.is_ended:
                 continue
-            self._track_job(name)
-            restored_tasks += 1 + len(record.tasks)
-            if restored_tasks >= tuning.MAX_RESTORED_TASKS_PER_TURN:
-                restored_tasks = 0
-                yield
+            job = progress.JobProgress(name, record, restores_runs=False)
+            yield from job.restore_runs()
+            self._track_job(job)
+            yield
 
     # Entry points, called by JobsTask.
 
@@ -293,7 +291,7 @@
                 name, spec, queue, organisation, self.wall_time
             )
         )
-        self._track_job(name)
+        self._track_job(progress.JobProgress(name, self.ledger.jobs[name]))
         self.pools.record_accepted_job(queue.pool, spec)
 
     def cancel_job(self, name: ids.JobId) -> None:
@@ -402,8 +400,9 @@
             )
         )
 
-    def _track_job(self, name: ids.JobId) -> None:
-        job = self.job_table.add(name)
+    def _track_job(self, job: progress.JobProgress) -> None:
+        name = job.name
+        self.job_table.add(job)
         for task, run in job.record.tasks.items():
             if run.is_suspect:
                 self.crashes.track_waiting(name, task, job.record.pool)
--- a/orioleshore/tests/test_batch_commits.py
+++ b/orioleshore/tests/test_batch_commits.py
@@ -8,23 +8,17 @@
 from orioleshore.consensus import member_messages
 from orioleshore.jobs import calls
 from orioleshore.jobs import commits
-from orioleshore.jobs import specs
 from orioleshore.jobs import task as jobs_task
 from orioleshore.state import records
 from orioleshore.tasks import reply
 from orioleshore.tests import builders
+from orioleshore.tests import load_builders
 from orioleshore.tests import support
 
 # An entry of the log holds this many bytes.
 MAX_ENTRY_BYTES = 983_040
 
 
-def build_long_submission(number: int) -> calls.SubmitJob:
-    """Return the submission of a job with the longest text."""
-    job = specs.Job(f'{number:04}' * 1_000, (builders.build_step(),))
-    return builders.build_submission(number, job)
-
-
 def send(task: jobs_task.JobsTask, call: calls.Call, outcomes: list) -> None:
     """Put a call into the mailbox of a task."""
     answer = reply.Reply()
@@ -63,7 +57,7 @@
     async def check():
         await builders.start_leading(task)
         for number in range(400):
-            send(task, build_long_submission(number), outcomes)
+            send(task, load_builders.build_long_submission(number), outcomes)
         await task.handle(task.mailbox.get_nowait())
         sent = await commit_all(task, consensus)
         sizes = [len(msgspec.msgpack.encode(s.command)) for s in sent]
@@ -84,7 +78,7 @@
     async def check():
         await builders.start_leading(task)
         for number in range(100):
-            send(task, build_long_submission(number), outcomes)
+            send(task, load_builders.build_long_submission(number), outcomes)
         await task.handle(task.mailbox.get_nowait())
         (commit,) = builders.take_messages(consensus)
         commit.answer.resolve(Ok(None))
@@ -148,11 +142,8 @@
     support.run(check())
 
 
-def test_new_leader_restores_large_jobs_in_several_turns(monkeypatch):
+def test_new_leader_restores_jobs_in_several_turns():
     """Guards against an election that is lost while jobs are restored."""
-    monkeypatch.setattr(
-        jobs_task.scheduler.tuning, 'MAX_RESTORED_TASKS_PER_TURN', 2
-    )
     task, _ = builders.build_jobs_task()
     state = records.State()
     state.ledger.configuration = builders.build_configuration()
@@ -176,6 +167,32 @@
         )
         other.cancel()
         assert len(task._scheduler.jobs) == 10
-        assert turns == [2, 4, 6, 8, 10]
+        assert turns == list(range(1, 11))
+
+    support.run(check())
+
+
+def test_heartbeat_whose_worker_has_given_up_starts_nothing():
+    """Guards against start orders that are lost since the leader is late.
+
+    A leader that answered after the second for which workers wait kept doing
+    so: its orders were lost, and the workers sent again sooner.
+    """
+    task, _ = builders.build_jobs_task()
+    outcomes: list = []
+
+    async def check():
+        await builders.start_leading(task)
+        send(task, builders.build_submission(), [])
+        now = task._get_monotonic()
+        for number, age_s in ((1, 0.5), (2, 0.9)):
+            answer = reply.Reply()
+            answer.add_callback(outcomes.append)
+            call = builders.build_heartbeat(f'worker-{number}')
+            task.mailbox.put(calls.CallRequest(call, answer, now - age_s))
+        await task.handle(task.mailbox.get_nowait())
+        await asyncio.sleep(0)
+        assert [outcome.is_err() for outcome in outcomes] == [True]
+        assert list(task._scheduler.workers) == ['worker-1']
 
     support.run(check())
