--- a/fakes/workers.py
+++ b/fakes/workers.py
@@ -349,9 +349,18 @@
             delay_s = RESET_RETRY_S if is_reset else LOST_ANSWER_S
             worker.next_heartbeat = self.now + delay_s
             return
+        self.deliver_answer(worker, answer, self.now)
+
+    def deliver_answer(
+        self,
+        worker: FakeWorker,
+        answer: calls.HeartbeatAnswer,
+        sent_at: float,
+    ) -> None:
+        """Apply the answer to the heartbeat that was sent at ``sent_at``."""
         self._take_observed_ends(worker, answer.observed)
         if answer.lease_ms:
-            lease_end = self.now + answer.lease_ms / 1_000.0
+            lease_end = sent_at + answer.lease_ms / 1_000.0
             worker.lease_end = max(worker.lease_end or 0.0, lease_end)
         for stop in answer.stops:
             key = (stop.job, stop.task, stop.attempt)
@@ -445,7 +454,9 @@
         key = (start.job, start.task, start.attempt)
         assert key[:2] not in self.done_tasks, f'{key} was done before'
         self.starts.append((self.now, worker.host, start))
-        step = self.scheduler.jobs[start.job].get_step(start.task)
+        # The job may have ended while the order was on its way.
+        _, position, _ = specs.parse_task_name(start.task)
+        step = self.scheduler.ledger.jobs[start.job].job.steps[position]
         run_s = self.mean_run_s * self.random.uniform(0.5, 1.5)
         how = states.RunEnd.DONE
         if worker.is_failing:
--- a/orioleshore/tests/test_organisations_faults.py
+++ b/orioleshore/tests/test_organisations_faults.py
@@ -18,6 +18,9 @@
 
 SEEDS = range(support.SEED, support.SEED + 20)
 FAULTS = 40
+# With runs of this mean time, more than the limits let run at a time.
+JOBS_PER_FAULT = 4
+MEAN_RUN_S = 1.5
 HOSTS = 5
 NAMES = ('north', 'south')
 MIN_CORES = 6
@@ -44,6 +47,7 @@
         self.fleet.add_hosts(HOSTS, 'red')
         self.fleet.add_hosts(HOSTS, 'blue')
         self.fleet.add_hosts(2, 'standby')
+        self.fleet.mean_run_s = MEAN_RUN_S
         self.fleet.run(4.5)
         self._next_job = 1
         self._troubled_until: dict[ids.HostId, float] = {}
@@ -52,14 +56,17 @@
         """Inject the faults one after the other, then let all jobs end."""
         fleet = self.fleet
         for _ in range(FAULTS):
-            for _ in range(2):
+            for _ in range(JOBS_PER_FAULT):
                 self._submit_job()
-            self.random.choice(self._list_faults())()
+            # Faults at the same moment meet before any heartbeat.
+            for _ in range(self.random.randint(1, 4)):
+                self.random.choice(self._list_faults())()
             fleet.lost_answer_share = self.random.choice([0.0, 0.0, 0.3])
+            fleet.late_answer_share = self.random.choice([0.0, 0.3])
             self._advance(self.random.uniform(0.05, 1.2))
-        fleet.lost_answer_share = 0.0
+        fleet.lost_answer_share = fleet.late_answer_share = 0.0
         self._advance(MAX_SILENCE_S)
-        fleet.run(60.0)
+        fleet.run(90.0)
 
     def _list_faults(self):
         return [
@@ -69,6 +76,7 @@
             self._fail_over,
             self._change_limits,
             self._cancel_job,
+            self._cancel_job,
         ]
 
     def _advance(self, seconds: float) -> None:
@@ -105,6 +113,14 @@
         running = [w for w in self.fleet.workers.values() if w.running]
         return self.random.choice(running or list(self.fleet.workers.values()))
 
+    def _pick_running_job(self) -> int:
+        running = {
+            int(name, 16)
+            for worker in self.fleet.workers.values()
+            for name, _, _ in worker.running
+        }
+        return self.random.choice(sorted(running) or [1])
+
     def _trouble_worker(self) -> None:
         worker = self._pick_worker()
         if self.random.random() < 0.4:
@@ -141,7 +157,9 @@
         )
 
     def _cancel_job(self) -> None:
-        number = self.random.randint(1, self._next_job)
+        number = self.random.choice(
+            [self.random.randint(1, self._next_job), self._pick_running_job()]
+        )
         path = f'/red/{builders.build_job_id(number)}'
         self.fleet.call_scheduler(
             calls.CancelJob('jobs.example', path, ids.ApiKey('key-of-north'))
