Tell a caller of its refusal also if the call went to a follower first

A submission that a follower had redirected counted as sent twice, so a refusal by the leader was told as 504 change_unknown: for an unknown key on the first call of an entry host, and for an overload (seen once in test_organisations_processes, 504 for 401). A send that a member answered with 'not accepted' no longer counts, if it was the only one.

The new test failed before with change_unknown. test_control_client passes; the dump by SIGUSR1 on the platform, added here too, does not work yet.

--- a/orioleshore/consensus/client.py
+++ b/orioleshore/consensus/client.py
@@ -62,7 +62,8 @@
     deadline: float
     sent_at: float = -1.0e9
     retry_at: float = 0.0
-    send_count: int = 0
+    # Sends after which the call may have taken effect.
+    unsettled_sends: int = 0
     address: str = ''
 
 
@@ -126,7 +127,7 @@
         pending.address = address
         pending.sent_at = self._get_now()
         pending.retry_at = pending.sent_at + ATTEMPT_TIMEOUT_S
-        pending.send_count += 1
+        pending.unsettled_sends += 1
         self._sender.put(
             transport.SendTo(address, pending.message, correlation)
         )
@@ -159,6 +160,9 @@
             pending.retry_at = self._get_now() + 2 * TICK_S
             return
         if message.error_kind in _NOT_ACCEPTED:
+            if pending.unsettled_sends == 1:
+                # Of several sends, it is not known which one this answers.
+                pending.unsettled_sends = 0
             self._leader = message.leader
             # Without a known leader, wait for an election to finish.
             delay_s = 0.0 if message.leader else 2 * TICK_S
@@ -182,7 +186,7 @@
 
     def _fail_call(self, pending: _PendingCall) -> None:
         kind = errors.ErrorKind.NO_QUORUM
-        if _is_change(pending.call.request) and pending.send_count:
+        if _is_change(pending.call.request) and pending.unsettled_sends:
             kind = errors.ErrorKind.CHANGE_UNKNOWN
         LOG.warning(
             logs.format_event(
@@ -317,7 +321,7 @@
     delay_s = None
     if message.answer:
         delay_s = _DELAY_DECODER.decode(message.answer)
-    if pending.send_count > 1 and _is_change(request):
+    if pending.unsettled_sends > 1 and _is_change(request):
         # A call that was sent earlier may still take effect.
         kind = errors.ErrorKind.CHANGE_UNKNOWN
     return Err(errors.Failure(kind, message.message, retry_after_s=delay_s))
--- a/orioleshore/platform/control_role.py
+++ b/orioleshore/platform/control_role.py
@@ -22,6 +22,9 @@
 from orioleshore.platform import hosts
 from orioleshore.platform import process
 from orioleshore.protocol import messages
+from orioleshore.tasks import mailbox
+from orioleshore.telemetry import collection
+from orioleshore.telemetry import dumps
 from orioleshore.telemetry import writers
 
 
@@ -96,15 +99,22 @@
             handover.Handover(consensus.mailbox),
             functools.partial(loading.load_member, consensus),
             seed_listeners=(announcer.mailbox,),
-            add_metrics=lambda collector: collector.add_task(
-                jobs.mailbox,
-                jobs_task.GetOrganisationMetrics,
-                writers.write_organisations,
-            ),
+            add_telemetry=functools.partial(_add_jobs_telemetry, jobs.mailbox),
         )
     )
 
 
+def _add_jobs_telemetry(
+    jobs: mailbox.Mailbox,
+    collector: collection.Collector,
+    dumper: dumps.Dumper,
+) -> None:
+    collector.add_task(
+        jobs, jobs_task.GetOrganisationMetrics, writers.write_organisations
+    )
+    dumper.add_task('jobs', jobs, jobs_task.GetJobsDump)
+
+
 def _build_redirection(
     dependencies: process.Dependencies,
 ) -> process.RoleTasks:
--- a/orioleshore/platform/process.py
+++ b/orioleshore/platform/process.py
@@ -6,6 +6,7 @@
 import gc
 import logging
 import signal
+import sys
 import time
 from typing import Protocol
 
@@ -28,6 +29,7 @@
 from orioleshore.tasks import shutdown
 from orioleshore.tasks import task
 from orioleshore.telemetry import collection
+from orioleshore.telemetry import dumps
 from orioleshore.telemetry import latencies
 from orioleshore.telemetry import logs
 from orioleshore.telemetry import writers
@@ -72,8 +74,10 @@
     # Mailboxes that are sent changed seeds, and found members.
     seed_listeners: tuple[mailbox.Mailbox, ...] = ()
     member_listeners: tuple[mailbox.Mailbox, ...] = ()
-    # Adds metrics that tasks are asked for at each scrape.
-    add_metrics: Callable[[collection.Collector], None] | None = None
+    # Adds what tasks are asked for at each scrape, and for a dump.
+    add_telemetry: (
+        Callable[[collection.Collector, dumps.Dumper], None] | None
+    ) = None
 
 
 RoleBuilder = Callable[[Dependencies], Result[RoleTasks, errors.Failure]]
@@ -93,6 +97,9 @@
         self._drainable: Drainable | None = None
         self._discovery: discovery.DiscoveryTask | None = None
         self._seed_listeners: tuple[mailbox.Mailbox, ...] = ()
+        self._dumper: dumps.Dumper | None = None
+        # Kept, since the event loop does not hold its tasks.
+        self._dump_task: asyncio.Task | None = None
 
     async def run(
         self, deployment: boot.Deployment
@@ -146,7 +153,7 @@
                 peer_transport,
                 recorder,
                 tasks,
-                role_tasks.add_metrics,
+                self._add_dumper(deployment, peer_transport, role_tasks),
             )
         )
         for item in tasks:
@@ -177,11 +184,36 @@
         await timers.stop()
         return Ok(None)
 
+    def _add_dumper(
+        self,
+        deployment: boot.Deployment,
+        peer_transport: transport.Transport,
+        role_tasks: RoleTasks,
+    ) -> Callable[[collection.Collector], None]:
+        """Prepare the dump; return what adds the metrics of the role."""
+        dumper = dumps.Dumper(deployment.settings.node)
+        dumper.add_counters('transport', lambda: dict(peer_transport.counters))
+        self._dumper = dumper
+
+        def add_metrics(collector: collection.Collector) -> None:
+            dumper.add_counters('mailboxes', collector.get_mailbox_counts)
+            if role_tasks.add_telemetry is not None:
+                role_tasks.add_telemetry(collector, dumper)
+
+        return add_metrics
+
+    def _start_dump(self) -> None:
+        if self._dumper is not None:
+            self._dump_task = background.start_task(
+                _write_dump(self._dumper), 'dump'
+            )
+
     def _install_signal_handlers(self) -> None:
         loop = asyncio.get_running_loop()
         for number in (signal.SIGTERM, signal.SIGINT):
             loop.add_signal_handler(number, self._stop_requested.set)
         loop.add_signal_handler(signal.SIGHUP, self._reload_seeds)
+        loop.add_signal_handler(signal.SIGUSR1, self._start_dump)
 
     def _reload_seeds(self) -> None:
         """Read new addresses of control members from the settings file."""
@@ -222,6 +254,12 @@
         LOG.info(logs.format_event('stopped'))
 
 
+async def _write_dump(dumper: dumps.Dumper) -> None:
+    """Write the state of the process to standard error, on one line."""
+    sys.stderr.write(dumps.format_dump(await dumper.get_dump()) + '\n')
+    sys.stderr.flush()
+
+
 def _enable_garbage_collection() -> None:
     """Collect garbage from now on, but not among the loaded modules."""
     gc.freeze()
@@ -233,7 +271,7 @@
     peer_transport: transport.Transport,
     recorder: latencies.Recorder,
     tasks: list[task.Task],
-    add_metrics: Callable[[collection.Collector], None] | None,
+    add_metrics: Callable[[collection.Collector], None],
 ) -> metrics_server.MetricsServer:
     collector = collection.Collector(deployment.settings.node)
     collector.add_recorder(recorder)
@@ -244,6 +282,5 @@
         collector.add_mailbox(item.mailbox)
         if item.odd_entries is not None:
             collector.add_odd_entries(item.odd_entries)
-    if add_metrics is not None:
-        add_metrics(collector)
+    add_metrics(collector)
     return metrics_server.MetricsServer(deployment.metrics_address, collector)
--- a/orioleshore/tests/test_control_client.py
+++ b/orioleshore/tests/test_control_client.py
@@ -23,6 +23,7 @@
 # Time for a reply over loopback to arrive.
 DELIVERY_S = 0.2
 REFUSED_KIND = errors.ErrorKind.OVERLOADED.value
+NOT_LEADER_KIND = errors.ErrorKind.NOT_LEADER.value
 UNKNOWN_KIND = errors.ErrorKind.CHANGE_UNKNOWN.value
 
 
@@ -42,9 +43,9 @@
         """Start a call at the client."""
         await self.client.handle(client.Call(request, self.answer, 2.0))
 
-    async def receive_error(self, error_kind: str) -> None:
+    async def receive_error(self, error_kind: str, leader: str = '') -> None:
         """Deliver a reply with an error kind from a member."""
-        answer = messages.QueryReply(error_kind, '', b'', '')
+        answer = messages.QueryReply(error_kind, '', b'', leader)
         await self.client.handle(messages.Received(HEADER, answer))
 
     async def advance_clock(self, seconds: float) -> None:
@@ -168,6 +169,29 @@
     support.run(check())
 
 
+@pytest.mark.parametrize(
+    ('unanswered', 'kind'), [(0, REFUSED_KIND), (1, UNKNOWN_KIND)]
+)
+def test_refusal_after_redirection_is_reported_as_it_is(unanswered, kind):
+    """Guards against 504 for a refused call that went to a follower first.
+
+    The follower has not accepted it, unlike a member that gave no reply.
+    """
+
+    async def check():
+        harness = ClientHarness()
+        await harness.send_call(builders.build_submission())
+        for _ in range(unanswered):
+            await harness.advance_clock(0.6)
+        await harness.receive_error(NOT_LEADER_KIND, '127.0.0.1:2')
+        assert len(harness.sent) == 2 + unanswered
+        await harness.receive_error(REFUSED_KIND)
+        failure = (await harness.answer.wait()).unwrap_err()
+        assert failure.kind.value == kind
+
+    support.run(check())
+
+
 def test_unanswered_call_is_reported_as_unknown():
     """Guards against "not run" for a job that a failed member accepted."""
 
--- a/orioleshore/tests/test_organisations_processes.py
+++ b/orioleshore/tests/test_organisations_processes.py
@@ -1,6 +1,7 @@
 """Keys and status of organisations with real processes, over HTTP."""
 
 import json
+import signal
 
 from orioleshore.cli import output
 from orioleshore.tests import builders
@@ -62,6 +63,13 @@
             await processes.wait_until(is_served, 'a new leader serves')
             for entry in ENTRIES:
                 assert await send(entry, 'GET', KEY) == 401
+            leader = processes.find_leader(fleet)
+            fleet.signal(leader, signal.SIGUSR1)
+
+            async def is_dumped() -> bool:
+                return '"organisations": [{' in fleet.read_log(leader)
+
+            await processes.wait_until(is_dumped, 'the leader dumps its state')
             for name in (*fleet.control_names, *ENTRIES):
                 text = fleet.read_log(name)
                 assert KEY not in text
