--- a/orioleshore/jobs/organisation_status.py
+++ b/orioleshore/jobs/organisation_status.py
@@ -4,12 +4,8 @@
 
 import collections
 import typing
-from typing import Any
-
-import msgspec
 
 from orioleshore.jobs import calls
-from orioleshore.jobs import ledger
 from orioleshore.jobs import organisations
 from orioleshore.jobs import specs
 from orioleshore.model import ids
@@ -66,19 +62,3 @@
         unfinished,
         held,
     )
-
-
-def dump_ledger(job_ledger: ledger.Ledger) -> Any:
-    """Return a ledger as built-in types, without the keys of callers."""
-    configuration = job_ledger.configuration
-    public = msgspec.structs.replace(
-        configuration,
-        source=b'',
-        organisations=tuple(
-            msgspec.structs.replace(item, keys=())
-            for item in configuration.organisations
-        ),
-    )
-    return msgspec.to_builtins(
-        msgspec.structs.replace(job_ledger, configuration=public)
-    )
--- a/orioleshore/jobs/task.py
+++ b/orioleshore/jobs/task.py
@@ -11,6 +11,7 @@
 
 from orioleshore.consensus import member_messages
 from orioleshore.jobs import calls
+from orioleshore.jobs import dumping
 from orioleshore.jobs import ledger
 from orioleshore.jobs import organisation_status
 from orioleshore.jobs import scheduler
@@ -334,10 +335,11 @@
         return {
             'leads': True,
             'epoch': self._scheduler.epoch,
-            'workers': msgspec.to_builtins(
-                list(self._scheduler.workers.values()), str_keys=True
-            ),
-            'ledger': organisation_status.dump_ledger(self._scheduler.ledger),
+            'workers': [
+                dumping.dump_worker(worker)
+                for worker in self._scheduler.workers.values()
+            ],
+            'ledger': dumping.dump_ledger(self._scheduler.ledger),
             'organisations': self._list_organisations(),
         }
 
--- a/orioleshore/tests/test_organisations.py
+++ b/orioleshore/tests/test_organisations.py
@@ -11,9 +11,9 @@
 from orioleshore.history import lines
 from orioleshore.history import phrases
 from orioleshore.jobs import calls
+from orioleshore.jobs import dumping
 from orioleshore.jobs import holds
 from orioleshore.jobs import ledger
-from orioleshore.jobs import organisation_status
 from orioleshore.jobs import organisations
 from orioleshore.jobs import specs
 from orioleshore.model import errors
@@ -303,13 +303,20 @@
         source=b'{"api_keys":["key-of-north"]}',
     )
     fleet.call_scheduler(calls.PutConfiguration(configuration))
-    dump = organisation_status.dump_ledger(fleet.scheduler.ledger)
+    dump = dumping.dump_ledger(fleet.scheduler.ledger)
     assert dump['configuration']['organisations'][0]['name'] == 'north'
     for text in (json.dumps(dump), caplog.text):
         assert 'key-of-' not in text
         assert 'other-key' not in text
 
 
+def test_dump_of_workers_is_json():
+    # Guards against a dump that ends the leader: keys of runs are tuples.
+    fleet = _hold_lasting_job()
+    rows = [dumping.dump_worker(w) for w in fleet.scheduler.workers.values()]
+    assert f'{builders.build_job_id()}.0.0.0.1' in json.dumps(rows)
+
+
 def test_usage_is_written_as_metrics_and_as_status():
     # Guards against rows that the metrics or the command line cannot read.
     fleet = _hold_lasting_job()
