--- a/orioleshore/platform/control_server.py
+++ b/orioleshore/platform/control_server.py
@@ -9,6 +9,7 @@
 from orioleshore.jobs import calls
 from orioleshore.model import errors
 from orioleshore.model import ids
+from orioleshore.platform import configuration_body
 from orioleshore.platform import forwarding
 from orioleshore.platform import wire
 from orioleshore.telemetry import logs
@@ -70,7 +71,9 @@
                 request, path[len(_INSTANCES_PREFIX) :]
             )
         if path == '/config' and request.method == 'PUT':
-            configuration = wire.decode_configuration(await request.read())
+            configuration = configuration_body.decode_configuration(
+                await request.read()
+            )
             return await self._forward_call(
                 calls.PutConfiguration(configuration)
             )
--- a/orioleshore/tests/test_malformed.py
+++ b/orioleshore/tests/test_malformed.py
@@ -26,6 +26,7 @@
 from orioleshore.jobs import task as jobs_task
 from orioleshore.model import errors
 from orioleshore.model import numbers
+from orioleshore.platform import configuration_body
 from orioleshore.platform import wire
 from orioleshore.protocol import codec
 from orioleshore.protocol import messages
@@ -78,7 +79,7 @@
     'job': lambda body: builders.build_submission(job=wire.decode_job(body)),
     'heartbeat': lambda body: wire.decode_heartbeat('i-1', body),
     'configuration': lambda body: calls.PutConfiguration(
-        wire.decode_configuration(body)
+        configuration_body.decode_configuration(body)
     ),
     'wave': wire.decode_wave,
 }
--- a/orioleshore/tests/test_odd_fuzz.py
+++ b/orioleshore/tests/test_odd_fuzz.py
@@ -29,6 +29,7 @@
 from orioleshore.model import decoding
 from orioleshore.model import ids
 from orioleshore.model import states
+from orioleshore.platform import configuration_body
 from orioleshore.platform import host_rows
 from orioleshore.platform import wire
 from orioleshore.protocol import messages
@@ -156,7 +157,7 @@
         [builders.build_heartbeat_body(running=[RUN], finished=[END])],
     ),
     'configuration': (
-        wire.decode_configuration,
+        configuration_body.decode_configuration,
         [builders.build_configuration_body()],
     ),
     'wave': (
--- a/orioleshore/tests/test_organisations_wire.py
+++ b/orioleshore/tests/test_organisations_wire.py
@@ -7,8 +7,8 @@
 
 from orioleshore.jobs import specs
 from orioleshore.model import ids
+from orioleshore.platform import configuration_body
 from orioleshore.platform import front_server
-from orioleshore.platform import wire
 from orioleshore.tests import builders
 
 DECODE_ERRORS = (msgspec.DecodeError, ValueError)
@@ -18,7 +18,7 @@
 
 def _decode(*tenants: dict) -> specs.Configuration:
     body = builders.build_configuration_body(tenants=list(tenants))
-    return wire.decode_configuration(json.dumps(body).encode())
+    return configuration_body.decode_configuration(json.dumps(body).encode())
 
 
 def test_organisations_are_decoded():
@@ -38,7 +38,7 @@
 def test_configuration_without_organisations_needs_no_keys():
     """Guards against calls that are refused where no keys exist."""
     body = json.dumps(builders.build_configuration_body()).encode()
-    assert not wire.decode_configuration(body).requires_keys
+    assert not configuration_body.decode_configuration(body).requires_keys
 
 
 @pytest.mark.parametrize(
--- a/orioleshore/tests/test_platform_wire.py
+++ b/orioleshore/tests/test_platform_wire.py
@@ -11,6 +11,7 @@
 from orioleshore.jobs import calls
 from orioleshore.model import ids
 from orioleshore.model import states
+from orioleshore.platform import configuration_body
 from orioleshore.platform import wire
 from orioleshore.tests import builders
 
@@ -113,7 +114,7 @@
 def test_configuration_is_decoded_and_its_source_kept():
     """Guards against a configuration that is returned with changes."""
     body = json.dumps(builders.build_configuration_body()).encode()
-    found = wire.decode_configuration(body)
+    found = configuration_body.decode_configuration(body)
     assert found.version == 7
     assert found.source == body
     assert found.queues[0].objective_ms == 3_600
@@ -139,14 +140,14 @@
     """Guards against a configuration with inconsistent parts."""
     body = json.dumps(builders.build_configuration_body(**fields)).encode()
     with pytest.raises(DECODE_ERRORS):
-        wire.decode_configuration(body)
+        configuration_body.decode_configuration(body)
 
 
 def test_truncated_configuration_is_refused():
     """Guards against a document of which only the first part arrived."""
     body = json.dumps(builders.build_configuration_body()).encode()
     with pytest.raises(DECODE_ERRORS):
-        wire.decode_configuration(body[:-5])
+        configuration_body.decode_configuration(body[:-5])
 
 
 JSON = strategies.recursive(
