--- a/orioleshore/jobs/task.py
+++ b/orioleshore/jobs/task.py
@@ -16,7 +16,7 @@
 from orioleshore.jobs import calls
 from orioleshore.jobs import change_metrics
 from orioleshore.jobs import commits
-from orioleshore.jobs import dump
+from orioleshore.jobs import dumping
 from orioleshore.jobs import failure_pauses
 from orioleshore.jobs import organisation_status
 from orioleshore.jobs import scheduler
@@ -407,7 +407,7 @@
 
 @_handle_message.register
 def _(message: GetJobsDump, owner: JobsTask) -> None:
-    message.answer.resolve(Ok(dump.build_dump(owner._scheduler)))
+    message.answer.resolve(Ok(dumping.build_dump(owner._scheduler)))
 
 
 @_handle_message.register
--- a/orioleshore/platform/checking.py
+++ b/orioleshore/platform/checking.py
@@ -8,8 +8,8 @@
 from orioleshore.findings import differences
 from orioleshore.model import decoding
 from orioleshore.model import findings
+from orioleshore.platform import configuration_body
 from orioleshore.platform import vocabulary
-from orioleshore.platform import wire
 
 SECRET_FIELDS = frozenset({vocabulary.WORDS.keys})
 PATH_IN_FORCE = '/config'
@@ -23,7 +23,7 @@
     """Return all errors of a configuration, or its warnings if it has none.
 
     There are errors exactly if the control server refuses the body, for its
-    size or in ``wire.decode_configuration``.
+    size or in ``configuration_body.decode_configuration``.
     """
     if len(body) > MAX_BODY_BYTES:
         return [
@@ -35,7 +35,9 @@
             )
         ]
     try:
-        configuration, timeouts_ms = wire.read_configuration(body)
+        configuration, timeouts_ms = configuration_body.read_configuration(
+            body
+        )
     except decoding.DecodingError as error:
         return [_make_decoding_finding(str(error))]
     errors = list(
@@ -52,7 +54,7 @@
 
 def count_entries(body: bytes) -> dict[str, int]:
     """Return the number of entries of a readable configuration."""
-    configuration, _ = wire.read_configuration(body)
+    configuration, _ = configuration_body.read_configuration(body)
     return {
         vocabulary.WORDS.queues: len(configuration.queues),
         vocabulary.WORDS.pools: len(configuration.pools),
--- a/orioleshore/tests/test_validate.py
+++ b/orioleshore/tests/test_validate.py
@@ -18,8 +18,8 @@
 from orioleshore.model import documents
 from orioleshore.model import errors
 from orioleshore.platform import checking
+from orioleshore.platform import configuration_body
 from orioleshore.platform import control_server
-from orioleshore.platform import wire
 from orioleshore.state import machine
 from orioleshore.state import records
 from orioleshore.tests import builders
@@ -168,7 +168,7 @@
 def is_accepted(body):
     """Return whether the platform's operator gets no refusal."""
     try:
-        wire.decode_configuration(body)
+        configuration_body.decode_configuration(body)
     except decoding.DecodingError:
         return False
     return True
