Share the usage and share logic of teams and organisations

Organisations had a second copy of the sums and limits of the teams' quotas. Both now use orioleshore/quotas/shares.py, over their own types of amounts. Usage.get_weighted_share orders organisations when all is full, and Usage.get_room says how much more one may start.

--- a/orioleshore/fleet/quotas.py
+++ b/orioleshore/fleet/quotas.py
@@ -5,6 +5,7 @@
 from orioleshore.fleet import workers
 from orioleshore.model import documents
 from orioleshore.model import ids
+from orioleshore.quotas import shares
 
 
 class QuotaLedger:
@@ -12,7 +13,9 @@
 
     def __init__(self) -> None:
         self._quotas: dict[ids.TeamId, workers.Size] = {}
-        self._used: dict[ids.TeamId, workers.Size] = {}
+        self._totals: shares.UsageTotals[ids.TeamId, workers.Size] = (
+            shares.UsageTotals(workers.Size())
+        )
 
     def set_quotas(self, teams: Iterable[documents.Team]) -> None:
         """Replace all quotas."""
@@ -23,15 +26,19 @@
 
     def charge(self, team: ids.TeamId, size: workers.Size) -> None:
         """Add a reserved size to the usage of a team."""
-        self._used[team] = self.get_used(team).plus(size)
+        self._totals.charge(team, size)
 
     def refund(self, team: ids.TeamId, size: workers.Size) -> None:
         """Subtract a reserved size from the usage of a team."""
-        self._used[team] = self.get_used(team).minus(size)
+        self._totals.refund(team, size)
 
     def get_used(self, team: ids.TeamId) -> workers.Size:
         """Return the sum of the reserved sizes of a team."""
-        return self._used.get(team, workers.Size())
+        return self._totals.get_used(team)
+
+    def get_total_used(self) -> workers.Size:
+        """Return the sum of the reserved sizes of all teams."""
+        return self._totals.get_total()
 
     def get_quota(self, team: ids.TeamId) -> workers.Size:
         """Return the quota of a team, empty when it has none."""
@@ -53,7 +60,6 @@
     def get_share(self, team: ids.TeamId) -> float:
         """Return the dominant share of a team: its usage over its quota."""
         quota = self.get_quota(team)
-        used = self.get_used(team)
         if quota.cores <= 0 or quota.memory_gb <= 0:
             return 1.0
-        return max(used.cores / quota.cores, used.memory_gb / quota.memory_gb)
+        return shares.get_dominant_share(self.get_used(team), quota)
--- a/orioleshore/jobs/gangs.py
+++ b/orioleshore/jobs/gangs.py
@@ -86,7 +86,7 @@
     job: progress.JobProgress,
     group: progress.Group,
 ) -> None:
-    whole = organisations.multiply_resources(group.step.need, group.step.tasks)
+    whole = group.step.need.times(group.step.tasks)
     if not scheduler.is_within_limit(job, whole):
         return
     waited_s = scheduler.wall_time - group.startable_since
--- a/orioleshore/jobs/organisations.py
+++ b/orioleshore/jobs/organisations.py
@@ -9,13 +9,18 @@
 from collections.abc import Iterable
 from collections.abc import Mapping
 
+import msgspec
+
 from orioleshore.jobs import ledger
 from orioleshore.jobs import specs
 from orioleshore.jobs import workers
 from orioleshore.model import ids
 from orioleshore.model import states
+from orioleshore.quotas import shares
 
 NO_ORGANISATION = ids.OrganisationId('')
+# Room of an organisation in a kind of resource without a limit.
+UNLIMITED = 2**53
 
 Holdings = Mapping[ids.OrganisationId, specs.Resources]
 
@@ -59,11 +64,42 @@
 
     def __init__(self) -> None:
         self._by_worker: dict[ids.WorkerId, dict] = {}
-        self._used: dict[ids.OrganisationId, specs.Resources] = {}
+        self._totals: shares.UsageTotals[
+            ids.OrganisationId, specs.Resources
+        ] = shares.UsageTotals(specs.Resources())
 
     def get_used(self, name: ids.OrganisationId) -> specs.Resources:
         """Return the resources of everything that may be running."""
-        return self._used.get(name, specs.Resources())
+        return self._totals.get_used(name)
+
+    def get_room(
+        self, name: ids.OrganisationId, limit: specs.Resources
+    ) -> specs.Resources:
+        """Return how much more an organisation may start.
+
+        Figures without a limit are UNLIMITED; none is negative.
+        """
+        used = self.get_used(name)
+        return specs.Resources(
+            *(
+                max(0, bound - present) if bound else UNLIMITED
+                for bound, present in zip(
+                    msgspec.structs.astuple(limit),
+                    msgspec.structs.astuple(used),
+                    strict=True,
+                )
+            )
+        )
+
+    def get_weighted_share(
+        self, name: ids.OrganisationId, weight: float, total: specs.Resources
+    ) -> float:
+        """Return the dominant share of the total per unit of weight.
+
+        ``total`` is the capacity of all workers. The organisation with the
+        lowest value is served next when all workers are full.
+        """
+        return shares.get_weighted_share(self.get_used(name), total, weight)
 
     def set_worker(self, worker: ids.WorkerId, holdings: Holdings) -> None:
         """Replace what a worker runs for each organisation."""
@@ -71,11 +107,9 @@
         if holdings:
             self._by_worker[worker] = dict(holdings)
         for name, need in old.items():
-            self._used[name] = workers.subtract_resources(
-                self.get_used(name), need
-            )
+            self._totals.refund(name, need)
         for name, need in holdings.items():
-            self._used[name] = add_resources(self.get_used(name), need)
+            self._totals.charge(name, need)
 
     def charge(
         self,
@@ -85,8 +119,8 @@
     ) -> None:
         """Add a run that a worker was ordered to start."""
         held = self._by_worker.setdefault(worker, {})
-        held[name] = add_resources(held.get(name, specs.Resources()), need)
-        self._used[name] = add_resources(self.get_used(name), need)
+        held[name] = held.get(name, specs.Resources()).plus(need)
+        self._totals.charge(name, need)
 
     def keep_workers(self, names: Container[ids.WorkerId]) -> None:
         """Forget all workers but those named."""
@@ -144,45 +178,11 @@
     return {worker: sum_holdings(items) for worker, items in found.items()}
 
 
-def add_resources(
-    first: specs.Resources, second: specs.Resources
-) -> specs.Resources:
-    """Return the sum of two amounts of resources."""
-    return specs.Resources(
-        first.cpu_millis + second.cpu_millis,
-        first.memory_mb + second.memory_mb,
-        first.accelerators + second.accelerators,
-    )
-
-
-def multiply_resources(need: specs.Resources, count: int) -> specs.Resources:
-    """Return the resources of several equal tasks."""
-    return specs.Resources(
-        need.cpu_millis * count,
-        need.memory_mb * count,
-        need.accelerators * count,
-    )
-
-
 def sum_holdings(
     items: Iterable[tuple[ids.OrganisationId, specs.Resources]],
 ) -> dict[ids.OrganisationId, specs.Resources]:
     """Return the total of each organisation."""
     totals: dict[ids.OrganisationId, specs.Resources] = {}
     for name, need in items:
-        totals[name] = add_resources(totals.get(name, specs.Resources()), need)
+        totals[name] = totals.get(name, specs.Resources()).plus(need)
     return totals
-
-
-def fits_limit(
-    used: specs.Resources, need: specs.Resources, limit: specs.Resources
-) -> bool:
-    """Return whether a need fits beside the usage; limits of 0 are none."""
-    return all(
-        not bound or present + needed <= bound
-        for present, needed, bound in (
-            (used.cpu_millis, need.cpu_millis, limit.cpu_millis),
-            (used.memory_mb, need.memory_mb, limit.memory_mb),
-            (used.accelerators, need.accelerators, limit.accelerators),
-        )
-    )
--- a/orioleshore/jobs/scheduler.py
+++ b/orioleshore/jobs/scheduler.py
@@ -35,6 +35,7 @@
 from orioleshore.model import errors
 from orioleshore.model import ids
 from orioleshore.model import states
+from orioleshore.quotas import shares
 from orioleshore.telemetry import logs
 
 LOG = logging.getLogger(__name__)
@@ -221,7 +222,7 @@
     ) -> bool:
         """Return whether the organisation of a job may start more."""
         name = job.record.organisation
-        return organisations.fits_limit(
+        return shares.fits_limit(
             self.usage.get_used(name), need, self.directory.get_limit(name)
         )
 
--- a/orioleshore/jobs/specs.py
+++ b/orioleshore/jobs/specs.py
@@ -12,6 +12,30 @@
     memory_mb: int = 0
     accelerators: int = 0
 
+    def plus(self, other: 'Resources') -> 'Resources':
+        """Return the sum of two amounts."""
+        return Resources(
+            self.cpu_millis + other.cpu_millis,
+            self.memory_mb + other.memory_mb,
+            self.accelerators + other.accelerators,
+        )
+
+    def minus(self, other: 'Resources') -> 'Resources':
+        """Return the difference of two amounts, which may be negative."""
+        return Resources(
+            self.cpu_millis - other.cpu_millis,
+            self.memory_mb - other.memory_mb,
+            self.accelerators - other.accelerators,
+        )
+
+    def times(self, count: int) -> 'Resources':
+        """Return the resources of several equal tasks."""
+        return Resources(
+            self.cpu_millis * count,
+            self.memory_mb * count,
+            self.accelerators * count,
+        )
+
 
 class Step(msgspec.Struct, frozen=True, omit_defaults=True):
     """Identical tasks of a job that may run in parallel.
--- a/orioleshore/jobs/workers.py
+++ b/orioleshore/jobs/workers.py
@@ -135,8 +135,4 @@
     free: specs.Resources, need: specs.Resources
 ) -> specs.Resources:
     """Return the free resources less the needed ones."""
-    return specs.Resources(
-        free.cpu_millis - need.cpu_millis,
-        free.memory_mb - need.memory_mb,
-        free.accelerators - need.accelerators,
-    )
+    return free.minus(need)
--- a/orioleshore/tests/job_session.py
+++ b/orioleshore/tests/job_session.py
@@ -238,7 +238,7 @@
             cores = sum(r.size.cores for r in worker.tasks.values())
             assert abs(cores - worker.used.cores) < 1e-6
             assert set(worker.tasks) <= set(held), worker
-        used = sum(size.cores for size in planner._core.ledger._used.values())
+        used = planner._core.ledger.get_total_used().cores
         charged = [t.size.cores for t in planner._core.tasks.values()]
         charged += [
             p.size.cores for p in planner._core.pending_placements.values()
