Play organisations and a flood of one of them in the load experiment

The experiment knew neither organisations nor callers that come back after a refusal. Scenarios now name organisations with weights and limits, one that floods, and how often refused callers retry; jobs in time are counted by organisation. Each has random numbers of its own, so that the jobs of the others are the same with and without the flood. The scenario types move to bench/load_scenarios.py.

--- a/bench/load.py
+++ b/bench/load.py
@@ -10,14 +10,15 @@
 
 import argparse
 import collections
+from collections.abc import Container
+import heapq
 import logging
-import pathlib
 import random
 import statistics
 
 import msgspec
-import yaml
 
+from bench import load_scenarios
 from fakes import workers
 from orioleshore.jobs import calls
 from orioleshore.jobs import specs
@@ -27,36 +28,20 @@
 STEP_S = 0.05
 
 
-class Turns(msgspec.Struct, frozen=True):
-    """Demand that is ``high`` for one queue at a time, else ``low``.
+class OpenJob(msgspec.Struct, frozen=True):
+    """A job whose caller waits for its result."""
 
-    Both are jobs per second; the queue changes every ``period_s`` seconds.
-    """
+    began_at: float
+    organisation: str
 
-    period_s: float
-    high: float
-    low: float
 
+class Retry(msgspec.Struct, frozen=True, order=True):
+    """A refused job and the time at which it is submitted again."""
 
-class Scenario(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
-    """Hosts, demand and a wave; ``cores`` is the size of one host.
-
-    ``greys`` is the number of hosts on which every task fails.
-    """
-
-    pools: dict[str, int]
-    standby: int
-    cores: int
-    turns: Turns
-    tasks: tuple[int, int]
-    task_cores: tuple[float, float]
-    run_s: float
-    objective_ms: int
-    lasting_tasks: int
-    length_s: float
-    wave_hosts: int = 0
-    wave_at_once: int = 1
-    greys: int = 0
+    at: float
+    name: ids.JobId
+    call: calls.SubmitJob
+    attempt: int
 
 
 class Outcome(msgspec.Struct):
@@ -72,14 +57,33 @@
     lasting_share: float = 0.0
     wave_s: float | None = None
     delays: list[float] = []
+    # Jobs submitted and in time by organisation.
+    submitted_by: collections.Counter[str] = msgspec.field(
+        default_factory=collections.Counter
+    )
+    in_time_by: collections.Counter[str] = msgspec.field(
+        default_factory=collections.Counter
+    )
+
+    def get_share(self, names: Container[str]) -> float:
+        """Return the share of jobs in time of some organisations."""
+        submitted = sum(n for k, n in self.submitted_by.items() if k in names)
+        in_time = sum(n for k, n in self.in_time_by.items() if k in names)
+        return in_time / submitted if submitted else 1.0
 
 
 class Experiment:
     """One run of a scenario under one policy."""
 
-    def __init__(self, scenario: Scenario, policy: str, seed: int) -> None:
+    def __init__(
+        self, scenario: load_scenarios.Scenario, policy: str, seed: int
+    ) -> None:
         self._scenario = scenario
         self._random = random.Random(seed)
+        self._sources = {
+            name: random.Random(f'{seed} {name}')
+            for name in scenario.organisations or ('',)
+        }
         self._fleet = workers.FakeFleet(
             _make_configuration(scenario), seed=seed
         )
@@ -88,7 +92,9 @@
         self._fleet.add_hosts(scenario.standby, 'standby', scenario.cores)
         self._fleet.mean_run_s = scenario.run_s
         self._number = 0
-        self._open_jobs: dict[ids.JobId, float] = {}
+        self._open_jobs: dict[ids.JobId, OpenJob] = {}
+        # Refused jobs with the times at which they are submitted again.
+        self._retries: list[Retry] = []
         self._outcome = Outcome()
         _POLICIES[policy](self._fleet)
 
@@ -123,18 +129,23 @@
         self._outcome.host_seconds += STEP_S * sum(
             worker.pool != 'standby' for worker in fleet.workers.values()
         )
-        for name, began in list(self._open_jobs.items()):
+        while self._retries and self._retries[0].at <= fleet.now:
+            retry = heapq.heappop(self._retries)
+            self._send_submission(retry.name, retry.call, retry.attempt)
+        for name, job in list(self._open_jobs.items()):
             record = fleet.scheduler.ledger.jobs.get(name)
             if record is None or not record.is_ended:
                 continue
             del self._open_jobs[name]
-            self._record_end(record.state, fleet.now - began)
+            self._record_end(record.state, job)
 
-    def _record_end(self, state: states.BatchState, delay_s: float) -> None:
+    def _record_end(self, state: states.BatchState, job: OpenJob) -> None:
+        delay_s = self._fleet.now - job.began_at
         self._outcome.delays.append(delay_s)
         objective_s = self._scenario.objective_ms / 1_000.0
         if state is states.BatchState.COMPLETED and delay_s <= objective_s:
             self._outcome.in_time += 1
+            self._outcome.in_time_by[job.organisation] += 1
         else:
             self._outcome.late += 1
 
@@ -144,34 +155,65 @@
         active = pools[int(elapsed_s / turns.period_s) % len(pools)]
         for pool in pools:
             rate = turns.high if pool == active else turns.low
-            whole, rest = divmod(rate * STEP_S, 1.0)
-            count = int(whole) + (self._random.random() < rest)
-            for _ in range(count):
-                self._submit_job(pool, self._make_job())
-
-    def _make_job(self) -> specs.Job:
+            for name, share in self._get_demand(elapsed_s).items():
+                self._submit_jobs_of(name, pool, rate * share)
+
+    def _get_demand(self, elapsed_s: float) -> dict[str, float]:
+        """Return the demand of each organisation, relative to the usual."""
+        weights = self._scenario.organisations or {'': 1.0}
+        total = sum(weights.values())
+        demand = {name: weight / total for name, weight in weights.items()}
+        flood = self._scenario.flood
+        if flood and flood.at_s <= elapsed_s < flood.at_s + flood.for_s:
+            demand[flood.organisation] *= flood.factor
+        return demand
+
+    def _submit_jobs_of(
+        self, organisation: str, pool: str, rate: float
+    ) -> None:
+        # One source of random numbers for each organisation, so that the
+        # jobs of the others are the same with and without a flood.
+        source = self._sources[organisation]
+        whole, rest = divmod(rate * STEP_S, 1.0)
+        for _ in range(int(whole) + (source.random() < rest)):
+            self._submit_job(pool, self._make_job(source), organisation)
+
+    def _make_job(self, source: random.Random) -> specs.Job:
         low, high = self._scenario.tasks
-        cores = self._random.uniform(*self._scenario.task_cores)
+        cores = source.uniform(*self._scenario.task_cores)
         step = specs.Step(
-            self._random.randint(low, high),
+            source.randint(low, high),
             specs.Resources(int(1_000 * cores), 1_024),
             int(1_000 * self._scenario.run_s),
         )
         return specs.Job('', (step,))
 
-    def _submit_job(self, pool: str, job: specs.Job) -> ids.JobId:
+    def _submit_job(
+        self, pool: str, job: specs.Job, organisation: str = ''
+    ) -> ids.JobId:
         self._number += 1
         name = ids.JobId(f'{self._number:016x}')
         self._outcome.submitted += 1
-        answer = self._fleet.call_scheduler(
-            calls.SubmitJob('jobs.example', f'/{pool}/{name}', job)
-        )
-        if answer.is_err():
-            self._outcome.refused += 1
-        else:
-            self._open_jobs[name] = self._fleet.now
+        self._outcome.submitted_by[organisation] += 1
+        key = ids.ApiKey(f'key-{organisation}' if organisation else '')
+        call = calls.SubmitJob('jobs.example', f'/{pool}/{name}', job, key)
+        self._open_jobs[name] = OpenJob(self._fleet.now, organisation)
+        self._send_submission(name, call)
         return name
 
+    def _send_submission(
+        self, name: ids.JobId, call: calls.SubmitJob, attempt: int = 1
+    ) -> None:
+        answer = self._fleet.call_scheduler(call)
+        if answer.is_ok():
+            return
+        self._outcome.refused += 1
+        if attempt > self._scenario.retries:
+            del self._open_jobs[name]
+            return
+        retry_at = self._fleet.now + answer.unwrap_err().retry_after_s
+        heapq.heappush(self._retries, Retry(retry_at, name, call, attempt + 1))
+
     def _submit_lasting_jobs(self) -> None:
         step = specs.Step(
             self._scenario.lasting_tasks,
@@ -184,6 +226,7 @@
             name = self._submit_job(pool, specs.Job('', (step,)))
             self._open_jobs.pop(name, None)
             self._outcome.submitted -= 1
+            self._outcome.submitted_by[''] -= 1
             self._lasting.append(name)
 
     def _get_lasting_share(self) -> float:
@@ -222,7 +265,9 @@
             self._outcome.wave_s = self._fleet.now - opened
 
 
-def _make_configuration(scenario: Scenario) -> specs.Configuration:
+def _make_configuration(
+    scenario: load_scenarios.Scenario,
+) -> specs.Configuration:
     queues = tuple(
         specs.Queue(
             ids.QueueId(f'queue-{pool}'),
@@ -235,9 +280,20 @@
         )
         for pool in scenario.pools
     )
+    organisations = tuple(
+        specs.Organisation(
+            ids.OrganisationId(name),
+            (ids.ApiKey(f'key-{name}'),),
+            weight,
+            specs.Resources(1_000 * scenario.limit_cores),
+        )
+        for name, weight in scenario.organisations.items()
+    )
     pools = [specs.Pool(ids.PoolId(pool), True) for pool in scenario.pools]
     pools.append(specs.Pool(ids.PoolId('standby'), True, True))
-    return specs.Configuration(ids.Version(1), queues, tuple(pools), b'{}')
+    return specs.Configuration(
+        ids.Version(1), queues, tuple(pools), b'{}', organisations
+    )
 
 
 def _keep_decisions(fleet: workers.FakeFleet) -> None:
@@ -262,12 +318,6 @@
 }
 
 
-def read_scenario(path: str) -> Scenario:
-    """Load a scenario; raise msgspec.ValidationError if invalid."""
-    text = pathlib.Path(path).read_text(encoding='utf-8')
-    return msgspec.convert(yaml.safe_load(text), Scenario)
-
-
 def format_row(policy: str, seed: int, outcome: Outcome) -> str:
     """Return one row of the table."""
     delays = sorted(outcome.delays) or [0.0]
@@ -282,6 +332,19 @@
     )
 
 
+def format_organisations(
+    scenario: load_scenarios.Scenario, outcome: Outcome
+) -> str:
+    """Return the shares of jobs in time, the flooding one apart."""
+    hot = scenario.flood.organisation if scenario.flood else ''
+    others = scenario.organisations.keys() - {hot}
+    worst = min(outcome.get_share({name}) for name in scenario.organisations)
+    return (
+        f'    in time: flooding {outcome.get_share({hot}):.3f}, '
+        f'others {outcome.get_share(others):.3f}, worst {worst:.3f}'
+    )
+
+
 def main() -> None:
     """Run a scenario under each policy and print a table."""
     parser = argparse.ArgumentParser(description=__doc__)
@@ -291,7 +354,7 @@
     arguments = parser.parse_args()
     # Suppress the log lines of the scheduler; only the table is printed.
     logging.getLogger().addHandler(logging.NullHandler())
-    scenario = read_scenario(arguments.scenario)
+    scenario = load_scenarios.read_scenario(arguments.scenario)
     print(
         'policy       seed handed refused in_time  late  open '
         'p50 s  p95 s host_s   orders lasting wave_s'
@@ -302,6 +365,8 @@
             outcome = Experiment(scenario, policy, seed).run()
             totals[policy] += outcome.in_time
             print(format_row(policy, seed, outcome), flush=True)
+            if scenario.organisations:
+                print(format_organisations(scenario, outcome), flush=True)
     for policy, in_time in sorted(totals.items()):
         print(f'{policy}: {in_time} jobs in time')
 
--- a/orioleshore/tests/test_batch_ordering.py
+++ b/orioleshore/tests/test_batch_ordering.py
@@ -1,6 +1,7 @@
 """Order of jobs when the demand of a queue exceeds its capacity."""
 
 from bench import load
+from bench import load_scenarios
 from orioleshore.jobs import ledger
 from orioleshore.jobs import ordering
 from orioleshore.jobs import progress
@@ -11,11 +12,11 @@
 
 RUN_S = 1.0
 # The demand is four times the capacity of the pool and the standby hosts.
-OVERLOAD = load.Scenario(
+OVERLOAD = load_scenarios.Scenario(
     pools={'red': 3, 'blue': 3},
     standby=2,
     cores=16,
-    turns=load.Turns(period_s=30.0, high=30.0, low=0.5),
+    turns=load_scenarios.Turns(period_s=30.0, high=30.0, low=0.5),
     tasks=(2, 10),
     task_cores=(0.6, 2.0),
     run_s=0.9,
--- a/orioleshore/tests/test_load.py
+++ b/orioleshore/tests/test_load.py
@@ -6,16 +6,17 @@
 import pytest
 
 from bench import load
+from bench import load_scenarios
 from orioleshore.tests import support
 
 ROOT = pathlib.Path(load.__file__).parent / 'scenarios'
 
 # One pool at a time has three times the demand that its hosts can serve.
-SHIFTING_DEMAND = load.Scenario(
+SHIFTING_DEMAND = load_scenarios.Scenario(
     pools={'red': 2, 'blue': 2},
     standby=6,
     cores=16,
-    turns=load.Turns(period_s=6.0, high=16.0, low=0.2),
+    turns=load_scenarios.Turns(period_s=6.0, high=16.0, low=0.2),
     tasks=(4, 8),
     task_cores=(1.0, 1.5),
     run_s=0.8,
@@ -28,7 +29,7 @@
 @pytest.mark.parametrize('path', sorted(ROOT.glob('*.yaml')))
 def test_scenarios_can_be_read(path):
     """Guards against scenario files that the tool can no longer read."""
-    assert load.read_scenario(str(path)).length_s > 0
+    assert load_scenarios.read_scenario(str(path)).length_s > 0
 
 
 def test_misspelt_scenario_is_refused(tmp_path):
@@ -37,7 +38,7 @@
     path = tmp_path / 'wrong.yaml'
     path.write_text(text + 'hosts: 3\n', 'utf-8')
     with pytest.raises(msgspec.ValidationError):
-        load.read_scenario(str(path))
+        load_scenarios.read_scenario(str(path))
 
 
 def test_moving_hosts_with_demand_completes_more_jobs_in_time():
