Let organisations above their share yield, and refuse each by its own backlog

With the earliest due time first, the backlog of one flooding organisation filled all hosts, and the jobs of the others waited behind it until they were late. An organisation that runs more than its weighted share of all capacity now yields to the others of its priority. What runs counts over all pools: a flood leaves its backlog in one pool while it begins in the next. Refusals go by the time in which a fair division would end the organisation's own backlog, by its limit as well, and refused callers have slots for each organisation.

--- a/orioleshore/jobs/handlers.py
+++ b/orioleshore/jobs/handlers.py
@@ -89,13 +89,16 @@
         )
     if name in scheduler.ledger.jobs:
         return Ok(None)
-    refusal = admission.find_refusal(scheduler, call.job, queue)
+    refusal = admission.find_refusal(
+        scheduler, call.job, queue, caller.unwrap()
+    )
     if refusal is not None:
         LOG.info(
             logs.format_event(
                 'job_refused',
                 job=name,
                 queue=queue.name,
+                organisation=caller.unwrap(),
                 error=refusal.kind,
                 reason=refusal.message,
                 retry_after_s=refusal.retry_after_s,
--- a/orioleshore/jobs/placement.py
+++ b/orioleshore/jobs/placement.py
@@ -62,8 +62,14 @@
     free = worker.get_free_resources()
     jobs = scheduler.get_pool_jobs(worker.pool)
     mean_s = scheduler.run_times.get_mean(worker.pool)
+    above = scheduler.fair_shares.find_above_share(scheduler.usage.get_used)
     jobs.sort(
-        key=lambda job: ordering.get_rank(job, scheduler.wall_time, mean_s)
+        key=lambda job: ordering.get_rank(
+            job,
+            scheduler.wall_time,
+            mean_s,
+            job.record.organisation in above,
+        )
     )
     for job in jobs:
         if free.cpu_millis <= 0 and free.memory_mb <= 0:
--- a/orioleshore/jobs/scheduler.py
+++ b/orioleshore/jobs/scheduler.py
@@ -18,6 +18,7 @@
 from orioleshore.jobs import approvals
 from orioleshore.jobs import calls
 from orioleshore.jobs import crash_attribution
+from orioleshore.jobs import fair_shares
 from orioleshore.jobs import gangs
 from orioleshore.jobs import handlers
 from orioleshore.jobs import holds
@@ -85,6 +86,7 @@
         self.crashes = crash_attribution.CrashAttribution(self)
         self.run_times = admission.RunTimes()
         self.retry_slots = admission.RetrySlots()
+        self.fair_shares = fair_shares.FairShares()
         self._changes: list[ledger.Change] = []
         self._has_held_ordered_hosts = False
         self.waits = holds.LongRunningWaits()
@@ -157,6 +159,7 @@
     def _update_jobs(self) -> None:
         self._forget_ended_jobs()
         self.crashes.forget_old_losses()
+        admission.update_fair_shares(self)
         self.waits.update(self)
 
     def _plan_gangs(self) -> None:
--- a/orioleshore/tests/builders.py
+++ b/orioleshore/tests/builders.py
@@ -11,6 +11,8 @@
 from orioleshore.consensus import member_messages
 from orioleshore.consensus import raft
 from orioleshore.jobs import calls
+from orioleshore.jobs import ledger
+from orioleshore.jobs import progress
 from orioleshore.jobs import specs
 from orioleshore.jobs import task as jobs_task
 from orioleshore.jobs import tuning
@@ -406,6 +408,24 @@
     return build_batch_job(build_step(tasks, is_long_running=True, **fields))
 
 
+def build_progress(
+    number: int, accepted_at: float, *steps: specs.Step, priority: int = 0
+) -> progress.JobProgress:
+    """Return the progress of a job with an objective of 4 s."""
+    name = build_job_id(number)
+    record = ledger.JobRecord(
+        build_batch_job(*steps),
+        'jobs.example',
+        '/red/',
+        ids.PoolId('red'),
+        priority,
+        2,
+        4_000,
+        ids.WallTime(accepted_at),
+    )
+    return progress.JobProgress(name, record)
+
+
 def build_configuration(version: int = 1, **fields) -> specs.Configuration:
     """Return a configuration of two pools and a standby pool."""
     queues = tuple(
@@ -434,10 +454,13 @@
 
 
 def build_fleet(
-    red: int = 2, blue: int = 0, standby: int = 0
+    red: int = 2, blue: int = 0, standby: int = 0, **fields
 ) -> workers.FakeFleet:
-    """Return a scheduler with fake workers on hosts of three pools."""
-    fleet = workers.FakeFleet(build_configuration(), seed=support.SEED)
+    """Return a scheduler with fake workers on hosts of three pools.
+
+    ``fields`` are those of its configuration.
+    """
+    fleet = workers.FakeFleet(build_configuration(**fields), seed=support.SEED)
     fleet.add_hosts(red, 'red')
     fleet.add_hosts(blue, 'blue')
     fleet.add_hosts(standby, 'standby')
@@ -450,11 +473,27 @@
 
 
 def build_submission(
-    number: int = 1, job: specs.Job | None = None, pool: str = 'red'
+    number: int = 1,
+    job: specs.Job | None = None,
+    pool: str = 'red',
+    key: str = '',
 ) -> calls.SubmitJob:
     """Return the call that submits a job."""
     path = f'/{pool}/{build_job_id(number)}'
-    return calls.SubmitJob('jobs.example', path, job or build_batch_job())
+    return calls.SubmitJob(
+        'jobs.example', path, job or build_batch_job(), ids.ApiKey(key)
+    )
+
+
+def build_organisation(
+    name: str = 'north', cores: int = 0, **fields
+) -> specs.Organisation:
+    """Return an organisation with one key; 0 cores set no limit."""
+    defaults: dict[str, Any] = {
+        'keys': (ids.ApiKey(f'key-of-{name}'),),
+        'limit': specs.Resources(1_000 * cores),
+    }
+    return specs.Organisation(ids.OrganisationId(name), **defaults | fields)
 
 
 def build_heartbeat(
--- a/orioleshore/tests/test_batch_ordering.py
+++ b/orioleshore/tests/test_batch_ordering.py
@@ -4,8 +4,6 @@
 from bench import load_scenarios
 from orioleshore.jobs import ledger
 from orioleshore.jobs import ordering
-from orioleshore.jobs import progress
-from orioleshore.jobs import specs
 from orioleshore.model import ids
 from orioleshore.tests import builders
 from orioleshore.tests import support
@@ -28,24 +26,6 @@
 JOB_S = 6 * 1.3 * 0.9
 
 
-def build_progress(
-    number: int, accepted_at: float, *steps: specs.Step, priority: int = 0
-) -> progress.JobProgress:
-    """Return the progress of a job with an objective of 4 s."""
-    name = builders.build_job_id(number)
-    record = ledger.JobRecord(
-        builders.build_batch_job(*steps),
-        'jobs.example',
-        '/red/',
-        ids.PoolId('red'),
-        priority,
-        2,
-        4_000,
-        ids.WallTime(accepted_at),
-    )
-    return progress.JobProgress(name, record)
-
-
 def sort_by_rank(jobs, wall_time: float):
     """Return the jobs in the order in which they receive capacity."""
     return sorted(
@@ -57,8 +37,8 @@
 def test_late_job_does_not_delay_job_that_can_meet_its_objective():
     """Guards against a backlog in which all jobs are slightly late."""
     chain = (builders.build_step(), builders.build_step(after=(0,)))
-    older = build_progress(1, 0.0, *chain)
-    newer = build_progress(2, 0.5, builders.build_step())
+    older = builders.build_progress(1, 0.0, *chain)
+    newer = builders.build_progress(2, 0.5, builders.build_step())
     assert sort_by_rank([newer, older], 0.5) == [older, newer]
     # Two steps take longer than the time left; one does not.
     assert sort_by_rank([older, newer], 2.9) == [newer, older]
@@ -67,7 +47,7 @@
 def test_completed_steps_are_not_counted():
     """Guards against ranking a nearly completed job as late."""
     chain = (builders.build_step(), builders.build_step(after=(0,)))
-    job = build_progress(1, 0.0, *chain)
+    job = builders.build_progress(1, 0.0, *chain)
     assert job.steps_left == 2
     task = ids.TaskName('0.0.0')
     run = ledger.RunRecord(ledger.states.RunStage.DONE, ids.Attempt(1))
@@ -81,7 +61,7 @@
 def test_parallel_steps_count_as_one():
     """Guards against overestimating the longest chain of steps."""
     parallel = (builders.build_step(), builders.build_step())
-    assert build_progress(1, 0.0, *parallel).steps_left == 1
+    assert builders.build_progress(1, 0.0, *parallel).steps_left == 1
 
 
 def test_overload_leaves_half_of_the_capacity_to_jobs_in_time():
