Count no demand for hosts for work that a limit holds back

Hosts were moved and kept for tasks that their organisation's limit did not let start. Waiting short tasks now count up to the limit, since they take the place of those that run, long-running tasks and gangs up to what is left of it, and a job accepted while its organisation is at its limit does not count in the arrival rate.

--- a/orioleshore/jobs/demand.py
+++ b/orioleshore/jobs/demand.py
@@ -81,14 +81,17 @@
     is_waiting = False
     spread = 0
     mean_s = scheduler.run_times.get_mean(pool)
+    rooms: dict[ids.OrganisationId, specs.Resources] = {}
     for job in scheduler.get_pool_jobs(pool):
         startable_groups = job.find_startable_groups(scheduler.wall_time)
-        is_waiting = is_waiting or bool(startable_groups)
         is_timely = not ordering.is_late(job, scheduler.wall_time, mean_s)
         for group in job.groups.values():
             share = get_host_share(group.step, size)
             running = sum(group.running_by_worker.values())
-            waiting = len(group.waiting) if group in startable_groups else 0
+            waiting = 0
+            if group in startable_groups:
+                waiting = _take_room(scheduler, rooms, job, group)
+            is_waiting = is_waiting or waiting > 0
             if group.step.is_long_running or group.step.is_gang:
                 simultaneous += share * (running + waiting)
                 spread = max(spread, _count_spread(group, running + waiting))
@@ -119,6 +122,42 @@
     )
 
 
+def count_within_room(
+    count: int, need: specs.Resources, room: specs.Resources
+) -> int:
+    """Return how many tasks an organisation may start in its room."""
+    if need == specs.Resources():
+        return count
+    return min(count, *_list_fitting(need, room))
+
+
+def _take_room(
+    scheduler: scheduling.Scheduler,
+    rooms: dict[ids.OrganisationId, specs.Resources],
+    job: progress.JobProgress,
+    group: progress.Group,
+) -> int:
+    """Return how many waiting tasks the organisation's limit lets start.
+
+    A host is of no use to the others. Their room is taken from ``rooms``.
+    Short tasks take the place of those that run, so all of the limit is room
+    for them.
+    """
+    name = job.record.organisation
+    limit = scheduler.directory.get_limit(name)
+    if limit == specs.Resources():
+        return len(group.waiting)
+    room = scheduler.usage.get_room(name, limit)
+    if not (group.step.is_long_running or group.step.is_gang):
+        used = scheduler.usage.get_used(name)
+        room = rooms.get(name, room.plus(used))
+    need = group.step.need
+    count = count_within_room(len(group.waiting), need, room)
+    if not (group.step.is_long_running or group.step.is_gang):
+        rooms[name] = room.minus(need.times(count))
+    return count
+
+
 def count_hosts(load: Load, rate: float, mean_run_s: float | None) -> int:
     """Return how many hosts a load needs.
 
@@ -205,7 +244,12 @@
 
 def _count_fitting(need: specs.Resources, size: specs.Resources) -> int:
     """Return how many tasks with the given need fit on one host."""
-    counts = [
+    return max(1, min(_list_fitting(need, size), default=1))
+
+
+def _list_fitting(need: specs.Resources, size: specs.Resources) -> list[int]:
+    """Return how many tasks each kind of resource suffices for."""
+    return [
         available // needed
         for needed, available in (
             (need.cpu_millis, size.cpu_millis),
@@ -214,7 +258,6 @@
         )
         if needed
     ]
-    return max(1, min(counts, default=1))
 
 
 class DemandTracker:
--- a/orioleshore/jobs/pools.py
+++ b/orioleshore/jobs/pools.py
@@ -22,6 +22,7 @@
 from orioleshore.jobs import workers
 from orioleshore.model import ids
 from orioleshore.model import states
+from orioleshore.quotas import shares
 from orioleshore.telemetry import logs
 
 if typing.TYPE_CHECKING:
@@ -65,6 +66,10 @@
         """Return whether any host is being moved."""
         return bool(self._targets or self._arriving)
 
+    def get_needed_hosts(self, pool: ids.PoolId) -> int:
+        """Return how many hosts a pool needs now."""
+        return self._demand.get_hosts(pool)
+
     def advance(self) -> None:
         """Order the moves that the present demand requires."""
         self._end_unanswered_moves()
@@ -77,11 +82,25 @@
         self._retire_surplus_hosts()
         self._switch_off_retired_hosts()
 
-    def record_accepted_job(self, pool: ids.PoolId, job: specs.Job) -> None:
-        """Add an accepted job to the arrival rate of its pool."""
+    def record_accepted_job(
+        self,
+        pool: ids.PoolId,
+        job: specs.Job,
+        organisation: ids.OrganisationId,
+    ) -> None:
+        """Add an accepted job to the arrival rate of its pool.
+
+        A job whose organisation is at its limit needs no hosts soon.
+        """
         size = self._get_host_size()
         if size is None or job.is_long_running or job.occurrences:
             return
+        used = self._scheduler.usage.get_used(organisation)
+        limit = self._scheduler.directory.get_limit(organisation)
+        if not any(
+            shares.fits_limit(used, step.need, limit) for step in job.steps
+        ):
+            return
         hosts = sum(
             step.tasks * demand.get_host_share(step, size)
             for step in job.steps
--- a/orioleshore/jobs/scheduler.py
+++ b/orioleshore/jobs/scheduler.py
@@ -316,7 +316,7 @@
             )
         )
         self._track_job(name, self.ledger.jobs[name])
-        self.pools.record_accepted_job(queue.pool, spec)
+        self.pools.record_accepted_job(queue.pool, spec, organisation)
 
     def cancel_job(self, name: ids.JobId) -> None:
         """Cancel a job; the next heartbeat answers stop its runs."""
--- a/orioleshore/tests/test_batch_fair_shares.py
+++ b/orioleshore/tests/test_batch_fair_shares.py
@@ -10,6 +10,7 @@
 from bench import load
 from bench import load_scenarios
 from orioleshore.jobs import admission
+from orioleshore.jobs import demand
 from orioleshore.jobs import fair_shares
 from orioleshore.jobs import ordering
 from orioleshore.jobs import specs
@@ -146,6 +147,20 @@
     assert all(failure.retry_after_s > 0 for failure in refused)
 
 
+def test_work_that_a_limit_holds_back_calls_for_no_hosts():
+    """Guards against hosts that are moved for tasks which may not start."""
+    needed = {}
+    for cores in (0, 4):
+        fleet = build_fleet(cores)
+        submit(fleet, LARGE, range(100, 200))
+        # Longer than the arrivals count as a rate.
+        fleet.run(demand.RATE_WINDOW_S + 0.2)
+        needed[cores] = fleet.scheduler.pools.get_needed_hosts(
+            ids.PoolId('red')
+        )
+    assert needed[4] <= 2 < needed[0]
+
+
 def test_refused_callers_never_get_the_same_time():
     """Guards against callers that return together because they were many.
 
