End jobs that have started before others start

With the earliest due time first, a backlog started the tasks of many jobs and ended nearly all of them a little too late.

--- a/orioleshore/jobs/ordering.py
+++ b/orioleshore/jobs/ordering.py
@@ -32,12 +32,13 @@
     wall_time: ids.WallTime,
     mean_run_s: float | None = None,
     is_above_share: bool = False,
-) -> tuple[bool, int, Standing, float]:
+) -> tuple[bool, int, Standing, bool, float]:
     """Return the sort key of a job; the lowest is served first.
 
     ``mean_run_s`` is the mean run time of a task, None if unknown.
     Long-running jobs come first: they serve users continuously, so each
-    second without a task counts.
+    second without a task counts. Jobs that have started go before others, so
+    that a backlog ends some jobs in time instead of all of them too late.
     """
     standing = Standing.IN_TIME
     if is_late(job, wall_time, mean_run_s):
@@ -48,6 +49,7 @@
         not job.is_long_running,
         job.record.priority + (standing is not Standing.IN_TIME),
         standing,
+        not job.record.tasks,
         job.due_at,
     )
 
--- a/orioleshore/tests/test_batch_ordering.py
+++ b/orioleshore/tests/test_batch_ordering.py
@@ -58,6 +58,15 @@
     assert job.steps_left == 1
 
 
+def test_job_that_has_started_is_ended_first():
+    """Guards against an overload in which all jobs start and none ends."""
+    older, newer = (builders.build_progress(n, n / 10) for n in (1, 2))
+    newer.record.tasks[ids.TaskName('0.0.0')] = ledger.RunRecord(
+        ledger.states.RunStage.DONE, ids.Attempt(1)
+    )
+    assert sort_by_rank([older, newer], 0.5) == [newer, older]
+
+
 def test_parallel_steps_count_as_one():
     """Guards against overestimating the longest chain of steps."""
     parallel = (builders.build_step(), builders.build_step())
