--- a/orioleshore/history/phrases.py
+++ b/orioleshore/history/phrases.py
@@ -27,6 +27,8 @@
     # Jobs.
     'job_accepted': 'accepted into pool {pool}: {tasks} tasks, to be done '
     'within {objective_ms} ms, under configuration {version}',
+    'job_behind_others': 'waits behind others: {organisation} runs '
+    '{used_share} of all, and its share is {share}',
     'job_refused': 'refused and not run, {error}: {reason} (Retry-After '
     '{retry_after_s} s)',
     'job_cancelled': 'cancelled by its caller',
