--- a/orioleshore/history/phrases.py
+++ b/orioleshore/history/phrases.py
@@ -35,6 +35,8 @@
     'configuration {version}',
     'key_refused': 'a call to queue {queue} was refused: no organisation of '
     'configuration {version} holds its key (key sent: {has_key})',
+    'job_behind_others': 'waits behind others: {organisation} runs '
+    '{used_share} of all, and its share is {share}',
     'job_refused': 'refused and not run, {error}: {reason} (Retry-After '
     '{retry_after_s} s)',
     'job_cancelled': 'cancelled by its caller',
--- a/orioleshore/jobs/handlers.py
+++ b/orioleshore/jobs/handlers.py
@@ -102,7 +102,7 @@
         return Ok(None)
     limit = scheduler.directory.get_limit(caller.unwrap())
     refusal = admission.find_refusal(
-        scheduler, call.job, queue
+        scheduler, call.job, queue, caller.unwrap()
     ) or organisations.find_refusal(call.job, limit)
     if refusal is not None:
         LOG.info(
--- a/orioleshore/tests/test_batch_ordering.py
+++ b/orioleshore/tests/test_batch_ordering.py
@@ -1,21 +1,20 @@
 """Order of jobs when the demand of a queue exceeds its capacity."""
 
 from bench import load
+from bench import load_scenarios
 from orioleshore.jobs import ledger
 from orioleshore.jobs import ordering
-from orioleshore.jobs import progress
-from orioleshore.jobs import specs
 from orioleshore.model import ids
 from orioleshore.tests import builders
 from orioleshore.tests import support
 
 RUN_S = 1.0
 # The demand is four times the capacity of the pool and the standby hosts.
-OVERLOAD = load.Scenario(
+OVERLOAD = load_scenarios.Scenario(
     pools={'red': 3, 'blue': 3},
     standby=2,
     cores=16,
-    turns=load.Turns(period_s=30.0, high=30.0, low=0.5),
+    turns=load_scenarios.Turns(period_s=30.0, high=30.0, low=0.5),
     tasks=(2, 10),
     task_cores=(0.6, 2.0),
     run_s=0.9,
@@ -27,24 +26,6 @@
 JOB_S = 6 * 1.3 * 0.9
 
 
-def build_progress(
-    number: int, accepted_at: float, *steps: specs.Step, priority: int = 0
-) -> progress.JobProgress:
-    """Return the progress of a job with an objective of 4 s."""
-    name = builders.build_job_id(number)
-    record = ledger.JobRecord(
-        builders.build_batch_job(*steps),
-        'jobs.example',
-        '/red/',
-        ids.PoolId('red'),
-        priority,
-        2,
-        4_000,
-        ids.WallTime(accepted_at),
-    )
-    return progress.JobProgress(name, record)
-
-
 def sort_by_rank(jobs, wall_time: float):
     """Return the jobs in the order in which they receive capacity."""
     return sorted(
@@ -56,8 +37,8 @@
 def test_late_job_does_not_delay_job_that_can_meet_its_objective():
     """Guards against a backlog in which all jobs are slightly late."""
     chain = (builders.build_step(), builders.build_step(after=(0,)))
-    older = build_progress(1, 0.0, *chain)
-    newer = build_progress(2, 0.5, builders.build_step())
+    older = builders.build_progress(1, 0.0, *chain)
+    newer = builders.build_progress(2, 0.5, builders.build_step())
     assert sort_by_rank([newer, older], 0.5) == [older, newer]
     # Two steps take longer than the time left; one does not.
     assert sort_by_rank([older, newer], 2.9) == [newer, older]
@@ -66,7 +47,7 @@
 def test_completed_steps_are_not_counted():
     """Guards against ranking a nearly completed job as late."""
     chain = (builders.build_step(), builders.build_step(after=(0,)))
-    job = build_progress(1, 0.0, *chain)
+    job = builders.build_progress(1, 0.0, *chain)
     assert job.steps_left == 2
     task = ids.TaskName('0.0.0')
     run = ledger.RunRecord(ledger.states.RunStage.DONE, ids.Attempt(1))
@@ -77,10 +58,19 @@
     assert job.steps_left == 1
 
 
+def test_job_that_has_started_is_ended_first():
+    """Guards against an overload in which all jobs start and none ends."""
+    older, newer = (builders.build_progress(n, n / 10) for n in (1, 2))
+    newer.record.tasks[ids.TaskName('0.0.0')] = ledger.RunRecord(
+        ledger.states.RunStage.DONE, ids.Attempt(1)
+    )
+    assert sort_by_rank([older, newer], 0.5) == [newer, older]
+
+
 def test_parallel_steps_count_as_one():
     """Guards against overestimating the longest chain of steps."""
     parallel = (builders.build_step(), builders.build_step())
-    assert build_progress(1, 0.0, *parallel).steps_left == 1
+    assert builders.build_progress(1, 0.0, *parallel).steps_left == 1
 
 
 def test_overload_leaves_half_of_the_capacity_to_jobs_in_time():
