Show that malformed peers exhaust a process

An operator's process ran out of memory under clients that the operator does not control. The tests play 150 peers of one shape (500 idle ones, 300 on the product's front end) against one address of a real process and check that it lives, stays within memory_mb = 96 and max_fds = 400 of its settings (512 MB on the front end, which has no such setting yet), and answers.

--- a/fakes/platform_fleet.py
+++ b/fakes/platform_fleet.py
@@ -92,6 +92,8 @@
         self.seed_names = self.control_names
         # Control processes on hosts without a disk.
         self.diskless_names: set[str] = set()
+        # Memory in MB and descriptors of each process, by their setting.
+        self.limits: dict[str, int] = {}
         self.processes: dict[str, subprocess.Popen] = {}
         self.cloud = FakeCloudApi(self.cloud_address)
         # Sizes of the log files when the processes were started.
@@ -208,6 +210,7 @@
             else f'front = "{address}:{self._port + 5}"\n'
             f'ready = "{address}:{self._port + 6}"'
         )
+        limits = '\n'.join(f'{key} = {v}' for key, v in self.limits.items())
         text = f"""
 node_name = "{name}"
 ip = "{address}"
@@ -218,6 +221,8 @@
 data_dir = "{data if has_disk else ''}"
 [listen]
 {listen}
+[limits]
+{limits}
 [cloud_api]
 address = "{self.cloud_address}"
 """
