Bound what peers make a process hold

Cause: each HTTP connection kept heads of up to 128 lines of 8 KiB, each as three objects, a body of up to 1 MiB and a parser tail of 256 KiB, and each connection of the inner protocol a frame of 1 MiB; nothing bounded their sum, unread answers or the number of connections. Tracebacks of connections that were lost in a body kept the body until a full collection.

Change: one budget for a process (orioleshore/intake) from which all HTTP addresses and the inner port draw, a tenth of memory_mb and three quarters of max_fds. Stalled and large incomplete requests, unread answers and idle connections are closed first, and a refusal (503, 408, 431) is only written if nothing ran. Heads are bounded in bytes and time, chunked bodies are parsed in steps, and malformed HTTP is logged once in 10 s without a traceback.

--- a/orioleshore/frontends/caller_server.py
+++ b/orioleshore/frontends/caller_server.py
@@ -8,15 +8,16 @@
 from aiohttp import web
 
 from orioleshore import settings
+from orioleshore.frontends import connections
 from orioleshore.frontends import web as frontend_web
-from orioleshore.model import addresses
+from orioleshore.intake import gate as intake_gate
+from orioleshore.intake import limits as intake_limits
 from orioleshore.model import errors
 from orioleshore.telemetry import logs
 
 LOG = logging.getLogger(__name__)
 
 KEEP_ALIVE_S = 75.0
-BACKLOG = 1_024
 # Time to write the last answers during a shutdown.
 ANSWER_WRITE_TIMEOUT_S = 2.0
 # Time to read and discard the rest of a refused body, so that its caller
@@ -25,17 +26,12 @@
 
 _ServeCallback = Callable[[web.BaseRequest], Awaitable[web.StreamResponse]]
 
-_TOO_SLOW_RESPONSE = (
-    b'HTTP/1.1 408 Request Timeout\r\n'
-    b'Orioleshore-Error: request_too_slow\r\n'
-    b'Orioleshore-Ran: no\r\n'
-    b'Retry-After: 1\r\n'
-    b'Content-Length: 0\r\n'
-    b'Connection: close\r\n\r\n'
+_TOO_SLOW_RESPONSE = connections.make_raw_refusal(
+    errors.ErrorKind.REQUEST_TOO_SLOW
 )
 
 
-class CallerConnection(web.RequestHandler):
+class CallerConnection(connections.Connection):
     """One connection of a caller.
 
     A caller that does not send a complete request head in time is
@@ -45,9 +41,13 @@
     __slots__ = ('_head_timer', '_header_bytes', '_head_timeout_s', '_on_lost')
 
     def __init__(
-        self, manager: web.Server, limits: settings.Entry, **options
+        self,
+        manager: web.Server,
+        gate: intake_gate.Gate,
+        limits: settings.Entry,
+        **options,
     ) -> None:
-        super().__init__(manager, **options)
+        super().__init__(manager, gate, **options)
         self._header_bytes = limits.header_bytes
         self._head_timeout_s = limits.body_timeout_s
         self._head_timer = None
@@ -134,16 +134,23 @@
 
 
 class _CallerServer(web.Server):
-    def __init__(self, serve: _ServeCallback, limits: settings.Entry) -> None:
+    def __init__(
+        self,
+        serve: _ServeCallback,
+        limits: settings.Entry,
+        gate: intake_gate.Gate,
+    ) -> None:
         super().__init__(
             self._begin_request, request_factory=self._make_caller_request
         )
+        self._gate = gate
         self._serve = serve
         self._limits = limits
 
     def __call__(self) -> CallerConnection:
         return CallerConnection(
             self,
+            self._gate,
             self._limits,
             loop=self._loop,
             keepalive_timeout=KEEP_ALIVE_S,
@@ -181,26 +188,32 @@
         self._address = address
         self._limits = limits
         self._serve = serve
+        self._gate: intake_gate.Gate | None = None
         self._runner: web.ServerRunner | None = None
 
     @property
     def address(self) -> str:
         return self._address
 
+    def set_gate(self, gate: intake_gate.Gate) -> None:
+        """Hold connections to the limits of a process."""
+        self._gate = gate
+
     async def start(self) -> None:
         """Listen; port 0 is replaced by the port that the kernel assigned."""
+        gate = self._gate or intake_limits.make_default_gate()
+        server = _CallerServer(self._serve, self._limits, gate)
         self._runner = web.ServerRunner(
-            _CallerServer(self._serve, self._limits),
+            server,
             # Requests whose body is still arriving or whose answer is still
             # being written are completed.
             shutdown_timeout=self._limits.body_timeout_s
             + ANSWER_WRITE_TIMEOUT_S,
         )
         await self._runner.setup()
-        host, port = addresses.parse_listening_address(self._address)
-        site = web.TCPSite(self._runner, host, port, backlog=BACKLOG)
-        await site.start()
-        self._address = f'{host}:{self._runner.addresses[0][1]}'
+        self._address = await connections.start_site(
+            self._runner, self._address, server
+        )
 
     async def stop(self) -> None:
         """Close the listening socket and the connections."""
--- a/orioleshore/frontends/callers.py
+++ b/orioleshore/frontends/callers.py
@@ -19,6 +19,7 @@
 from orioleshore.frontends import caller_server
 from orioleshore.frontends import upstream_client
 from orioleshore.frontends import web as frontend_web
+from orioleshore.intake import gate as intake_gate
 from orioleshore.model import documents
 from orioleshore.model import errors
 from orioleshore.model import ids
@@ -100,6 +101,10 @@
     def address(self) -> str:
         return self._listener.address
 
+    def set_gate(self, gate: intake_gate.Gate) -> None:
+        """Hold callers to the limits of the process."""
+        self._listener.set_gate(gate)
+
     async def open(self) -> None:
         """Open the upstream client and listen for callers."""
         await self._client.open()
--- a/orioleshore/frontends/web.py
+++ b/orioleshore/frontends/web.py
@@ -6,7 +6,9 @@
 
 from aiohttp import web
 
-from orioleshore.model import addresses
+from orioleshore.frontends import connections
+from orioleshore.intake import gate as intake_gate
+from orioleshore.intake import limits
 from orioleshore.model import errors
 from orioleshore.tasks import mailbox
 from orioleshore.tasks import task
@@ -18,8 +20,8 @@
 # call of the control members may take.
 SHUTDOWN_TIMEOUT_S = 5.0
 
-ERROR_HEADER = 'Orioleshore-Error'
-RAN_HEADER = 'Orioleshore-Ran'
+ERROR_HEADER = connections.ERROR_HEADER
+RAN_HEADER = connections.RAN_HEADER
 REQUEST_HEADER = 'Orioleshore-Request'
 
 
@@ -82,12 +84,17 @@
         self._address = address
         self._app = app
         self._options = options
+        self._gate: intake_gate.Gate | None = None
         self._runner: web.BaseRunner | None = None
 
     @property
     def address(self) -> str:
         return self._address
 
+    def set_gate(self, gate: intake_gate.Gate) -> None:
+        """Hold connections to the limits of a process."""
+        self._gate = gate
+
     async def start(self) -> None:
         """Listen; port 0 is replaced by the port that the kernel assigned."""
         if isinstance(self._app, web.Server):
@@ -102,11 +109,15 @@
                 **self._options,
             )
         await self._runner.setup()
-        host, port = addresses.parse_listening_address(self._address)
-        site = web.TCPSite(self._runner, host, port, backlog=1_024)
-        await site.start()
-        bound = self._runner.addresses[0]
-        self._address = f'{host}:{bound[1]}'
+        gate = self._gate or limits.make_default_gate()
+        server = self._runner.server
+        self._address = await connections.start_site(
+            self._runner,
+            self._address,
+            lambda: connections.Connection(
+                server, gate, loop=server._loop, **server._kwargs
+            ),
+        )
 
     async def stop(self) -> None:
         """Close the socket and wait for the requests in flight."""
@@ -135,6 +146,10 @@
         """Set the address and the application that ``open`` serves."""
         self._listener = Listener(address, app)
 
+    def set_gate(self, gate: intake_gate.Gate) -> None:
+        """Hold connections to the limits of a process."""
+        self._listener.set_gate(gate)
+
     async def open(self) -> None:
         """Start to listen."""
         await self._listener.start()
--- /dev/null
+++ b/orioleshore/intake/__init__.py
@@ -0,0 +1,1 @@
+"""Limits on what peers can make a process hold."""
--- a/orioleshore/model/ids.py
+++ b/orioleshore/model/ids.py
@@ -50,6 +50,8 @@
 # Stands for any process, and for one whose incarnation is not known.
 UNKNOWN_INCARNATION = Incarnation(0)
 Attempt = NewType('Attempt', int)
+# A connection of a peer to a listening address of this process.
+ConnectionId = NewType('ConnectionId', int)
 
 # Seconds since the Unix epoch, taken from the clock of the leader.
 WallTime = NewType('WallTime', float)
--- a/orioleshore/platform/boot.py
+++ b/orioleshore/platform/boot.py
@@ -25,6 +25,10 @@
 # Ports of the metrics endpoint; deploy/system.toml lists the same numbers.
 METRICS_PORTS = {states.Role.ENTRY: 9464, states.Role.CONTROL: 9465}
 
+# Limits of the smallest hosts, for a settings file that names none.
+SMALL_MEMORY_MB = 200
+SMALL_MAX_FDS = 4_100
+
 # The election timeout is only four heartbeat intervals, because callers wait
 # while there is no leader. It is far above the network delay (at most 3 ms one
 # way) and above the sync time of a slow disk (270 ms).
@@ -64,6 +68,12 @@
     address: str = ''
 
 
+class _Limits(msgspec.Struct, frozen=True):
+    # Memory in MB after which the process is killed; 0 means the default.
+    memory_mb: float = 0
+    max_fds: int = 0
+
+
 class _BootFile(msgspec.Struct, frozen=True):
     node_name: str
     ip: str
@@ -78,6 +88,7 @@
     listen: _Listen = _Listen()
     bounds: _Bounds = _Bounds()
     cloud_api: _CloudApi = _CloudApi()
+    limits: _Limits = _Limits()
     # Address of the policy service, despite the name.
     recommendation: str = ''
 
@@ -184,6 +195,10 @@
             **_CONTROL_TIMINGS,
             'initial_members': members if _can_found_group(boot_file) else {},
         },
+        'limits': {
+            'memory_mb': int(boot_file.limits.memory_mb) or SMALL_MEMORY_MB,
+            'max_fds': boot_file.limits.max_fds or SMALL_MAX_FDS,
+        },
     }
 
 
--- a/orioleshore/platform/process.py
+++ b/orioleshore/platform/process.py
@@ -16,6 +16,8 @@
 
 from orioleshore.consensus import client
 from orioleshore.consensus import discovery
+from orioleshore.intake import gate as intake_gate
+from orioleshore.intake import limits
 from orioleshore.model import errors
 from orioleshore.model import ids
 from orioleshore.model import states
@@ -100,10 +102,12 @@
         self._install_signal_handlers()
         timers = service.TimerService(clock.SystemClock())
         await timers.start()
+        gate = limits.make_gate(deployment.settings.limits)
         peer_transport = transport.Transport(
             deployment.settings.node,
             deployment.settings.addresses.inner,
             ids.Incarnation(time.time_ns() // 1_000_000),
+            gate=gate,
         )
         await peer_transport.start()
         self._tasks = [peer_transport]
@@ -139,9 +143,12 @@
             self._discovery.add_listener(listener)
         tasks = [self._discovery, control_client, *role_tasks.tasks]
         tasks.append(
-            _make_metrics_server(deployment, peer_transport, recorder, tasks)
+            _make_metrics_server(
+                deployment, peer_transport, recorder, tasks, gate
+            )
         )
         for item in tasks:
+            item.set_gate(gate)
             await item.start()
             self._tasks.append(item)
         LOG.info(
@@ -225,12 +232,14 @@
     peer_transport: transport.Transport,
     recorder: latencies.Recorder,
     tasks: list[task.Task],
+    gate: intake_gate.Gate,
 ) -> metrics_server.MetricsServer:
     collector = collection.Collector(deployment.settings.node)
     collector.add_recorder(recorder)
     collector.add_counters(
         lambda: dict(peer_transport.counters), writers.write_transport
     )
+    collector.add_counters(lambda: gate.counters, writers.write_gate)
     for item in (peer_transport, *tasks):
         collector.add_mailbox(item.mailbox)
         if item.odd_entries is not None:
--- a/orioleshore/protocol/transport.py
+++ b/orioleshore/protocol/transport.py
@@ -9,6 +9,8 @@
 import msgspec
 
 from orioleshore import settings
+from orioleshore.intake import gate as intake_gate
+from orioleshore.intake import limits as intake_limits
 from orioleshore.model import addresses
 from orioleshore.model import errors
 from orioleshore.model import ids
@@ -16,6 +18,7 @@
 from orioleshore.protocol import framing
 from orioleshore.protocol import messages
 from orioleshore.protocol import outgoing
+from orioleshore.protocol import peers
 from orioleshore.protocol import received_addresses
 from orioleshore.protocol import tls
 from orioleshore.tasks import mailbox
@@ -31,8 +34,6 @@
 # Longer than the idle timeout of the sender, so that this side closes only
 # connections of hosts that vanished.
 IDLE_TIMEOUT_S = 1.5 * outgoing.IDLE_TIMEOUT_S
-# Each process of the system opens one connection to this process.
-MAX_INCOMING_CONNECTIONS = 1_024
 
 
 class SendTo(msgspec.Struct, frozen=True):
@@ -68,6 +69,7 @@
         address: str,
         incarnation: ids.Incarnation,
         tls_files: settings.Tls | None = None,
+        gate: intake_gate.Gate | None = None,
     ) -> None:
         super().__init__(
             mailbox.Mailbox(
@@ -78,6 +80,7 @@
         self._address = address
         self._incarnation = incarnation
         self._tls_contexts = tls.TlsContexts(tls_files) if tls_files else None
+        self._gate = gate or intake_limits.make_default_gate()
         self._receivers: dict[type, mailbox.Mailbox] = {}
         self._outgoing_connections: dict[str, outgoing.Connection] = {}
         self._server: asyncio.Server | None = None
@@ -139,8 +142,8 @@
         context = (
             self._tls_contexts and self._tls_contexts.get_server_context()
         )
-        self._server = await asyncio.start_server(
-            self._serve_connection,
+        self._server = await asyncio.get_running_loop().create_server(
+            lambda: peers.IncomingPeer(self._gate, self._serve_connection),
             host,
             port,
             ssl=context,
@@ -222,12 +225,15 @@
         )
 
     async def _serve_connection(
-        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+        self,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+        incoming: peers.IncomingPeer,
     ) -> None:
         connection_task = asyncio.current_task()
         self._incoming_connections.add(connection_task)
         try:
-            failure = await self._read_messages(reader, writer)
+            failure = await self._read_messages(reader, writer, incoming)
             if failure.kind is errors.ErrorKind.PROTOCOL_ERROR:
                 self._refused_connections += 1
                 LOG.warning(
@@ -244,13 +250,12 @@
             writer.transport.abort()
 
     async def _read_messages(
-        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+        self,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+        incoming: peers.IncomingPeer,
     ) -> errors.Failure:
         """Deliver messages until the connection ends; return the reason."""
-        if len(self._incoming_connections) > MAX_INCOMING_CONNECTIONS:
-            return _make_protocol_error(
-                f'{MAX_INCOMING_CONNECTIONS} connections are already open'
-            )
         certificate_name = None
         if self._tls_contexts is not None:
             certificate_name = tls.get_peer_name(
@@ -278,6 +283,7 @@
                     f'sender {received.header.sender!r} presented the '
                     f'certificate of {certificate_name!r}'
                 )
+            incoming.report_message()
             if is_first_frame:
                 self._report_contact(received.header)
                 is_first_frame = False
--- a/orioleshore/roles/process.py
+++ b/orioleshore/roles/process.py
@@ -14,6 +14,7 @@
 from orioleshore import settings
 from orioleshore.consensus import client
 from orioleshore.frontends import health
+from orioleshore.intake import limits
 from orioleshore.membership import detector
 from orioleshore.membership import gossip
 from orioleshore.membership import packing
@@ -54,11 +55,13 @@
         self._timers = service.TimerService(clock.SystemClock())
         # Grows with each restart, so that peers can identify the newest one.
         self._incarnation = ids.Incarnation(time.time_ns() // 1_000_000)
+        self._gate = limits.make_gate(config.limits)
         self._transport = transport.Transport(
             config.node,
             config.addresses.inner,
             self._incarnation,
             config.tls,
+            self._gate,
         )
         self._dumper = dumps.Dumper(config.node)
         self._collector = collection.Collector(config.node)
@@ -102,6 +105,7 @@
             if item.odd_entries is not None:
                 self._collector.add_odd_entries(item.odd_entries)
         for item in tasks:
+            item.set_gate(self._gate)
             await item.start()
             self._tasks.append(item)
         LOG.info(logs.format_event('started', **self.addresses))
@@ -252,6 +256,13 @@
             'mailboxes', self._collector.get_mailbox_counts
         )
         self._collector.add_counters(get_counters, writers.write_transport)
+        self._dumper.add_counters('connections', self._get_gate_counters)
+        self._collector.add_counters(
+            self._get_gate_counters, writers.write_gate
+        )
+
+    def _get_gate_counters(self) -> dict[str, int]:
+        return self._gate.counters
 
     def _get_own_peer(self) -> announcements.Peer:
         return announcements.Peer(
--- a/orioleshore/settings.py
+++ b/orioleshore/settings.py
@@ -52,6 +52,14 @@
         'probe_period_s': 1.0,
         'probe_timeout_s': 0.3,
     },
+    'limits': {
+        'memory_mb': 512,
+        'max_fds': 4_096,
+        'head_bytes': 40_960,
+        'head_timeout_s': 10.0,
+        'stall_timeout_s': 10.0,
+        'request_timeout_s': 30.0,
+    },
 }
 
 Port = Annotated[int, msgspec.Meta(ge=0, le=65_535)]
@@ -118,6 +126,23 @@
     probe_timeout_s: Positive
 
 
+class Limits(_Section, frozen=True):
+    """What a process may use, and what a peer may take of it.
+
+    ``memory_mb`` is in MiB, ``max_fds`` a number of open descriptors.
+    ``head_bytes`` bounds a request line with all headers, as sent;
+    ``head_timeout_s`` the time to a whole head, ``request_timeout_s`` that to
+    a whole request, and ``stall_timeout_s`` the time without progress.
+    """
+
+    memory_mb: PositiveCount
+    max_fds: PositiveCount
+    head_bytes: PositiveCount
+    head_timeout_s: Positive
+    stall_timeout_s: Positive
+    request_timeout_s: Positive
+
+
 class Settings(_Section, frozen=True):
     """All settings of one process.
 
@@ -136,6 +161,7 @@
     control: Control
     entry: Entry
     membership: Membership
+    limits: Limits
 
     def has_role(self, role: states.Role) -> bool:
         """Return whether the process has a role."""
--- a/orioleshore/tasks/task.py
+++ b/orioleshore/tasks/task.py
@@ -6,6 +6,7 @@
 
 import aiomisc
 
+from orioleshore.intake import gate as intake_gate
 from orioleshore.tasks import mailbox
 from orioleshore.telemetry import logs
 from orioleshore.telemetry import odd_entries
@@ -39,6 +40,12 @@
         """Return the odd entries of the lists that the task reads, if any."""
         return None
 
+    def set_gate(self, gate: intake_gate.Gate) -> None:
+        """Hold the peers of the task's listening sockets to limits.
+
+        Tasks without listening sockets ignore it.
+        """
+
     async def open(self) -> None:
         """Acquire sockets and files before the first message."""
 
--- a/orioleshore/telemetry/metrics.py
+++ b/orioleshore/telemetry/metrics.py
@@ -41,6 +41,9 @@
 counter transport_misdirected_replies_total | Replies to a former process here
 gauge   transport_queued_frames | Frames that wait for their peers
 gauge   transport_connections direction | Open connections between processes
+gauge   intake_held_bytes | Bytes charged to the peers of this process
+gauge   intake_connections | Open connections of peers, all addresses
+counter closed_connections_total reason | Connections closed for a limit
 counter odd_entries_total list | Entries of lists that could not be read
 gauge   membership_peers state | Other processes, by what this one knows
 gauge   membership_isolated | 1 when most probes of this process fail
--- a/orioleshore/telemetry/writers.py
+++ b/orioleshore/telemetry/writers.py
@@ -33,6 +33,17 @@
         )
 
 
+def write_gate(
+    counters: dict[str, int], snapshot: metrics.MetricsSnapshot
+) -> None:
+    """Write what peers hold, and the connections closed early by reason."""
+    counts = dict(counters)
+    snapshot.set('intake_held_bytes', counts.pop('held_bytes'))
+    snapshot.set('intake_connections', counts.pop('open_connections'))
+    for reason, count in counts.items():
+        snapshot.set('closed_connections_total', count, reason=reason)
+
+
 def write_membership(
     status: dict[str, Any], snapshot: metrics.MetricsSnapshot
 ) -> None:
--- a/orioleshore/tests/peer_crowd.py
+++ b/orioleshore/tests/peer_crowd.py
@@ -9,6 +9,7 @@
 import itertools
 import os
 import pathlib
+import random
 import socket
 import struct
 
@@ -213,3 +214,20 @@
 def resize(shape: Shape, connections: int) -> Shape:
     """Return a shape with another number of connections."""
     return msgspec.structs.replace(shape, connections=connections)
+
+
+def make_odd_request(source: random.Random) -> bytes:
+    """Return a request with a chunked body, changed at random places."""
+    chunks = b''.join(
+        f'{size:x}\r\n'.encode() + b'a' * size + b'\r\n'
+        for size in source.choices((1, 2, 15, 400), k=5)
+    )
+    request = bytearray(
+        _make_chunked_head('POST', '/odd') + chunks + b'0\r\n\r\n'
+    )
+    for _ in range(source.randrange(1, 6)):
+        start = source.randrange(len(request))
+        stop = start + source.choice((0, 1, 8))
+        odd = source.choice((b'\r\n', b'\0', b'ffffffff', b':', b';x' * 99))
+        request[start:stop] = odd
+    return bytes(request)
--- a/orioleshore/tests/test_design.py
+++ b/orioleshore/tests/test_design.py
@@ -48,6 +48,7 @@
     'jobs/demand.py',
     'jobs/pools.py',
     'jobs/stalls.py',
+    'intake/budget.py',
     'state/machine.py',
     'state/feed.py',
 )
