--- a/orioleshore/tests/test_design.py
+++ b/orioleshore/tests/test_design.py
@@ -61,6 +61,7 @@
     'findings/document_warnings.py',
     'findings/availability_warnings.py',
     'findings/differences.py',
+    'intake/budget.py',
     'state/machine.py',
     'state/feed.py',
 )
