--- a/orioleshore/tests/test_missing_hosts.py
+++ b/orioleshore/tests/test_missing_hosts.py
@@ -11,6 +11,7 @@
 from orioleshore.jobs import calls
 from orioleshore.jobs import known_hosts
 from orioleshore.jobs import orders
+from orioleshore.jobs import organisations
 from orioleshore.jobs import specs
 from orioleshore.model import ids
 from orioleshore.model import states
@@ -242,13 +243,20 @@
     job = builders.build_batch_job(builders.build_step(200))
     fleet.call_scheduler(builders.build_submission(job=job))
     pool = ids.PoolId('red')
-    before = admission.get_expected_wait_s(fleet.scheduler, pool, 1.0)
+    before = get_expected_wait_s(fleet, pool)
     for number in range(3):
         fleet.call_scheduler(build_list(fleet.now + number))
-    after = admission.get_expected_wait_s(fleet.scheduler, pool, 1.0)
+    after = get_expected_wait_s(fleet, pool)
     assert after == before > 0.0
 
 
+def get_expected_wait_s(fleet, pool: ids.PoolId) -> float:
+    """Return the wait of callers without an organisation, in seconds."""
+    return admission.get_expected_wait_s(
+        fleet.scheduler, pool, organisations.NO_ORGANISATION, 1.0, 30.0
+    )
+
+
 def build_list(asked_at: float, *names: str, **fields) -> calls.NoteHosts:
     """Return a list of hosts of the standby pool that are up."""
     rows = tuple(
