Choose the next task of a step in a module of its own

The choice takes values and no longer reaches into the scheduler; behaviour is unchanged, a test names the pause by its new module.

--- a/orioleshore/jobs/placement.py
+++ b/orioleshore/jobs/placement.py
@@ -13,6 +13,7 @@
 from orioleshore.jobs import alternatives
 from orioleshore.jobs import answer_limits
 from orioleshore.jobs import calls
+from orioleshore.jobs import claiming
 from orioleshore.jobs import eligibility
 from orioleshore.jobs import gangs
 from orioleshore.jobs import ledger
@@ -31,10 +32,6 @@
 
 # A suspect worker gets no task for this long after a further failure.
 SUSPECT_PAUSE_S = 1.5
-# Pause before a failed task is started again on the worker on which it
-# failed. Other workers take it at once; a faulty worker that alone may run it
-# would use up all its attempts before it has recovered.
-RETRY_SAME_WORKER_S = 2.0
 # Pauses after the first, the second and further start orders in a row that a
 # worker did not get; no task starts there meanwhile. Other workers report
 # within them and take the task. One lost order is repeated at once, since any
@@ -43,9 +40,6 @@
 # A long-running task that waits for longer is no longer packed with others;
 # it goes to any worker with free capacity.
 PACKING_WAIT_S = 1.0
-# Requeued tasks of a step, and new ones, of which one may be claimed; others
-# wait for the next claim.
-MAX_CLAIM_LOOKS = 32
 MS_PER_S = 1_000.0
 # Longest wait for the preferred rack; half of what the objective allows
 # beyond the work itself.
@@ -110,7 +104,7 @@
         worker.failed_at = {
             task: at
             for task, at in worker.failed_at.items()
-            if scheduler.now < at + RETRY_SAME_WORKER_S
+            if scheduler.now < at + claiming.RETRY_SAME_WORKER_S
         }
         worker.failed_at[key[:2]] = scheduler.now
         record_failed_run(worker, scheduler)
@@ -208,7 +202,7 @@
             or can_place_long_running(scheduler, worker, job, group)
         )
     ):
-        index = _claim_waiting_task(scheduler, worker, job, group)
+        index = claiming.claim_task(worker, job, group, scheduler.now)
         if index is None:
             break
         task = specs.make_task_name(group.occurrence, group.position, index)
@@ -296,48 +290,6 @@
     return orders
 
 
-def _claim_waiting_task(
-    scheduler: scheduling.Scheduler,
-    worker: workers.Worker,
-    job: progress.JobProgress,
-    group: progress.Group,
-) -> int | None:
-    """Remove and return the first waiting task that may start on a worker.
-
-    Those passed over go behind the others, so that the next claim looks at
-    further ones.
-    """
-    for index in group.waiting.iterate_candidates(MAX_CLAIM_LOOKS):
-        task = specs.make_task_name(group.occurrence, group.position, index)
-        run = job.record.tasks.get(task)
-        is_suspect = run is not None and run.is_suspect
-        if is_suspect or _has_failed_here(scheduler, worker, (job.name, task)):
-            group.waiting.defer(index)
-            continue
-        group.waiting.remove(index)
-        return index
-    return None
-
-
-def _has_failed_here(
-    scheduler: scheduling.Scheduler,
-    worker: workers.Worker,
-    task: workers.TaskKey,
-) -> bool:
-    """Return whether a task's last attempt has just failed on a worker.
-
-    A new leader does not know when, and counts from the worker's first report
-    to it.
-    """
-    run = scheduler.jobs[task[0]].record.tasks.get(task[1])
-    if run is None or not run.failures:
-        return False
-    if workers.WorkerKey(run.worker, run.incarnation) != worker.key:
-        return False
-    failed_at = worker.failed_at.get(task, worker.found_at)
-    return scheduler.now < failed_at + RETRY_SAME_WORKER_S
-
-
 def can_accept_more(worker: workers.Worker, step: specs.Step) -> bool:
     """Return whether a worker may start another task of a step's kind."""
     if (
--- a/orioleshore/tests/test_alternatives.py
+++ b/orioleshore/tests/test_alternatives.py
@@ -6,8 +6,8 @@
 from fakes import workers as fake_workers
 from orioleshore.jobs import alternatives
 from orioleshore.jobs import calls
+from orioleshore.jobs import claiming
 from orioleshore.jobs import orders
-from orioleshore.jobs import placement
 from orioleshore.jobs import specs
 from orioleshore.jobs import upkeep
 from orioleshore.model import ids
@@ -97,7 +97,7 @@
     first = get_first(fleet)
     fleet.run(1.0)
     assert get_started_hosts(fleet) == [first.host]
-    fleet.run(placement.RETRY_SAME_WORKER_S - 1.0)
+    fleet.run(claiming.RETRY_SAME_WORKER_S - 1.0)
     assert get_started_hosts(fleet) == [first.host] * 2
 
 
@@ -127,7 +127,7 @@
     fail_once(fleet)
     fleet.run(1.0)
     assert len(fleet.starts) == 1
-    fleet.run(placement.RETRY_SAME_WORKER_S)
+    fleet.run(claiming.RETRY_SAME_WORKER_S)
     assert len(fleet.starts) == 2
 
 
