Split the needs and shares of pools from their moves

The measured demand, the division of hosts and the sizes of jobs in hosts move to jobs/pool_needs.py, which takes values; the outcome of a commit moves to jobs/commits.py. No behaviour changes.

--- a/orioleshore/jobs/commits.py
+++ b/orioleshore/jobs/commits.py
@@ -16,6 +16,7 @@
 from orioleshore.jobs import ledger
 from orioleshore.jobs import orders
 from orioleshore.model import errors
+from orioleshore.model import ids
 from orioleshore.tasks import reply
 
 # Encoded bytes of the changes of one batch, and those of one more call. An
@@ -84,3 +85,14 @@
         answers = [a for batch in self._batches for a in batch.answers]
         self._batches.clear()
         return answers
+
+
+class Committed(msgspec.Struct, frozen=True):
+    """A group of changes was committed or refused."""
+
+    epoch: ids.Epoch
+    outcome: Result[Any, errors.Failure]
+
+
+class CommitEnded(msgspec.Struct, frozen=True):
+    """The outcome of a commit waits to be handled."""
--- a/orioleshore/jobs/pools.py
+++ b/orioleshore/jobs/pools.py
@@ -17,7 +17,7 @@
 from orioleshore.jobs import alternatives
 from orioleshore.jobs import calls
 from orioleshore.jobs import demand
-from orioleshore.jobs import sharing
+from orioleshore.jobs import pool_needs
 from orioleshore.jobs import specs
 from orioleshore.jobs import workers
 from orioleshore.model import ids
@@ -55,11 +55,7 @@
         self._moved: dict[ids.HostId, workers.WorkerKey] = {}
         # Workers of hosts that are cordoned so that they can be switched off.
         self._retiring: dict[ids.HostId, workers.WorkerKey] = {}
-        self._demand = demand.DemandTracker()
-        # Hosts that each pool should have; what it needs unless hosts are
-        # scarce.
-        self._shares: dict[ids.PoolId, int] = {}
-        self._is_scarce = False
+        self._needs = pool_needs.PoolNeeds()
 
     @property
     def is_busy(self) -> bool:
@@ -68,7 +64,7 @@
 
     def get_needed_hosts(self, pool: ids.PoolId) -> int:
         """Return how many hosts a pool needs now."""
-        return self._demand.get_hosts(pool)
+        return self._needs.demand.get_hosts(pool)
 
     def advance(self) -> None:
         """Order the moves that the present demand requires."""
@@ -101,11 +97,9 @@
             shares.fits_limit(used, step.need, limit) for step in job.steps
         ):
             return
-        hosts = sum(
-            step.tasks * demand.get_host_share(step, size)
-            for step in job.steps
+        self._needs.demand.record_arrival(
+            pool, pool_needs.count_job_hosts(job, size), self._scheduler.now
         )
-        self._demand.record_arrival(pool, hosts, self._scheduler.now)
 
     def record_outcome(self, call: calls.NoteMove) -> None:
         """Record the platform's answer to a move order."""
@@ -192,28 +186,19 @@
                 continue
             load = demand.measure_load(scheduler, pool, size)
             mean_s = scheduler.run_times.get_mean(pool)
-            self._demand.record_load(pool, load, mean_s, scheduler.now)
+            self._needs.demand.record_load(pool, load, mean_s, scheduler.now)
 
     def _share_hosts(self) -> None:
-        """Divide the hosts among the pools.
-
-        A pool without jobs keeps its few hosts for the next ones, and gets
-        no others.
-        """
+        """Divide the hosts among the pools."""
         scheduler = self._scheduler
-        needs = {}
-        for pool in scheduler.get_pools():
-            if scheduler.is_standby(pool):
-                continue
-            need = self._demand.get_need(pool)
-            if not scheduler.get_pool_jobs(pool):
-                present = len(self._find_usable_workers(pool))
-                kept = min(demand.MIN_HOSTS, present)
-                need = sharing.Need(kept, kept, kept)
-            needs[pool] = need
-        total = self._count_hosts()
-        self._is_scarce = sum(need.wanted for need in needs.values()) > total
-        self._shares = sharing.share_hosts(needs, total)
+        present = {
+            pool: None
+            if scheduler.get_pool_jobs(pool)
+            else len(self._find_usable_workers(pool))
+            for pool in scheduler.get_pools()
+            if not scheduler.is_standby(pool)
+        }
+        self._needs.divide_hosts(present, self._count_hosts())
 
     def _count_hosts(self) -> int:
         """Return how many hosts can run tasks, now or after a move."""
@@ -237,12 +222,6 @@
         )
         return in_pools + standby + len(self._arriving) + len(self._targets)
 
-    def _limit_to_share(self, pool: ids.PoolId, needed: int) -> int:
-        """Return the needed hosts of a pool, at most its share."""
-        if not self._is_scarce:
-            return needed
-        return min(needed, self._shares.get(pool, needed))
-
     def _move_hosts_to_short_pools(self) -> None:
         """Give each pool that lacks hosts one free host in turn."""
         missing = self._find_pools_short_of_hosts()
@@ -276,7 +255,9 @@
             present = len(self._find_usable_workers(pool))
             present += self._count_arriving_hosts(pool)
             missing = (
-                self._limit_to_share(pool, self._demand.get_hosts(pool))
+                self._needs.limit_to_share(
+                    pool, self._needs.demand.get_hosts(pool)
+                )
                 - present
             )
             missing -= self._reuse_retiring_hosts(pool, missing)
@@ -313,14 +294,9 @@
         return [*arriving, *self._targets.values()].count(pool)
 
     def _get_host_size(self) -> specs.Resources | None:
-        """Return the median capacity of a host, None if none is known."""
-        sizes = sorted(
-            (worker.capacity for worker in self._scheduler.workers.values()),
-            key=lambda size: size.cpu_millis,
+        return pool_needs.get_median_capacity(
+            worker.capacity for worker in self._scheduler.workers.values()
         )
-        if not sizes or not sizes[len(sizes) // 2].cpu_millis:
-            return None
-        return sizes[len(sizes) // 2]
 
     def _find_movable_hosts(self) -> list[tuple[ids.HostId, ids.PoolId]]:
         """Return the hosts that may move now, with their present pools.
@@ -350,11 +326,16 @@
         scheduler = self._scheduler
         spare = []
         for pool in scheduler.get_pools():
-            if self._demand.is_waiting(pool) and not self._is_scarce:
+            if (
+                self._needs.demand.is_waiting(pool)
+                and not self._needs.is_scarce
+            ):
                 continue
             members = scheduler.get_pool_workers(pool)
             surplus = len(self._find_usable_workers(pool))
-            surplus -= self._limit_to_share(pool, self._demand.get_hosts(pool))
+            surplus -= self._needs.limit_to_share(
+                pool, self._needs.demand.get_hosts(pool)
+            )
             surplus += sum(w.host in self._retiring for w in members)
             only_workers = self._find_only_workers(pool)
             idle = [
@@ -391,10 +372,10 @@
         if not self._find_standby_pool() or not scheduler.has_complete_view:
             return
         for pool in scheduler.get_pools():
-            needed = self._demand.get_peak_hosts(pool, scheduler.now)
+            needed = self._needs.demand.get_peak_hosts(pool, scheduler.now)
             if needed is None or scheduler.is_standby(pool):
                 continue
-            needed = self._limit_to_share(pool, needed)
+            needed = self._needs.limit_to_share(pool, needed)
             usable = self._find_usable_workers(pool)
             only_workers = self._find_only_workers(pool)
             candidates = [
@@ -487,9 +468,9 @@
                 host=host,
                 pool=pool,
                 from_pool=worker.pool if worker else None,
-                startable=self._demand.get_load(pool).startable,
-                needed=self._demand.get_hosts(pool),
-                share=self._shares.get(pool),
+                startable=self._needs.demand.get_load(pool).startable,
+                needed=self._needs.demand.get_hosts(pool),
+                share=self._needs.get_share(pool),
             )
         )
 
--- a/orioleshore/jobs/task.py
+++ b/orioleshore/jobs/task.py
@@ -9,7 +9,6 @@
 
 import msgspec
 from result import Ok
-from result import Result
 
 from orioleshore.consensus import member_messages
 from orioleshore.jobs import answers
@@ -45,17 +44,6 @@
 TURN_S = 0.02
 
 
-class _Committed(msgspec.Struct, frozen=True):
-    """A group of changes was committed or refused."""
-
-    epoch: ids.Epoch
-    outcome: Result[Any, errors.Failure]
-
-
-class _CommitEnded(msgspec.Struct, frozen=True):
-    """The outcome of a commit waits to be handled."""
-
-
 class GetJobsDump(msgspec.Struct, frozen=True):
     """Requests a dump of the scheduler's state."""
 
@@ -99,7 +87,9 @@
         self._committing_since = 0.0
         # Kept apart from the mailbox, where they would wait behind the calls,
         # and be lost while it is full.
-        self._outcomes: collections.deque[_Committed] = collections.deque()
+        self._outcomes: collections.deque[commits.Committed] = (
+            collections.deque()
+        )
         # True after a call failed, until the scheduler is rebuilt from the
         # log.
         self._is_rebuilding = False
@@ -274,7 +264,9 @@
         answer: reply.Reply = reply.Reply()
         epoch = self._scheduler.epoch
         answer.add_callback(
-            lambda outcome: self._note_outcome(_Committed(epoch, outcome))
+            lambda outcome: self._note_outcome(
+                commits.Committed(epoch, outcome)
+            )
         )
         sent = self._consensus.put(
             member_messages.SubmitCommand(command, answer)
@@ -282,17 +274,17 @@
         if sent.is_err():
             answer.resolve(sent)
 
-    def _note_outcome(self, message: _Committed) -> None:
+    def _note_outcome(self, message: commits.Committed) -> None:
         self._outcomes.append(message)
         # Wakes the task up; a full mailbox does as well.
-        self.mailbox.put(_CommitEnded())
+        self.mailbox.put(commits.CommitEnded())
 
     def _finish_commits(self) -> None:
         while self._outcomes:
             self._finish_commit(self._outcomes.popleft())
             self._commit_changes()
 
-    def _finish_commit(self, message: _Committed) -> None:
+    def _finish_commit(self, message: commits.Committed) -> None:
         batch = self._in_flight
         if self._scheduler is None or message.epoch != self._scheduler.epoch:
             return
@@ -391,7 +383,7 @@
 
 
 @_handle_message.register
-def _(message: _CommitEnded, owner: JobsTask) -> None:
+def _(message: commits.CommitEnded, owner: JobsTask) -> None:
     owner._finish_commits()
 
 
