Measure long turns of the scheduler and count unanswered heartbeats

Turns beyond 20 ms are measured by wall clock and by processor time (turn_seconds, turn_processor_seconds, turn_long in the log), and heartbeats_total also counts no_leader and unanswered.

--- a/orioleshore/jobs/calls.py
+++ b/orioleshore/jobs/calls.py
@@ -354,6 +354,11 @@
     return f'{type(call).__name__} {name}'
 
 
+def is_heartbeat(call: Any) -> bool:
+    """Return whether a call is the heartbeat of a worker."""
+    return isinstance(call, Heartbeat | PartialHeartbeat)
+
+
 def is_late_heartbeat(request: CallRequest, now: float) -> bool:
     """Return whether a call is a heartbeat whose worker has given up.
 
@@ -363,7 +368,7 @@
     if request.received_at is None:
         return False
     is_late = now - request.received_at > MAX_HEARTBEAT_AGE_S
-    return is_late and isinstance(request.call, Heartbeat | PartialHeartbeat)
+    return is_late and is_heartbeat(request.call)
 
 
 def is_call(value: Any) -> bool:
--- a/orioleshore/jobs/commits.py
+++ b/orioleshore/jobs/commits.py
@@ -27,10 +27,15 @@
 
 
 class PendingAnswer(msgspec.Struct, frozen=True):
-    """An answer that is sent once all changes before it are committed."""
+    """An answer that is sent once all changes before it are committed.
+
+    ``heartbeat_at`` is the monotonic time at which the heartbeat came that it
+    answers, None for other calls.
+    """
 
     answer: reply.Reply
     outcome: Result[Any, errors.Failure]
+    heartbeat_at: float | None = None
 
     def send(self) -> None:
         """Resolve the reply."""
--- a/orioleshore/jobs/task.py
+++ b/orioleshore/jobs/task.py
@@ -21,6 +21,7 @@
 from orioleshore.jobs import scheduler
 from orioleshore.jobs import ticking
 from orioleshore.jobs import tuning
+from orioleshore.jobs import turns
 from orioleshore.model import errors
 from orioleshore.model import ids
 from orioleshore.model import states
@@ -39,9 +40,6 @@
 TICK = ids.TimerId('jobs-tick')
 # Interval at which leases and waves are checked; well below their timeouts.
 TICK_S = 0.1
-# Calls are handled for this long before the other tasks of the process get a
-# turn. Without one, this member's own lease of about 0.8 s would lapse.
-TURN_S = 0.02
 
 
 class GetJobsDump(msgspec.Struct, frozen=True):
@@ -95,6 +93,7 @@
         self._is_rebuilding = False
         self._pauses = failure_pauses.FailurePauses()
         self._latencies = recorder
+        self._turns = turns.TurnMeter(timers.clock, recorder)
 
     def set_hosts_mailbox(self, hosts: mailbox.Mailbox) -> None:
         """Set the mailbox of the task that carries out orders about hosts."""
@@ -111,26 +110,32 @@
 
     async def handle(self, message: Any) -> None:
         """Handle all queued messages, then commit their changes."""
-        turn_end = self._get_monotonic() + TURN_S
+        self._turns.begin()
         while message is not None:
             _handle_message(message, self)
             await self._restore_jobs()
-            if self._get_monotonic() >= turn_end:
+            if self._turns.count_message():
                 if self._scheduler is not None:
                     self._scheduler.bounds[states.Bound.TURN] += 1
                 self._commit_changes()
-                await asyncio.sleep(0)
-                turn_end = self._get_monotonic() + TURN_S
+                await self._yield_turn()
             self._finish_commits()
             message = self.mailbox.get_nowait()
         self._commit_changes()
+        self._turns.end()
+
+    async def _yield_turn(self) -> None:
+        """Let the other tasks of the process go on, and begin a new turn."""
+        self._turns.end()
+        await asyncio.sleep(0)
+        self._turns.begin()
 
     async def _restore_jobs(self) -> None:
         """Restore the jobs of a new leader, with turns for other tasks."""
         if self._restoring is None:
             return
         for _ in self._restoring:
-            await asyncio.sleep(0)
+            await self._yield_turn()
         self._restoring = None
 
     def _get_monotonic(self) -> float:
@@ -138,6 +143,7 @@
 
     def _handle_call(self, request: calls.CallRequest) -> None:
         if self._scheduler is None or self._is_rebuilding:
+            self._count_heartbeat(request.call, 'no_leader')
             request.answer.resolve(
                 answers.build_not_leader_error(errors.ErrorKind.NOT_LEADER)
             )
@@ -146,25 +152,37 @@
             self._latencies.count(
                 'host_answers_total', outcome=request.call.outcome.value
             )
-        if calls.is_late_heartbeat(request, self._get_monotonic()):
-            self._latencies.count('heartbeats_total', result='late')
+        now = self._get_monotonic()
+        if calls.is_late_heartbeat(request, now):
+            self._count_heartbeat(request.call, 'late')
             request.answer.resolve(answers.build_late_heartbeat_error())
             return
         source = calls.get_source(request.call)
-        if self._pauses.is_source_paused(source, self._get_monotonic()):
+        if self._pauses.is_source_paused(source, now):
             request.answer.resolve(answers.build_failed_call_error())
             return
         try:
             outcome = self._scheduler.handle(
-                request.call,
-                self._get_monotonic(),
-                self._timers.clock.get_wall(),
+                request.call, now, self._timers.clock.get_wall()
             )
         except Exception:
             self._fail_call(request, source)
             return
         change_metrics.count_outcome(request.call, outcome, self._latencies)
-        self._queue_changes(commits.PendingAnswer(request.answer, outcome))
+        self._queue_changes(
+            commits.PendingAnswer(
+                request.answer,
+                outcome,
+                request.received_at
+                if calls.is_heartbeat(request.call)
+                else None,
+            )
+        )
+
+    def _count_heartbeat(self, call: calls.Call, result: str) -> None:
+        """Count a heartbeat that is not answered with a lease."""
+        if calls.is_heartbeat(call):
+            self._latencies.count('heartbeats_total', result=result)
 
     def _fail_call(self, request: calls.CallRequest, source: str) -> None:
         """Refuse a call that raised, and rebuild the scheduler.
@@ -357,6 +375,8 @@
             )
         self._scheduler = None
         for item in pending:
+            if item.heartbeat_at is not None:
+                self._latencies.count('heartbeats_total', result='unanswered')
             item.answer.resolve(
                 answers.build_not_leader_error(errors.ErrorKind.CHANGE_UNKNOWN)
             )
--- a/orioleshore/telemetry/latencies.py
+++ b/orioleshore/telemetry/latencies.py
@@ -55,6 +55,8 @@
 _HISTOGRAMS = {
     'request_seconds': 'Time to answer a caller, by method and outcome',
     'commit_seconds': 'Time to commit a batch of scheduler decisions',
+    'turn_seconds': 'Turns of the scheduler over their bound',
+    'turn_processor_seconds': 'Processor time of these turns',
 }
 
 _COUNTERS = {
--- a/orioleshore/tests/load_builders.py
+++ b/orioleshore/tests/load_builders.py
@@ -8,9 +8,14 @@
 from orioleshore.jobs import ledger
 from orioleshore.jobs import progress
 from orioleshore.jobs import specs
+from orioleshore.jobs import task as jobs_task
+from orioleshore.jobs import turns
 from orioleshore.model import ids
+from orioleshore.tasks import reply
+from orioleshore.telemetry import latencies
 from orioleshore.tests import builders
 from orioleshore.tests import support
+from orioleshore.timers import clock
 
 # A task of which a worker of 64 cores runs 640 at a time.
 SMALL = specs.Resources(100, 64)
@@ -78,3 +83,26 @@
     fleet.add_hosts(6, 'red')
     fleet.run(0.5)
     return fleet
+
+
+def build_turn_meter() -> tuple[
+    turns.TurnMeter, clock.ManualClock, latencies.Recorder
+]:
+    """Return a meter with the clock and the metrics that it uses."""
+    source = clock.ManualClock()
+    recorder = latencies.Recorder('control-1')
+    return turns.TurnMeter(source, recorder), source, recorder
+
+
+def send_heartbeat(
+    task: jobs_task.JobsTask, worker: str, outcomes: list, age_s: float = 0.0
+) -> None:
+    """Put a heartbeat that came ``age_s`` ago into the mailbox of a task."""
+    answer = reply.Reply()
+    answer.add_callback(outcomes.append)
+    received_at = task._timers.clock.get_monotonic() - age_s
+    task.mailbox.put(
+        calls.CallRequest(
+            builders.build_heartbeat(worker), answer, received_at
+        )
+    )
--- a/orioleshore/tests/test_batch_commits.py
+++ b/orioleshore/tests/test_batch_commits.py
@@ -9,6 +9,7 @@
 from orioleshore.jobs import calls
 from orioleshore.jobs import commits
 from orioleshore.jobs import task as jobs_task
+from orioleshore.jobs import turns
 from orioleshore.state import records
 from orioleshore.tasks import reply
 from orioleshore.tests import builders
@@ -122,12 +123,12 @@
 def test_other_tasks_get_a_turn_while_calls_are_handled(monkeypatch):
     """Guards against a leader whose lease lapses while it handles calls."""
     task, _ = builders.build_jobs_task()
-    monkeypatch.setattr(jobs_task, 'TURN_S', 0.0)
-    turns = []
+    monkeypatch.setattr(turns, 'TURN_S', 0.0)
+    seen = []
 
     async def take_turns():
         while True:
-            turns.append(len(task.mailbox))
+            seen.append(len(task.mailbox))
             await asyncio.sleep(0)
 
     async def check():
@@ -137,7 +138,7 @@
         other = asyncio.create_task(take_turns())
         await task.handle(task.mailbox.get_nowait())
         other.cancel()
-        assert len(turns) >= 9
+        assert len(seen) >= 9
 
     support.run(check())
 
--- a/orioleshore/timers/clock.py
+++ b/orioleshore/timers/clock.py
@@ -15,6 +15,9 @@
     def get_wall(self) -> ids.WallTime:
         """Return seconds since the Unix epoch."""
 
+    def get_processor(self) -> float:
+        """Return the seconds of processor time of the calling thread."""
+
 
 def read_monotonic() -> ids.MonotonicTime:
     """Return seconds since the start of the host, suspension included.
@@ -36,6 +39,10 @@
         """Return seconds since the Unix epoch."""
         return ids.WallTime(time.time())
 
+    def get_processor(self) -> float:
+        """Return the seconds of processor time of the calling thread."""
+        return time.thread_time()
+
 
 class ManualClock:
     """A clock for tests that is advanced explicitly."""
@@ -43,6 +50,7 @@
     def __init__(self, start: float = 1_800_000_000.0) -> None:
         self._wall = start
         self._monotonic = 1_000.0
+        self._processor = 0.0
 
     def get_monotonic(self) -> ids.MonotonicTime:
         """Return seconds that never go back."""
@@ -52,11 +60,19 @@
         """Return seconds since the Unix epoch."""
         return ids.WallTime(self._wall)
 
+    def get_processor(self) -> float:
+        """Return the processor time that the test has used up."""
+        return self._processor
+
     def advance(self, seconds: float) -> None:
         """Advance both times."""
         self._wall += seconds
         self._monotonic += seconds
 
+    def use_processor(self, seconds: float) -> None:
+        """Add to the processor time only."""
+        self._processor += seconds
+
     def jump_wall(self, seconds: float) -> None:
         """Change the wall time only, like a step of the system clock."""
         self._wall += seconds
