Let starts follow the delay of answers, and read the ledger in parts

Two causes, told apart by turn_long. A heartbeat with 500 ends and 256 starts takes 0.1 s there, and a message of the group needs several turns of the event loop, of which each heartbeat took one; what was refused came back larger. Once the job has run for a while, a new leader decodes its records in one turn of 0.24 to 0.59 s, where its lease is 0.54 s, so none led for longer.

The starts of an answer and the ends recorded for a heartbeat now follow the time that answers take. After a long turn the other tasks get as much time as the turn took beyond its bound. A heartbeat that waited for 0.4 s renews the lease alone. The ledger is passed to the scheduler in parts.

test_new_leader_restores_jobs_in_several_turns asks for a yield at the end of each turn in place of each step, and sets the length of a turn to zero.

--- a/fakes/workers.py
+++ b/fakes/workers.py
@@ -235,6 +235,8 @@
         # Workers that the policy service never approves.
         self.unapproved: set[ids.WorkerId] = set()
         self.starts: list[tuple[float, ids.HostId, calls.StartOrder]] = []
+        # How long the leader says that its answers take.
+        self.answer_delay_s = 0.0
         # Standby hosts are off, so their workers send no reports.
         self.standby = {
             pool.name for pool in configuration.pools if pool.is_standby
@@ -346,6 +348,9 @@
     def send_heartbeat(self, worker: FakeWorker) -> None:
         """Send a heartbeat and apply the starts and stops in the answer."""
         answer = self.call_scheduler(worker.make_heartbeat(self.now)).unwrap()
+        self.scheduler.pace.note_answer(
+            len(answer.starts), self.answer_delay_s, self.now
+        )
         if self._is_answer_lost(worker):
             # The worker sends its next heartbeat after it gave up waiting.
             is_reset = worker.link is Link.RESET
--- a/orioleshore/consensus/leader_tasks.py
+++ b/orioleshore/consensus/leader_tasks.py
@@ -11,6 +11,7 @@
 from orioleshore.consensus import member_messages
 from orioleshore.jobs import calls as job_calls
 from orioleshore.jobs import ledger
+from orioleshore.jobs import ledger_copies
 from orioleshore.model import decoding
 from orioleshore.model import errors
 from orioleshore.model import ids
@@ -46,12 +47,10 @@
     """Send the jobs to the job scheduler once leader tasks may start."""
     if core.jobs is None or not core.has_started_leader_tasks:
         return
-    encoded_state = records.encode_state(
-        records.State(ledger=core.state.ledger)
-    )
     core.jobs.put(
-        member_messages.LeadershipGained(
-            ids.Epoch(core.raft.term), encoded_state
+        member_messages.SchedulingGained(
+            ids.Epoch(core.raft.term),
+            ledger_copies.copy_ledger(core.state.ledger),
         )
     )
 
--- a/orioleshore/consensus/member_messages.py
+++ b/orioleshore/consensus/member_messages.py
@@ -2,6 +2,7 @@
 
 import msgspec
 
+from orioleshore.jobs import ledger_copies
 from orioleshore.model import ids
 from orioleshore.protocol import messages
 from orioleshore.state import commands
@@ -64,6 +65,16 @@
     encoded_state: bytes
 
 
+class SchedulingGained(msgspec.Struct, frozen=True):
+    """This member schedules callers' jobs from now on.
+
+    ``epoch`` is its term. Sent to the job scheduler only.
+    """
+
+    epoch: ids.Epoch
+    ledger: ledger_copies.LedgerCopy
+
+
 class LeadershipLost(msgspec.Struct, frozen=True):
     """This member is no longer the leader."""
 
--- a/orioleshore/history/phrases.py
+++ b/orioleshore/history/phrases.py
@@ -64,6 +64,10 @@
     'hold back more, so no run of it counts as lost',
     'answer_full': 'the answer to {worker} is full with {starts} starts and '
     '{stops} stops; the rest follow in the next one',
+    'turn_long': 'a turn of the scheduler with {messages} messages took '
+    '{seconds} s, of it {processor_s} s of processor time',
+    'work_slowed': 'an answer took {delay_s} s, so one answer starts at most '
+    '{max_starts} tasks',
     'changes_queued': '{batches} further batches of changes wait while '
     '{bytes} bytes of changes are committed',
     # Tasks under which workers were lost.
--- a/orioleshore/jobs/answer_limits.py
+++ b/orioleshore/jobs/answer_limits.py
@@ -11,11 +11,9 @@
 from collections.abc import Iterator
 
 from orioleshore.jobs import calls
+from orioleshore.jobs import pacing
 from orioleshore.jobs import workers
 
-# Start orders of one answer. Fewer than the 500 ends that a heartbeat lists,
-# so that a worker does not hold back ever more of them.
-MAX_STARTS = 256
 # Bytes of the texts in these orders. Workers drop an answer over 4 MiB, in
 # which JSON may escape each byte with six; a message between processes holds
 # 983,040 bytes.
@@ -55,10 +53,12 @@
         self._bytes_left -= get_order_bytes(order)
 
 
-def make_start_orders(worker: workers.Worker) -> StartOrders:
+def make_start_orders(
+    worker: workers.Worker, pace: pacing.WorkPace
+) -> StartOrders:
     """Return an empty list with the bounds for a worker."""
     return StartOrders(
-        max(MIN_STARTS, MAX_STARTS >> worker.lost_orders),
+        max(MIN_STARTS, pace.max_starts >> worker.lost_orders),
         max(MIN_START_BYTES, MAX_START_BYTES >> worker.lost_orders),
     )
 
--- a/orioleshore/jobs/calls.py
+++ b/orioleshore/jobs/calls.py
@@ -85,6 +85,16 @@
         return self.heartbeat.worker
 
 
+class LeaseRenewal(msgspec.Struct, frozen=True):
+    """A heartbeat of which only the lease is answered, within the leader."""
+
+    heartbeat: Heartbeat
+
+    @property
+    def worker(self) -> ids.WorkerId:
+        return self.heartbeat.worker
+
+
 class StartOrder(msgspec.Struct, frozen=True, array_like=True, gc=False):
     """Order to a worker to start an attempt of a task."""
 
@@ -315,6 +325,9 @@
 
 # Workers drop an answer after 1 s; commit and answer take some of it.
 MAX_HEARTBEAT_AGE_S = 0.8
+# Of a heartbeat that waited for longer, only the lease is answered: it costs
+# little, and with its runs the worker would lose those that last.
+MAX_FULL_HEARTBEAT_AGE_S = 0.4
 
 # Subject of the queries that carry calls between processes.
 SUBJECT = 'jobs'
@@ -356,7 +369,12 @@
 
 def is_heartbeat(call: Any) -> bool:
     """Return whether a call is the heartbeat of a worker."""
-    return isinstance(call, Heartbeat | PartialHeartbeat)
+    return isinstance(call, Heartbeat | PartialHeartbeat | LeaseRenewal)
+
+
+def get_age_s(request: CallRequest, now: float) -> float:
+    """Return for how long a call has waited; ``now`` is monotonic."""
+    return 0.0 if request.received_at is None else now - request.received_at
 
 
 def is_late_heartbeat(request: CallRequest, now: float) -> bool:
@@ -365,12 +383,21 @@
     Orders in its answer would be lost, and their tasks wait for the next one.
     ``now`` is a monotonic time.
     """
-    if request.received_at is None:
-        return False
-    is_late = now - request.received_at > MAX_HEARTBEAT_AGE_S
+    is_late = get_age_s(request, now) > MAX_HEARTBEAT_AGE_S
     return is_late and is_heartbeat(request.call)
 
 
+def shorten_heartbeat(request: CallRequest, now: float) -> Any:
+    """Return the call, or the renewal of a lease if it has waited for long.
+
+    ``now`` is a monotonic time.
+    """
+    is_old = get_age_s(request, now) > MAX_FULL_HEARTBEAT_AGE_S
+    if is_old and isinstance(request.call, Heartbeat):
+        return LeaseRenewal(request.call)
+    return request.call
+
+
 def is_call(value: Any) -> bool:
     """Return whether a value is a call to the scheduler."""
     return isinstance(value, Call)
--- a/orioleshore/jobs/change_metrics.py
+++ b/orioleshore/jobs/change_metrics.py
@@ -22,7 +22,9 @@
     if outcome.is_err():
         error = outcome.unwrap_err().kind.value
         recorder.count('refusals_total', error=error)
-    elif isinstance(call, calls.Heartbeat | calls.PartialHeartbeat):
+    elif isinstance(call, calls.LeaseRenewal):
+        recorder.count('heartbeats_total', result='renewed')
+    elif calls.is_heartbeat(call):
         result = 'taken' if outcome.unwrap().lease_ms else 'ignored'
         recorder.count('heartbeats_total', result=result)
 
--- a/orioleshore/jobs/handlers.py
+++ b/orioleshore/jobs/handlers.py
@@ -304,6 +304,13 @@
     return reports.answer_heartbeat(call, scheduler)
 
 
+@handle.register(calls.LeaseRenewal)
+def _(
+    call: calls.LeaseRenewal, scheduler: scheduling.Scheduler
+) -> answers.Answer:
+    return reports.renew_lease(call.heartbeat, scheduler)
+
+
 @handle.register(calls.PartialHeartbeat)
 def _(
     call: calls.PartialHeartbeat, scheduler: scheduling.Scheduler
--- a/orioleshore/jobs/placement.py
+++ b/orioleshore/jobs/placement.py
@@ -53,7 +53,7 @@
 ) -> answer_limits.StartOrders:
     """Choose tasks for a worker's free capacity, and record their starts."""
     if not can_start_tasks(scheduler, worker):
-        return answer_limits.make_start_orders(worker)
+        return answer_limits.make_start_orders(worker, scheduler.pace)
     orders = _start_gang_members(scheduler, worker)
     if worker.probation:
         return orders
@@ -280,7 +280,7 @@
 
     A plan without room, because the capacity has shrunk since, expires.
     """
-    orders = answer_limits.make_start_orders(worker)
+    orders = answer_limits.make_start_orders(worker, scheduler.pace)
     if not workers.fits_into(specs.Resources(), worker.get_free_resources()):
         return orders
     for job, group, index in gangs.find_planned_members(scheduler, worker):
--- a/orioleshore/jobs/probation.py
+++ b/orioleshore/jobs/probation.py
@@ -37,7 +37,7 @@
 
     Long-running jobs go first, and those under which fewer workers were lost.
     """
-    none = answer_limits.make_start_orders(worker)
+    none = answer_limits.make_start_orders(worker, scheduler.pace)
     if not scheduler.crashes.is_start_due(worker.pool):
         return none
     if not scheduler.crashes.has_room(worker.pool):
@@ -88,7 +88,7 @@
     job: progress.JobProgress,
     tasks: list[ids.TaskName],
 ) -> answer_limits.StartOrders:
-    orders = answer_limits.make_start_orders(worker)
+    orders = answer_limits.make_start_orders(worker, scheduler.pace)
     waiting = scheduler.crashes.get_waiting(worker.pool)
     due = [
         task
--- a/orioleshore/jobs/progress.py
+++ b/orioleshore/jobs/progress.py
@@ -23,7 +23,7 @@
 
 # Tasks of a job that a new leader restores before other tasks of its process
 # get a turn.
-RESTORED_TASKS_PER_STEP = 5_000
+RESTORED_TASKS_PER_STEP = 1_000
 
 GroupKey = tuple[int, int]
 
--- a/orioleshore/jobs/reports.py
+++ b/orioleshore/jobs/reports.py
@@ -5,6 +5,7 @@
 import logging
 import typing
 
+import msgspec
 from result import Ok
 
 from orioleshore.jobs import answer_limits
@@ -35,30 +36,14 @@
     ``unread_runs`` is the number of rows of running tasks that could not be
     read. They may be those of runs that are missing in the others.
     """
-    worker = scheduler.workers.get(call.worker)
-    is_known = worker is not None
-    is_old = scheduler.has_newer_incarnation(call) or (
-        is_known
-        and worker.incarnation == call.incarnation
-        and call.sequence <= worker.sequence
-    )
-    if is_old:
-        # A stale heartbeat does not describe the worker's present state, so
-        # it renews no lease.
-        LOG.info(
-            logs.format_event(
-                'heartbeat_ignored',
-                worker=call.worker,
-                incarnation=call.incarnation,
-                sequence=call.sequence,
-                newest=worker.sequence if is_known else None,
-            )
-        )
+    if _is_old(call, scheduler):
         return _build_empty_answer(scheduler)
-    if not is_known or worker.incarnation < call.incarnation:
+    worker = scheduler.workers.get(call.worker)
+    if worker is None or worker.incarnation < call.incarnation:
         worker = scheduler.add_worker(call)
     lease_end = worker.lease_end
     earlier = worker.listed.keys() if unread_runs else ()
+    call = _limit_ends(call, scheduler)
     _update_worker(worker, call, scheduler)
     observed = _record_ended_runs(worker, call, scheduler)
     scheduler.usage.set_worker(
@@ -105,6 +90,72 @@
     )
 
 
+def renew_lease(
+    call: calls.Heartbeat, scheduler: scheduling.Scheduler
+) -> answers.Answer:
+    """Renew the lease of a worker, and leave its runs to the next heartbeat.
+
+    The first heartbeat to a leader is answered in full: what the worker runs
+    is not known before.
+    """
+    worker = scheduler.workers.get(call.worker)
+    if worker is None or worker.incarnation != call.incarnation:
+        return answer_heartbeat(call, scheduler)
+    if _is_old(call, scheduler):
+        return _build_empty_answer(scheduler)
+    _update_state(worker, call, scheduler)
+    _extend_lease(worker, call, scheduler)
+    return Ok(
+        calls.HeartbeatAnswer(
+            0,
+            scheduler.epoch,
+            scheduler.limits.lease_ms,
+            retry_ms=scheduler.limits.idle_retry_ms,
+            leader=scheduler.leader_address,
+        )
+    )
+
+
+def _is_old(call: calls.Heartbeat, scheduler: scheduling.Scheduler) -> bool:
+    """Return whether a heartbeat is stale.
+
+    It does not describe the worker's present state, so it renews no lease.
+    """
+    worker = scheduler.workers.get(call.worker)
+    is_old = scheduler.has_newer_incarnation(call) or (
+        worker is not None
+        and worker.incarnation == call.incarnation
+        and call.sequence <= worker.sequence
+    )
+    if is_old:
+        LOG.info(
+            logs.format_event(
+                'heartbeat_ignored',
+                worker=call.worker,
+                incarnation=call.incarnation,
+                sequence=call.sequence,
+                newest=worker.sequence if worker is not None else None,
+            )
+        )
+    return is_old
+
+
+def _limit_ends(
+    call: calls.Heartbeat, scheduler: scheduling.Scheduler
+) -> calls.Heartbeat:
+    """Return a heartbeat without the ended runs beyond those of one step.
+
+    The worker lists them again, since they are not observed.
+    """
+    limit = scheduler.pace.max_ends
+    if len(call.ended) <= limit:
+        return call
+    ended = sorted(call.ended, key=lambda end: end.number)
+    return msgspec.structs.replace(
+        call, ended=tuple(ended[:limit]), has_more_ends=True
+    )
+
+
 def _is_answer_full(
     worker: workers.Worker,
     starts: answer_limits.StartOrders,
@@ -130,7 +181,7 @@
     worker: workers.Worker, scheduler: scheduling.Scheduler
 ) -> answer_limits.StartOrders:
     """Choose suspect tasks or others; the latter by turns at least."""
-    starts = answer_limits.make_start_orders(worker)
+    starts = answer_limits.make_start_orders(worker, scheduler.pace)
     if not placement.can_start_tasks(scheduler, worker):
         return starts
     if worker.is_turn_of_suspects:
@@ -189,11 +240,9 @@
     scheduler: scheduling.Scheduler,
 ) -> None:
     _update_state(worker, call, scheduler)
-    worker.sequence = call.sequence
+    _extend_lease(worker, call, scheduler)
     worker.capacity = call.capacity
     scheduler.registry.set_pool(worker, call.pool)
-    worker.last_heartbeat_at = scheduler.now
-    worker.lease_end = scheduler.now + scheduler.max_lease_s
     worker.reports = {
         (report.job, report.task, report.attempt): report
         for report in call.running
@@ -214,6 +263,16 @@
     }
 
 
+def _extend_lease(
+    worker: workers.Worker,
+    call: calls.Heartbeat,
+    scheduler: scheduling.Scheduler,
+) -> None:
+    worker.sequence = call.sequence
+    worker.last_heartbeat_at = scheduler.now
+    worker.lease_end = scheduler.now + scheduler.max_lease_s
+
+
 def _update_state(
     worker: workers.Worker,
     call: calls.Heartbeat,
--- a/orioleshore/jobs/scheduler.py
+++ b/orioleshore/jobs/scheduler.py
@@ -28,6 +28,7 @@
 from orioleshore.jobs import limit_holds
 from orioleshore.jobs import orders
 from orioleshore.jobs import organisations
+from orioleshore.jobs import pacing
 from orioleshore.jobs import pools
 from orioleshore.jobs import progress
 from orioleshore.jobs import registry
@@ -99,6 +100,7 @@
             self.usage.set_worker(worker, holdings)
         self._has_dropped_unheard_usage = False
         self.bounds = collections.Counter[states.Bound]()
+        self.pace = pacing.WorkPace()
         self._ended_jobs = retention.EndedJobs(job_ledger)
         self._tick_steps: dict[states.TickStep, Callable[[], None]] = {
             states.TickStep.LEASES: self._end_expired_leases,
--- a/orioleshore/jobs/task.py
+++ b/orioleshore/jobs/task.py
@@ -17,6 +17,7 @@
 from orioleshore.jobs import commits
 from orioleshore.jobs import dumping
 from orioleshore.jobs import failure_pauses
+from orioleshore.jobs import ledger_copies
 from orioleshore.jobs import organisation_status
 from orioleshore.jobs import scheduler
 from orioleshore.jobs import ticking
@@ -26,7 +27,6 @@
 from orioleshore.model import ids
 from orioleshore.model import states
 from orioleshore.state import commands
-from orioleshore.state import records
 from orioleshore.tasks import mailbox
 from orioleshore.tasks import reply
 from orioleshore.tasks import task
@@ -126,8 +126,7 @@
 
     async def _yield_turn(self) -> None:
         """Let the other tasks of the process go on, and begin a new turn."""
-        self._turns.end()
-        await asyncio.sleep(0)
+        await asyncio.sleep(self._turns.end())
         self._turns.begin()
 
     async def _restore_jobs(self) -> None:
@@ -135,7 +134,8 @@
         if self._restoring is None:
             return
         for _ in self._restoring:
-            await self._yield_turn()
+            if self._turns.count_message():
+                await self._yield_turn()
         self._restoring = None
 
     def _get_monotonic(self) -> float:
@@ -155,27 +155,27 @@
         now = self._get_monotonic()
         if calls.is_late_heartbeat(request, now):
             self._count_heartbeat(request.call, 'late')
+            self._note_heartbeat_delay(0, request.received_at)
             request.answer.resolve(answers.build_late_heartbeat_error())
             return
+        call = calls.shorten_heartbeat(request, now)
         source = calls.get_source(request.call)
         if self._pauses.is_source_paused(source, now):
             request.answer.resolve(answers.build_failed_call_error())
             return
         try:
             outcome = self._scheduler.handle(
-                request.call, now, self._timers.clock.get_wall()
+                call, now, self._timers.clock.get_wall()
             )
         except Exception:
             self._fail_call(request, source)
             return
-        change_metrics.count_outcome(request.call, outcome, self._latencies)
+        change_metrics.count_outcome(call, outcome, self._latencies)
         self._queue_changes(
             commits.PendingAnswer(
                 request.answer,
                 outcome,
-                request.received_at
-                if calls.is_heartbeat(request.call)
-                else None,
+                request.received_at if calls.is_heartbeat(call) else None,
             )
         )
 
@@ -184,6 +184,15 @@
         if calls.is_heartbeat(call):
             self._latencies.count('heartbeats_total', result=result)
 
+    def _note_heartbeat_delay(
+        self, starts: int, received_at: float | None
+    ) -> None:
+        """Let the bounds of further answers follow the delay of one."""
+        if received_at is None:
+            return
+        now = self._get_monotonic()
+        self._scheduler.pace.note_answer(starts, now - received_at, now)
+
     def _fail_call(self, request: calls.CallRequest, source: str) -> None:
         """Refuse a call that raised, and rebuild the scheduler.
 
@@ -327,6 +336,9 @@
             change_metrics.count_change(change, self._latencies)
         for pending in batch.answers:
             pending.send()
+            if pending.heartbeat_at is not None and pending.outcome.is_ok():
+                starts = len(pending.outcome.unwrap().starts)
+                self._note_heartbeat_delay(starts, pending.heartbeat_at)
         if self._hosts_mailbox is not None:
             for order in batch.orders:
                 self._hosts_mailbox.put(order)
@@ -336,26 +348,34 @@
             self._rebuild_scheduler()
 
     def _start_leading(
-        self, message: member_messages.LeadershipGained
+        self, message: member_messages.SchedulingGained
     ) -> None:
         self._stop_leading()
-        state = records.decode_state(message.encoded_state)
+        self._restoring = self._restore(message)
+
+    def _restore(
+        self, message: member_messages.SchedulingGained
+    ) -> Iterator[None]:
+        """Build the scheduler from the ledger; yields after each step."""
+        for restored in ledger_copies.restore_ledger(message.ledger):
+            job_ledger = restored
+            yield
         self._scheduler = scheduler.Scheduler(
-            state.ledger,
+            job_ledger,
             message.epoch,
             self._limits,
             self._public_address,
             self._get_monotonic(),
             restores_jobs=False,
         )
-        self._restoring = self._scheduler.restore_jobs()
+        yield from self._scheduler.restore_jobs()
         self._latencies.count('elections_total')
         LOG.info(
             logs.format_event(
                 'scheduling_started',
                 epoch=message.epoch,
-                jobs=len(state.ledger.jobs),
-                version=state.ledger.configuration.version,
+                jobs=len(job_ledger.jobs),
+                version=job_ledger.configuration.version,
             )
         )
 
@@ -371,6 +391,7 @@
                     'scheduling_stopped',
                     epoch=self._scheduler.epoch,
                     unanswered=len(pending),
+                    max_starts=self._scheduler.pace.max_starts,
                 )
             )
         self._scheduler = None
@@ -408,7 +429,7 @@
 
 
 @_handle_message.register
-def _(message: member_messages.LeadershipGained, owner: JobsTask) -> None:
+def _(message: member_messages.SchedulingGained, owner: JobsTask) -> None:
     owner._start_leading(message)
 
 
--- a/orioleshore/jobs/turns.py
+++ b/orioleshore/jobs/turns.py
@@ -1,4 +1,9 @@
-"""Turns of the scheduler's task in the event loop of its process."""
+"""Turns of the scheduler's task in the event loop of its process.
+
+Answers a processor that other work keeps busy: a turn of few milliseconds of
+processor time may then take ten times as long, and the group's messages, which
+need several turns of the loop, wait behind each of them.
+"""
 
 import logging
 
@@ -11,6 +16,9 @@
 # Messages are handled for this long before the other tasks of the process get
 # a turn. Without one, this member's own lease would lapse.
 TURN_S = 0.02
+# Longest pause after a turn; a fraction of the interval at which the members
+# of the group hear from their leader.
+MAX_PAUSE_S = 0.1
 # Turns from here on are logged.
 LONG_TURN_S = 0.1
 
@@ -38,11 +46,15 @@
         self._messages += 1
         return self._clock.get_monotonic() >= self._began_at + TURN_S
 
-    def end(self) -> None:
-        """End a turn; one beyond its bound counts in the metrics."""
+    def end(self) -> float:
+        """End a turn; return the seconds that other tasks get after it.
+
+        They get what the turn took beyond its bound, since their own steps
+        take as much longer as the turn did.
+        """
         wall_s = self._clock.get_monotonic() - self._began_at
         if wall_s < TURN_S:
-            return
+            return 0.0
         processor_s = self._clock.get_processor() - self._processor_at
         self._recorder.observe('turn_seconds', wall_s)
         self._recorder.observe('turn_processor_seconds', processor_s)
@@ -55,3 +67,4 @@
                     messages=self._messages,
                 )
             )
+        return min(wall_s - TURN_S, MAX_PAUSE_S)
--- a/orioleshore/tests/builders.py
+++ b/orioleshore/tests/builders.py
@@ -12,6 +12,7 @@
 from orioleshore.consensus import raft
 from orioleshore.jobs import calls
 from orioleshore.jobs import ledger
+from orioleshore.jobs import ledger_copies
 from orioleshore.jobs import progress
 from orioleshore.jobs import specs
 from orioleshore.jobs import task as jobs_task
@@ -597,15 +598,22 @@
 
 async def start_leading(task: jobs_task.JobsTask) -> None:
     """Let the task schedule with one queue configured."""
-    state = records.State()
-    state.ledger.configuration = build_configuration()
     await task.handle(
-        member_messages.LeadershipGained(
-            ids.Epoch(1), records.encode_state(state)
+        build_scheduling_gained(
+            ledger.Ledger(configuration=build_configuration())
         )
     )
 
 
+def build_scheduling_gained(
+    job_ledger: ledger.Ledger,
+) -> member_messages.SchedulingGained:
+    """Return the message that lets a task schedule the jobs of a ledger."""
+    return member_messages.SchedulingGained(
+        ids.Epoch(1), ledger_copies.copy_ledger(job_ledger)
+    )
+
+
 def take_messages(inbox: mailbox.Mailbox) -> list[Any]:
     """Remove and return all messages of a mailbox."""
     taken = []
--- a/orioleshore/tests/load_builders.py
+++ b/orioleshore/tests/load_builders.py
@@ -1,16 +1,22 @@
 """Builders of test data for large loads: many tasks, occurrences and calls."""
 
+import asyncio
+
 import msgspec
+from result import Ok
 
 from fakes import policy
 from fakes import workers as fake_workers
 from orioleshore.jobs import calls
 from orioleshore.jobs import ledger
+from orioleshore.jobs import pacing
 from orioleshore.jobs import progress
 from orioleshore.jobs import specs
 from orioleshore.jobs import task as jobs_task
 from orioleshore.jobs import turns
 from orioleshore.model import ids
+from orioleshore.model import states
+from orioleshore.tasks import mailbox
 from orioleshore.tasks import reply
 from orioleshore.telemetry import latencies
 from orioleshore.tests import builders
@@ -37,9 +43,16 @@
     )
     fleet.add_hosts(hosts, 'red', cores)
     fleet.run(0.5)
+    let_pace_grow(fleet.scheduler.pace, fleet.now)
     return fleet
 
 
+def let_pace_grow(pace: pacing.WorkPace, now: float) -> None:
+    """Let full answers be quick until the bounds are at their highest."""
+    while pace.max_starts < pacing.MAX_STARTS:
+        pace.note_answer(pace.max_starts, 0.0, now)
+
+
 def build_schedule(first_due_s: float, *steps: specs.Step) -> specs.Job:
     """Return a job that runs each minute for two weeks."""
     job = builders.build_batch_job(*steps)
@@ -95,7 +108,11 @@
 
 
 def send_heartbeat(
-    task: jobs_task.JobsTask, worker: str, outcomes: list, age_s: float = 0.0
+    task: jobs_task.JobsTask,
+    worker: str,
+    outcomes: list,
+    age_s: float = 0.0,
+    sequence: int = 1,
 ) -> None:
     """Put a heartbeat that came ``age_s`` ago into the mailbox of a task."""
     answer = reply.Reply()
@@ -103,6 +120,34 @@
     received_at = task._timers.clock.get_monotonic() - age_s
     task.mailbox.put(
         calls.CallRequest(
-            builders.build_heartbeat(worker), answer, received_at
+            builders.build_heartbeat(worker, sequence=sequence),
+            answer,
+            received_at,
+        )
+    )
+
+
+async def confirm_commits(
+    task: jobs_task.JobsTask, consensus: mailbox.Mailbox
+) -> None:
+    """Confirm the commits of a task until it has none left."""
+    while len(consensus):
+        for commit in builders.take_messages(consensus):
+            commit.answer.resolve(Ok(None))
+        await asyncio.sleep(0)
+        await task.handle(task.mailbox.get_nowait())
+        await asyncio.sleep(0)
+
+
+def build_wide_ledger(tasks: int) -> ledger.Ledger:
+    """Return a ledger with one job, all of whose tasks have run."""
+    record = build_progress(build_small_tasks(tasks)).record
+    for index in range(tasks):
+        name = specs.make_task_name(0, 0, index)
+        record.tasks[name] = ledger.RunRecord(
+            states.RunStage.DONE, ids.Attempt(1), worker=ids.WorkerId('worker')
         )
+    return ledger.Ledger(
+        configuration=builders.build_configuration(),
+        jobs={builders.build_job_id(): record},
     )
--- a/orioleshore/tests/test_batch_bounds.py
+++ b/orioleshore/tests/test_batch_bounds.py
@@ -8,6 +8,7 @@
 from orioleshore.jobs import calls
 from orioleshore.jobs import change_metrics
 from orioleshore.jobs import orders
+from orioleshore.jobs import pacing
 from orioleshore.jobs import placement
 from orioleshore.jobs import specs
 from orioleshore.jobs import tuning
@@ -124,7 +125,7 @@
     )
     [worker] = fleet.workers.values()
     answer = fleet.call_scheduler(worker.make_heartbeat(fleet.now)).unwrap()
-    assert len(answer.starts) == answer_limits.MAX_STARTS
+    assert len(answer.starts) == pacing.MAX_STARTS
 
 
 def test_lost_answers_make_the_next_ones_smaller():
--- a/orioleshore/tests/test_batch_commits.py
+++ b/orioleshore/tests/test_batch_commits.py
@@ -10,7 +10,6 @@
 from orioleshore.jobs import commits
 from orioleshore.jobs import task as jobs_task
 from orioleshore.jobs import turns
-from orioleshore.state import records
 from orioleshore.tasks import reply
 from orioleshore.tests import builders
 from orioleshore.tests import load_builders
@@ -143,32 +142,28 @@
     support.run(check())
 
 
-def test_new_leader_restores_jobs_in_several_turns():
+def test_new_leader_restores_jobs_in_several_turns(monkeypatch):
     """Guards against an election that is lost while jobs are restored."""
     task, _ = builders.build_jobs_task()
-    state = records.State()
-    state.ledger.configuration = builders.build_configuration()
+    monkeypatch.setattr(turns, 'TURN_S', 0.0)
     fleet = builders.build_fleet()
     for number in range(10):
         fleet.call_scheduler(builders.build_submission(number))
-    state.ledger.jobs = fleet.scheduler.ledger.jobs
-    turns = []
+    gained = builders.build_scheduling_gained(fleet.scheduler.ledger)
+    seen = []
 
     async def take_turns():
         while True:
-            turns.append(len(task._scheduler.jobs) if task._scheduler else 0)
+            seen.append(len(task._scheduler.jobs) if task._scheduler else 0)
             await asyncio.sleep(0)
 
     async def check():
         other = asyncio.create_task(take_turns())
-        await task.handle(
-            member_messages.LeadershipGained(
-                builders.ids.Epoch(1), records.encode_state(state)
-            )
-        )
+        await task.handle(gained)
         other.cancel()
         assert len(task._scheduler.jobs) == 10
-        assert turns == list(range(1, 11))
+        # The ledger is read before the first job is restored.
+        assert list(dict.fromkeys(seen)) == list(range(11))
 
     support.run(check())
 
