Keep the lease of a worker that announces its exit

A worker that leaves and receives no acknowledgement stays up for some seconds.

The announcement shortened the lease to one second. It proves neither that the worker has ended nor, since it names no life, that it is the present worker under its name: a late one of an earlier life ended the runs of a worker that reports each 1.5 s. The lease that was granted is the only proof, so the announcement leaves it as it is and only keeps new tasks away.

--- a/orioleshore/jobs/scheduler.py
+++ b/orioleshore/jobs/scheduler.py
@@ -491,12 +491,16 @@
             self.end_run(key, states.RunEnd.LOST, '', name)
 
     def drain_worker(self, worker: workers.Worker) -> None:
-        """Let a worker that announced its exit drain for a limited time."""
-        exit_due_at = self.now + self.limits.leave_ms / MS_PER_S
+        """Let a worker that announced its exit drain.
+
+        Its lease stays as it is. The worker may not receive the
+        acknowledgement and go on, and an announcement that was delayed may
+        be that of an earlier life under its name.
+        """
         if worker.state is states.WorkerState.READY:
-            worker.exit_due_at = exit_due_at
+            leave_s = self.limits.leave_ms / MS_PER_S
+            worker.exit_due_at = self.now + leave_s
         worker.state = states.WorkerState.DRAINING
-        worker.lease_end = min(worker.lease_end, exit_due_at)
 
     def drop_worker(
         self, worker: workers.Worker, reason: states.WorkerExit
--- a/orioleshore/jobs/tuning.py
+++ b/orioleshore/jobs/tuning.py
@@ -27,8 +27,8 @@
     host_lease_ms: int = 3_000
     # Time that the upkeep of a host takes. Platform limit.
     upkeep_s: float = 2.0
-    # A worker that announced its exit has stopped its runs this long after
-    # the acknowledgement; more than the time that a process takes to exit.
+    # A worker that reports as ready this long after its exit was announced
+    # goes on: an earlier life under its name has announced it.
     leave_ms: int = 1_000
     # Shortest heartbeat interval of ready workers; a new job waits at most
     # this long for a worker to report.
--- a/orioleshore/jobs/workers.py
+++ b/orioleshore/jobs/workers.py
@@ -75,8 +75,8 @@
     consecutive_failures: int = msgspec.field(
         default=0, name='failures_in_row'
     )
-    # Monotonic time by which a worker has ended that announced its exit
-    # without having reported that it drains, 0 for others.
+    # Monotonic time by which a worker should have ended that announced its
+    # exit without having reported that it drains, 0 for others.
     exit_due_at: float = 0.0
     # Monotonic times of the last failures of tasks, each kept for a while.
     failed_at: dict[TaskKey, float] = {}
--- a/orioleshore/tests/test_batch_faults.py
+++ b/orioleshore/tests/test_batch_faults.py
@@ -517,6 +517,69 @@
     assert not fleet.starts
 
 
+def build_leaving_worker() -> tuple[workers.FakeFleet, workers.FakeWorker]:
+    """Return two workers, of which one runs tasks and drains."""
+    fleet = workers.FakeFleet(
+        builders.build_configuration(), seed=support.SEED
+    )
+    fleet.add_hosts(2, 'red')
+    fleet.run(4.5)
+    fleet.mean_run_s = 30.0
+    job = builders.build_batch_job(builders.build_step(6))
+    fleet.call_scheduler(builders.build_submission(1, job))
+    fleet.run(0.5)
+    worker = max(fleet.workers.values(), key=lambda item: len(item.running))
+    assert worker.running
+    worker.state = states.WorkerState.DRAINING
+    fleet.run(2.0)
+    return fleet, worker
+
+
+def test_tasks_of_a_worker_whose_exit_is_unacknowledged_run_once():
+    """Guards against tasks that run twice while a worker leaves.
+
+    Without an acknowledgement it goes on for some seconds. Its tasks started
+    elsewhere after one second, in which its lease went on.
+    """
+    fleet, worker = build_leaving_worker()
+    left = set(worker.running)
+    worker.link = workers.Link.ANSWERS_LOST
+    fleet.call_scheduler(calls.LeaveWorker(worker.name))
+    # The fleet raises if a task runs twice at a time.
+    fleet.run(3.0)
+    worker.is_silent = True
+    worker.running.clear()
+    fleet.run(fleet.scheduler.max_lease_s + 0.5)
+    tasks = fleet.scheduler.ledger.jobs[builders.build_job_id(1)].tasks
+    assert all(tasks[key[1]].worker != worker.name for key in left)
+
+
+def test_tasks_of_a_worker_that_has_left_run_again_after_its_lease():
+    """Guards against tasks that wait longer than the lease of their worker."""
+    fleet, worker = build_leaving_worker()
+    left = set(worker.running)
+    fleet.call_scheduler(calls.LeaveWorker(worker.name))
+    worker.is_silent = True
+    worker.running.clear()
+    fleet.run(fleet.scheduler.max_lease_s + 0.2)
+    tasks = fleet.scheduler.ledger.jobs[builders.build_job_id(1)].tasks
+    assert all(tasks[key[1]].worker != worker.name for key in left)
+
+
+def test_late_exit_of_an_earlier_life_ends_no_run():
+    """Guards against runs that are given up for an announcement of others.
+
+    The message names no life. The worker that has the name now reports less
+    often than the time after which its runs were given up.
+    """
+    fleet, worker = build_leaving_worker()
+    began = len(fleet.starts)
+    fleet.run(worker.next_heartbeat - fleet.now + 0.1)
+    fleet.call_scheduler(calls.LeaveWorker(worker.name))
+    fleet.run(5.0)
+    assert len(fleet.starts) == began
+
+
 @pytest.mark.parametrize('silence_s', [0.5, 1.5, 2.5])
 def test_silence_shorter_than_a_lease_restarts_nothing(silence_s):
     """Guards against work that restarts because its worker was only slow."""
