--- a/orioleshore/platform/wire.py
+++ b/orioleshore/platform/wire.py
@@ -100,14 +100,16 @@
     zone: str
     state: str
     sequence: _Count
+    # A worker sends both lists also when they are empty. Without them, the
+    # message says nothing of its runs.
+    running: tuple[_RunRow, ...]
+    finished: tuple[_EndRow, ...]
     # Unix time of the worker's start in milliseconds, its incarnation.
     born: _Count = 0
     machine: str = ''
     capacity: _CapacityBody = _CapacityBody()
     labels: tuple[str, ...] = ()
     remaining_ms: _Figure = 0
-    running: tuple[_RunRow, ...] = ()
-    finished: tuple[_EndRow, ...] = ()
 
 
 class _WaveBody(msgspec.Struct):
@@ -168,8 +170,8 @@
         if len(body) > _MAX_SPLIT_BYTES:
             raise
     members = json_rows.split_object(body)
-    running = _RUN_ROWS.decode(members.pop('running', b'[]'))
-    finished = _END_ROWS.decode(members.pop('finished', b'[]'))
+    running = _take_rows(members, 'running', _RUN_ROWS)
+    finished = _take_rows(members, 'finished', _END_ROWS)
     content = _HEARTBEAT_DECODER.decode(_join_known_members(members))
     content.running = running.rows
     content.finished = finished.rows
@@ -188,6 +190,17 @@
     return calls.PartialHeartbeat(heartbeat, len(running.odd))
 
 
+def _take_rows(
+    members: dict[str, bytes], name: str, decoder: json_rows.RowDecoder
+) -> json_rows.Rows:
+    """Return the rows of a list; leave an empty list in its place."""
+    if name not in members:
+        raise decoding.DecodingError(f'the heartbeat has no list {name!r}')
+    rows = decoder.decode(members[name])
+    members[name] = b'[]'
+    return rows
+
+
 def _join_known_members(members: dict[str, bytes]) -> bytes:
     """Return the members of a heartbeat that are used, as one object."""
     known = [
--- a/orioleshore/tests/test_platform_wire.py
+++ b/orioleshore/tests/test_platform_wire.py
@@ -50,6 +50,20 @@
         wire.decode_heartbeat('i-1', body)
 
 
+@pytest.mark.parametrize('name', ['running', 'finished'])
+@pytest.mark.parametrize('other', [[], [['odd']]])
+def test_heartbeat_without_a_list_is_refused(name, other):
+    """Guards against tasks that run twice after a message of another writer.
+
+    A worker lists its runs and their ends also when there are none. Without
+    a list, its runs counted as lost and started again beside themselves.
+    """
+    body = builders.build_heartbeat_body(running=other, finished=other)
+    del body[name]
+    with pytest.raises(DECODE_ERRORS):
+        wire.decode_heartbeat('i-1', json.dumps(body).encode())
+
+
 @pytest.mark.parametrize(
     ('name', 'row'),
     [
