Remember the cancel of a job that has not come yet

The leader concluded from its own ignorance that there was nothing to cancel. It now notes the cancel in the ledger; a submission that comes afterwards is recorded as a cancelled job. A job that has not come is still unknown to those who ask. The change is JobCancelled as before, which earlier members ignore for unknown jobs.

--- a/orioleshore/history/phrases.py
+++ b/orioleshore/history/phrases.py
@@ -64,6 +64,8 @@
     'hold back more, so no run of it counts as lost',
     'answer_full': 'the answer to {worker} is full with {starts} starts and '
     '{stops} stops; the rest follow in the next one',
+    'job_came_cancelled': 'job {job} had been cancelled before it came, so '
+    'it never starts',
     'turn_long': 'a turn of the scheduler with {messages} messages took '
     '{seconds} s, of it {processor_s} s of processor time',
     'work_slowed': 'an answer took {delay_s} s, so one answer starts at most '
--- a/orioleshore/jobs/handlers.py
+++ b/orioleshore/jobs/handlers.py
@@ -100,6 +100,10 @@
         )
     if name in scheduler.ledger.jobs:
         return Ok(None)
+    if name in scheduler.ledger.early_cancels:
+        scheduler.accept_cancelled_job(name, call.job, queue, caller.unwrap())
+        LOG.info(logs.format_event('job_came_cancelled', job=name))
+        return Ok(None)
     limit = scheduler.directory.get_limit(caller.unwrap())
     refusal = admission.find_refusal(
         scheduler, call.job, queue, caller.unwrap()
@@ -172,6 +176,10 @@
         return caller
     record = scheduler.ledger.jobs.get(name)
     if record is None:
+        # Noted also for a caller that is told that there is no such job: its
+        # submission may still wait at an entry host.
+        if is_job_id(name):
+            scheduler.cancel_unknown_job(name)
         return answers.build_failure(
             errors.ErrorKind.JOB_UNKNOWN, 'no such job'
         )
--- a/orioleshore/jobs/ledger.py
+++ b/orioleshore/jobs/ledger.py
@@ -156,6 +156,9 @@
     # The last worker of each host, if it was lost and it is not yet known
     # why.
     lost_workers: dict[ids.HostId, LostWorker] = {}
+    # Times at which jobs were cancelled that were not known, so that a
+    # submission on its way then does not start them.
+    early_cancels: dict[ids.JobId, ids.WallTime] = {}
     # Time at which a task was last given up because of crashes.
     given_up_at: ids.WallTime = ids.WallTime(0.0)
 
@@ -183,14 +186,14 @@
 
 
 class JobCancelled(_Change, frozen=True):
-    """A caller cancelled a job."""
+    """A caller cancelled a job, which may not be known yet."""
 
     job: ids.JobId
     at: ids.WallTime
 
 
 class JobForgotten(_Change, frozen=True):
-    """The retention time of an ended job is over; its record is removed."""
+    """The record of an ended job, or of an early cancel, is removed."""
 
     job: ids.JobId
 
--- a/orioleshore/jobs/ledger_updates.py
+++ b/orioleshore/jobs/ledger_updates.py
@@ -38,6 +38,7 @@
 def _(change: ledger.JobAccepted, state: ledger.Ledger) -> None:
     if change.job in state.jobs:
         return
+    state.early_cancels.pop(change.job, None)
     state.jobs[change.job] = ledger.JobRecord(
         change.spec,
         change.host,
@@ -55,13 +56,16 @@
 @apply_change.register
 def _(change: ledger.JobCancelled, state: ledger.Ledger) -> None:
     record = state.jobs.get(change.job)
-    if record is not None and not record.is_ended:
+    if record is None:
+        state.early_cancels[change.job] = change.at
+    elif not record.is_ended:
         _end_job(record, states.BatchState.CANCELLED, change.at)
 
 
 @apply_change.register
 def _(change: ledger.JobForgotten, state: ledger.Ledger) -> None:
     state.jobs.pop(change.job, None)
+    state.early_cancels.pop(change.job, None)
 
 
 @apply_change.register
--- a/orioleshore/jobs/scheduler.py
+++ b/orioleshore/jobs/scheduler.py
@@ -101,7 +101,12 @@
         self._has_dropped_unheard_usage = False
         self.bounds = collections.Counter[states.Bound]()
         self.pace = pacing.WorkPace()
-        self._ended_jobs = retention.EndedJobs(job_ledger)
+        self._ended_jobs = retention.EndedJobs(
+            retention.list_ended_jobs(job_ledger)
+        )
+        self._early_cancels = retention.EndedJobs(
+            retention.list_early_cancels(job_ledger)
+        )
         self._tick_steps: dict[states.TickStep, Callable[[], None]] = {
             states.TickStep.LEASES: self._end_expired_leases,
             states.TickStep.JOBS: self._update_jobs,
@@ -304,6 +309,32 @@
         self.record_change(ledger.JobCancelled(name, self.wall_time))
         self._untrack_job(name)
 
+    def cancel_unknown_job(self, name: ids.JobId) -> None:
+        """Note that a job is cancelled whose submission may be on its way."""
+        cancels = self.ledger.early_cancels
+        if name in cancels:
+            return
+        if len(cancels) >= retention.MAX_EARLY_CANCELS:
+            self.record_change(ledger.JobForgotten(next(iter(cancels))))
+        self.record_change(ledger.JobCancelled(name, self.wall_time))
+        self._early_cancels.add(name, self.wall_time)
+
+    def accept_cancelled_job(
+        self,
+        name: ids.JobId,
+        spec: specs.Job,
+        queue: specs.Queue,
+        organisation: ids.OrganisationId,
+    ) -> None:
+        """Record a job that was cancelled before its submission came."""
+        self.record_change(
+            admission.build_acceptance(
+                name, spec, queue, organisation, self.wall_time
+            )
+        )
+        self.record_change(ledger.JobCancelled(name, self.wall_time))
+        self._ended_jobs.add(name, self.wall_time)
+
     def end_run(
         self,
         key: workers.RunKey,
@@ -430,6 +461,10 @@
         horizon = self.wall_time - self.limits.status_s
         for name in self._ended_jobs.take_older(horizon):
             self.record_change(ledger.JobForgotten(name))
+        for name in self._early_cancels.take_older(horizon):
+            # The job may have come since, and be kept for longer.
+            if name in self.ledger.early_cancels:
+                self.record_change(ledger.JobForgotten(name))
 
     # Workers.
 
--- a/orioleshore/tests/test_batch_progress.py
+++ b/orioleshore/tests/test_batch_progress.py
@@ -157,7 +157,7 @@
 
 def test_ended_jobs_are_forgotten_a_few_at_a_time():
     """Guards against a tick that goes through all jobs of two minutes."""
-    ended = retention.EndedJobs(ledger.Ledger())
+    ended = retention.EndedJobs(())
     for number in range(1_200):
         ended.add(builders.build_job_id(number), ids.WallTime(number / 10))
     limit = retention.MAX_FORGOTTEN_PER_TICK
