--- a/fakes/platform_fleet.py
+++ b/fakes/platform_fleet.py
@@ -304,6 +304,10 @@
         self._position = 0
         self.starts: dict[str, int] = {}
         self.accepted_reports = 0
+        self._born = 1
+        self._state = 'ready'
+        # Whether answers are lost on their way.
+        self._is_deaf = False
         # Added to the running tasks by another writer.
         self.odd_runs: tuple = ()
         self._answered_at = 0.0
@@ -338,16 +342,69 @@
             elif now >= self._lease_end:
                 self._end_run(key, 'lapsed')
 
+    async def leave_unacknowledged(
+        self, drain_s: float, wait_s: float
+    ) -> None:
+        """Drain, announce the exit, go on without answers, and start anew."""
+        self._state = 'draining'
+        await asyncio.sleep(drain_s)
+        self._is_deaf = True
+        timeout = aiohttp.ClientTimeout(total=ANSWER_TIMEOUT_S)
+        with contextlib.suppress(aiohttp.ClientError, TimeoutError, OSError):
+            async with aiohttp.ClientSession(timeout=timeout) as session:
+                await session.delete(self._get_url())
+        await asyncio.sleep(wait_s)
+        for key in list(self._running):
+            self._end_run(key, 'exited')
+        self._ended = []
+        self._sequence = self._number = 0
+        self._lease_end = 0.0
+        self._born += 1
+        self._state = 'ready'
+        self._is_deaf = False
+
+    async def send_foreign_report(self) -> None:
+        """Send a report of another writer, which has no lists of runs."""
+        body = self._make_body()
+        del body['running'], body['finished']
+        body['sequence'] = self._sequence + 1
+        timeout = aiohttp.ClientTimeout(total=ANSWER_TIMEOUT_S)
+        with contextlib.suppress(aiohttp.ClientError, TimeoutError, OSError):
+            async with aiohttp.ClientSession(timeout=timeout) as session:
+                await session.put(self._get_url(), json=body)
+
+    def _get_url(self) -> str:
+        names = self._fleet.control_names
+        name = names[self._position % len(names)]
+        return f'{self._fleet.get_url(name)}/instances/{self._name}'
+
     async def _send_report(self, session: aiohttp.ClientSession) -> None:
         self._end_due_runs()
         now = asyncio.get_running_loop().time()
         self._sequence += 1
-        body = {
+        born = self._born
+        try:
+            async with session.put(
+                self._get_url(), json=self._make_body()
+            ) as response:
+                if response.status != 200:
+                    self._position += 1
+                    return
+                answer = await response.json()
+        except (aiohttp.ClientError, TimeoutError, OSError):
+            self._position += 1
+            return
+        # An answer to an earlier life is lost with its connection.
+        if not self._is_deaf and born == self._born:
+            self._apply_answer(answer, now)
+
+    def _make_body(self) -> dict:
+        return {
             'service': self._service,
             'zone': 'az-1',
-            'state': 'ready',
+            'state': self._state,
             'sequence': self._sequence,
-            'born': 1,
+            'born': self._born,
             'machine': f'm-{self._name}',
             'capacity': {'cpus': 4_000, 'mem_mb': 8_192},
             'labels': ['a', 'r1-1'],
@@ -360,17 +417,6 @@
             ],
             'finished': self._ended,
         }
-        names = self._fleet.control_names
-        name = names[self._position % len(names)]
-        url = f'{self._fleet.get_url(name)}/instances/{self._name}'
-        try:
-            async with session.put(url, json=body) as response:
-                if response.status != 200:
-                    self._position += 1
-                    return
-                self._apply_answer(await response.json(), now)
-        except (aiohttp.ClientError, TimeoutError, OSError):
-            self._position += 1
 
     def _end_run(self, key: tuple[str, int], how: str) -> None:
         del self._running[key]
--- a/scripts/soak.py
+++ b/scripts/soak.py
@@ -194,6 +194,8 @@
             self._wipe,
             self._reload,
             self._disturb,
+            self._leave,
+            self._send_foreign_report,
         ]
         while loop.time() < end:
             kind = self._random.choice(kinds)
@@ -246,6 +248,15 @@
         await asyncio.sleep(self._random.uniform(0.2, 2.0))
         self._entry.set_fault(proxy.Fault.NONE)
 
+    async def _leave(self) -> None:
+        worker = self._random.choice(self._workers)
+        await worker.leave_unacknowledged(
+            self._random.uniform(0.2, 1.0), self._random.uniform(1.0, 3.0)
+        )
+
+    async def _send_foreign_report(self) -> None:
+        await self._random.choice(self._workers).send_foreign_report()
+
     async def _submit_job(self, session: aiohttp.ClientSession) -> None:
         name = f'{self._next_job:016x}'
         self._next_job += 1
